--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,386 @@
+// Package admission decides at a target host which requests run, wait or are
+// refused. It is pure: clock readings are passed in.
+//
+// Teams share the target by weight with start-time fair queueing. Within a
+// team the more urgent go first, then first tries before retries, then the
+// earlier. When the queue is full, the team that holds most of it in relation
+// to its weight gives way, so a large team cannot keep a small one out.
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/springgate/springgate/outcome"
+	"golang.org/x/time/rate"
+)
+
+// Limits bound the work of one target.
+type Limits struct {
+	Concurrency int // requests that run at once
+	Queue       int // requests that wait
+}
+
+// TeamLimits are the limits of one team at one target.
+type TeamLimits struct {
+	Name        string
+	Weight      int // share in relation to other teams
+	Concurrency int // running requests; 0 is no limit
+	Rate        int // requests a second; 0 is no limit
+	// Priority is the most urgent level the team may use, and its default.
+	Priority int
+}
+
+// Request is what admission knows of a request.
+type Request struct {
+	ID       uint64
+	Team     string
+	Urgency  int // RFC 9218: 0 is the most urgent, 7 the least
+	Retry    bool
+	Deadline time.Time
+}
+
+// Verdict is the answer to an offer.
+type Verdict struct {
+	Start      bool // runs now
+	Refused    outcome.Reason
+	RetryAfter time.Duration
+}
+
+// Refusal ends a request that was waiting.
+type Refusal struct {
+	ID         uint64
+	Reason     outcome.Reason
+	RetryAfter time.Duration
+}
+
+// Effects lists what a call changed for other requests.
+type Effects struct {
+	Started []uint64
+	Refused []Refusal
+}
+
+// Constants of the policy.
+const (
+	// neutralUrgency is the default of RFC 9218.
+	neutralUrgency = 3
+	// retryShare is the part of the queue that retries may fill.
+	retryShare = 0.25
+	// serviceSmoothing is the weight of a new sample of the service time.
+	serviceSmoothing = 0.1
+	// minRetryAfter is the shortest Retry-After, the unit of the header.
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+type waiting struct {
+	Request
+	seq uint64
+}
+
+type team struct {
+	limits  TeamLimits
+	limiter *rate.Limiter
+	queue   []waiting // in the order of service
+	running int
+	finish  float64 // virtual finish time of the last request started
+}
+
+// Queue admits requests to one target. It is owned by one goroutine.
+type Queue struct {
+	limits  Limits
+	teams   map[string]*team
+	running map[uint64]string // id -> team
+	queued  int
+	retries int // retries among the queued
+	virtual float64
+	seq     uint64
+	service float64 // smoothed service time in seconds; 0 is not known
+}
+
+// New returns a queue with the given limits and no teams.
+func New(l Limits) *Queue {
+	return &Queue{limits: l, teams: map[string]*team{}, running: map[uint64]string{}}
+}
+
+// Configure sets limits and teams. Requests of teams that are no longer named
+// stay until they finish.
+func (q *Queue) Configure(now time.Time, l Limits, teams []TeamLimits) Effects {
+	q.limits = l
+	for _, tl := range teams {
+		t := q.teams[tl.Name]
+		if t == nil {
+			t = &team{}
+			q.teams[tl.Name] = t
+		}
+		t.configure(tl)
+	}
+	for name, t := range q.teams {
+		named := slices.ContainsFunc(teams, func(tl TeamLimits) bool { return tl.Name == name })
+		if !named && t.running == 0 && len(t.queue) == 0 {
+			delete(q.teams, name)
+		}
+	}
+	return q.fill(now)
+}
+
+func (t *team) configure(tl TeamLimits) {
+	if tl.Rate == 0 {
+		t.limiter = nil
+	} else if t.limiter == nil || t.limits.Rate != tl.Rate {
+		t.limiter = rate.NewLimiter(rate.Limit(tl.Rate), tl.Rate)
+	}
+	tl.Weight = max(1, tl.Weight)
+	t.limits = tl
+}
+
+// Running returns how many requests run.
+func (q *Queue) Running() int { return len(q.running) }
+
+// Queued returns how many requests wait.
+func (q *Queue) Queued() int { return q.queued }
+
+// ServiceTime returns the smoothed service time.
+func (q *Queue) ServiceTime() time.Duration {
+	return time.Duration(q.service * float64(time.Second))
+}
+
+// Offer asks to run a request.
+func (q *Queue) Offer(now time.Time, r Request) (Verdict, Effects) {
+	t := q.teams[r.Team]
+	if t == nil {
+		return Verdict{Refused: outcome.NoTeam}, Effects{}
+	}
+	if t.limiter != nil && !t.limiter.AllowN(now, 1) {
+		return Verdict{Refused: outcome.TeamRate, RetryAfter: minRetryAfter}, Effects{}
+	}
+	r.Urgency = max(r.Urgency, t.limits.Priority)
+	if q.canStart(t) && len(t.queue) == 0 {
+		q.start(t, r.ID, r.Urgency)
+		return Verdict{Start: true}, Effects{}
+	}
+	return q.enqueue(now, t, r)
+}
+
+func (q *Queue) canStart(t *team) bool {
+	return len(q.running) < q.limits.Concurrency && t.mayRun()
+}
+
+func (t *team) mayRun() bool {
+	return t.limits.Concurrency == 0 || t.running < t.limits.Concurrency
+}
+
+func (q *Queue) enqueue(now time.Time, t *team, r Request) (Verdict, Effects) {
+	wait := q.wait(t)
+	if late := now.Add(wait + q.ServiceTime()).Sub(r.Deadline); late > 0 {
+		return Verdict{Refused: outcome.DeadlineExceeded, RetryAfter: clampRetry(late)}, Effects{}
+	}
+	if r.Retry && float64(q.retries+1) > math.Ceil(retryShare*float64(q.limits.Queue)) {
+		return Verdict{Refused: outcome.QueueFull, RetryAfter: clampRetry(wait)}, Effects{}
+	}
+	var eff Effects
+	if q.queued >= q.limits.Queue {
+		victim := q.pushOut(t)
+		if victim == nil {
+			return Verdict{Refused: q.fullReason(t), RetryAfter: clampRetry(wait)}, Effects{}
+		}
+		eff.Refused = append(eff.Refused, Refusal{victim.ID, outcome.QueueFull, clampRetry(wait)})
+	}
+	q.seq++
+	q.insert(t, waiting{r, q.seq})
+	return Verdict{}, eff
+}
+
+// fullReason tells a team that fills the queue by its own limit from one that
+// meets a queue filled by all.
+func (q *Queue) fullReason(t *team) outcome.Reason {
+	if !t.mayRun() {
+		return outcome.TeamLimit
+	}
+	return outcome.QueueFull
+}
+
+func clampRetry(d time.Duration) time.Duration {
+	return max(minRetryAfter, min(maxRetryAfter, d))
+}
+
+// wait estimates how long a request of t would wait: the requests of its team
+// ahead of it, served at the team's share of the slots.
+func (q *Queue) wait(t *team) time.Duration {
+	slots := float64(max(1, q.limits.Concurrency)) * q.share(t)
+	if c := t.limits.Concurrency; c > 0 {
+		slots = min(slots, float64(c))
+	}
+	return time.Duration(float64(len(t.queue)+1) / slots * q.service * float64(time.Second))
+}
+
+// share is the part of the target that t gets among the teams with work.
+func (q *Queue) share(t *team) float64 {
+	sum := float64(t.limits.Weight)
+	for _, o := range q.teams {
+		if o != t && (len(o.queue) > 0 || o.running > 0) {
+			sum += float64(o.limits.Weight)
+		}
+	}
+	return float64(t.limits.Weight) / sum
+}
+
+func (q *Queue) insert(t *team, w waiting) {
+	at, _ := slices.BinarySearchFunc(t.queue, w, compareWaiting)
+	t.queue = slices.Insert(t.queue, at, w)
+	q.queued++
+	if w.Retry {
+		q.retries++
+	}
+}
+
+func compareWaiting(a, b waiting) int {
+	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), compareBool(a.Retry, b.Retry), cmp.Compare(a.seq, b.seq))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// pushOut removes the last request of the team that holds the largest part
+// of the queue for its weight, if that part is larger than what t would hold.
+func (q *Queue) pushOut(t *team) *waiting {
+	var most *team
+	for _, o := range q.teams {
+		if len(o.queue) > 0 && (most == nil || o.held(0) > most.held(0) ||
+			o.held(0) == most.held(0) && o.limits.Name < most.limits.Name) {
+			most = o
+		}
+	}
+	if most == nil || most == t || most.held(0) <= t.held(1) {
+		return nil
+	}
+	last := most.queue[len(most.queue)-1]
+	q.remove(most, len(most.queue)-1)
+	return &last
+}
+
+func (t *team) held(extra int) float64 {
+	return float64(len(t.queue)+extra) / float64(t.limits.Weight)
+}
+
+func (q *Queue) remove(t *team, at int) {
+	if t.queue[at].Retry {
+		q.retries--
+	}
+	t.queue = slices.Delete(t.queue, at, at+1)
+	q.queued--
+}
+
+func (q *Queue) start(t *team, id uint64, urgency int) {
+	begin := max(q.virtual, t.finish)
+	q.virtual = begin
+	t.finish = begin + cost(t.limits.Weight, urgency)
+	t.running++
+	q.running[id] = t.limits.Name
+}
+
+// cost is the virtual length of a request. Each level of urgency above the
+// neutral one halves it, so urgency shifts shares but starves nobody.
+func cost(weight, urgency int) float64 {
+	return math.Exp2(float64(urgency-neutralUrgency)) / float64(weight)
+}
+
+// Done ends a running request that took the given service time.
+func (q *Queue) Done(now time.Time, id uint64, took time.Duration) Effects {
+	name, ok := q.running[id]
+	if !ok {
+		return Effects{}
+	}
+	delete(q.running, id)
+	q.teams[name].running--
+	if q.service == 0 {
+		q.service = took.Seconds()
+	} else {
+		q.service += serviceSmoothing * (took.Seconds() - q.service)
+	}
+	return q.fill(now)
+}
+
+// Cancel removes a waiting request. It reports whether it was waiting.
+func (q *Queue) Cancel(id uint64) bool {
+	for _, t := range q.teams {
+		for i := range t.queue {
+			if t.queue[i].ID == id {
+				q.remove(t, i)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// RefuseAll refuses everything that waits, for a host that leaves.
+func (q *Queue) RefuseAll(reason outcome.Reason) Effects {
+	var eff Effects
+	for _, t := range q.teams {
+		for len(t.queue) > 0 {
+			eff.Refused = append(eff.Refused, Refusal{t.queue[0].ID, reason, minRetryAfter})
+			q.remove(t, 0)
+		}
+	}
+	slices.SortFunc(eff.Refused, func(a, b Refusal) int { return cmp.Compare(a.ID, b.ID) })
+	return eff
+}
+
+// Tick refuses waiting requests whose deadline can no longer be met.
+func (q *Queue) Tick(now time.Time) Effects { return q.fill(now) }
+
+// fill drops waiting requests that are too late and starts as many as fit.
+func (q *Queue) fill(now time.Time) Effects {
+	var eff Effects
+	for _, t := range q.teams {
+		q.expire(now, t, &eff)
+	}
+	for len(q.running) < q.limits.Concurrency {
+		t := q.next()
+		if t == nil {
+			break
+		}
+		w := t.queue[0]
+		q.remove(t, 0)
+		q.start(t, w.ID, w.Urgency)
+		eff.Started = append(eff.Started, w.ID)
+	}
+	return eff
+}
+
+func (q *Queue) expire(now time.Time, t *team, eff *Effects) {
+	for i := len(t.queue) - 1; i >= 0; i-- {
+		w := t.queue[i]
+		if late := now.Add(q.ServiceTime()).Sub(w.Deadline); late > 0 {
+			q.remove(t, i)
+			eff.Refused = append(eff.Refused, Refusal{w.ID, outcome.DeadlineExceeded, clampRetry(late)})
+		}
+	}
+}
+
+// next returns the team with work whose next request has the earliest virtual
+// start; ties go to the name that sorts first.
+func (q *Queue) next() *team {
+	var best *team
+	var bestAt float64
+	for _, t := range q.teams {
+		if len(t.queue) == 0 || !t.mayRun() {
+			continue
+		}
+		at := max(q.virtual, t.finish)
+		if best == nil || at < bestAt || at == bestAt && t.limits.Name < best.limits.Name {
+			best, bestAt = t, at
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,252 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/configservice"
+	"github.com/springgate/springgate/control"
+	"github.com/springgate/springgate/hostlist"
+	"github.com/springgate/springgate/intent"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/peer"
+	"github.com/springgate/springgate/target"
+	"github.com/springgate/springgate/telemetry"
+)
+
+// Agent is the process beside one target.
+type Agent struct {
+	cfg        Config
+	log        *logrus.Entry
+	metrics    metrics.Registry
+	reasons    *telemetry.Reasons
+	server     *peer.Server
+	pool       *peer.Pool
+	node       *control.Node
+	requests   *requests
+	weights    *weights
+	supervisor *supervisor
+	permits    *permits
+	target     *target.Client
+	active     sync.WaitGroup  // requests not yet ended and delivered
+	ctx        context.Context // of Run
+	cancel     context.CancelFunc
+
+	mu      sync.Mutex
+	changed chan struct{} // closed and replaced when the status changes
+	seq     uint64
+	leaving bool
+}
+
+// New starts the listener of an agent. cfg.Control.Addr may end in port 0; the
+// address in use is then filled in. Run does the rest.
+func New(cfg Config, service *configservice.Client, hosts *hostlist.Client, log logrus.FieldLogger) (*Agent, error) {
+	cfg = cfg.applyDefaults()
+	if cfg.Control.Incarnation == 0 {
+		cfg.Control.Incarnation = target.Incarnation(time.Now())
+	}
+	cfg.Control.Role = membership.Agent
+	log = log.WithFields(logrus.Fields{"host": cfg.Control.Host, "failure_domain": cfg.Control.Domain})
+	a := &Agent{log: telemetry.Part(log, "agent"), metrics: metrics.NewRegistry(), changed: make(chan struct{})}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.reasons = telemetry.NewReasons(a.metrics)
+	self := peer.Hello{Host: cfg.Control.Host, Incarnation: cfg.Control.Incarnation,
+		Role: string(membership.Agent), Domain: cfg.Control.Domain}
+	ready := make(chan struct{})
+	handler := func(ctx context.Context, s *peer.Stream, m peer.Message) {
+		<-ready
+		a.handle(ctx, s, m)
+	}
+	server, err := peer.Listen(cfg.Control.Addr, self, handler)
+	if err != nil {
+		return nil, errors.Wrapf(err, "agent %s", cfg.Control.Host)
+	}
+	cfg.Control.Addr = server.Addr()
+	a.cfg, a.server = cfg, server
+	a.pool = peer.NewPool(self, handler)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	a.node = control.New(cfg.Control, service, hosts, a.pool, telemetry.Part(log, "control"), a.metrics, rng)
+	a.permits = newPermits(cfg, a.node, a.pool)
+	a.weights = newWeights(cfg, a.node, a.pool, telemetry.Part(log, "weights"), a.metrics, func() { a.supervisor.wake() })
+	a.supervisor = newSupervisor(cfg, a.node, a.weights, a.permits, telemetry.Part(log, "engine"), a.metrics,
+		a.runningRequests, a.statusChanged)
+	a.requests = newRequests(cfg, a.node, telemetry.Part(log, "requests"), a.reasons, a.supervisor.readiness, &a.active)
+	a.target = target.NewClient(cfg.TargetURL)
+	close(ready)
+	return a, nil
+}
+
+// Addr returns the address of the peer listener.
+func (a *Agent) Addr() string { return a.cfg.Control.Addr }
+
+// Metrics returns the agent's metrics.
+func (a *Agent) Metrics() metrics.Registry { return a.metrics }
+
+// Ready reports whether the target takes requests.
+func (a *Agent) Ready() bool { return a.status().Ready }
+
+// Run serves until ctx is done. It does not drain; Drain does.
+func (a *Agent) Run(ctx context.Context) {
+	a.log.WithField("addr", a.Addr()).Info("Agent started.")
+	defer a.cancel()
+	context.AfterFunc(ctx, a.cancel)
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){a.requests.run, a.weights.run, a.supervisor.run, a.node.Run} {
+		wg.Go(func() { f(ctx) })
+	}
+	a.node.OnChange(a.configure)
+	<-ctx.Done()
+	a.server.Close()
+	a.pool.Close()
+	wg.Wait()
+}
+
+// configure passes a new snapshot on to the parts. It runs on the control
+// goroutine.
+func (a *Agent) configure(s *control.Snapshot) {
+	a.requests.loop.Post(func() { a.requests.configure(s) })
+	a.weights.loop.Post(func() { a.weights.configure(s) })
+	a.supervisor.configure(s)
+	a.permits.refresh(s)
+	if m, ok := s.Member(a.cfg.Control.Host); ok && m.Listed.Leaving {
+		a.Leave()
+	}
+}
+
+// Leave refuses new work from now on. It does not wait.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	was := a.leaving
+	a.leaving = true
+	a.mu.Unlock()
+	if was {
+		return
+	}
+	a.log.Info("Leaving. No new work is taken.")
+	a.requests.loop.Post(a.requests.leave)
+	a.node.Leave()
+	a.statusChanged()
+}
+
+// Drain leaves and waits until all requests have ended, at most for the drain
+// timeout.
+func (a *Agent) Drain(ctx context.Context) {
+	a.Leave()
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.DrainTimeout)
+	defer cancel()
+	_ = a.requests.loop.Call(func() {}) // after leave, no request starts
+	done := make(chan struct{})
+	go func() {
+		a.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		a.log.Info("Drained.")
+	case <-ctx.Done():
+		a.log.Warn("Drain timed out.")
+	}
+}
+
+func (a *Agent) runningRequests() int {
+	n := 0
+	_ = a.requests.loop.Call(func() { n = a.requests.load().running })
+	return n
+}
+
+// handle serves a stream from another process.
+func (a *Agent) handle(ctx context.Context, s *peer.Stream, m peer.Message) {
+	if a.node.Handle(ctx, s, m) {
+		return
+	}
+	switch m := m.(type) {
+	case *peer.Dispatch:
+		a.handleDispatch(ctx, s, m)
+	case *peer.Fence:
+		a.handleFence(ctx, s, m)
+	case *peer.Resume:
+		a.handleResume(ctx, s, m)
+	case *peer.KeyFence:
+		a.handleKeyFence(ctx, s, m)
+	case *peer.Watch:
+		a.handleWatch(ctx, s)
+	case *peer.Have:
+		a.weights.handleHave(ctx, s, m)
+	case *peer.GetChunk:
+		a.weights.handleGetChunk(ctx, s, m)
+	case *peer.Permit:
+		a.permits.handle(ctx, s, m)
+	case *peer.GetNodeStatus:
+		a.handleNodeStatus(ctx, s)
+	}
+}
+
+// statusChanged makes watchers hear the new status at once.
+func (a *Agent) statusChanged() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// handleWatch tells an entry the agent's status, at once when it changes and
+// otherwise at the status interval.
+func (a *Agent) handleWatch(ctx context.Context, s *peer.Stream) {
+	for {
+		a.mu.Lock()
+		changed := a.changed
+		a.mu.Unlock()
+		if s.Send(ctx, a.status()) != nil {
+			return
+		}
+		t := time.NewTimer(a.cfg.StatusEvery)
+		select {
+		case <-changed:
+			t.Stop()
+			sleep(ctx, statusBatch)
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+	}
+}
+
+// statusBatch is the shortest time between two status messages.
+const statusBatch = 20 * time.Millisecond
+
+func (a *Agent) status() *peer.Status {
+	service, kind, _ := a.supervisor.wanted()
+	ready := a.supervisor.readiness()
+	st := &peer.Status{Host: a.cfg.Control.Host, Incarnation: a.cfg.Control.Incarnation,
+		Revision: a.node.Snapshot().Revision(), Service: service, Ready: ready.ready && a.node.Awake(time.Now()),
+		Version: ready.loadout}
+	_ = a.requests.loop.Call(func() {
+		l := a.requests.load()
+		st.Running, st.Queued, st.LatencyMs = l.running, l.queued, l.service.Milliseconds()
+	})
+	if f := a.node.Snapshot().Fleet(); f != nil {
+		if svc := f.Service(service); svc != nil {
+			st.Slots = svc.Limits.Concurrency
+		}
+	}
+	if kind == intent.Engine {
+		st.WeightsHave, st.WeightsWant, _ = a.weights.progress()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.seq++
+	st.Seq, st.Leaving = a.seq, a.leaving
+	return st
+}
+
+func (a *Agent) handleNodeStatus(ctx context.Context, s *peer.Stream) {
+	st := a.node.Status()
+	st.Target = *a.status()
+	_ = s.SendLast(ctx, st)
+}
--- /dev/null
+++ b/agent/holdings.go
@@ -0,0 +1,144 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/springgate/springgate/digest"
+	"github.com/springgate/springgate/peer"
+)
+
+// wordBits is the number of chunks in one word of a bitmap.
+const wordBits = 64
+
+// subscribe keeps a stream open to each neighbour, on which it tells what it
+// holds. It runs on the loop.
+func (w *weights) subscribe(t *transfer) {
+	want := map[string]bool{}
+	for _, h := range t.planner.Neighbours() {
+		want[h] = true
+		if t.subs[h] == nil {
+			ctx, stop := context.WithCancel(t.ctx)
+			t.subs[h] = stop
+			go w.listen(ctx, t, h)
+		}
+	}
+	for h, stop := range t.subs {
+		if !want[h] {
+			stop()
+			delete(t.subs, h)
+		}
+	}
+}
+
+// listen hears what one neighbour holds until the transfer ends.
+func (w *weights) listen(ctx context.Context, t *transfer, host string) {
+	for ctx.Err() == nil {
+		if m, ok := w.node.Snapshot().Member(host); ok {
+			w.listenOnce(ctx, t, host, m.Addr)
+			w.loop.Post(func() { t.planner.PeerGone(host) })
+		}
+		sleep(ctx, subscribeRetry)
+	}
+}
+
+func (w *weights) listenOnce(ctx context.Context, t *transfer, host, addr string) {
+	c, err := w.pool.Get(ctx, addr, peer.Control)
+	if err != nil {
+		return
+	}
+	s, err := c.Open(ctx, &peer.Have{Manifest: t.id})
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	for {
+		m, err := s.Recv(ctx)
+		if err != nil {
+			return
+		}
+		if have, ok := m.(*peer.Have); ok {
+			w.loop.Post(func() { w.neighbourHas(t, host, have) })
+		}
+	}
+}
+
+func (w *weights) neighbourHas(t *transfer, host string, m *peer.Have) {
+	if t.ctx.Err() != nil || m.Count != len(t.manifest.Chunks) {
+		return
+	}
+	if len(m.Bits) > 0 {
+		t.planner.PeerHolds(host, m.Bits)
+	} else {
+		t.planner.PeerGained(host, m.More)
+	}
+	w.pump(t)
+}
+
+// handleHave tells a neighbour what this host holds of a version: first all
+// of it, then what it gains.
+func (w *weights) handleHave(ctx context.Context, s *peer.Stream, m *peer.Have) {
+	h := w.awaitHolding(ctx, m.Manifest)
+	if h == nil {
+		return
+	}
+	sent := 0
+	for {
+		more, changed := h.since(sent)
+		if msg := haveMessage(m.Manifest, h.count, sent, more); msg != nil {
+			if s.Send(ctx, msg) != nil {
+				return
+			}
+			sent += len(more)
+		}
+		select {
+		case <-changed:
+			sleep(ctx, w.cfg.HaveEvery)
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// haveMessage returns a bitmap for the first message and a list after it.
+func haveMessage(id digest.Digest, count, sent int, more []uint32) *peer.Have {
+	if len(more) == 0 {
+		return nil
+	}
+	if sent > 0 {
+		return &peer.Have{Manifest: id, Count: count, More: more}
+	}
+	bits := make([]uint64, (count+wordBits-1)/wordBits)
+	for _, c := range more {
+		bits[c/wordBits] |= 1 << (c % wordBits)
+	}
+	return &peer.Have{Manifest: id, Count: count, Bits: bits}
+}
+
+// awaitHolding waits until this host knows the version, or returns nil.
+func (w *weights) awaitHolding(ctx context.Context, id digest.Digest) *holding {
+	for {
+		w.mu.Lock()
+		h, appeared := w.holdings[id], w.appeared
+		w.mu.Unlock()
+		if h != nil {
+			return h
+		}
+		select {
+		case <-appeared:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// handleGetChunk serves a chunk or manifest, paced by the link.
+func (w *weights) handleGetChunk(ctx context.Context, s *peer.Stream, m *peer.GetChunk) {
+	b := w.chunks.get(m.Digest)
+	if b != nil && w.up.wait(ctx, len(b)) != nil {
+		return
+	}
+	w.count.served.Inc(int64(len(b)))
+	_ = s.SendLast(ctx, &peer.Blob{Found: b != nil, Data: b})
+}
--- /dev/null
+++ b/agent/weights.go
@@ -0,0 +1,495 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/control"
+	"github.com/springgate/springgate/digest"
+	"github.com/springgate/springgate/httpclient"
+	"github.com/springgate/springgate/intent"
+	"github.com/springgate/springgate/loop"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/peer"
+	"github.com/springgate/springgate/spread"
+	"github.com/springgate/springgate/target"
+	"github.com/springgate/springgate/weightstore"
+)
+
+// Times of the weight transfer.
+const (
+	pumpEvery       = 50 * time.Millisecond
+	manifestRetry   = 300 * time.Millisecond
+	manifestTimeout = 5 * time.Second
+	subscribeRetry  = 500 * time.Millisecond
+)
+
+type weightCounters struct {
+	fromPeer, fromFar, fromStore, fromOrigin, served metrics.Counter // bytes
+	corrupt, failed, limited                         metrics.Counter
+}
+
+func newWeightCounters(r metrics.Registry) weightCounters {
+	c := func(name string) metrics.Counter { return metrics.NewRegisteredCounter("weights."+name, r) }
+	return weightCounters{fromPeer: c("bytes_from_peer"), fromFar: c("bytes_from_other_domain"),
+		fromStore: c("bytes_from_store"), fromOrigin: c("bytes_from_origin"), served: c("bytes_served"),
+		corrupt: c("corrupt_chunks"), failed: c("failed_fetches"), limited: c("limited_fetches")}
+}
+
+// weights brings versions to this host and serves their chunks to others.
+type weights struct {
+	cfg    Config
+	self   spread.Node
+	node   *control.Node
+	pool   *peer.Pool
+	log    *logrus.Entry
+	count  weightCounters
+	chunks *chunks
+	up     *link
+	down   *link
+	loop   *loop.Loop
+	notify func() // called when a version is whole
+
+	mu       sync.Mutex
+	holdings map[digest.Digest]*holding
+	appeared chan struct{} // closed and replaced when a holding is added
+
+	// The fields below are owned by the loop.
+	ctx       context.Context
+	wanted    target.Loadout
+	nodes     []spread.Node
+	serial    uint64
+	sources   map[intent.SourceKind]*weightstore.Client
+	transfers map[digest.Digest]*transfer
+}
+
+// transfer is one version on its way.
+type transfer struct {
+	ctx      context.Context
+	stop     context.CancelFunc
+	id       digest.Digest
+	manifest *spread.Manifest // nil until known
+	planner  *spread.Planner
+	holding  *holding
+	subs     map[string]context.CancelFunc
+	fetches  map[spread.Fetch]context.CancelFunc
+	failed   error // set if the version cannot be held
+}
+
+func newWeights(cfg Config, node *control.Node, pool *peer.Pool, log *logrus.Entry, reg metrics.Registry, notify func()) *weights {
+	return &weights{cfg: cfg, self: spread.Node{Host: cfg.Control.Host, Domain: cfg.Control.Domain},
+		node: node, pool: pool, log: log, count: newWeightCounters(reg), chunks: newChunks(cfg.WeightMemory),
+		up: newLink(cfg.LinkRate), down: newLink(cfg.LinkRate), loop: loop.New(), notify: notify,
+		holdings: map[digest.Digest]*holding{}, appeared: make(chan struct{}),
+		sources: map[intent.SourceKind]*weightstore.Client{}, transfers: map[digest.Digest]*transfer{}}
+}
+
+func (w *weights) run(ctx context.Context) {
+	w.ctx = ctx
+	go func() {
+		t := time.NewTicker(pumpEvery)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				_ = w.loop.Call(w.pumpAll)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	w.loop.Run(ctx)
+}
+
+// configure takes the versions that the fleet file in force asks for. A
+// transfer of a version that is no longer wanted stops; chunks that a wanted
+// version shares are kept.
+func (w *weights) configure(s *control.Snapshot) {
+	f := s.Fleet()
+	if f == nil {
+		return
+	}
+	svc := f.ServiceOf(w.self.Host)
+	if svc == nil || svc.Kind != intent.Engine {
+		return
+	}
+	w.configureSources(f)
+	w.nodes = participants(s, svc)
+	w.wanted = target.LoadoutOf(svc)
+	wanted := map[digest.Digest]bool{}
+	for _, m := range w.wanted.Manifests() {
+		wanted[m] = true
+	}
+	for id, t := range w.transfers {
+		if !wanted[id] {
+			t.stop()
+			delete(w.transfers, id)
+		}
+	}
+	for id := range wanted {
+		w.start(id, svc.Spread)
+	}
+	if s.Serial != w.serial {
+		w.serial = s.Serial
+		w.updateNodes()
+	}
+	w.discard()
+}
+
+func (w *weights) configureSources(f *intent.Fleet) {
+	seen := map[intent.SourceKind]bool{}
+	for _, src := range f.Sources {
+		if seen[src.Kind] {
+			continue // the first of a kind is used
+		}
+		seen[src.Kind] = true
+		if c := w.sources[src.Kind]; c == nil || c.Base() != src.URL {
+			w.sources[src.Kind] = weightstore.New(src.URL)
+		}
+	}
+	for k := range w.sources {
+		if !seen[k] {
+			delete(w.sources, k)
+		}
+	}
+}
+
+// participants are the hosts that want the same versions and may be live.
+func participants(s *control.Snapshot, svc *intent.Service) []spread.Node {
+	var out []spread.Node
+	for _, h := range svc.Hosts {
+		m, ok := s.Member(h.Name)
+		if ok && m.State != membership.Gone {
+			out = append(out, spread.Node{Host: h.Name, Domain: m.Domain})
+		}
+	}
+	return out
+}
+
+func (w *weights) updateNodes() {
+	for _, t := range w.transfers {
+		if t.planner != nil {
+			t.planner.SetNodes(w.nodes)
+			w.subscribe(t)
+		}
+	}
+}
+
+// discard frees chunks that no wanted version has.
+func (w *weights) discard() {
+	keep := map[digest.Digest]bool{}
+	for id, t := range w.transfers {
+		keep[id] = true
+		if t.manifest == nil {
+			return // it may share chunks with what is held
+		}
+		for _, d := range t.manifest.Chunks {
+			keep[d] = true
+		}
+	}
+	w.chunks.keep(keep)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id := range w.holdings {
+		if w.transfers[id] == nil {
+			delete(w.holdings, id)
+		}
+	}
+}
+
+func (w *weights) start(id digest.Digest, goal intent.Spread) {
+	if w.transfers[id] != nil {
+		return
+	}
+	ctx, stop := context.WithCancel(w.ctx)
+	t := &transfer{ctx: ctx, stop: stop, id: id, subs: map[string]context.CancelFunc{},
+		fetches: map[spread.Fetch]context.CancelFunc{}}
+	w.transfers[id] = t
+	w.log.WithField("version", id.Short()).Info("Transfer started.")
+	go w.fetchManifest(t, goal)
+}
+
+// fetchManifest gets a manifest: from peers first, in an order that all hosts
+// share, so that few read it from the source.
+func (w *weights) fetchManifest(t *transfer, goal intent.Spread) {
+	for t.ctx.Err() == nil {
+		b, err := w.readManifest(t)
+		if err == nil {
+			var m *spread.Manifest
+			if m, err = spread.ParseManifest(b, t.id); err == nil {
+				w.loop.Post(func() { w.begin(t, m, b, goal) })
+				return
+			}
+		}
+		w.log.WithField("version", t.id.Short()).WithError(err).Debug("Manifest not read.")
+		jitter := time.Duration(rand.Int64N(int64(manifestRetry)))
+		sleep(t.ctx, manifestRetry/2+jitter)
+	}
+}
+
+// manifestReaders is how many hosts read a manifest from the source.
+const manifestReaders = 2
+
+func (w *weights) readManifest(t *transfer) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, manifestTimeout)
+	defer cancel()
+	var nodes []string
+	sources := map[intent.SourceKind]*weightstore.Client{}
+	if err := w.loop.Call(func() {
+		for _, n := range w.nodes {
+			nodes = append(nodes, n.Host)
+		}
+		for k, c := range w.sources {
+			sources[k] = c
+		}
+	}); err != nil {
+		return nil, err
+	}
+	first := membership.Rank("manifest/"+t.id.String(), nodes, manifestReaders)
+	duty := false
+	for _, h := range first {
+		duty = duty || h == w.self.Host
+	}
+	if !duty {
+		for _, h := range first {
+			if b, err := w.chunkFromPeer(ctx, h, t.id); err == nil {
+				return b, nil
+			}
+		}
+	}
+	return manifestFromSources(ctx, sources, t.id)
+}
+
+func manifestFromSources(ctx context.Context, sources map[intent.SourceKind]*weightstore.Client, id digest.Digest) ([]byte, error) {
+	err := weightstore.ErrUnavailable
+	for _, k := range []intent.SourceKind{intent.Store, intent.Origin} {
+		c := sources[k]
+		if c == nil {
+			continue
+		}
+		var b []byte
+		if b, err = c.Manifest(ctx, id); err == nil {
+			return b, nil
+		}
+	}
+	return nil, err
+}
+
+// begin starts planning once the manifest is known. It runs on the loop.
+func (w *weights) begin(t *transfer, m *spread.Manifest, raw []byte, goal intent.Spread) {
+	if t.ctx.Err() != nil {
+		return
+	}
+	t.manifest = m
+	w.discard()
+	if err := w.chunks.put(t.id, raw); err != nil {
+		w.fail(t, err)
+		return
+	}
+	cfg := w.cfg.Spread
+	cfg.Goal = goal
+	t.planner = spread.NewPlanner(cfg, time.Now(), w.self, t.id.String(), len(m.Chunks), w.nodes,
+		w.sources[intent.Store] != nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	t.holding = newHolding(len(m.Chunks))
+	for i, d := range m.Chunks {
+		if w.chunks.get(d) != nil {
+			t.planner.Hold(i)
+			t.holding.add(i)
+		}
+	}
+	w.mu.Lock()
+	w.holdings[t.id] = t.holding
+	close(w.appeared)
+	w.appeared = make(chan struct{})
+	w.mu.Unlock()
+	w.subscribe(t)
+	w.pump(t)
+	if t.planner.Complete() {
+		w.notify()
+	}
+}
+
+func (w *weights) fail(t *transfer, err error) {
+	if t.failed == nil {
+		t.failed = err
+		w.log.WithField("version", t.id.Short()).WithError(err).Error("Transfer given up.")
+	}
+}
+
+func (w *weights) pumpAll() {
+	for _, t := range w.transfers {
+		w.pump(t)
+	}
+}
+
+// pump starts as many fetches as the planner wants.
+func (w *weights) pump(t *transfer) {
+	if t.planner == nil || t.failed != nil {
+		return
+	}
+	now := time.Now()
+	for _, f := range t.planner.Expired(now) {
+		t.fetches[f]()
+		delete(t.fetches, f)
+		t.planner.Failed(now, f, spread.FaultUnreachable, 0)
+	}
+	for {
+		f, ok := t.planner.Next(now)
+		if !ok {
+			return
+		}
+		ctx, cancel := context.WithCancel(t.ctx)
+		t.fetches[f] = cancel
+		go w.fetch(ctx, t, f, w.sources)
+	}
+}
+
+// fetch gets one chunk, verifies it and reports to the planner.
+func (w *weights) fetch(ctx context.Context, t *transfer, f spread.Fetch, sources map[intent.SourceKind]*weightstore.Client) {
+	want := t.manifest.Chunks[f.Chunk]
+	b, err := w.read(ctx, f, want, sources)
+	if err == nil && digest.Of(b) != want {
+		err = errCorrupt
+	}
+	if err == nil {
+		err = w.down.wait(ctx, len(b))
+	}
+	if ctx.Err() != nil {
+		return // given up; the planner knows
+	}
+	w.loop.Post(func() { w.fetched(t, f, want, b, err) })
+}
+
+// errCorrupt means that a chunk does not match its digest.
+var errCorrupt = errors.New("agent: chunk does not match its digest")
+
+func (w *weights) read(ctx context.Context, f spread.Fetch, want digest.Digest, sources map[intent.SourceKind]*weightstore.Client) ([]byte, error) {
+	kind := intent.Origin
+	switch f.Kind {
+	case spread.FromPeer:
+		return w.chunkFromPeer(ctx, f.Peer, want)
+	case spread.FromStore:
+		kind = intent.Store
+	}
+	c := sources[kind]
+	if c == nil {
+		return nil, weightstore.ErrUnavailable
+	}
+	return c.Chunk(ctx, want)
+}
+
+func (w *weights) chunkFromPeer(ctx context.Context, host string, d digest.Digest) ([]byte, error) {
+	m, ok := w.node.Snapshot().Member(host)
+	if !ok {
+		return nil, weightstore.ErrUnavailable
+	}
+	reply, err := w.pool.Call(ctx, m.Addr, peer.Bulk, &peer.GetChunk{Digest: d})
+	if err != nil {
+		return nil, err
+	}
+	b, ok := reply.(*peer.Blob)
+	if !ok || !b.Found {
+		return nil, weightstore.ErrMissing
+	}
+	return b.Data, nil
+}
+
+// fetched takes the result of a fetch. It runs on the loop.
+func (w *weights) fetched(t *transfer, f spread.Fetch, want digest.Digest, b []byte, err error) {
+	cancel, known := t.fetches[f]
+	if !known || t.ctx.Err() != nil {
+		return
+	}
+	cancel()
+	delete(t.fetches, f)
+	now := time.Now()
+	if err == nil {
+		err = w.chunks.put(want, b)
+	}
+	var limited *httpclient.ErrLimited
+	switch {
+	case err == nil:
+		w.gained(t, f, len(b), now)
+	case errors.Is(err, errWeightMemory):
+		w.fail(t, err)
+	case errors.Is(err, errCorrupt):
+		w.count.corrupt.Inc(1)
+		w.log.WithField("chunk", f.Chunk).WithField("from", f.Kind.String()+" "+f.Peer).Warn("Chunk is corrupt.")
+		t.planner.Failed(now, f, spread.FaultCorrupt, 0)
+	case errors.As(err, &limited):
+		w.count.limited.Inc(1)
+		t.planner.Failed(now, f, spread.FaultLimited, limited.RetryAfter)
+	case errors.Is(err, weightstore.ErrMissing):
+		t.planner.Failed(now, f, spread.FaultMissing, 0)
+	default:
+		w.count.failed.Inc(1)
+		t.planner.Failed(now, f, spread.FaultUnreachable, 0)
+	}
+	w.pump(t)
+}
+
+func (w *weights) gained(t *transfer, f spread.Fetch, n int, now time.Time) {
+	t.planner.Done(now, f)
+	t.holding.add(f.Chunk)
+	switch {
+	case f.Kind == spread.FromStore:
+		w.count.fromStore.Inc(int64(n))
+	case f.Kind == spread.FromOrigin:
+		w.count.fromOrigin.Inc(int64(n))
+	case f.Far:
+		w.count.fromFar.Inc(int64(n))
+		w.count.fromPeer.Inc(int64(n))
+	default:
+		w.count.fromPeer.Inc(int64(n))
+	}
+	if t.planner.Complete() {
+		w.log.WithField("version", t.id.Short()).Info("Version is whole.")
+		w.notify()
+	}
+}
+
+// progress returns how many chunks of the wanted versions are held, and
+// whether all are.
+func (w *weights) progress() (have, want int, whole bool) {
+	_ = w.loop.Call(func() {
+		whole = len(w.transfers) > 0
+		for _, t := range w.transfers {
+			if t.planner == nil {
+				whole = false
+				continue
+			}
+			have += t.planner.Held()
+			want += len(t.manifest.Chunks)
+			whole = whole && t.planner.Complete()
+		}
+	})
+	return have, want, whole
+}
+
+// manifests returns the manifests of the loadout if all are known.
+func (w *weights) manifests(l target.Loadout) map[digest.Digest]*spread.Manifest {
+	out := map[digest.Digest]*spread.Manifest{}
+	_ = w.loop.Call(func() {
+		for _, id := range l.Manifests() {
+			if t := w.transfers[id]; t != nil && t.manifest != nil {
+				out[id] = t.manifest
+			}
+		}
+	})
+	return out
+}
+
+// sleep waits for d or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/cmd/springgate-agent/main.go
@@ -0,0 +1,10 @@
+// Command springgate-agent is the process beside one target.
+package main
+
+import (
+	"os"
+
+	"github.com/springgate/springgate/command"
+)
+
+func main() { os.Exit(command.Main(command.NewAgent(), os.Args)) }
--- /dev/null
+++ b/command/agent.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"github.com/springgate/springgate/agent"
+	"github.com/springgate/springgate/operator"
+	"github.com/springgate/springgate/settings"
+	"github.com/urfave/cli/v3"
+)
+
+// NewAgent returns the command line of the agent program.
+func NewAgent() *cli.Command {
+	return &cli.Command{
+		Name:                  "springgate-agent",
+		Usage:                 "the process beside one target: runs requests, holds weights, gives orders",
+		EnableShellCompletion: true,
+		Suggest:               true,
+		Commands:              []*cli.Command{agentServeCommand(), versionCommand()},
+	}
+}
+
+func agentServeCommand() *cli.Command {
+	var o common
+	var cfg agent.Config
+	var linkRate, answerMemory int64
+	var admin string
+	set := &settings.Set{}
+	o.add(set)
+	set.URL(&cfg.TargetURL, "target-url", "base URL of the target on this host", "")
+	set.Address(&admin, "admin-listen", "address of /healthz, /readyz and /metrics", "", false)
+	set.Duration(&cfg.DrainTimeout, "drain-timeout", "longest wait for requests that run", 10*time.Minute, time.Second, maxWindow)
+	set.Duration(&cfg.ResumeGrace, "resume-grace", "how long a request goes on without its entry", 15*time.Second, time.Second, time.Hour)
+	set.Bytes(&answerMemory, "answer-memory", "memory for held answers", "32MiB", 0, 1<<40)
+	set.Bytes(&cfg.WeightMemory, "weight-memory", "memory for weight chunks", "1GiB", 1<<20, 1<<50)
+	set.Bytes(&linkRate, "link-rate", "bytes a second of weight transfer in each direction; 0 is no pacing", "0", 0, 1<<40)
+	return &cli.Command{Name: "serve", Usage: "run the agent of one target", Flags: set.Flags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := set.Load(c); err != nil {
+				return err
+			}
+			log, err := o.logger()
+			if err != nil {
+				return err
+			}
+			cfg.Control, cfg.AnswerMemory, cfg.LinkRate = o.control, answerMemory, float64(linkRate)
+			cfg.Idempotency.KeyWindow = o.keyWindow
+			cs, hl := o.clients()
+			a, err := agent.New(cfg, cs, hl, log)
+			if err != nil {
+				return err
+			}
+			if admin != "" {
+				stop, err := operator.ServeAdmin(admin, a.Ready, a.Metrics())
+				if err != nil {
+					return err
+				}
+				defer stop()
+			}
+			return runUntilSignal(ctx, a)
+		}}
+}
--- /dev/null
+++ b/configservice/client.go
@@ -0,0 +1,82 @@
+// Package configservice reads the platform's configuration service, which can
+// only be read and watched. The interface is described in docs/PLATFORM.md.
+package configservice
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/springgate/springgate/digest"
+	"github.com/springgate/springgate/httpclient"
+	"github.com/springgate/springgate/intent"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+// maxHead bounds the size of a head in bytes.
+const maxHead = intent.MaxPart
+
+// graceTime is added to the wait of a watch before the call is given up.
+const graceTime = 5 * time.Second
+
+// Errors of the service.
+var (
+	ErrUnchanged   = errors.New("configservice: unchanged")
+	ErrUnavailable = errors.New("configservice: unavailable")
+	ErrNoPart      = errors.New("configservice: part not found")
+	ErrBadPart     = errors.New("configservice: part does not match its digest")
+)
+
+// Client reads one configuration service.
+type Client struct {
+	base string
+	http httpc.Service
+}
+
+// New returns a client for the service at the base URL.
+func New(base string) *Client {
+	return &Client{base: base, http: httpclient.New("configservice")}
+}
+
+// Watch waits up to wait for a head other than after. It returns ErrUnchanged
+// if there was none. With a zero wait it is a read.
+func (c *Client) Watch(ctx context.Context, after intent.Ref, wait time.Duration) (intent.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+graceTime)
+	defer cancel()
+	url := fmt.Sprintf("%s/v1/head?revision=%d&digest=%s&wait_ms=%d", c.base, after.Revision, after.Digest, wait.Milliseconds())
+	resp, err := c.http.Do(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return intent.Head{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if resp.StatusCode == http.StatusNotModified {
+		resp.Body.Close()
+		return intent.Head{}, ErrUnchanged
+	}
+	b, err := httpclient.ReadAll(resp, maxHead)
+	if err != nil {
+		return intent.Head{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return intent.ParseHead(b)
+}
+
+// Part reads a part and checks it against its digest.
+func (c *Client) Part(ctx context.Context, d digest.Digest) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, graceTime)
+	defer cancel()
+	resp, err := c.http.Do(ctx, http.MethodGet, c.base+"/v1/parts/"+d.String(), nil)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	b, err := httpclient.ReadAll(resp, intent.MaxPart)
+	switch {
+	case errors.Is(err, httpclient.ErrNotFound):
+		return nil, ErrNoPart
+	case err != nil:
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	case digest.Of(b) != d:
+		return nil, ErrBadPart
+	}
+	return b, nil
+}
--- /dev/null
+++ b/control/history.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/springgate/springgate/peer"
+)
+
+// historyPeers is how many peers a new process asks which revisions were in
+// force before it started.
+const historyPeers = 3
+
+// pullHistory learns which hosts the services had before this process
+// started, so that it knows the earlier homes of idempotency keys.
+func (n *Node) pullHistory(ctx context.Context, c *peer.Conn) error {
+	m, err := c.Call(ctx, &peer.GetHistory{})
+	if err != nil {
+		return err
+	}
+	h, ok := m.(*peer.History)
+	if !ok {
+		return ErrAnswer
+	}
+	n.loop.Post(func() {
+		now := time.Now()
+		since := now.Add(-time.Duration(h.KnownForMs) * time.Millisecond)
+		if since.Before(n.knownSince) {
+			n.knownSince = since
+		}
+		n.learnPast(now, h)
+		n.publish(now)
+	})
+	return nil
+}
+
+func (n *Node) learnPast(now time.Time, h *peer.History) {
+	for _, p := range h.Past {
+		replaced := now.Add(-time.Duration(p.ReplacedAgoMs) * time.Millisecond)
+		if now.Sub(replaced) <= n.cfg.History {
+			n.past = append(n.past, PastHosts{Service: p.Service, Hosts: p.Hosts, Replaced: replaced})
+		}
+	}
+}
+
+// PastHosts are the hosts of a service under an earlier revision.
+type PastHosts struct {
+	Service  string
+	Hosts    []string
+	Replaced time.Time // when the revision was replaced
+}
+
+// pastHosts lists the different host lists that services had in the window.
+// It runs on the loop.
+func (n *Node) pastHosts(now time.Time) []PastHosts {
+	out := n.past[:0:0]
+	for _, p := range n.past {
+		if now.Sub(p.Replaced) <= n.cfg.History {
+			out = append(out, p)
+		}
+	}
+	n.past = out
+	return append(out[:len(out):len(out)], n.ownPast()...)
+}
+
+// ownPast lists the host lists that differ from the next revision's.
+func (n *Node) ownPast() []PastHosts {
+	var out []PastHosts
+	revisions := n.fold.History()
+	if a := n.fold.Accepted(); a != nil {
+		revisions = append(revisions, *a)
+	}
+	for i := 0; i+1 < len(revisions); i++ {
+		next := revisions[i+1].Fleet
+		for j := range revisions[i].Fleet.Services {
+			old := &revisions[i].Fleet.Services[j]
+			if s := next.Service(old.Name); s != nil && s.SameHosts(old) {
+				continue
+			}
+			out = append(out, PastHosts{Service: old.Name, Hosts: old.HostNames(), Replaced: revisions[i].At})
+		}
+	}
+	return out
+}
+
+func (n *Node) handleHistory(ctx context.Context, s *peer.Stream) {
+	reply := &peer.History{}
+	if n.loop.Call(func() {
+		now := time.Now()
+		reply.KnownForMs = now.Sub(n.knownSince).Milliseconds()
+		for _, p := range n.pastHosts(now) {
+			reply.Past = append(reply.Past, peer.PastHosts{Service: p.Service, Hosts: p.Hosts,
+				ReplacedAgoMs: now.Sub(p.Replaced).Milliseconds()})
+		}
+	}) == nil {
+		_ = s.SendLast(ctx, reply)
+	}
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,312 @@
+// Package demo runs the main job on embedded stand-ins, in one process on
+// loopback: live requests are answered while a new version reaches all hosts.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/agent"
+	"github.com/springgate/springgate/configservice"
+	"github.com/springgate/springgate/control"
+	"github.com/springgate/springgate/digest"
+	"github.com/springgate/springgate/entry"
+	"github.com/springgate/springgate/hostlist"
+	"github.com/springgate/springgate/idempotency"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/spread"
+	"github.com/springgate/springgate/standin"
+)
+
+// Config holds the settings of a demonstration.
+type Config struct {
+	Hosts    int
+	Entries  int
+	Size     int64
+	Spread   string
+	Faults   bool
+	Seed     uint64
+	Duration time.Duration
+	JSON     bool
+	Live     bool // redraw one line in place of printing many
+}
+
+// Shape of the demonstration.
+const (
+	chunksPerVersion = 256
+	// windowPart is the part of the duration in which the origin's link
+	// carries originCopies and each host's link hostCopies.
+	windowPart   = 0.4
+	originCopies = 4
+	hostCopies   = 2
+
+	keyWindow   = 5 * time.Second
+	plainHosts  = 2
+	loadTime    = 150 * time.Millisecond
+	beforeTime  = 5 * time.Second
+	loopback    = "127.0.0.1:0"
+	serviceName = "assistant"
+	plainName   = "balances"
+)
+
+var domains = []string{"muscat", "sohar", "salalah"}
+
+// host is one target host of the fleet.
+type host struct {
+	name   string
+	domain string
+	engine *standin.Engine // nil for a plain service
+	url    string
+	agent  *agent.Agent
+	stop   context.CancelFunc
+}
+
+// fleet is everything the demonstration runs.
+type fleet struct {
+	cfg      Config
+	log      *logrus.Logger
+	platform *standin.Platform
+	origin   *standin.Source
+	runs     *standin.Runs
+	hosts    []*host
+	entries  []*entry.Entry
+	names    []string // of the entries
+	versions map[digest.Digest]*spread.Manifest
+	window   time.Duration
+}
+
+func (f *fleet) hostRate() float64 { return hostCopies * float64(f.cfg.Size) / f.window.Seconds() }
+
+// bound is the least time in which the paced links can bring a version to n
+// hosts: no host receives faster than its link, the origin sends at least one
+// copy, and all links together carry n copies.
+func (f *fleet) bound() time.Duration {
+	size, n := float64(f.cfg.Size), float64(f.cfg.Hosts)
+	up, origin := f.hostRate(), originCopies*float64(f.cfg.Size)/f.window.Seconds()
+	s := max(size/min(up, origin), size/origin, n*size/(origin+n*up))
+	return time.Duration(s * float64(time.Second))
+}
+
+// Run runs the demonstration and writes progress and results to out.
+func Run(ctx context.Context, cfg Config, log *logrus.Logger, out io.Writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := &fleet{cfg: cfg, log: log, runs: standin.NewRuns(), versions: map[digest.Digest]*spread.Manifest{},
+		window: time.Duration(float64(cfg.Duration) * windowPart)}
+	if err := f.start(ctx); err != nil {
+		return err
+	}
+	defer f.close()
+	show := &progress{out: out, fleet: f, live: cfg.Live}
+	first, err := f.addVersion("v1", cfg.Seed)
+	if err != nil {
+		return err
+	}
+	second, err := f.addVersion("v2", cfg.Seed+1)
+	if err != nil {
+		return err
+	}
+	show.say("%d engine hosts, %d plain hosts, %d entries; version of %d bytes; link window %s",
+		cfg.Hosts, plainHosts, cfg.Entries, cfg.Size, f.window.Round(time.Millisecond))
+	f.platform.Publish(f.file(first))
+	if _, err := f.awaitReplicas(ctx, show, first, cfg.Duration); err != nil {
+		return err
+	}
+	return f.measure(ctx, show, second)
+}
+
+// measure sends live requests, publishes the second version in mid-traffic
+// and reports.
+func (f *fleet) measure(ctx context.Context, show *progress, second digest.Digest) error {
+	load := newLoad(f)
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	go load.run(loadCtx)
+	show.load = load
+	show.say("All hosts serve version 1. Measuring for %s.", beforeTime)
+	show.wait(ctx, beforeTime)
+
+	load.setPhase(during)
+	servedBefore := f.origin.Served()
+	began := time.Now()
+	revision := f.platform.Publish(f.file(second))
+	show.say("Revision %d with version 2 published.", revision)
+	inForce := make(chan time.Duration, 1)
+	go func() { inForce <- f.awaitRevision(ctx, revision, began) }()
+	if f.cfg.Faults {
+		go f.breakThings(ctx, show)
+	}
+	took, err := f.awaitReplicas(ctx, show, second, f.cfg.Duration)
+	if err != nil {
+		return err
+	}
+	r := f.newResult(took, f.origin.Served()-servedBefore)
+	select {
+	case d := <-inForce:
+		r.ConfigInForce = d.Seconds()
+	case <-time.After(f.cfg.Duration):
+		return errors.New("demo: revision not in force everywhere")
+	}
+	stopLoad()
+	load.wait()
+	load.judge(r)
+	return show.report(r)
+}
+
+func (f *fleet) start(ctx context.Context) error {
+	var err error
+	if f.platform, err = standin.NewPlatform(loopback); err != nil {
+		return err
+	}
+	if f.origin, err = standin.NewSource(loopback, originCopies*float64(f.cfg.Size)/f.window.Seconds()); err != nil {
+		return err
+	}
+	for i := range f.cfg.Hosts + plainHosts {
+		h, err := f.startTarget(i)
+		if err != nil {
+			return err
+		}
+		f.hosts = append(f.hosts, h)
+		if err := f.startAgent(ctx, h); err != nil {
+			return err
+		}
+	}
+	for i := range f.cfg.Entries {
+		if err := f.startEntry(ctx, i); err != nil {
+			return err
+		}
+	}
+	f.publishHosts()
+	return nil
+}
+
+func (f *fleet) startTarget(i int) (*host, error) {
+	h := &host{name: fmt.Sprintf("host-%03d", i), domain: domains[i%len(domains)]}
+	if i >= f.cfg.Hosts {
+		p, err := standin.NewPlain(loopback, standin.PlainConfig{Latency: 5 * time.Millisecond}, f.runs)
+		if err != nil {
+			return nil, err
+		}
+		h.url = p.URL()
+		return h, nil
+	}
+	cfg := standin.EngineConfig{FirstToken: 60 * time.Millisecond, NextToken: 10 * time.Millisecond, Tokens: 16,
+		Slots: 8, LoadTime: loadTime, Fenced: true}
+	e, err := standin.NewEngine(loopback, cfg, f.runs, func(d digest.Digest) *spread.Manifest { return f.versions[d] })
+	if err != nil {
+		return nil, err
+	}
+	h.engine, h.url = e, e.URL()
+	return h, nil
+}
+
+func (f *fleet) control(name, domain, addr string) control.Config {
+	return control.Config{Host: name, Domain: domain, Addr: addr}
+}
+
+func (f *fleet) clients() (*configservice.Client, *hostlist.Client) {
+	return configservice.New(f.platform.URL()), hostlist.New(f.platform.URL())
+}
+
+func (f *fleet) startAgent(ctx context.Context, h *host) error {
+	cs, hl := f.clients()
+	cfg := agent.Config{Control: f.control(h.name, h.domain, loopback), TargetURL: h.url,
+		LinkRate: f.hostRate(), WeightMemory: 2*f.cfg.Size + 1<<20,
+		Idempotency: idempotency.Config{KeyWindow: keyWindow}}
+	a, err := agent.New(cfg, cs, hl, f.log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	h.agent, h.stop = a, stop
+	go a.Run(ctx)
+	return nil
+}
+
+func (f *fleet) startEntry(ctx context.Context, i int) error {
+	cs, hl := f.clients()
+	name := fmt.Sprintf("entry-%d", i)
+	cfg := entry.Config{Control: f.control(name, domains[i%len(domains)], loopback), Listen: loopback}
+	e, err := entry.New(cfg, cs, hl, f.log)
+	if err != nil {
+		return err
+	}
+	f.entries = append(f.entries, e)
+	f.names = append(f.names, name)
+	go e.Run(ctx)
+	return nil
+}
+
+func (f *fleet) publishHosts() {
+	var list []hostlist.Host
+	for _, h := range f.hosts {
+		list = append(list, hostlist.Host{Host: h.name, Addr: h.agent.Addr(), Domain: h.domain, Role: string(membership.Agent)})
+	}
+	for i, e := range f.entries {
+		list = append(list, hostlist.Host{Host: f.names[i], Addr: e.Addr(), Domain: domains[i%len(domains)], Role: string(membership.Entry)})
+	}
+	f.platform.SetHosts(list)
+}
+
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		h.stop()
+	}
+	f.platform.Close()
+	f.origin.Close()
+}
+
+func (f *fleet) addVersion(name string, seed uint64) (digest.Digest, error) {
+	size := int(f.cfg.Size)
+	chunk := (size + chunksPerVersion - 1) / chunksPerVersion
+	id, m, err := f.origin.Add(name, chunk, standin.Content(size, seed))
+	f.versions[id] = m
+	return id, err
+}
+
+// file returns the fleet file whose model is the given version.
+func (f *fleet) file(model digest.Digest) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "format: 1\nfleet: demo\nsources:\n  - {name: origin, kind: origin, url: %q}\n", f.origin.URL())
+	b.WriteString("teams:\n  - {name: default, weight: 1}\n  - {name: citizens, weight: 4}\n  - {name: disputes, weight: 2}\n")
+	b.WriteString("services:\n")
+	fmt.Fprintf(&b, "  - name: %s\n    kind: engine\n    model: {name: wallet, manifest: %q}\n    spread: %s\n", serviceName, model, f.cfg.Spread)
+	fmt.Fprintf(&b, "    max_unavailable: %d\n    fenced: true\n    limits: {concurrency: 8, queue: 64, timeout: 20s}\n", max(1, f.cfg.Hosts/4))
+	f.writeHosts(&b, f.hosts[:f.cfg.Hosts])
+	fmt.Fprintf(&b, "  - name: %s\n    kind: plain\n    limits: {concurrency: 32, queue: 64, timeout: 5s}\n", plainName)
+	f.writeHosts(&b, f.hosts[f.cfg.Hosts:])
+	return []byte(b.String())
+}
+
+func (f *fleet) writeHosts(b *strings.Builder, hosts []*host) {
+	b.WriteString("    hosts:\n")
+	for _, d := range domains {
+		var names []string
+		for _, h := range hosts {
+			if h.domain == d {
+				names = append(names, h.name)
+			}
+		}
+		if len(names) > 0 {
+			fmt.Fprintf(b, "      - {domain: %s, names: [%s]}\n", d, strings.Join(names, ", "))
+		}
+	}
+}
+
+// replicas counts the engines that serve the given model, as the engines
+// themselves say.
+func (f *fleet) replicas(model digest.Digest) int {
+	n := 0
+	want := loadoutID(model)
+	for _, h := range f.hosts[:f.cfg.Hosts] {
+		if h.engine.Loadout() == want {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/demo/load.go
@@ -0,0 +1,249 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+	"github.com/springgate/springgate/caller"
+	"github.com/springgate/springgate/outcome"
+	"github.com/springgate/springgate/standin"
+)
+
+// Shape of the load.
+const (
+	callsPerHost = 4 // a second
+	callTimeout  = 20 * time.Second
+	tokens       = 12
+
+	histogramMax = int64(time.Minute / time.Microsecond)
+	histogramSig = 3
+)
+
+type phase int32
+
+const (
+	before phase = iota
+	during
+	phases
+)
+
+// call is one request and what its caller saw.
+type call struct {
+	id         string
+	repeatable bool
+	outcome    outcome.Outcome // empty if there was no answer
+	crossed    bool
+	mixed      bool
+	partial    bool // taken for whole, but is not
+}
+
+// load sends live requests and judges the answers without help of the system.
+type load struct {
+	fleet  *fleet
+	client *http.Client
+	phase  atomic.Int32
+	active sync.WaitGroup
+
+	mu    sync.Mutex
+	calls []*call
+	first [phases]*hdrhistogram.Histogram // time to first token, microseconds
+
+	completed, notRun, unknown atomic.Int64
+}
+
+func newLoad(f *fleet) *load {
+	l := &load{fleet: f, client: &http.Client{Timeout: callTimeout + 5*time.Second,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	for i := range l.first {
+		l.first[i] = hdrhistogram.New(1, histogramMax, histogramSig)
+	}
+	return l
+}
+
+func (l *load) setPhase(p phase) { l.phase.Store(int32(p)) }
+
+// run sends calls at a steady rate, whatever the answers do.
+func (l *load) run(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(l.fleet.cfg.Seed, l.fleet.cfg.Seed))
+	gap := time.Second / time.Duration(callsPerHost*l.fleet.cfg.Hosts)
+	t := time.NewTicker(gap)
+	defer t.Stop()
+	l.active.Add(1)
+	defer l.active.Done()
+	for n := 0; ; n++ {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		c := &call{id: fmt.Sprintf("call-%06d", n), repeatable: rng.IntN(4) > 0}
+		l.mu.Lock()
+		l.calls = append(l.calls, c)
+		l.mu.Unlock()
+		entry := l.fleet.entries[rng.IntN(len(l.fleet.entries))].CallerAddr()
+		plain, keyed := rng.IntN(5) == 0, rng.IntN(2) == 0
+		l.active.Go(func() { l.send(c, entry, plain, keyed) })
+	}
+}
+
+func (l *load) wait() { l.active.Wait() }
+
+func (l *load) request(c *call, entry string, plain, keyed bool) (*http.Request, error) {
+	url := fmt.Sprintf("http://%s/%s/v1/answer?tokens=%d", entry, serviceName, tokens)
+	if plain {
+		url = fmt.Sprintf("http://%s/%s/accounts/7", entry, plainName)
+	}
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader("why is my transfer pending?"))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set(caller.HeaderTeam, "citizens")
+	r.Header.Set(standin.CallHeader, c.id)
+	if !c.repeatable {
+		r.Header.Set(caller.HeaderRepeatable, "no")
+		if keyed {
+			r.Header.Set(caller.HeaderKey, uuid.Must(uuid.NewV7()).String())
+		}
+	}
+	return r, nil
+}
+
+func (l *load) send(c *call, entry string, plain, keyed bool) {
+	p := phase(l.phase.Load())
+	r, err := l.request(c, entry, plain, keyed)
+	if err != nil {
+		return
+	}
+	began := time.Now()
+	resp, err := l.client.Do(r)
+	if err != nil {
+		return // no answer at all: lost
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get("Content-Type") == caller.ProblemType {
+		l.refused(c, resp)
+		return
+	}
+	if plain {
+		l.readPlain(c, resp)
+	} else {
+		l.readStream(c, resp, func() { l.sawFirst(p, time.Since(began)) })
+	}
+	l.count(c.outcome)
+}
+
+func (l *load) refused(c *call, resp *http.Response) {
+	var p caller.Problem
+	if json.NewDecoder(resp.Body).Decode(&p) == nil {
+		c.outcome = p.Outcome
+	}
+	l.count(c.outcome)
+}
+
+func (l *load) count(o outcome.Outcome) {
+	switch o {
+	case outcome.Completed:
+		l.completed.Add(1)
+	case outcome.NotRun:
+		l.notRun.Add(1)
+	case outcome.Unknown:
+		l.unknown.Add(1)
+	}
+}
+
+func (l *load) sawFirst(p phase, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.first[p].RecordValue(min(d.Microseconds(), histogramMax))
+}
+
+func (l *load) readPlain(c *call, resp *http.Response) {
+	b, err := io.ReadAll(resp.Body)
+	c.outcome = outcome.Completed
+	if err != nil {
+		c.outcome = outcome.Unknown // aborted, and seen to be
+		return
+	}
+	c.crossed = !strings.HasPrefix(string(b), c.id+" ")
+}
+
+// readStream reads the tokens of an engine and checks each of them.
+func (l *load) readStream(c *call, resp *http.Response, first func()) {
+	sc := bufio.NewScanner(resp.Body)
+	seen, done, version := 0, false, ""
+	for sc.Scan() {
+		line, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if line == "[DONE]" {
+			done = true
+			continue
+		}
+		if seen == 0 {
+			first()
+		}
+		var id, v string
+		var n int
+		if _, err := fmt.Sscan(line, &id, &n, &v); err != nil || id != c.id || n != seen {
+			c.crossed = true
+		}
+		c.mixed = c.mixed || version != "" && v != version
+		version = v
+		seen++
+	}
+	if sc.Err() != nil {
+		c.outcome = outcome.Unknown // aborted, and seen to be
+		return
+	}
+	c.outcome = outcome.Completed
+	c.partial = resp.StatusCode == http.StatusOK && (!done || seen != tokens)
+}
+
+// judge fills in what the callers and the stand-ins saw.
+func (l *load) judge(r *Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Requests = len(l.calls)
+	r.Completed, r.NotRun, r.Unknown = l.completed.Load(), l.notRun.Load(), l.unknown.Load()
+	for _, c := range l.calls {
+		ran := l.fleet.runs.Count(c.id)
+		if c.outcome == "" || c.partial || c.outcome == outcome.Completed && ran == 0 {
+			r.Lost++
+		}
+		if !c.repeatable && ran > 1 {
+			r.Doubled++
+		}
+		if c.outcome == outcome.NotRun && ran > 0 {
+			r.FalselyNotRun++
+		}
+		if c.crossed {
+			r.Crossed++
+		}
+		if c.mixed {
+			r.Mixed++
+		}
+	}
+	for _, h := range l.fleet.hosts[:l.fleet.cfg.Hosts] {
+		r.Mixed += int(h.engine.Mixed())
+	}
+	r.FirstBefore = milliseconds(l.first[before])
+	r.FirstDuring = milliseconds(l.first[during])
+}
+
+const p99 = 99
+
+func milliseconds(h *hdrhistogram.Histogram) float64 {
+	return float64(h.ValueAtPercentile(p99)) / 1000
+}
--- /dev/null
+++ b/digest/digest.go
@@ -0,0 +1,58 @@
+// Package digest holds the content digest that names fleet file parts,
+// manifests and weight chunks.
+package digest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Prefix names the algorithm in the text form of a digest.
+const Prefix = "sha256:"
+
+// Size is the length of a digest in bytes.
+const Size = sha256.Size
+
+// Digest is the SHA-256 of a byte string.
+type Digest [Size]byte
+
+// Of returns the digest of b.
+func Of(b []byte) Digest { return sha256.Sum256(b) }
+
+// String returns the text form, "sha256:" and 64 hexadecimal digits.
+func (d Digest) String() string { return Prefix + hex.EncodeToString(d[:]) }
+
+// Short returns the first 12 hexadecimal digits, for logs.
+func (d Digest) Short() string { return hex.EncodeToString(d[:6]) }
+
+// IsZero reports whether d is the zero value.
+func (d Digest) IsZero() bool { return d == Digest{} }
+
+// Parse reads the text form.
+func Parse(s string) (Digest, error) {
+	var d Digest
+	h, ok := strings.CutPrefix(s, Prefix)
+	if !ok || len(h) != 2*Size {
+		return d, errors.Errorf("digest %q: want %s and %d hexadecimal digits", s, Prefix, 2*Size)
+	}
+	if _, err := hex.Decode(d[:], []byte(h)); err != nil {
+		return d, errors.Wrapf(err, "digest %q", s)
+	}
+	return d, nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(b []byte) error {
+	v, err := Parse(string(b))
+	if err != nil {
+		return err
+	}
+	*d = v
+	return nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,295 @@
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/caller"
+	"github.com/springgate/springgate/configservice"
+	"github.com/springgate/springgate/control"
+	"github.com/springgate/springgate/hostlist"
+	"github.com/springgate/springgate/intent"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/outcome"
+	"github.com/springgate/springgate/peer"
+	"github.com/springgate/springgate/routing"
+	"github.com/springgate/springgate/submission"
+	"github.com/springgate/springgate/target"
+	"github.com/springgate/springgate/telemetry"
+)
+
+// Histogram sizes: an exponentially decaying sample as go-metrics suggests.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+type counters struct {
+	completed, notRun, unknown, resumed, dropped metrics.Counter
+	firstByte, duration                          metrics.Histogram // milliseconds
+	inflight                                     metrics.Gauge
+}
+
+func newCounters(r metrics.Registry) counters {
+	c := func(name string) metrics.Counter { return metrics.NewRegisteredCounter("requests."+name, r) }
+	h := func(name string) metrics.Histogram {
+		return metrics.NewRegisteredHistogram("requests."+name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return counters{completed: c("completed"), notRun: c("not_run"), unknown: c("unknown"), resumed: c("resumed"),
+		dropped: c("frames_dropped"), firstByte: h("first_byte_ms"), duration: h("duration_ms"),
+		inflight: metrics.NewRegisteredGauge("requests.inflight", r)}
+}
+
+// Entry is the process that callers talk to.
+type Entry struct {
+	cfg      Config
+	log      *logrus.Entry
+	access   *logrus.Entry
+	metrics  metrics.Registry
+	reasons  *telemetry.Reasons
+	count    counters
+	server   *peer.Server
+	pool     *peer.Pool
+	node     *control.Node
+	targets  *targets
+	listener net.Listener
+	http     *http.Server
+	inflight atomic.Int64
+	leaving  atomic.Bool
+
+	mu      sync.Mutex
+	budgets map[string]*routing.Budget
+}
+
+// New opens the listeners of an entry. Run does the rest.
+func New(cfg Config, service *configservice.Client, hosts *hostlist.Client, log logrus.FieldLogger) (*Entry, error) {
+	cfg = cfg.applyDefaults()
+	if cfg.Control.Incarnation == 0 {
+		cfg.Control.Incarnation = target.Incarnation(time.Now())
+	}
+	cfg.Control.Role = membership.Entry
+	log = log.WithFields(logrus.Fields{"host": cfg.Control.Host, "failure_domain": cfg.Control.Domain})
+	e := &Entry{log: telemetry.Part(log, "entry"), access: telemetry.Part(log, "access"),
+		metrics: metrics.NewRegistry(), budgets: map[string]*routing.Budget{}}
+	e.reasons = telemetry.NewReasons(e.metrics)
+	e.count = newCounters(e.metrics)
+	self := peer.Hello{Host: cfg.Control.Host, Incarnation: cfg.Control.Incarnation,
+		Role: string(membership.Entry), Domain: cfg.Control.Domain}
+	ready := make(chan struct{})
+	handler := func(ctx context.Context, s *peer.Stream, m peer.Message) {
+		<-ready
+		e.handle(ctx, s, m)
+	}
+	var err error
+	if e.server, err = peer.Listen(cfg.Control.Addr, self, handler); err != nil {
+		return nil, errors.Wrapf(err, "entry %s", cfg.Control.Host)
+	}
+	if e.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		e.server.Close()
+		return nil, errors.Wrapf(err, "entry %s: listen for callers", cfg.Control.Host)
+	}
+	cfg.Control.Addr = e.server.Addr()
+	e.cfg = cfg
+	e.pool = peer.NewPool(self, handler)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	e.node = control.New(cfg.Control, service, hosts, e.pool, telemetry.Part(log, "control"), e.metrics, rng)
+	e.targets = newTargets(cfg, e.node, e.pool, telemetry.Part(log, "targets"))
+	if e.http, err = e.newServer(); err != nil {
+		return nil, err
+	}
+	close(ready)
+	return e, nil
+}
+
+// Addr returns the address of the peer listener.
+func (e *Entry) Addr() string { return e.cfg.Control.Addr }
+
+// CallerAddr returns the address for callers.
+func (e *Entry) CallerAddr() string { return e.listener.Addr().String() }
+
+// Metrics returns the entry's metrics.
+func (e *Entry) Metrics() metrics.Registry { return e.metrics }
+
+// Run serves until ctx is done. It does not drain; Drain does.
+func (e *Entry) Run(ctx context.Context) {
+	e.log.WithField("addr", e.CallerAddr()).Info("Entry started.")
+	var wg sync.WaitGroup
+	wg.Go(func() { e.targets.run(ctx) })
+	wg.Go(func() { _ = e.http.Serve(e.listener) })
+	e.node.OnChange(func(s *control.Snapshot) { e.targets.loop.Post(func() { e.targets.configure(s) }) })
+	wg.Go(func() { e.node.Run(ctx) })
+	<-ctx.Done()
+	e.http.Close()
+	e.server.Close()
+	e.pool.Close()
+	wg.Wait()
+}
+
+// Drain fails /readyz, goes on serving for the notice time, then takes no new
+// connections and waits for the requests in flight.
+func (e *Entry) Drain(ctx context.Context) {
+	if e.leaving.Swap(true) {
+		return
+	}
+	e.log.WithField("notice", e.cfg.Notice.String()).Info("Leaving. Readiness is withdrawn.")
+	e.node.Leave()
+	e.http.SetKeepAlivesEnabled(false)
+	sleep(ctx, e.cfg.Notice)
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.DrainTimeout)
+	defer cancel()
+	if err := e.http.Shutdown(ctx); err != nil {
+		e.log.WithError(err).Warn("Drain timed out.")
+		return
+	}
+	e.log.Info("Drained.")
+}
+
+// Ready reports whether the balancer should send callers here.
+func (e *Entry) Ready() bool {
+	return !e.leaving.Load() && e.node.Snapshot().Fleet() != nil && e.node.Awake(time.Now())
+}
+
+func (e *Entry) handle(ctx context.Context, s *peer.Stream, m peer.Message) {
+	if e.node.Handle(ctx, s, m) {
+		return
+	}
+	if _, ok := m.(*peer.GetNodeStatus); ok {
+		_ = s.SendLast(ctx, e.node.Status())
+	}
+}
+
+func (e *Entry) budget(service string) *routing.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budgets[service]
+	if b == nil {
+		b = routing.NewBudget(e.cfg.Budget)
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// defaultTeam is used for calls that name no team.
+const defaultTeam = "default"
+
+// serveCall answers one caller's request.
+func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{entry: e, w: w, r: r, arrived: time.Now(), id: uuid.New()}
+	e.count.inflight.Update(e.inflight.Add(1))
+	defer func() { e.count.inflight.Update(e.inflight.Add(-1)) }()
+	if reason, detail := x.prepare(); reason != "" {
+		x.finish(submission.Action{Outcome: outcome.NotRun, Reason: reason, RetryAfter: retryAfterOf(reason)}, detail)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.until.Add(verdictGrace))
+	defer cancel()
+	x.finish(x.run(ctx), "")
+}
+
+func retryAfterOf(r outcome.Reason) time.Duration {
+	if outcome.Lookup(r).Status == http.StatusServiceUnavailable {
+		return time.Second
+	}
+	return 0
+}
+
+// prepare checks a request before anything is sent.
+func (x *exchange) prepare() (outcome.Reason, string) {
+	var err error
+	if x.req, err = caller.Parse(x.r); err != nil {
+		return outcome.BadRequest, err.Error()
+	}
+	if x.entry.inflight.Load() > int64(x.entry.cfg.MaxInflight) {
+		return outcome.EntryFull, ""
+	}
+	f := x.entry.node.Snapshot().Fleet()
+	if f == nil {
+		return outcome.NoIntent, ""
+	}
+	if x.svc = f.Service(x.req.Service); x.svc == nil {
+		return outcome.NoService, "service " + x.req.Service
+	}
+	if reason := x.checkTeam(f); reason != "" {
+		return reason, "team " + x.req.Team
+	}
+	timeout := x.svc.Limits.Timeout
+	if x.req.Timeout > 0 {
+		timeout = min(timeout, x.req.Timeout)
+	}
+	x.until = x.arrived.Add(timeout)
+	x.body, err = readBody(x.w, x.r, x.entry.cfg.MaxBody)
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return outcome.BodyTooLarge, ""
+	case err != nil:
+		return outcome.CallerLeft, err.Error()
+	case x.req.Key != "" && x.body.streamed():
+		return outcome.BodyTooLarge, "a request with an idempotency key must fit in 256 KiB"
+	}
+	x.print = x.body.print(x.r, x.req.URI)
+	return "", ""
+}
+
+func (x *exchange) checkTeam(f *intent.Fleet) outcome.Reason {
+	if x.req.Team == "" {
+		x.req.Team = defaultTeam
+	}
+	if f.Team(x.req.Team) == nil {
+		return outcome.NoTeam
+	}
+	return ""
+}
+
+func (x *exchange) requestID() string { return hex.EncodeToString(x.id[:]) }
+
+// finish tells the caller the outcome, counts it and writes the access log.
+func (x *exchange) finish(act submission.Action, detail string) {
+	x.record(act)
+	switch {
+	case act.Abort:
+		panic(http.ErrAbortHandler) // the caller must not take the part for the whole
+	case act.Outcome == outcome.Completed:
+		x.w.Header().Set(http.TrailerPrefix+caller.HeaderOutcome, string(act.Outcome))
+	case act.Reason == outcome.CallerLeft:
+	default:
+		caller.WriteProblem(x.w, caller.Refusal{Outcome: act.Outcome, Reason: act.Reason,
+			RetryAfter: act.RetryAfter, RequestID: x.requestID(), Detail: detail})
+	}
+}
+
+func (x *exchange) record(act submission.Action) {
+	c := &x.entry.count
+	switch act.Outcome {
+	case outcome.Completed:
+		c.completed.Inc(1)
+		c.firstByte.Update(x.first.Milliseconds())
+		c.duration.Update(time.Since(x.arrived).Milliseconds())
+		x.entry.budget(x.svc.Name).Success()
+	case outcome.NotRun:
+		c.notRun.Inc(1)
+	default:
+		c.unknown.Inc(1)
+	}
+	if act.Reason != "" {
+		x.entry.reasons.Refused(act.Reason)
+	}
+	tries := uint16(0)
+	if x.machine != nil {
+		tries = x.machine.Try()
+		c.dropped.Inc(int64(x.machine.Dropped()))
+	}
+	x.entry.access.WithFields(logrus.Fields{"request_id": x.requestID(), "service": x.req.Service, "team": x.req.Team,
+		"target_host": x.host.Host, "method": x.r.Method, "outcome": act.Outcome, "reason": act.Reason,
+		"status": x.status, "tries": tries, "bytes": x.written, "first_ms": x.first.Milliseconds(),
+		"took_ms": time.Since(x.arrived).Milliseconds(), "revision": x.entry.node.Snapshot().Revision()}).Info("Request ended.")
+}
--- /dev/null
+++ b/hostlist/client.go
@@ -0,0 +1,98 @@
+// Package hostlist reads the platform's lagging list of live and leaving
+// hosts. The interface is described in docs/PLATFORM.md.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/springgate/springgate/httpclient"
+	"github.com/springgate/springgate/membership"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	maxList     = 16 << 20
+	callTimeout = 5 * time.Second
+)
+
+// Errors of the service.
+var (
+	ErrUnchanged   = errors.New("hostlist: unchanged")
+	ErrUnavailable = errors.New("hostlist: unavailable")
+	ErrMalformed   = errors.New("hostlist: malformed list")
+)
+
+// Host is one entry of the list.
+type Host struct {
+	Host    string `json:"host"`
+	Addr    string `json:"addr"`
+	Domain  string `json:"domain"`
+	Role    string `json:"role"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// List is the whole list. Serial grows with each change.
+type List struct {
+	Serial uint64 `json:"serial"`
+	Hosts  []Host `json:"hosts"`
+}
+
+// Listed returns the hosts in the form that membership takes.
+func (l List) Listed() []membership.Listed {
+	out := make([]membership.Listed, len(l.Hosts))
+	for i, h := range l.Hosts {
+		out[i] = membership.Listed{Host: h.Host, Addr: h.Addr, Domain: h.Domain,
+			Role: membership.Role(h.Role), Leaving: h.Leaving}
+	}
+	return out
+}
+
+// Parse reads a list in its published form.
+func Parse(b []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(b, &l); err != nil {
+		return List{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	for _, h := range l.Hosts {
+		if h.Host == "" || h.Addr == "" {
+			return List{}, errors.Wrapf(ErrMalformed, "host %q at %q", h.Host, h.Addr)
+		}
+	}
+	return l, nil
+}
+
+// Client reads one host list.
+type Client struct {
+	base string
+	http httpc.Service
+}
+
+// New returns a client for the service at the base URL.
+func New(base string) *Client {
+	return &Client{base: base, http: httpclient.New("hostlist")}
+}
+
+// Read returns the published bytes of the list, or ErrUnchanged if its serial
+// number is after.
+func (c *Client) Read(ctx context.Context, after uint64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.http.Do(ctx, http.MethodGet, fmt.Sprintf("%s/v1/hosts?after=%d", c.base, after), nil)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	if resp.StatusCode == http.StatusNotModified {
+		resp.Body.Close()
+		return nil, ErrUnchanged
+	}
+	b, err := httpclient.ReadAll(resp, maxList)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return b, nil
+}
--- /dev/null
+++ b/httpclient/httpclient.go
@@ -0,0 +1,89 @@
+// Package httpclient makes the HTTP clients for the peers of the system, on
+// go-zero's httpc. The library's circuit breaker is off, because it refuses
+// calls without our counters.
+package httpclient
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+// Limits of the transport.
+const (
+	dialTimeout      = 2 * time.Second
+	idleTimeout      = 90 * time.Second
+	idleConnsPerHost = 64
+)
+
+// Errors of a call.
+var (
+	ErrTooLarge = errors.New("httpclient: answer over the size limit")
+	ErrNotFound = errors.New("httpclient: not found")
+	ErrStatus   = errors.New("httpclient: unexpected status")
+)
+
+// New returns a client whose calls are logged under name.
+func New(name string) httpc.Service {
+	breaker.NoBreakerFor(name)
+	return httpc.NewServiceWithClient(name, &http.Client{Transport: Transport()})
+}
+
+// Transport returns a transport that keeps connections, follows no proxy
+// settings and leaves bodies as they are.
+func Transport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// ErrLimited is returned for status 429; it says how long to wait.
+type ErrLimited struct{ RetryAfter time.Duration }
+
+// Error implements error.
+func (e *ErrLimited) Error() string {
+	return "httpclient: limited, retry after " + e.RetryAfter.String()
+}
+
+// defaultRetryAfter is used if a 429 names no time.
+const defaultRetryAfter = time.Second
+
+// ReadAll returns the body of a 200 answer of at most limit bytes and turns
+// other answers into errors. It closes the body.
+func ReadAll(resp *http.Response, limit int64) ([]byte, error) {
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return nil, ErrNotFound
+	case http.StatusTooManyRequests:
+		return nil, &ErrLimited{retryAfter(resp.Header)}
+	default:
+		return nil, errors.Wrapf(ErrStatus, "%d", resp.StatusCode)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "httpclient: read")
+	}
+	if int64(len(b)) > limit {
+		return nil, ErrTooLarge
+	}
+	return b, nil
+}
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return defaultRetryAfter
+	}
+	return time.Duration(s) * time.Second
+}
--- /dev/null
+++ b/membership/duty.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// readerKey is the rendezvous key of the duty to watch the platform.
+const readerKey = "reader/"
+
+// ReaderConfig bounds how the fleet as a whole reads the platform.
+type ReaderConfig struct {
+	// PerDomain is how many processes of a failure domain watch the platform.
+	// More survive more deaths and use more calls. Default 3.
+	PerDomain int
+	// StaleAfter is the age of the newest proof of the head after which a
+	// process reads the platform itself. Default 3 s.
+	StaleAfter time.Duration
+	// FallbackRate bounds the calls a second that all fallback reads make
+	// together. Default 400, a fifth of the platform's limit.
+	FallbackRate float64
+	// MinFallback is the shortest time between two fallback reads of one
+	// process. Default 1 s.
+	MinFallback time.Duration
+}
+
+// ApplyDefaults returns c with zero fields set to their defaults.
+func (c ReaderConfig) ApplyDefaults() ReaderConfig {
+	if c.PerDomain == 0 {
+		c.PerDomain = 3
+	}
+	if c.StaleAfter == 0 {
+		c.StaleAfter = 3 * time.Second
+	}
+	if c.FallbackRate == 0 {
+		c.FallbackRate = 400
+	}
+	if c.MinFallback == 0 {
+		c.MinFallback = time.Second
+	}
+	return c
+}
+
+// IsReader reports whether host has the duty to watch the platform: it is
+// among the first of its failure domain by rendezvous over the hosts that can
+// take the duty.
+func (c ReaderConfig) IsReader(host, domain string, members []Member) bool {
+	mine := Score(readerKey+domain, host)
+	ahead := 0
+	for _, m := range members {
+		if m.Domain != domain || m.Host == host || m.State != Live {
+			continue
+		}
+		if Score(readerKey+domain, m.Host) > mine {
+			ahead++
+		}
+	}
+	return ahead < c.PerDomain
+}
+
+// FallbackDelay returns a random time until the next fallback read, so that
+// fleet processes together stay under FallbackRate on average.
+func (c ReaderConfig) FallbackDelay(fleet int, rng *rand.Rand) time.Duration {
+	mean := float64(fleet) / c.FallbackRate * float64(time.Second)
+	mean = math.Max(mean, float64(c.MinFallback))
+	// Uniform from half to one and a half times the mean keeps the sum of
+	// many processes close to its average, unlike an exponential.
+	return time.Duration(mean * (0.5 + rng.Float64()))
+}
+
+// StartDelay returns a random time to wait before the first read, so that
+// fleet processes that start together stay under rate calls a second.
+func StartDelay(fleet int, rate float64, rng *rand.Rand) time.Duration {
+	span := float64(fleet) / rate * float64(time.Second)
+	return time.Duration(span * rng.Float64())
+}
+
+// GossipTargets picks hosts to exchange heartbeats with: local ones of the
+// same failure domain and remote ones of others, at random among those that
+// are live or suspect; so a suspect that comes back is noticed.
+func GossipTargets(self, domain string, members []Member, local, remote int, rng *rand.Rand) []Member {
+	var out []Member
+	out = append(out, sample(members, local, rng, func(m Member) bool {
+		return m.Host != self && m.Domain == domain && m.State != Gone
+	})...)
+	out = append(out, sample(members, remote, rng, func(m Member) bool {
+		return m.Host != self && m.Domain != domain && m.State != Gone
+	})...)
+	return out
+}
+
+// sample draws up to n distinct members that match. Its cost does not grow
+// with the fleet unless few members match.
+func sample(members []Member, n int, rng *rand.Rand, match func(Member) bool) []Member {
+	if len(members) == 0 || n == 0 {
+		return nil
+	}
+	out := make([]Member, 0, n)
+	start, step := rng.IntN(len(members)), strideOf(len(members), rng)
+	for i, at := 0, start; i < len(members) && len(out) < n; i++ {
+		if match(members[at]) {
+			out = append(out, members[at])
+		}
+		at = (at + step) % len(members)
+	}
+	return out
+}
+
+// strideOf returns a random step that visits every index of n once.
+func strideOf(n int, rng *rand.Rand) int {
+	for {
+		if s := 1 + rng.IntN(n); gcd(s, n) == 1 {
+			return s
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
--- /dev/null
+++ b/membership/rank.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score is the rendezvous weight of a node for a key. All processes compute
+// the same value.
+func Score(key, node string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(node)
+	return mix(d.Sum64())
+}
+
+// mix spreads a hash once more, so that orders for related keys differ.
+func mix(x uint64) uint64 {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(x >> (8 * i))
+	}
+	return xxhash.Sum64(b[:])
+}
+
+// First returns the node with the highest rendezvous weight for key, or "".
+func First(key string, nodes []string) string {
+	best, bestScore := "", uint64(0)
+	for _, n := range nodes {
+		if s := Score(key, n); best == "" || s > bestScore || s == bestScore && n < best {
+			best, bestScore = n, s
+		}
+	}
+	return best
+}
+
+// Rank returns the n nodes of highest rendezvous weight for key, in order.
+func Rank(key string, nodes []string, n int) []string {
+	type scored struct {
+		node  string
+		score uint64
+	}
+	all := make([]scored, len(nodes))
+	for i, x := range nodes {
+		all[i] = scored{x, Score(key, x)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
+	})
+	out := make([]string, 0, min(n, len(all)))
+	for _, x := range all[:min(n, len(all))] {
+		out = append(out, x.node)
+	}
+	return out
+}
--- /dev/null
+++ b/operator/admin.go
@@ -0,0 +1,62 @@
+package operator
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/springgate/springgate/telemetry"
+	"github.com/zeromicro/go-zero/rest"
+)
+
+// Paths of the interface for balancers and operators.
+const (
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+	PathStatus  = "/status"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// Routes returns the routes for health, readiness and metrics.
+func Routes(ready func() bool, reg metrics.Registry) []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: PathHealth, Handler: func(w http.ResponseWriter, _ *http.Request) { answer(w, true) }},
+		{Method: http.MethodGet, Path: PathReady, Handler: func(w http.ResponseWriter, _ *http.Request) { answer(w, ready()) }},
+		{Method: http.MethodGet, Path: PathMetrics, Handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+			telemetry.WriteText(w, reg)
+		}},
+	}
+}
+
+func answer(w http.ResponseWriter, ok bool) {
+	if !ok {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// ServeAdmin serves Routes on addr. The result stops the server.
+func ServeAdmin(addr string, ready func() bool, reg metrics.Registry) (stop func(), err error) {
+	server, err := rest.NewServer(rest.RestConf{})
+	if err != nil {
+		return nil, errors.Wrap(err, "operator: http server")
+	}
+	server.AddRoutes(Routes(ready, reg))
+	handler, err := rest.NewServerless(server)
+	if err != nil {
+		return nil, errors.Wrap(err, "operator: http server")
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "operator: listen")
+	}
+	s := &http.Server{Handler: http.HandlerFunc(handler.Serve), ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = s.Serve(ln) }()
+	return func() { s.Close() }, nil
+}
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,162 @@
+// Package operator is the interface towards operators: the status document
+// and how it is shown.
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/springgate/springgate/control"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/peer"
+)
+
+// Bounds of a collection.
+const (
+	CollectTimeout = 3 * time.Second
+	collectAtOnce  = 64
+)
+
+// HostStatus is the state of one host.
+type HostStatus struct {
+	Host        string `json:"host"`
+	Domain      string `json:"failure_domain"`
+	Role        string `json:"role"`
+	State       string `json:"state"`
+	Reached     bool   `json:"reached"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Format      int    `json:"format,omitempty"`
+	Revision    uint64 `json:"revision"`
+	Digest      string `json:"digest,omitempty"`
+	Lag         uint64 `json:"lag"` // revisions behind the highest seen
+	Pending     uint64 `json:"pending,omitempty"`
+	Rejected    uint64 `json:"rejected,omitempty"`
+	RejectedFor string `json:"rejected_for,omitempty"`
+	HeadAgeMs   int64  `json:"head_age_ms"`
+	Reader      bool   `json:"reader,omitempty"`
+	Awake       bool   `json:"awake"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	Service     string `json:"service,omitempty"`
+	Ready       bool   `json:"ready,omitempty"`
+	Version     string `json:"version,omitempty"`
+	Running     int    `json:"running,omitempty"`
+	Queued      int    `json:"queued,omitempty"`
+	WeightsHave int    `json:"weights_have,omitempty"`
+	WeightsWant int    `json:"weights_want,omitempty"`
+}
+
+// Status is the state of the fleet as one entry sees it.
+type Status struct {
+	Fleet    string       `json:"fleet"`
+	Revision uint64       `json:"revision"` // highest in force anywhere
+	Hosts    []HostStatus `json:"hosts"`
+}
+
+// Collect asks many processes for their state, a bounded number at once.
+// Those that do not answer are left out.
+func Collect(ctx context.Context, addrs []string, ask func(context.Context, string) (*peer.NodeStatus, error)) []*peer.NodeStatus {
+	var mu sync.Mutex
+	var out []*peer.NodeStatus
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, collectAtOnce)
+	for _, a := range addrs {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			st, err := ask(ctx, a)
+			if err != nil || st == nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, st)
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// NewStatus joins what hosts said about themselves with the members known.
+func NewStatus(self *peer.NodeStatus, hosts []*peer.NodeStatus, s *control.Snapshot) Status {
+	st := Status{}
+	if f := s.Fleet(); f != nil {
+		st.Fleet = f.Name
+	}
+	reached := map[string]bool{}
+	for _, h := range append(hosts, self) {
+		reached[h.Host] = true
+		st.Hosts = append(st.Hosts, hostStatus(h, s))
+		st.Revision = max(st.Revision, h.Revision)
+	}
+	for _, m := range s.Members {
+		if !reached[m.Host] {
+			st.Hosts = append(st.Hosts, HostStatus{Host: m.Host, Domain: m.Domain, Role: string(m.Role),
+				State: m.State.String(), Revision: m.Revision})
+		}
+	}
+	for i := range st.Hosts {
+		st.Hosts[i].Lag = st.Revision - st.Hosts[i].Revision
+	}
+	slices.SortFunc(st.Hosts, func(a, b HostStatus) int {
+		return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Host, b.Host))
+	})
+	return st
+}
+
+func hostStatus(h *peer.NodeStatus, s *control.Snapshot) HostStatus {
+	m, ok := s.Member(h.Host)
+	state := membership.Live.String()
+	if ok {
+		state = m.State.String()
+	}
+	return HostStatus{Host: h.Host, Domain: h.Domain, Role: h.Role, State: state, Reached: true,
+		Incarnation: h.Incarnation, Format: h.Format, Revision: h.Revision, Digest: h.Digest.Short(),
+		Pending: h.Pending, Rejected: h.Rejected, RejectedFor: h.RejectedFor, HeadAgeMs: h.HeadAgeMs,
+		Reader: h.Reader, Awake: h.Awake, Leaving: h.Leaving, Service: h.Target.Service, Ready: h.Target.Ready,
+		Version: h.Target.Version, Running: h.Target.Running, Queued: h.Target.Queued,
+		WeightsHave: h.Target.WeightsHave, WeightsWant: h.Target.WeightsWant}
+}
+
+// WriteStatus writes a status as JSON.
+func WriteStatus(w http.ResponseWriter, st Status) {
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(st) // the operator may be gone
+}
+
+// WriteTable writes a status as a table for people.
+func WriteTable(w io.Writer, st Status) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "fleet %s\trevision %d\n", st.Fleet, st.Revision)
+	fmt.Fprintln(t, "HOST\tDOMAIN\tROLE\tSTATE\tREVISION\tLAG\tPENDING\tREJECTED\tSERVICE\tREADY\tRUNNING\tQUEUED\tCHUNKS")
+	for _, h := range st.Hosts {
+		state := h.State
+		if !h.Reached {
+			state += " (no answer)"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%t\t%d\t%d\t%d/%d\n", h.Host, h.Domain, h.Role, state,
+			h.Revision, h.Lag, dash(h.Pending), dash(h.Rejected), h.Service, h.Ready, h.Running, h.Queued, h.WeightsHave, h.WeightsWant)
+	}
+	for _, h := range st.Hosts {
+		if h.Rejected > 0 {
+			fmt.Fprintf(t, "%s rejected revision %d: %s\n", h.Host, h.Rejected, h.RejectedFor)
+		}
+	}
+	return t.Flush()
+}
+
+func dash(n uint64) string {
+	if n == 0 {
+		return "-"
+	}
+	return fmt.Sprint(n)
+}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,406 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Protocol is the version of the protocol spoken by this release.
+const Protocol = 1
+
+// Limits of a connection.
+const (
+	// window is how many frames of one stream may be on the way unread. It
+	// bounds the memory of a stream to window frames.
+	window = 32
+	// creditEvery is how many frames the reader takes before it grants more.
+	creditEvery      = window / 2
+	writeQueue       = 256
+	bufferSize       = 64 << 10
+	handshakeTimeout = 5 * time.Second
+	writeTimeout     = 30 * time.Second
+)
+
+// Connection errors.
+var (
+	ErrConnLost  = errors.New("peer: connection lost")
+	ErrReset     = errors.New("peer: stream reset by the other side")
+	ErrProtocol  = errors.New("peer: protocol version not supported")
+	ErrViolation = errors.New("peer: flow control violated")
+)
+
+// Handler serves a stream that the other side opened. ctx ends with the
+// stream; its cause is ErrReset if the other side closed the stream, and
+// ErrConnLost if the connection broke. The stream is reset when the handler
+// returns without having sent its last message.
+type Handler func(ctx context.Context, s *Stream, first Message)
+
+// Conn is one connection with many streams.
+type Conn struct {
+	nc      net.Conn
+	remote  Hello
+	handler Handler
+
+	out    chan []byte
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu      sync.Mutex
+	streams map[uint64]*Stream
+	nextID  uint64
+}
+
+// NewConn shakes hands on nc and starts the connection. The dialling side
+// numbers its streams odd, the accepting side even.
+func NewConn(nc net.Conn, self Hello, dialled bool, h Handler) (*Conn, error) {
+	self.Protocol = Protocol
+	remote, err := handshake(nc, self)
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	c := &Conn{nc: nc, remote: remote, handler: h, out: make(chan []byte, writeQueue),
+		ctx: ctx, cancel: cancel, streams: map[uint64]*Stream{}, nextID: 2}
+	if dialled {
+		c.nextID = 1
+	}
+	go c.writeLoop()
+	go c.readLoop()
+	return c, nil
+}
+
+func handshake(nc net.Conn, self Hello) (Hello, error) {
+	if err := nc.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return Hello{}, errors.Wrap(err, "peer: handshake")
+	}
+	b, err := encodeFrame(0, 0, &self)
+	if err != nil {
+		return Hello{}, err
+	}
+	sent := make(chan error, 1)
+	go func() {
+		_, err := nc.Write(b)
+		sent <- err
+	}()
+	f, err := readFrame(nc)
+	if err != nil {
+		return Hello{}, errors.Wrap(err, "peer: handshake")
+	}
+	if err := <-sent; err != nil {
+		return Hello{}, errors.Wrap(err, "peer: handshake")
+	}
+	m, err := f.decode()
+	if err != nil {
+		return Hello{}, err
+	}
+	h, ok := m.(*Hello)
+	if !ok || h.Protocol != Protocol {
+		return Hello{}, ErrProtocol
+	}
+	return *h, nc.SetDeadline(time.Time{})
+}
+
+// Remote returns what the other side said about itself.
+func (c *Conn) Remote() Hello { return c.remote }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
+
+// Close ends the connection; all streams fail with ErrConnLost.
+func (c *Conn) Close() {
+	c.cancel(ErrConnLost)
+	c.nc.Close()
+}
+
+// Open starts a stream with its first message.
+func (c *Conn) Open(ctx context.Context, m Message) (*Stream, error) {
+	c.mu.Lock()
+	id := c.nextID
+	c.nextID += 2
+	s := newStream(c, id)
+	c.streams[id] = s
+	c.mu.Unlock()
+	if err := s.send(ctx, flagOpen, m); err != nil {
+		c.drop(id)
+		return nil, err
+	}
+	return s, nil
+}
+
+// Call opens a stream, waits for one reply and closes the stream.
+func (c *Conn) Call(ctx context.Context, m Message) (Message, error) {
+	s, err := c.Open(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	return s.Recv(ctx)
+}
+
+func (c *Conn) drop(id uint64) {
+	c.mu.Lock()
+	delete(c.streams, id)
+	c.mu.Unlock()
+}
+
+func (c *Conn) lookup(id uint64) *Stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streams[id]
+}
+
+func (c *Conn) enqueue(ctx context.Context, b []byte) error {
+	select {
+	case c.out <- b:
+		return nil
+	case <-c.ctx.Done():
+		return ErrConnLost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Conn) writeLoop() {
+	defer c.Close()
+	w := bufio.NewWriterSize(c.nc, bufferSize)
+	for {
+		select {
+		case b := <-c.out:
+			if !c.writeBatch(w, b) {
+				return
+			}
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// writeBatch writes b and all that is queued behind it, then flushes.
+func (c *Conn) writeBatch(w *bufio.Writer, b []byte) bool {
+	if c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
+		return false
+	}
+	for {
+		if _, err := w.Write(b); err != nil {
+			return false
+		}
+		select {
+		case b = <-c.out:
+		default:
+			return w.Flush() == nil
+		}
+	}
+}
+
+func (c *Conn) readLoop() {
+	defer c.Close()
+	r := bufio.NewReaderSize(c.nc, bufferSize)
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			return
+		}
+		if c.deliver(f) != nil {
+			return
+		}
+	}
+}
+
+func (c *Conn) deliver(f frame) error {
+	s := c.lookup(f.stream)
+	switch {
+	case f.kind == kindCredit:
+		if s != nil && len(f.payload) == 2 {
+			s.grant(int(binary.BigEndian.Uint16(f.payload)))
+		}
+		return nil
+	case f.kind == kindReset:
+		if s != nil {
+			s.fail(ErrReset)
+		}
+		return nil
+	case s != nil:
+		return s.push(f)
+	case f.flags&flagOpen == 0:
+		return nil // late frame of a stream that is closed here
+	}
+	return c.accept(f)
+}
+
+func (c *Conn) accept(f frame) error {
+	m, err := f.decode()
+	if err != nil {
+		return err
+	}
+	s := newStream(c, f.stream)
+	s.taken = 1
+	if f.flags&flagFin != 0 {
+		s.finish()
+	}
+	c.mu.Lock()
+	c.streams[f.stream] = s
+	c.mu.Unlock()
+	go func() {
+		defer s.Close()
+		if c.handler != nil {
+			c.handler(s.failed, s, m)
+		}
+	}()
+	return nil
+}
+
+// Stream is one exchange on a connection.
+type Stream struct {
+	conn *Conn
+	id   uint64
+	in   chan frame
+
+	failed context.Context // done when the stream has failed
+	abort  context.CancelCauseFunc
+
+	taken   int // frames read since the last credit; reader only
+	credits chan struct{}
+
+	mu      sync.Mutex
+	eof     bool
+	sentFin bool
+	closed  bool
+}
+
+func newStream(c *Conn, id uint64) *Stream {
+	s := &Stream{conn: c, id: id, in: make(chan frame, window+1), credits: make(chan struct{}, window)}
+	s.failed, s.abort = context.WithCancelCause(c.ctx)
+	s.grant(window)
+	return s
+}
+
+// Conn returns the connection of the stream.
+func (s *Stream) Conn() *Conn { return s.conn }
+
+func (s *Stream) grant(n int) {
+	for range n {
+		select {
+		case s.credits <- struct{}{}:
+		default:
+			return
+		}
+	}
+}
+
+func (s *Stream) fail(err error) { s.abort(err) }
+
+func (s *Stream) push(f frame) error {
+	select {
+	case s.in <- f:
+		return nil
+	default:
+		return ErrViolation
+	}
+}
+
+func (s *Stream) finish() {
+	s.mu.Lock()
+	s.eof = true
+	s.mu.Unlock()
+}
+
+// Send sends a message. It blocks while the receiver is behind.
+func (s *Stream) Send(ctx context.Context, m Message) error { return s.send(ctx, 0, m) }
+
+// SendLast sends the last message of this direction.
+func (s *Stream) SendLast(ctx context.Context, m Message) error { return s.send(ctx, flagFin, m) }
+
+func (s *Stream) send(ctx context.Context, fl flags, m Message) error {
+	select {
+	case <-s.credits:
+	case <-s.failed.Done():
+		return s.err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	b, err := encodeFrame(s.id, fl, m)
+	if err != nil {
+		return err
+	}
+	if fl&flagFin != 0 {
+		s.mu.Lock()
+		s.sentFin = true
+		s.mu.Unlock()
+	}
+	return s.conn.enqueue(ctx, b)
+}
+
+// Recv returns the next message, or io.EOF after the last one. Frames that
+// arrived before a failure are delivered first.
+func (s *Stream) Recv(ctx context.Context) (Message, error) {
+	select {
+	case f := <-s.in:
+		return s.take(f)
+	default:
+	}
+	s.mu.Lock()
+	eof := s.eof
+	s.mu.Unlock()
+	if eof {
+		return nil, io.EOF
+	}
+	select {
+	case f := <-s.in:
+		return s.take(f)
+	case <-s.failed.Done():
+		return nil, s.err()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *Stream) take(f frame) (Message, error) {
+	if f.flags&flagFin != 0 {
+		s.finish()
+	}
+	s.taken++
+	if s.taken >= creditEvery {
+		var n [2]byte
+		binary.BigEndian.PutUint16(n[:], uint16(s.taken))
+		s.taken = 0
+		if b, err := rawFrame(s.id, 0, kindCredit, n[:]); err == nil {
+			_ = s.conn.enqueue(s.failed, b)
+		}
+	}
+	return f.decode()
+}
+
+func (s *Stream) err() error {
+	if s.conn.ctx.Err() != nil {
+		return ErrConnLost
+	}
+	return context.Cause(s.failed)
+}
+
+// Close releases the stream. If either direction is still open the other
+// side is told with a reset.
+func (s *Stream) Close() {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.closed = true
+	whole := s.eof || s.sentFin
+	s.mu.Unlock()
+	if !whole {
+		if b, err := rawFrame(s.id, 0, kindReset, nil); err == nil {
+			_ = s.conn.enqueue(context.Background(), b)
+		}
+	}
+	s.conn.drop(s.id)
+	s.abort(ErrReset)
+}
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,97 @@
+// Package peer is the protocol between the processes of the system: frames
+// over TCP with msgpack payloads, a handshake, and many streams with
+// per-stream flow control on one connection.
+package peer
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Frame layout: length (4 bytes, of what follows), kind, flags, stream (8
+// bytes), payload.
+const (
+	lengthSize = 4
+	headSize   = 10
+	// MaxFrame bounds the payload of one frame in bytes. It holds a weight
+	// chunk of 8 MiB with room for its envelope.
+	MaxFrame = 8<<20 + 4096
+)
+
+type flags uint8
+
+const (
+	flagOpen flags = 1 << iota // first frame of a stream
+	flagFin                    // last frame in this direction
+)
+
+// frame is one decoded frame; the payload is still encoded.
+type frame struct {
+	kind    Kind
+	flags   flags
+	stream  uint64
+	payload []byte
+}
+
+// Frame errors.
+var (
+	ErrFrameSize = errors.New("peer: frame length out of range")
+	ErrKind      = errors.New("peer: unknown message kind")
+	ErrPayload   = errors.New("peer: payload cannot be decoded")
+)
+
+// encodeFrame returns the wire form of a message.
+func encodeFrame(stream uint64, fl flags, m Message) ([]byte, error) {
+	payload, err := msgpack.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: encode")
+	}
+	return rawFrame(stream, fl, m.Kind(), payload)
+}
+
+func rawFrame(stream uint64, fl flags, k Kind, payload []byte) ([]byte, error) {
+	if len(payload) > MaxFrame {
+		return nil, ErrFrameSize
+	}
+	b := make([]byte, lengthSize+headSize+len(payload))
+	binary.BigEndian.PutUint32(b, uint32(headSize+len(payload)))
+	b[4] = byte(k)
+	b[5] = byte(fl)
+	binary.BigEndian.PutUint64(b[6:], stream)
+	copy(b[lengthSize+headSize:], payload)
+	return b, nil
+}
+
+// readFrame reads one frame.
+func readFrame(r io.Reader) (frame, error) {
+	var head [lengthSize + headSize]byte
+	if _, err := io.ReadFull(r, head[:lengthSize]); err != nil {
+		return frame{}, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n < headSize || n > headSize+MaxFrame {
+		return frame{}, ErrFrameSize
+	}
+	if _, err := io.ReadFull(r, head[lengthSize:]); err != nil {
+		return frame{}, err
+	}
+	f := frame{kind: Kind(head[4]), flags: flags(head[5]), stream: binary.BigEndian.Uint64(head[6:])}
+	f.payload = make([]byte, n-headSize)
+	_, err := io.ReadFull(r, f.payload)
+	return f, err
+}
+
+// decode returns the typed message of a frame.
+func (f frame) decode() (Message, error) {
+	m := newMessage(f.kind)
+	if m == nil {
+		return nil, ErrKind
+	}
+	if err := msgpack.Unmarshal(f.payload, m); err != nil {
+		return nil, errors.Wrap(ErrPayload, err.Error())
+	}
+	return m, nil
+}
--- /dev/null
+++ b/peer/pool.go
@@ -0,0 +1,187 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Class separates connections by purpose, so that bulk data never delays
+// requests and heartbeats.
+type Class uint8
+
+// Connection classes.
+const (
+	Traffic Class = iota // requests and status
+	Control              // heartbeats, fleet file parts, permits
+	Bulk                 // weight chunks
+)
+
+// dialTimeout bounds one connection attempt.
+const dialTimeout = 2 * time.Second
+
+// ErrDial is the cause of every failed connection attempt: nothing was sent.
+var ErrDial = errors.New("peer: dial failed")
+
+type poolKey struct {
+	addr  string
+	class Class
+}
+
+type slot struct {
+	mu   sync.Mutex
+	conn *Conn
+}
+
+// Pool keeps one connection for each address and class.
+type Pool struct {
+	self    Hello
+	handler Handler
+
+	mu    sync.Mutex
+	slots map[poolKey]*slot
+}
+
+// NewPool returns a pool whose connections say self and serve streams by h.
+func NewPool(self Hello, h Handler) *Pool {
+	return &Pool{self: self, handler: h, slots: map[poolKey]*slot{}}
+}
+
+// Get returns a live connection, dialling if there is none.
+func (p *Pool) Get(ctx context.Context, addr string, class Class) (*Conn, error) {
+	p.mu.Lock()
+	s := p.slots[poolKey{addr, class}]
+	if s == nil {
+		s = &slot{}
+		p.slots[poolKey{addr, class}] = s
+	}
+	p.mu.Unlock()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && s.conn.ctx.Err() == nil {
+		return s.conn, nil
+	}
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	s.conn = c
+	return c, nil
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(ErrDial, err.Error())
+	}
+	c, err := NewConn(nc, p.self, true, p.handler)
+	if err != nil {
+		return nil, errors.Wrap(ErrDial, err.Error())
+	}
+	return c, nil
+}
+
+// Call sends one message and waits for one reply.
+func (p *Pool) Call(ctx context.Context, addr string, class Class, m Message) (Message, error) {
+	c, err := p.Get(ctx, addr, class)
+	if err != nil {
+		return nil, err
+	}
+	return c.Call(ctx, m)
+}
+
+// Keep closes connections to addresses that keep reports false for.
+func (p *Pool) Keep(keep func(addr string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, s := range p.slots {
+		if keep(k.addr) {
+			continue
+		}
+		delete(p.slots, k)
+		go s.close()
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() { p.Keep(func(string) bool { return false }) }
+
+func (s *slot) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		s.conn.Close()
+	}
+}
+
+// Server accepts connections and serves their streams.
+type Server struct {
+	ln      net.Listener
+	self    Hello
+	handler Handler
+
+	mu     sync.Mutex
+	conns  map[*Conn]struct{}
+	closed bool
+}
+
+// Listen starts a server on addr.
+func Listen(addr string, self Hello, h Handler) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: listen")
+	}
+	s := &Server{ln: ln, self: self, handler: h, conns: map[*Conn]struct{}{}}
+	go s.accept()
+	return s, nil
+}
+
+// Addr returns the address the server listens on.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+func (s *Server) accept() {
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		go s.start(nc)
+	}
+}
+
+func (s *Server) start(nc net.Conn) {
+	c, err := NewConn(nc, s.self, false, s.handler)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		c.Close()
+		return
+	}
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	<-c.Done()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// Close stops listening and closes all connections.
+func (s *Server) Close() {
+	s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/routing/pick.go
@@ -0,0 +1,114 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Table is an immutable set of candidates of one service.
+type Table struct {
+	cfg  Config
+	near []Candidate // in the entry's failure domain
+	far  []Candidate
+}
+
+// NewTable returns a table for an entry in the given failure domain. Hosts
+// that are not ready or leaving are left out.
+func NewTable(cfg Config, domain string, cands []Candidate) *Table {
+	t := &Table{cfg: cfg.ApplyDefaults()}
+	for _, c := range cands {
+		if !c.Report.Ready || c.Report.Leaving {
+			continue
+		}
+		if c.Endpoint.Domain == domain {
+			t.near = append(t.near, c)
+		} else {
+			t.far = append(t.far, c)
+		}
+	}
+	return t
+}
+
+// Len returns how many candidates the table holds.
+func (t *Table) Len() int { return len(t.near) + len(t.far) }
+
+// draws is how often a random draw is repeated when it hits a host that is
+// excluded or stale, before all are scanned.
+const draws = 4
+
+// Pick returns the host for a request, or nil. Two random near hosts are
+// compared by load; if the better one is above SpillAt, two far hosts compete
+// with it. The cost does not grow with the table.
+func (t *Table) Pick(now time.Time, rng *rand.Rand, exclude []string) *Candidate {
+	best, load := t.pickFrom(t.near, now, rng, exclude)
+	if best != nil && load <= t.cfg.SpillAt {
+		return best
+	}
+	other, otherLoad := t.pickFrom(t.far, now, rng, exclude)
+	if best == nil || other != nil && otherLoad < load {
+		return other
+	}
+	return best
+}
+
+func (t *Table) pickFrom(cands []Candidate, now time.Time, rng *rand.Rand, exclude []string) (*Candidate, float64) {
+	if len(cands) == 0 {
+		return nil, math.Inf(1)
+	}
+	a := t.draw(cands, now, rng, exclude)
+	if a == nil {
+		return nil, math.Inf(1)
+	}
+	load := t.load(a, now)
+	b := t.draw(cands, now, rng, exclude)
+	if bl := t.load(b, now); bl < load {
+		return b, bl
+	}
+	return a, load
+}
+
+func (t *Table) draw(cands []Candidate, now time.Time, rng *rand.Rand, exclude []string) *Candidate {
+	for range draws {
+		if c := &cands[rng.IntN(len(cands))]; t.usable(c, now, exclude) {
+			return c
+		}
+	}
+	from := rng.IntN(len(cands))
+	for i := range cands {
+		if c := &cands[(from+i)%len(cands)]; t.usable(c, now, exclude) {
+			return c
+		}
+	}
+	return nil
+}
+
+func (t *Table) usable(c *Candidate, now time.Time, exclude []string) bool {
+	return now.Sub(c.Report.At) <= t.cfg.ReportMaxAge && !slices.Contains(exclude, c.Endpoint.Host)
+}
+
+// load estimates the work at a host per slot: this entry's own requests,
+// which it knows exactly, and those of others from the last report, which
+// count less as the report ages. A target in slow start seems smaller.
+func (t *Table) load(c *Candidate, now time.Time) float64 {
+	r := &c.Report
+	others := float64(r.Running+r.Queued) - float64(r.Own)
+	if others > 0 {
+		others *= math.Exp2(-float64(now.Sub(r.At)) / float64(t.cfg.ReportHalfLife))
+	} else {
+		others = 0
+	}
+	slots := float64(max(1, r.Slots)) * t.ramp(now.Sub(r.ReadyFrom))
+	return (float64(c.Endpoint.Inflight()) + others + 1) / slots
+}
+
+// minRamp is the share of its slots that a target starts with.
+const minRamp = 0.1
+
+func (t *Table) ramp(ready time.Duration) float64 {
+	if ready >= t.cfg.SlowStart {
+		return 1
+	}
+	return max(minRamp, float64(ready)/float64(t.cfg.SlowStart))
+}
--- /dev/null
+++ b/routing/retry.go
@@ -0,0 +1,77 @@
+package routing
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// BudgetConfig bounds retries.
+type BudgetConfig struct {
+	// Ratio is how many retries each recent success pays for. A higher ratio
+	// hides more failures and adds more load when all fail. Default 0.2.
+	Ratio float64
+	// Reserve is how many retries are allowed without any success, and the
+	// floor to which the budget refills at one a second. Default 10.
+	Reserve float64
+	// Cap bounds what may be saved up. Default 100.
+	Cap float64
+}
+
+func (c BudgetConfig) applyDefaults() BudgetConfig {
+	c.Ratio = cmp.Or(c.Ratio, 0.2)
+	c.Reserve = cmp.Or(c.Reserve, 10)
+	c.Cap = cmp.Or(c.Cap, 100)
+	return c
+}
+
+// Budget is the retry budget of one service at one entry.
+type Budget struct {
+	cfg BudgetConfig
+
+	mu     sync.Mutex
+	tokens float64
+	at     time.Time
+}
+
+// NewBudget returns a budget that holds its reserve.
+func NewBudget(cfg BudgetConfig) *Budget {
+	cfg = cfg.applyDefaults()
+	return &Budget{cfg: cfg, tokens: cfg.Reserve}
+}
+
+// Success pays in for one completed request.
+func (b *Budget) Success() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.cfg.Cap, b.tokens+b.cfg.Ratio)
+}
+
+// Spend takes one retry out, or reports false if the budget is used up.
+func (b *Budget) Spend(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < b.cfg.Reserve && !b.at.IsZero() {
+		b.tokens = min(b.cfg.Reserve, b.tokens+now.Sub(b.at).Seconds())
+	}
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Backoff limits.
+const (
+	backoffBase = 5 * time.Millisecond
+	backoffMax  = 500 * time.Millisecond
+)
+
+// Backoff returns a random wait before retry number try (from 1), uniform
+// from zero to a bound that doubles with each try ("full jitter").
+func Backoff(try int, rng *rand.Rand) time.Duration {
+	bound := min(backoffMax, backoffBase<<min(try, 16))
+	return time.Duration(rng.Int64N(int64(bound)))
+}
--- /dev/null
+++ b/spread/manifest.go
@@ -0,0 +1,70 @@
+// Package spread decides which chunk of a version a host fetches next, and
+// from whom. It is pure: clock readings and randomness are passed in.
+package spread
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"github.com/springgate/springgate/digest"
+)
+
+// Limits of a manifest.
+const (
+	// MaxChunk is the largest chunk in bytes; it must fit in one frame.
+	MaxChunk = 8 << 20
+	// MaxChunks bounds the chunks of a version and so the bitmaps.
+	MaxChunks = 1 << 16
+)
+
+// Manifest lists the chunks of a version. Its digest names the version.
+type Manifest struct {
+	Name      string          `json:"name"`
+	Size      int64           `json:"size"`
+	ChunkSize int             `json:"chunk_size"`
+	Chunks    []digest.Digest `json:"chunks"`
+}
+
+// ErrManifest is the cause of every malformed manifest.
+var ErrManifest = errors.New("spread: malformed manifest")
+
+// ParseManifest reads a manifest and checks that its sizes agree and that its
+// digest is want.
+func ParseManifest(b []byte, want digest.Digest) (*Manifest, error) {
+	if got := digest.Of(b); got != want {
+		return nil, errors.Wrapf(ErrManifest, "digest %s, want %s", got.Short(), want.Short())
+	}
+	var m Manifest
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&m); err != nil {
+		return nil, errors.Wrap(ErrManifest, err.Error())
+	}
+	if m.ChunkSize <= 0 || m.ChunkSize > MaxChunk || m.Size <= 0 {
+		return nil, errors.Wrapf(ErrManifest, "size %d, chunk size %d", m.Size, m.ChunkSize)
+	}
+	n := (m.Size + int64(m.ChunkSize) - 1) / int64(m.ChunkSize)
+	if n > MaxChunks || int64(len(m.Chunks)) != n {
+		return nil, errors.Wrapf(ErrManifest, "%d chunks, want %d", len(m.Chunks), n)
+	}
+	return &m, nil
+}
+
+// NewManifest describes content that is split into chunks of chunkSize.
+func NewManifest(name string, chunkSize int, content []byte) (*Manifest, []byte, error) {
+	m := &Manifest{Name: name, Size: int64(len(content)), ChunkSize: chunkSize}
+	for at := 0; at < len(content); at += chunkSize {
+		m.Chunks = append(m.Chunks, digest.Of(content[at:min(len(content), at+chunkSize)]))
+	}
+	b, err := json.Marshal(m)
+	return m, b, errors.Wrap(err, "spread: encode manifest")
+}
+
+// ChunkLen returns the length of chunk i in bytes.
+func (m *Manifest) ChunkLen(i int) int {
+	if i == len(m.Chunks)-1 {
+		return int(m.Size - int64(m.ChunkSize)*int64(i))
+	}
+	return m.ChunkSize
+}
