--- a/admission/queue.go
+++ b/admission/queue.go
@@ -294,7 +294,8 @@
 	return math.Exp2(float64(urgency-neutralUrgency)) / float64(weight)
 }
 
-// Done ends a running request that took the given service time.
+// Done ends a running request that took the given service time, or zero if it
+// did not run after all.
 func (q *Queue) Done(now time.Time, id uint64, took time.Duration) Effects {
 	name, ok := q.running[id]
 	if !ok {
@@ -302,9 +303,11 @@
 	}
 	delete(q.running, id)
 	q.teams[name].running--
-	if q.service == 0 {
+	switch {
+	case took == 0:
+	case q.service == 0:
 		q.service = took.Seconds()
-	} else {
+	default:
 		q.service += serviceSmoothing * (took.Seconds() - q.service)
 	}
 	return q.fill(now)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,7 +75,7 @@
 	a.weights = newWeights(cfg, a.node, a.pool, telemetry.Part(log, "weights"), a.metrics, func() { a.supervisor.wake() })
 	a.supervisor = newSupervisor(cfg, a.node, a.weights, a.permits, telemetry.Part(log, "engine"), a.metrics,
 		a.runningRequests, a.statusChanged)
-	a.requests = newRequests(cfg, a.node, telemetry.Part(log, "requests"), a.reasons, a.supervisor.readiness, &a.active)
+	a.requests = newRequests(cfg, a.node, a.supervisor.readiness, &a.active)
 	a.target = target.NewClient(cfg.TargetURL)
 	close(ready)
 	return a, nil
@@ -155,7 +155,7 @@
 
 func (a *Agent) runningRequests() int {
 	n := 0
-	_ = a.requests.loop.Call(func() { n = a.requests.load().running })
+	_ = a.requests.loop.Call(func() { n = a.requests.intake.Load().Running })
 	return n
 }
 
@@ -227,8 +227,8 @@
 		Revision: a.node.Snapshot().Revision(), Service: service, Ready: ready.ready && a.node.Awake(time.Now()),
 		Version: ready.loadout}
 	_ = a.requests.loop.Call(func() {
-		l := a.requests.load()
-		st.Running, st.Queued, st.LatencyMs = l.running, l.queued, l.service.Milliseconds()
+		l := a.requests.intake.Load()
+		st.Running, st.Queued, st.LatencyMs = l.Running, l.Queued, l.Service.Milliseconds()
 	})
 	if f := a.node.Snapshot().Fleet(); f != nil {
 		if svc := f.Service(service); svc != nil {
--- a/agent/attach.go
+++ b/agent/attach.go
@@ -78,8 +78,10 @@
 type bodyReader struct {
 	ctx    context.Context
 	stream *peer.Stream
-	rest   []byte
-	last   bool
+	// received is told the length of each piece.
+	received func(int)
+	rest     []byte
+	last     bool
 }
 
 // errBody means that a frame of another kind came in the middle of a body.
@@ -103,6 +105,7 @@
 			return 0, errBody
 		}
 		b.rest, b.last = body.Data, body.Last
+		b.received(len(body.Data))
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
--- a/agent/chunks.go
+++ b/agent/chunks.go
@@ -57,32 +57,43 @@
 	}
 }
 
-func (c *chunks) bytes() int64 {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.size
-}
-
 // holding is what this host holds of one version, as told to neighbours.
 type holding struct {
 	mu      sync.Mutex
 	count   int
 	gained  []uint32 // in the order of arrival
 	changed chan struct{}
+	awaited map[int]chan struct{} // chunks that a peer has asked for
 }
 
 func newHolding(count int) *holding {
-	return &holding{count: count, changed: make(chan struct{})}
+	return &holding{count: count, changed: make(chan struct{}), awaited: map[int]chan struct{}{}}
 }
 
 func (h *holding) add(chunk int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.gained = append(h.gained, uint32(chunk))
+	if c := h.awaited[chunk]; c != nil {
+		close(c)
+		delete(h.awaited, chunk)
+	}
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
 
+// arrival returns a channel that is closed when the chunk is added.
+func (h *holding) arrival(chunk int) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.awaited[chunk]
+	if c == nil {
+		c = make(chan struct{})
+		h.awaited[chunk] = c
+	}
+	return c
+}
+
 // since returns the chunks gained after the first n, and a channel that is
 // closed when there are more.
 func (h *holding) since(n int) ([]uint32, <-chan struct{}) {
--- a/agent/config.go
+++ b/agent/config.go
@@ -54,6 +54,6 @@
 	c.WeightMemory = cmp.Or(c.WeightMemory, 1<<30)
 	c.HaveEvery = cmp.Or(c.HaveEvery, 200*time.Millisecond)
 	c.Idempotency = c.Idempotency.ApplyDefaults()
-	c.Control.History = c.Idempotency.KeyWindow
+	c.Control.History = c.Idempotency.History()
 	return c
 }
--- a/agent/holdings.go
+++ b/agent/holdings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/springgate/springgate/digest"
 	"github.com/springgate/springgate/peer"
@@ -133,12 +134,70 @@
 	}
 }
 
-// handleGetChunk serves a chunk or manifest, paced by the link.
+// handleGetChunk serves a chunk or manifest, paced by the link. A chunk that is
+// on its way here is waited for as long as the peer allows.
 func (w *weights) handleGetChunk(ctx context.Context, s *peer.Stream, m *peer.GetChunk) {
-	b := w.chunks.get(m.Digest)
+	b, coming := w.awaitChunk(ctx, m)
 	if b != nil && w.up.wait(ctx, len(b)) != nil {
 		return
 	}
 	w.count.served.Inc(int64(len(b)))
-	_ = s.SendLast(ctx, &peer.Blob{Found: b != nil, Data: b})
+	_ = s.SendLast(ctx, &peer.Blob{Found: b != nil, Coming: coming, Data: b})
+}
+
+// recheckEvery is how often a held question is looked at again.
+const recheckEvery = time.Second
+
+func (w *weights) awaitChunk(ctx context.Context, m *peer.GetChunk) (b []byte, coming bool) {
+	limit := time.NewTimer(time.Duration(m.HoldMs) * time.Millisecond)
+	defer limit.Stop()
+	for {
+		arrived := w.arrival(m)
+		if b := w.chunks.get(m.Digest); b != nil {
+			return b, false
+		}
+		if !w.coming(m) {
+			return nil, false
+		}
+		recheck := time.NewTimer(recheckEvery)
+		select {
+		case <-arrived:
+		case <-recheck.C:
+		case <-limit.C:
+			recheck.Stop()
+			return nil, true
+		case <-ctx.Done():
+			recheck.Stop()
+			return nil, false
+		}
+		recheck.Stop()
+	}
+}
+
+// arrival returns a channel that is closed when the chunk arrives, or when
+// the version becomes known here.
+func (w *weights) arrival(m *peer.GetChunk) <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h := w.holdings[m.Manifest]; h != nil {
+		return h.arrival(m.Index)
+	}
+	return w.appeared
+}
+
+// coming reports whether a chunk that is not held is on its way here.
+func (w *weights) coming(m *peer.GetChunk) bool {
+	coming := false
+	_ = w.loop.Call(func() {
+		t := w.transfers[m.Manifest]
+		switch {
+		case t == nil || t.failed != nil:
+			coming = false
+		case t.planner == nil:
+			coming = true // the manifest is on its way
+		default:
+			coming = m.Index >= 0 && m.Index < len(t.manifest.Chunks) && t.planner.Coming(time.Now(), m.Index)
+		}
+	})
+	return coming
 }
--- a/agent/requests.go
+++ b/agent/requests.go
@@ -5,57 +5,46 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/admission"
 	"github.com/springgate/springgate/control"
 	"github.com/springgate/springgate/idempotency"
+	"github.com/springgate/springgate/intake"
 	"github.com/springgate/springgate/intent"
 	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/outcome"
 	"github.com/springgate/springgate/peer"
-	"github.com/springgate/springgate/telemetry"
 )
 
 // expireEvery is how often old records are looked for.
 const expireEvery = time.Second
 
-// minRetryAfter is told to callers when no better time is known.
-const minRetryAfter = time.Second
-
 // work is one accepted attempt.
 type work struct {
 	attachment
 
-	id       uint64
-	attempt  idempotency.AttemptID
+	id       idempotency.AttemptID
 	dispatch *peer.Dispatch
 	deadline time.Time
 	answer   *answer
-	verdict  chan admission.Refusal // one value: a zero Reason means run
+	verdict  chan intake.Refusal // one value: a zero Reason means run
 	started  time.Time
 	ended    time.Time
 }
 
-// requests decides on requests. Its state is owned by one goroutine; the
-// decisions are made by idempotency and admission.
+// requests keeps the attempts of this agent. Its state is owned by one
+// goroutine; the decisions are made by package intake.
 type requests struct {
 	cfg    Config
 	node   *control.Node
-	log    *logrus.Entry
-	reason *telemetry.Reasons
 	loop   *loop.Loop
 	serves func() readiness
 	active *sync.WaitGroup // requests that run or whose answer is not delivered
 
-	table    *idempotency.Table
-	queue    *admission.Queue
+	intake   *intake.Intake
 	works    map[idempotency.AttemptID]*work
-	byID     map[uint64]*work
-	nextID   uint64
 	held     []idempotency.AttemptID // finished answers, oldest first
 	heldSize int64
 	revision intent.Ref
-	leaving  bool
 }
 
 // readiness is what the engine's supervisor says about the target.
@@ -64,11 +53,9 @@
 	loadout string // what an answer must name; empty for plain services
 }
 
-func newRequests(cfg Config, node *control.Node, log *logrus.Entry, r *telemetry.Reasons, serves func() readiness, active *sync.WaitGroup) *requests {
-	return &requests{cfg: cfg, node: node, log: log, reason: r, loop: loop.New(), serves: serves, active: active,
-		table: idempotency.NewTable(cfg.Idempotency, time.Now()),
-		queue: admission.New(admission.Limits{Concurrency: 1}),
-		works: map[idempotency.AttemptID]*work{}, byID: map[uint64]*work{}}
+func newRequests(cfg Config, node *control.Node, serves func() readiness, active *sync.WaitGroup) *requests {
+	return &requests{cfg: cfg, node: node, loop: loop.New(), serves: serves, active: active,
+		intake: intake.New(cfg.Idempotency, time.Now()), works: map[idempotency.AttemptID]*work{}}
 }
 
 func (r *requests) run(ctx context.Context) {
@@ -89,8 +76,7 @@
 
 func (r *requests) tick() {
 	now := time.Now()
-	r.table.Expire(now)
-	r.apply(now, r.queue.Tick(now))
+	r.apply(now, r.intake.Tick(now))
 	r.dropAnswers(now)
 }
 
@@ -109,20 +95,18 @@
 	for i, t := range f.Teams {
 		teams[i] = admission.TeamLimits(t)
 	}
-	limits := admission.Limits{Concurrency: svc.Limits.Concurrency, Queue: svc.Limits.Queue}
 	now := time.Now()
-	r.apply(now, r.queue.Configure(now, limits, teams))
+	r.apply(now, r.intake.Configure(now, admission.Limits{Concurrency: svc.Limits.Concurrency, Queue: svc.Limits.Queue}, teams))
 }
 
-// apply carries out what admission decided about waiting requests.
-func (r *requests) apply(now time.Time, e admission.Effects) {
+// apply tells waiting attempts what was decided about them.
+func (r *requests) apply(now time.Time, e intake.Effects) {
 	for _, id := range e.Started {
-		r.start(now, r.byID[id])
+		r.start(now, r.works[id])
 	}
 	for _, x := range e.Refused {
-		w := r.byID[x.ID]
-		r.forget(w)
-		r.table.Refuse(now, w.attempt, x.Reason)
+		w := r.works[x.ID]
+		delete(r.works, x.ID)
 		w.verdict <- x
 	}
 }
@@ -130,174 +114,104 @@
 func (r *requests) start(now time.Time, w *work) {
 	w.started = now
 	r.active.Add(1)
-	w.verdict <- admission.Refusal{}
-}
-
-func (r *requests) forget(w *work) {
-	delete(r.byID, w.id)
-	delete(r.works, w.attempt)
-}
-
-// begun is the result of begin.
-type begun struct {
-	work    *work          // set if the attempt was accepted
-	replay  *answer        // set if a held answer is to be sent
-	refuse  outcome.Reason // set if the attempt is refused
-	after   time.Duration
-	ask     []string // earlier homes to ask before begin is called again
-	ignored bool     // a doubled frame: say nothing
+	w.verdict <- intake.Refusal{}
 }
 
-// begin decides on an attempt that has arrived. asked is true once the
-// earlier homes have been asked and have fenced the key.
-func (r *requests) begin(d *peer.Dispatch, asked bool) begun {
-	now := time.Now()
-	id := attemptID(d.Attempt)
-	if reason := r.precheck(now, d); reason != "" {
-		return r.refuseNew(now, id, reason)
-	}
-	switch r.table.Begin(id) {
-	case idempotency.Never:
-	case idempotency.Fenced:
-		return begun{refuse: outcome.Fenced}
-	default:
-		return begun{ignored: true}
-	}
-	if d.Key != "" {
-		if b, done := r.beginKey(now, id, d, asked); done {
-			return b
-		}
-	}
-	if r.leaving {
-		return r.refuse(now, id, outcome.Leaving, minRetryAfter)
-	}
-	if !r.serves().ready {
-		return r.refuse(now, id, outcome.NotReady, minRetryAfter)
-	}
-	return r.admit(now, id, d)
-}
-
-// precheck refuses what does not depend on records.
-func (r *requests) precheck(now time.Time, d *peer.Dispatch) outcome.Reason {
+// host describes this agent for a decision.
+func (r *requests) host(now time.Time, service string) intake.Host {
 	s := r.node.Snapshot()
-	switch f := s.Fleet(); {
-	case d.Incarnation != r.cfg.Control.Incarnation:
-		return outcome.Fenced
-	case !r.node.Awake(now):
-		return outcome.Stale
-	case f == nil:
-		return outcome.NoIntent
-	case f.ServiceOf(r.cfg.Control.Host) == nil || f.ServiceOf(r.cfg.Control.Host).Name != d.Service:
-		return outcome.NotReady
-	}
-	return ""
-}
-
-// refuseNew refuses an attempt unless it is known already.
-func (r *requests) refuseNew(now time.Time, id idempotency.AttemptID, reason outcome.Reason) begun {
-	if s := r.table.Begin(id); s != idempotency.Never && s != idempotency.Fenced {
-		return begun{ignored: true}
-	}
-	return r.refuse(now, id, reason, minRetryAfter)
-}
-
-func (r *requests) refuse(now time.Time, id idempotency.AttemptID, reason outcome.Reason, after time.Duration) begun {
-	r.table.Refuse(now, id, reason)
-	return begun{refuse: reason, after: after}
-}
-
-func (r *requests) beginKey(now time.Time, id idempotency.AttemptID, d *peer.Dispatch, asked bool) (begun, bool) {
-	k := idempotency.KeyID{Service: d.Service, Team: d.Team, Key: d.Key}
-	dec := r.table.BeginKey(now, k, d.Print, r.past(now, d.Service))
-	switch {
-	case dec.Verdict == idempotency.KeyReplay:
-		return r.replayKey(now, id, dec.Replay), true
-	case dec.Verdict == idempotency.KeyRefuse:
-		return r.refuse(now, id, dec.Reason, minRetryAfter), true
-	case dec.Verdict == idempotency.KeyAsk && !asked:
-		r.table.Forget(id)
-		return begun{ask: dec.Ask}, true
-	case r.leaving || !r.serves().ready:
-		return begun{}, false
+	h := intake.Host{Incarnation: r.cfg.Control.Incarnation, Awake: r.node.Awake(now), Ready: r.serves().ready}
+	var current []string
+	if f := s.Fleet(); f != nil {
+		h.HasIntent = true
+		if svc := f.ServiceOf(r.cfg.Control.Host); svc != nil {
+			h.Service = svc.Name
+			current = svc.HostNames()
+		}
 	}
-	r.table.StartKey(now, k, d.Print, id)
-	return begun{}, false
-}
-
-// past describes the time before this process for idempotency.
-func (r *requests) past(now time.Time, service string) idempotency.Past {
-	s := r.node.Snapshot()
-	p := idempotency.Past{Self: r.cfg.Control.Host, KnownSince: s.KnownSince, HeadAge: now.Sub(s.Proof)}
+	h.Past = idempotency.Past{Self: r.cfg.Control.Host, KnownSince: s.KnownSince, HeadAge: now.Sub(s.Proof),
+		Current: current}
 	for _, x := range s.Past {
 		if x.Service == service {
-			p.Hosts = append(p.Hosts, x.Hosts)
+			h.Past.Hosts = append(h.Past.Hosts, x.Hosts)
 		}
 	}
-	return p
+	return h
 }
 
-// replayKey answers a repeated key with the held answer.
-func (r *requests) replayKey(now time.Time, id, finished idempotency.AttemptID) begun {
-	w := r.works[finished]
-	if w == nil {
-		return r.refuse(now, id, outcome.KeyAnswerGone, minRetryAfter)
-	}
-	r.table.Refuse(now, id, outcome.KeyRunning)
-	return begun{replay: w.answer}
+// begun is the result of begin.
+type begun struct {
+	intake.Decision
+	work   *work   // of Run and Wait
+	answer *answer // of Replay
 }
 
-func (r *requests) admit(now time.Time, id idempotency.AttemptID, d *peer.Dispatch) begun {
-	r.nextID++
-	w := &work{id: r.nextID, attempt: id, dispatch: d, answer: newAnswer(),
-		deadline: now.Add(time.Duration(d.TimeoutMs) * time.Millisecond), verdict: make(chan admission.Refusal, 1)}
-	r.byID[w.id], r.works[id] = w, w
-	v, eff := r.queue.Offer(now, admission.Request{ID: w.id, Team: d.Team, Urgency: int(d.Urgency),
-		Retry: d.Attempt.Try > 1, Deadline: w.deadline})
-	if v.Refused != "" {
-		r.forget(w)
-		return r.refuse(now, id, v.Refused, v.RetryAfter)
-	}
-	if v.Start {
+// begin decides on an attempt that has arrived.
+func (r *requests) begin(d *peer.Dispatch, fenced bool) begun {
+	now := time.Now()
+	w := &work{id: attemptID(d.Attempt), dispatch: d, answer: newAnswer(), verdict: make(chan intake.Refusal, 1),
+		deadline: now.Add(time.Duration(d.TimeoutMs) * time.Millisecond)}
+	dec, eff := r.intake.Arrive(now, r.host(now, d.Service), attemptOf(d, w.deadline), fenced)
+	b := begun{Decision: dec}
+	switch dec.Action {
+	case intake.Run:
+		r.works[w.id] = w
 		r.start(now, w)
+		b.work = w
+	case intake.Wait:
+		r.works[w.id] = w
+		b.work = w
+	case intake.Replay:
+		b.answer = r.heldAnswer(&b, dec.Source)
 	}
 	r.apply(now, eff)
-	return begun{work: w}
+	return b
+}
+
+func attemptOf(d *peer.Dispatch, deadline time.Time) intake.Attempt {
+	return intake.Attempt{ID: attemptID(d.Attempt), Incarnation: d.Incarnation, Service: d.Service, Team: d.Team,
+		Key: d.Key, Print: d.Print, Urgency: int(d.Urgency), Deadline: deadline}
+}
+
+// heldAnswer returns the answer of a finished attempt, or turns the decision
+// into a refusal if it is gone.
+func (r *requests) heldAnswer(b *begun, id idempotency.AttemptID) *answer {
+	if w := r.works[id]; w != nil {
+		return w.answer
+	}
+	b.Decision = intake.Decision{Action: intake.Refuse, Reason: outcome.KeyAnswerGone, RetryAfter: intake.MinRetryAfter}
+	return nil
 }
 
 // cancelWaiting refuses a request that still waits because its entry is gone.
 // It reports false if the request runs already.
 func (r *requests) cancelWaiting(w *work) bool {
-	now := time.Now()
-	if !r.queue.Cancel(w.id) {
+	if !r.intake.Cancel(time.Now(), w.id) {
 		return false
 	}
-	r.forget(w)
-	r.table.Refuse(now, w.attempt, outcome.CallerLeft)
+	delete(r.works, w.id)
 	return true
 }
 
 // notRun ends a request that was admitted but never reached the target.
 func (r *requests) notRun(w *work, reason outcome.Reason) {
 	now := time.Now()
-	r.table.Refuse(now, w.attempt, reason)
-	r.apply(now, r.queue.Done(now, w.id, now.Sub(w.started)))
-	r.forget(w)
+	delete(r.works, w.id)
+	r.apply(now, r.intake.NotRun(now, w.id, reason))
 }
 
 // finished ends a request that ran.
 func (r *requests) finished(w *work) {
 	now := time.Now()
-	r.apply(now, r.queue.Done(now, w.id, now.Sub(w.started)))
-	delete(r.byID, w.id)
 	w.ended = now
-	if !w.answer.whole() {
-		r.table.Finish(now, w.attempt, false)
-		delete(r.works, w.attempt)
-		return
+	held := w.answer.whole()
+	if held {
+		r.held = append(r.held, w.id)
+		r.heldSize += w.answer.size()
+	} else {
+		delete(r.works, w.id)
 	}
-	r.table.Finish(now, w.attempt, true)
-	r.held = append(r.held, w.attempt)
-	r.heldSize += w.answer.size()
+	r.apply(now, r.intake.Finished(now, w.id, held, now.Sub(w.started)))
 	r.dropAnswers(now)
 }
 
@@ -316,7 +230,7 @@
 			continue
 		}
 		r.heldSize -= w.answer.size()
-		r.table.Drop(id)
+		r.intake.Drop(id)
 		delete(r.works, id)
 	}
 	r.held = kept
@@ -327,7 +241,7 @@
 	if f.Incarnation != r.cfg.Control.Incarnation {
 		return &peer.FenceReply{State: peer.AttemptUnknown}
 	}
-	s, reason := r.table.Fence(time.Now(), attemptID(f.Attempt))
+	s, reason := r.intake.Fence(time.Now(), attemptID(f.Attempt))
 	return &peer.FenceReply{State: wireState(s), Reason: reason}
 }
 
@@ -347,18 +261,8 @@
 
 // leave refuses all that waits and all that comes.
 func (r *requests) leave() {
-	r.leaving = true
-	r.apply(time.Now(), r.queue.RefuseAll(outcome.Leaving))
-}
-
-// load is what a status message says about the queue.
-type load struct {
-	running, queued int
-	service         time.Duration
-}
-
-func (r *requests) load() load {
-	return load{r.queue.Running(), r.queue.Queued(), r.queue.ServiceTime()}
+	now := time.Now()
+	r.apply(now, r.intake.Leave(now))
 }
 
 func attemptID(a peer.Attempt) idempotency.AttemptID {
--- a/agent/run.go
+++ b/agent/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/springgate/springgate/idempotency"
+	"github.com/springgate/springgate/intake"
 	"github.com/springgate/springgate/outcome"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/target"
@@ -21,45 +22,39 @@
 
 // handleDispatch serves one attempt from its arrival to its end.
 func (a *Agent) handleDispatch(ctx context.Context, s *peer.Stream, d *peer.Dispatch) {
-	b := a.begin(ctx, d)
-	switch {
-	case b.ignored:
-	case b.refuse != "":
-		a.refuse(ctx, s, d.Attempt, b.refuse, b.after)
-	case b.replay != nil:
-		a.send(ctx, s, d.Attempt, b.replay, 0, true, true)
-	case b.work != nil:
+	switch b := a.begin(ctx, d); b.Action {
+	case intake.Refuse:
+		a.refuse(ctx, s, d.Attempt, b.Reason, b.RetryAfter)
+	case intake.Replay:
+		a.send(ctx, s, d.Attempt, b.answer, 0, true, true)
+	case intake.Run, intake.Wait:
 		a.serve(ctx, s, b.work)
 	}
 }
 
 // begin registers an attempt, asking the earlier homes of its key if needed.
 func (a *Agent) begin(ctx context.Context, d *peer.Dispatch) begun {
+	stopped := begun{Decision: intake.Decision{Action: intake.Refuse, Reason: outcome.ShuttingDown}}
 	var b begun
 	if a.requests.loop.Call(func() { b = a.requests.begin(d, false) }) != nil {
-		return begun{refuse: outcome.ShuttingDown}
+		return stopped
 	}
-	if len(b.ask) == 0 {
+	if b.Action != intake.Ask {
 		return b
 	}
-	if !a.fenceEarlierHomes(ctx, d, b.ask) {
-		return a.refuseUnrun(d, outcome.KeyHomeMoved)
-	}
-	if a.requests.loop.Call(func() { b = a.requests.begin(d, true) }) != nil {
-		return begun{refuse: outcome.ShuttingDown}
+	fenced := a.fenceEarlierHomes(ctx, d, b.Homes)
+	if a.requests.loop.Call(func() {
+		if fenced {
+			b = a.requests.begin(d, true)
+		} else {
+			b.Decision = a.requests.intake.PutAside(time.Now(), attemptOf(d, time.Time{}))
+		}
+	}) != nil {
+		return stopped
 	}
 	return b
 }
 
-// refuseUnrun refuses an attempt that was put aside while others were asked.
-func (a *Agent) refuseUnrun(d *peer.Dispatch, reason outcome.Reason) begun {
-	var b begun
-	_ = a.requests.loop.Call(func() {
-		b = a.requests.refuseNew(time.Now(), attemptID(d.Attempt), reason)
-	})
-	return b
-}
-
 // fenceEarlierHomes makes sure that the key neither ran nor can run at any
 // earlier home. It reports false if one cannot be asked or knows the key.
 func (a *Agent) fenceEarlierHomes(ctx context.Context, d *peer.Dispatch, homes []string) bool {
@@ -84,7 +79,7 @@
 func (a *Agent) handleKeyFence(ctx context.Context, s *peer.Stream, m *peer.KeyFence) {
 	reply := &peer.KeyFenceReply{}
 	k := idempotency.KeyID{Service: m.Service, Team: m.Team, Key: m.Key}
-	if a.requests.loop.Call(func() { reply.Known = a.requests.table.FenceKey(time.Now(), k) }) != nil {
+	if a.requests.loop.Call(func() { reply.Known = a.requests.intake.FenceKey(time.Now(), k) }) != nil {
 		return
 	}
 	reply.Fenced = !reply.Known
@@ -198,7 +193,7 @@
 		req.Header = append(req.Header, target.Field(f))
 	}
 	if d.HasBody {
-		req.Body = &bodyReader{ctx: ctx, stream: s}
+		req.Body = &bodyReader{ctx: ctx, stream: s, received: a.weights.down.live}
 	}
 	return req
 }
@@ -291,11 +286,12 @@
 		h.Attempt, h.Replay = id, replay
 		return false, s.Send(ctx, &h)
 	case p.failure != "":
-		a.refuse(ctx, s, id, p.failure, minRetryAfter)
+		a.refuse(ctx, s, id, p.failure, intake.MinRetryAfter)
 		return true, nil
 	case p.end != nil:
 		err := s.SendLast(ctx, &peer.End{Attempt: id, Length: p.end.Length, Sum: p.end.Sum})
 		return true, err
 	}
+	a.weights.up.live(len(p.data))
 	return false, s.Send(ctx, &peer.Data{Attempt: id, Offset: offset, Data: p.data})
 }
--- a/agent/weights.go
+++ b/agent/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -63,7 +64,7 @@
 	ctx       context.Context
 	wanted    target.Loadout
 	nodes     []spread.Node
-	serial    uint64
+	nodesKey  string // of the nodes that the readers were computed for
 	sources   map[intent.SourceKind]*weightstore.Client
 	transfers map[digest.Digest]*transfer
 }
@@ -134,8 +135,8 @@
 	for id := range wanted {
 		w.start(id, svc.Spread)
 	}
-	if s.Serial != w.serial {
-		w.serial = s.Serial
+	if key := fmt.Sprint(w.nodes); key != w.nodesKey {
+		w.nodesKey = key
 		w.updateNodes()
 	}
 	w.discard()
@@ -174,12 +175,17 @@
 func (w *weights) updateNodes() {
 	for _, t := range w.transfers {
 		if t.planner != nil {
-			t.planner.SetNodes(w.nodes)
+			t.planner.SetReaders(w.readers(t))
 			w.subscribe(t)
 		}
 	}
 }
 
+// readers says which of the hosts that take part now read which chunk.
+func (w *weights) readers(t *transfer) *spread.Readers {
+	return spread.Assign(t.id.String(), len(t.manifest.Chunks), w.nodes)
+}
+
 // discard frees chunks that no wanted version has.
 func (w *weights) discard() {
 	keep := map[digest.Digest]bool{}
@@ -257,7 +263,7 @@
 	}
 	if !duty {
 		for _, h := range first {
-			if b, err := w.chunkFromPeer(ctx, h, t.id); err == nil {
+			if b, err := w.chunkFromPeer(ctx, h, &peer.GetChunk{Digest: t.id}); err == nil {
 				return b, nil
 			}
 		}
@@ -293,8 +299,8 @@
 	}
 	cfg := w.cfg.Spread
 	cfg.Goal = goal
-	t.planner = spread.NewPlanner(cfg, time.Now(), w.self, t.id.String(), len(m.Chunks), w.nodes,
-		w.sources[intent.Store] != nil, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	t.planner = spread.NewPlanner(cfg, w.self, w.readers(t), w.sources[intent.Store] != nil,
+		rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	t.holding = newHolding(len(m.Chunks))
 	for i, d := range m.Chunks {
 		if w.chunks.get(d) != nil {
@@ -352,7 +358,7 @@
 // fetch gets one chunk, verifies it and reports to the planner.
 func (w *weights) fetch(ctx context.Context, t *transfer, f spread.Fetch, sources map[intent.SourceKind]*weightstore.Client) {
 	want := t.manifest.Chunks[f.Chunk]
-	b, err := w.read(ctx, f, want, sources)
+	b, err := w.read(ctx, t, f, want, sources)
 	if err == nil && digest.Of(b) != want {
 		err = errCorrupt
 	}
@@ -368,11 +374,11 @@
 // errCorrupt means that a chunk does not match its digest.
 var errCorrupt = errors.New("agent: chunk does not match its digest")
 
-func (w *weights) read(ctx context.Context, f spread.Fetch, want digest.Digest, sources map[intent.SourceKind]*weightstore.Client) ([]byte, error) {
+func (w *weights) read(ctx context.Context, t *transfer, f spread.Fetch, want digest.Digest, sources map[intent.SourceKind]*weightstore.Client) ([]byte, error) {
 	kind := intent.Origin
 	switch f.Kind {
 	case spread.FromPeer:
-		return w.chunkFromPeer(ctx, f.Peer, want)
+		return w.chunkFromPeer(ctx, f.Peer, &peer.GetChunk{Digest: want, Manifest: t.id, Index: f.Chunk, HoldMs: f.Hold.Milliseconds()})
 	case spread.FromStore:
 		kind = intent.Store
 	}
@@ -383,22 +389,29 @@
 	return c.Chunk(ctx, want)
 }
 
-func (w *weights) chunkFromPeer(ctx context.Context, host string, d digest.Digest) ([]byte, error) {
+func (w *weights) chunkFromPeer(ctx context.Context, host string, ask *peer.GetChunk) ([]byte, error) {
 	m, ok := w.node.Snapshot().Member(host)
 	if !ok {
 		return nil, weightstore.ErrUnavailable
 	}
-	reply, err := w.pool.Call(ctx, m.Addr, peer.Bulk, &peer.GetChunk{Digest: d})
+	reply, err := w.pool.Call(ctx, m.Addr, peer.Bulk, ask)
 	if err != nil {
 		return nil, err
 	}
-	b, ok := reply.(*peer.Blob)
-	if !ok || !b.Found {
-		return nil, weightstore.ErrMissing
+	switch b, ok := reply.(*peer.Blob); {
+	case !ok:
+		return nil, weightstore.ErrUnavailable
+	case b.Found:
+		return b.Data, nil
+	case b.Coming:
+		return nil, errComing
 	}
-	return b.Data, nil
+	return nil, weightstore.ErrMissing
 }
 
+// errComing means that the peer is still waiting for the chunk itself.
+var errComing = errors.New("agent: the peer does not have the chunk yet")
+
 // fetched takes the result of a fetch. It runs on the loop.
 func (w *weights) fetched(t *transfer, f spread.Fetch, want digest.Digest, b []byte, err error) {
 	cancel, known := t.fetches[f]
@@ -424,6 +437,8 @@
 	case errors.As(err, &limited):
 		w.count.limited.Inc(1)
 		t.planner.Failed(now, f, spread.FaultLimited, limited.RetryAfter)
+	case errors.Is(err, errComing):
+		t.planner.Failed(now, f, spread.FaultComing, 0)
 	case errors.Is(err, weightstore.ErrMissing):
 		t.planner.Failed(now, f, spread.FaultMissing, 0)
 	default:
--- a/command/springgate.go
+++ b/command/springgate.go
@@ -19,6 +19,7 @@
 	"github.com/springgate/springgate/entry"
 	"github.com/springgate/springgate/hostlist"
 	"github.com/springgate/springgate/httpclient"
+	"github.com/springgate/springgate/idempotency"
 	"github.com/springgate/springgate/intent"
 	"github.com/springgate/springgate/operator"
 	"github.com/springgate/springgate/settings"
@@ -88,7 +89,7 @@
 
 func (o *common) logger() (*logrus.Logger, error) {
 	o.control.Heartbeat = o.heartbeat
-	o.control.History = o.keyWindow
+	o.control.History = idempotency.Config{KeyWindow: o.keyWindow}.History()
 	l, err := telemetry.NewLogger(os.Stderr, o.logLevel, o.logFormat)
 	if err != nil {
 		return nil, err
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -47,16 +47,23 @@
 	defer cancel()
 	n.count.heartbeatsOut.Inc(1)
 	c, err := n.pool.Get(ctx, m.Addr, peer.Control)
-	if err == nil {
-		var reply peer.Message
-		reply, err = c.Call(ctx, hb)
-		if h, ok := reply.(*peer.Heartbeat); ok {
-			n.loop.Post(func() { n.heard(c, h) })
-			return
-		}
+	if err != nil {
+		n.failed(m.Host)
+		return
 	}
+	reply, err := c.Call(ctx, hb)
+	h, ok := reply.(*peer.Heartbeat)
+	if err != nil || !ok {
+		n.failed(m.Host)
+		return
+	}
+	n.loop.Post(func() { n.heard(c, h) })
+}
+
+// failed notes that a host could not be reached.
+func (n *Node) failed(host string) {
 	if n.ctx.Err() == nil {
-		n.loop.Post(func() { n.view.Failed(time.Now(), m.Host) })
+		n.loop.Post(func() { n.view.Failed(time.Now(), host) })
 	}
 }
 
--- a/control/history.go
+++ b/control/history.go
@@ -25,8 +25,8 @@
 	n.loop.Post(func() {
 		now := time.Now()
 		since := now.Add(-time.Duration(h.KnownForMs) * time.Millisecond)
-		if since.Before(n.knownSince) {
-			n.knownSince = since
+		if since.Before(n.knownSince) && h.Revision >= n.knownUpTo {
+			n.knownSince, n.knownUpTo = since, h.Revision
 		}
 		n.learnPast(now, h)
 		n.publish(now)
@@ -34,6 +34,20 @@
 	return nil
 }
 
+// extendHistory notes that a revision has come into force after before. If
+// revisions in between were not seen, their hosts are not known, and the
+// history starts anew until a peer fills the gap.
+func (n *Node) extendHistory(now time.Time, before, after uint64) {
+	if after <= n.knownUpTo {
+		return
+	}
+	if before == 0 || !n.fold.RejectedBetween(max(before, n.knownUpTo), after) {
+		n.knownSince = now
+		n.asked = map[string]bool{}
+	}
+	n.knownUpTo = after
+}
+
 func (n *Node) learnPast(now time.Time, h *peer.History) {
 	for _, p := range h.Past {
 		replaced := now.Add(-time.Duration(p.ReplacedAgoMs) * time.Millisecond)
@@ -88,6 +102,7 @@
 	if n.loop.Call(func() {
 		now := time.Now()
 		reply.KnownForMs = now.Sub(n.knownSince).Milliseconds()
+		reply.Revision = n.knownUpTo
 		for _, p := range n.pastHosts(now) {
 			reply.Past = append(reply.Past, peer.PastHosts{Service: p.Service, Hosts: p.Hosts,
 				ReplacedAgoMs: now.Sub(p.Replaced).Milliseconds()})
--- a/control/node.go
+++ b/control/node.go
@@ -69,7 +69,8 @@
 	view         *membership.View
 	rng          *rand.Rand
 	hostsRaw     []byte
-	knownSince   time.Time
+	knownSince   time.Time // the past is complete from here
+	knownUpTo    uint64    // up to this revision
 	proof        time.Time
 	lastTick     time.Time
 	lastRound    time.Time
--- a/control/platform.go
+++ b/control/platform.go
@@ -182,6 +182,7 @@
 	now := time.Now()
 	n.count.accepted.Inc(1)
 	n.log.WithField("revision", n.fold.Ref().Revision).Info("Revision in force.")
+	n.extendHistory(now, before.Revision, n.fold.Ref().Revision)
 	n.publish(now)
 	n.round(now) // tell others at once
 }
--- a/idempotency/attempt.go
+++ b/idempotency/attempt.go
@@ -54,6 +54,13 @@
 	return c
 }
 
+// History is how long earlier revisions must be remembered, so that every home
+// that may have run a key within its window is known.
+func (c Config) History() time.Duration {
+	c = c.ApplyDefaults()
+	return 2 * (c.KeyWindow + c.ClockSkew)
+}
+
 type attempt struct {
 	state  State
 	reason outcome.Reason // of Refused
--- a/idempotency/key.go
+++ b/idempotency/key.go
@@ -73,6 +73,8 @@
 	// HeadAge is the age of the newest proof that the revision in force is
 	// the published one.
 	HeadAge time.Duration
+	// Current are the service's hosts under the revision in force here.
+	Current []string
 	// Hosts are the service's hosts under each earlier revision in the window.
 	Hosts [][]string
 }
@@ -90,7 +92,7 @@
 	if !t.canKnow(now, issued, past) {
 		return KeyDecision{Verdict: KeyRefuse, Reason: outcome.KeyTooOld}
 	}
-	if past.HeadAge > t.cfg.KeyWindow {
+	if past.HeadAge > t.cfg.KeyWindow || Home(k, past.Current) != past.Self {
 		return KeyDecision{Verdict: KeyRefuse, Reason: outcome.KeyHomeMoved}
 	}
 	if len(t.keys) >= t.cfg.MaxKeys {
@@ -119,12 +121,14 @@
 }
 
 // canKnow reports whether this process would know if the key had run before.
-// It must be older than the key, its records must reach back to the key, and
-// it must know who the homes were for a whole window.
+// It must be older than the key and its records must reach back to the key.
+// It must also know all homes that the key can have had: an earlier home may
+// have run it while its proof of the revision was up to a window old, so the
+// revisions must be known from a window before the key.
 func (t *Table) canKnow(now, issued time.Time, past Past) bool {
-	windowStart := now.Add(-t.cfg.KeyWindow)
 	issued = issued.Add(-t.cfg.ClockSkew)
-	return !issued.Before(t.start) && !issued.Before(windowStart) && !past.KnownSince.After(windowStart)
+	return !issued.Before(t.start) && !issued.Before(now.Add(-t.cfg.KeyWindow)) &&
+		!past.KnownSince.After(issued.Add(-t.cfg.KeyWindow))
 }
 
 func earlierHomes(k KeyID, past Past) []string {
--- a/intent/fold.go
+++ b/intent/fold.go
@@ -260,6 +260,20 @@
 	return nil
 }
 
+// RejectedBetween reports whether every revision number between two, both
+// excluded, was seen and rejected, so that no process had it in force.
+func (f *Fold) RejectedBetween(lo, hi uint64) bool {
+	if hi-lo > maxRejected {
+		return false
+	}
+	for r := lo + 1; r < hi; r++ {
+		if !slices.ContainsFunc(f.rejected, func(x Rejection) bool { return x.Ref.Revision == r }) {
+			return false
+		}
+	}
+	return true
+}
+
 // prune drops parts that neither the accepted nor a pending head names.
 func (f *Fold) prune() {
 	wanted := map[digest.Digest]bool{}
--- a/peer/message.go
+++ b/peer/message.go
@@ -265,10 +265,12 @@
 // GetHosts asks for the newest host list that the peer has.
 type GetHosts struct{}
 
-// Blob is a byte string; Found is false if the peer has none.
+// Blob is a byte string; Found is false if the peer has none. Coming then says
+// that it is about to get it.
 type Blob struct {
-	Found bool
-	Data  []byte
+	Found  bool
+	Coming bool
+	Data   []byte
 }
 
 // Have tells which chunks of a manifest the sender holds. Bits is a bitmap;
@@ -280,8 +282,15 @@
 	More     []uint32
 }
 
-// GetChunk asks for a chunk by its digest.
-type GetChunk struct{ Digest digest.Digest }
+// GetChunk asks for a chunk or a manifest by its digest. If Manifest is set,
+// the peer may hold the question for HoldMs while the chunk with that index is
+// on its way to it.
+type GetChunk struct {
+	Digest   digest.Digest
+	Manifest digest.Digest
+	Index    int
+	HoldMs   int64
+}
 
 // KeyFence asks an earlier home of an idempotency key what it knows and
 // forbids the key to start there afterwards.
@@ -338,7 +347,8 @@
 
 // History answers GetHistory.
 type History struct {
-	KnownForMs int64 // how far back the sender knows all revisions
+	KnownForMs int64  // how far back the sender knows all revisions
+	Revision   uint64 // and up to which
 	Past       []PastHosts
 }
 
--- /dev/null
+++ b/spread/bench_test.go
@@ -0,0 +1,96 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/intent"
+)
+
+const (
+	benchChunks  = 1024
+	benchDomains = 7
+	benchLimit   = time.Hour
+)
+
+// BenchmarkSpread brings one version to all hosts over fake links whose
+// window carries four copies at the origin and two at each host.
+func BenchmarkSpread(b *testing.B) {
+	for _, goal := range []intent.Spread{intent.SpreadTime, intent.SpreadOriginBytes} {
+		for _, hosts := range []int{12, 100, 470} {
+			for _, faults := range []bool{false, true} {
+				name := fmt.Sprintf("hosts=%d/goal=%s", hosts, goal)
+				if faults {
+					name += "/faults"
+				}
+				b.Run(name, func(b *testing.B) {
+					for i := range b.N {
+						spreadOnce(b, hosts, goal, faults, uint64(i+1))
+					}
+				})
+			}
+		}
+	}
+}
+
+func spreadOnce(b *testing.B, hosts int, goal intent.Spread, faults bool, seed uint64) {
+	l := newLinks(hosts, min(benchDomains, hosts/3), benchChunks, goal, seed)
+	if faults {
+		l.corruptEvery = 1000
+		for _, i := range l.rng.Perm(hosts)[:max(1, hosts/20)] {
+			at := time.Duration(l.rng.Int64N(int64(window / 4)))
+			l.after(at, func() { l.kill(l.hosts[i]) })
+		}
+	}
+	took, ok := l.run(benchLimit)
+	if !ok {
+		b.Fatalf("not done after %s", took)
+	}
+	b.ReportMetric(took.Seconds()/l.bound(hosts, benchChunks).Seconds(), "x-bound")
+	b.ReportMetric(float64(l.originChunks)/benchChunks, "origin-copies")
+	b.ReportMetric(float64(l.farChunks)/benchChunks, "cross-domain-copies")
+	b.ReportMetric(float64(l.controlBytes)/float64(hosts)/took.Seconds(), "control-B/s/host")
+}
+
+// BenchmarkSpreadBaseline measures what the swarm is compared with, on the
+// same links: everyone from the origin, and a binary tree.
+func BenchmarkSpreadBaseline(b *testing.B) {
+	for _, hosts := range []int{12, 100, 470} {
+		b.Run(fmt.Sprintf("origin/hosts=%d", hosts), func(b *testing.B) {
+			l := newLinks(1, 1, benchChunks, intent.SpreadTime, 1)
+			for range b.N {
+				took := time.Duration(hosts*benchChunks) * l.origin
+				b.ReportMetric(took.Seconds()/l.bound(hosts, benchChunks).Seconds(), "x-bound")
+				b.ReportMetric(float64(hosts), "origin-copies")
+			}
+		})
+		b.Run(fmt.Sprintf("tree/hosts=%d", hosts), func(b *testing.B) {
+			for range b.N {
+				l := newLinks(1, 1, benchChunks, intent.SpreadTime, 1)
+				took := treeTime(l, hosts)
+				b.ReportMetric(took.Seconds()/l.bound(hosts, benchChunks).Seconds(), "x-bound")
+				b.ReportMetric(1, "origin-copies")
+			}
+		})
+	}
+}
+
+// treeTime is the time of a binary tree in which each host passes each chunk
+// on to two children as soon as it has it.
+func treeTime(l *links, hosts int) time.Duration {
+	up := make([]time.Duration, hosts)
+	arrival := make([]time.Duration, hosts)
+	var last time.Duration
+	for c := range benchChunks {
+		arrival[0] = max(time.Duration(c+1)*l.chunk, time.Duration(c+1)*l.origin)
+		for i := 1; i < hosts; i++ {
+			parent := (i - 1) / 2
+			start := max(up[parent], arrival[parent])
+			up[parent] = start + l.chunk
+			arrival[i] = up[parent] + linkLatency
+			last = max(last, arrival[i])
+		}
+	}
+	return last
+}
--- a/spread/config.go
+++ b/spread/config.go
@@ -24,10 +24,21 @@
 	// domains tell this host what they hold. More find chunks sooner and
 	// cost more control bytes. Defaults 14 and 8.
 	Near, Far int
-	// StepIn is how long a host waits for the reader before it in rank.
-	// Shorter recovers sooner from a dead reader and reads more chunks
-	// twice. Default 3 s.
-	StepIn time.Duration
+	// Hold is how long a reader may hold a question for a chunk that it is
+	// about to get. Default 10 s.
+	Hold time.Duration
+	// Holds is how many such questions may be open. Default 32.
+	Holds int
+	// AskAgain is the time after which a reader that still waits for a chunk
+	// is asked for it again. Default 500 ms.
+	AskAgain time.Duration
+	// AskEvery is the shortest time between two direct questions to readers.
+	// Default 200 ms.
+	AskEvery time.Duration
+	// Unable is how long a reader that could not be reached, or does not have
+	// the chunk and cannot get it, is passed over. Shorter comes back to it
+	// sooner; longer reads less twice. Default 10 s.
+	Unable time.Duration
 	// FetchTimeout is when a fetch is given up and asked elsewhere.
 	// Default 10 s.
 	FetchTimeout time.Duration
@@ -46,7 +57,11 @@
 	c.PerSource = cmp.Or(c.PerSource, 1)
 	c.Near = cmp.Or(c.Near, 14)
 	c.Far = cmp.Or(c.Far, 8)
-	c.StepIn = cmp.Or(c.StepIn, 3*time.Second)
+	c.Hold = cmp.Or(c.Hold, 10*time.Second)
+	c.Holds = cmp.Or(c.Holds, 32)
+	c.AskAgain = cmp.Or(c.AskAgain, 500*time.Millisecond)
+	c.AskEvery = cmp.Or(c.AskEvery, 200*time.Millisecond)
+	c.Unable = cmp.Or(c.Unable, 10*time.Second)
 	c.FetchTimeout = cmp.Or(c.FetchTimeout, 10*time.Second)
 	c.Ban = cmp.Or(c.Ban, 30*time.Second)
 	c.SourceRetry = cmp.Or(c.SourceRetry, 500*time.Millisecond)
@@ -76,8 +91,10 @@
 type Fetch struct {
 	Chunk    int
 	Kind     SourceKind
-	Peer     string // host, for FromPeer
-	Far      bool   // the peer is in another failure domain
+	Peer     string        // host, for FromPeer
+	Far      bool          // the peer is in another failure domain
+	Asked    bool          // the peer was asked as a reader; it may not have the chunk yet
+	Hold     time.Duration // how long the peer may hold the question
 	Started  time.Time
 	Deadline time.Time
 }
@@ -91,4 +108,5 @@
 	FaultMissing                      // the source does not have the chunk
 	FaultCorrupt                      // the digest did not match
 	FaultLimited                      // the source asked to wait
+	FaultComing                       // the reader asked is still waiting for it
 )
--- a/spread/peer.go
+++ b/spread/peer.go
@@ -50,7 +50,7 @@
 			far = append(far, n.Host)
 		}
 	}
-	key := "neighbour/" + p.key + "/" + p.self.Host
+	key := "neighbour/" + p.readers.key + "/" + p.self.Host
 	chosen := map[string]bool{}
 	for _, h := range membership.Rank(key, near, p.cfg.Near) {
 		chosen[h] = true
@@ -171,7 +171,7 @@
 
 // fromPeer asks a neighbour for a rare chunk. Neighbours of this failure
 // domain come first; another domain is asked only for chunks that this host
-// has the duty to bring in.
+// has to bring in.
 func (p *Planner) fromPeer(now time.Time) (Fetch, bool) {
 	if len(p.order) == 0 {
 		return Fetch{}, false
@@ -223,9 +223,9 @@
 	return best
 }
 
-// mayImport reports whether this host may fetch a chunk across a failure
-// domain: it is the chunk's reader for its domain, or those before it in rank
-// have had their time.
+// mayImport reports whether this host may fetch a chunk across failure
+// domains: no other host of its domain is to bring it in.
 func (p *Planner) mayImport(now time.Time, chunk int) bool {
-	return now.Sub(p.started) >= time.Duration(p.readers.importRank[chunk])*p.cfg.StepIn
+	i := p.up(now, p.readers.importChain(chunk, p.self.Domain))
+	return i == none || i == p.self.index
 }
--- a/spread/planner.go
+++ b/spread/planner.go
@@ -12,42 +12,48 @@
 // Planner plans the transfer of one version to one host. It is owned by one
 // goroutine.
 type Planner struct {
-	cfg     Config
-	self    Node
-	key     string
-	count   int
-	started time.Time
-	rng     *rand.Rand
+	cfg   Config
+	self  selfNode
+	count int
+	rng   *rand.Rand
 
 	have     *bitset.BitSet
 	busy     *bitset.BitSet // in flight
 	inflight []Fetch
+	holds    int      // of them, questions that the peer may hold
 	copies   []uint16 // neighbours that hold each chunk
-	readers  readers
 	peers    map[string]*peer
 	order    []*peer // neighbours, for random draws
 	sources  [FromOrigin + 1]source
+
+	readers  *Readers
+	duties   []int                // chunks that this host brings into its domain
+	unable   map[string]time.Time // readers that are passed over until then
+	askAgain []time.Time          // per chunk: no question before
+	nextAsk  time.Time            // no question about any chunk before
+}
+
+// selfNode is this host and its index among the readers' nodes.
+type selfNode struct {
+	Node
+	index uint16
 }
 
-// NewPlanner plans the version named key with count chunks. nodes are the
-// hosts that want the version and are thought to be live, this one included.
-// hasStore says whether a store is to be asked before the origin.
-func NewPlanner(cfg Config, now time.Time, self Node, key string, count int, nodes []Node, hasStore bool, rng *rand.Rand) *Planner {
-	p := &Planner{cfg: cfg.applyDefaults(), self: self, key: key, count: count, started: now, rng: rng,
-		have: bitset.New(uint(count)), busy: bitset.New(uint(count)),
-		copies: make([]uint16, count), peers: map[string]*peer{}}
+// NewPlanner plans a version for the host self. readers come from the hosts
+// that want the version and are thought to be live, self included. hasStore
+// says whether a store is to be asked before the origin.
+func NewPlanner(cfg Config, self Node, readers *Readers, hasStore bool, rng *rand.Rand) *Planner {
+	n := readers.count
+	p := &Planner{cfg: cfg.applyDefaults(), self: selfNode{Node: self}, count: n, rng: rng,
+		have: bitset.New(uint(n)), busy: bitset.New(uint(n)),
+		copies: make([]uint16, n), peers: map[string]*peer{},
+		unable: map[string]time.Time{}, askAgain: make([]time.Time, n)}
 	p.sources[FromOrigin].known = true
 	p.sources[FromStore].known = hasStore
-	p.SetNodes(nodes)
+	p.SetReaders(readers)
 	return p
 }
 
-// SetNodes tells which hosts take part now.
-func (p *Planner) SetNodes(nodes []Node) {
-	p.readers = assign(p.key, p.self, p.count, nodes)
-	p.chooseNeighbours(nodes)
-}
-
 // Hold marks a chunk that the host already has.
 func (p *Planner) Hold(chunk int) { p.have.Set(uint(chunk)) }
 
@@ -68,10 +74,16 @@
 
 // Next returns the next fetch to start, if any.
 func (p *Planner) Next(now time.Time) (Fetch, bool) {
-	if len(p.inflight) >= p.cfg.Pipeline || p.Complete() {
+	if p.Complete() {
+		return Fetch{}, false
+	}
+	if f, ok := p.fromDuty(now); ok {
+		return p.begin(now, f), true
+	}
+	if len(p.inflight)-p.holds >= p.cfg.Pipeline {
 		return Fetch{}, false
 	}
-	for _, choose := range []func(time.Time) (Fetch, bool){p.fromSourceAsReader, p.fromPeer, p.fromSourceInstead} {
+	for _, choose := range []func(time.Time) (Fetch, bool){p.fromPeer, p.fromReader, p.fromSourceInstead} {
 		if f, ok := choose(now); ok {
 			return p.begin(now, f), true
 		}
@@ -82,12 +94,17 @@
 func (p *Planner) begin(now time.Time, f Fetch) Fetch {
 	f.Started = now
 	f.Deadline = now.Add(p.cfg.FetchTimeout)
+	if f.Hold > 0 {
+		p.holds++
+		f.Deadline = f.Deadline.Add(f.Hold)
+	}
 	p.busy.Set(uint(f.Chunk))
 	p.inflight = append(p.inflight, f)
-	if f.Kind == FromPeer {
-		p.peers[f.Peer].inflight++
-	} else {
+	switch {
+	case f.Kind != FromPeer:
 		p.sources[f.Kind].inflight++
+	case p.peers[f.Peer] != nil:
+		p.peers[f.Peer].inflight++
 	}
 	return f
 }
@@ -112,7 +129,12 @@
 		return
 	}
 	if f.Kind == FromPeer {
-		p.peerFailed(now, f, fault)
+		if f.Asked {
+			p.askFailed(now, f, fault)
+		}
+		if fault != FaultComing {
+			p.peerFailed(now, f, fault)
+		}
 		return
 	}
 	p.sourceFailed(now, f.Kind, fault, wait)
@@ -138,6 +160,9 @@
 	}
 	p.inflight = slices.Delete(p.inflight, i, i+1)
 	p.busy.Clear(uint(f.Chunk))
+	if f.Hold > 0 {
+		p.holds--
+	}
 	if f.Kind != FromPeer {
 		p.sources[f.Kind].inflight--
 		return true
@@ -152,53 +177,13 @@
 	return !p.have.Test(uint(chunk)) && !p.busy.Test(uint(chunk))
 }
 
-// fromSourceAsReader reads a chunk that this host is the first to read, or
-// for which the readers before it have had their time.
-func (p *Planner) fromSourceAsReader(now time.Time) (Fetch, bool) {
-	kind, ok := p.openSource(now)
-	if !ok {
-		return Fetch{}, false
-	}
-	waited := now.Sub(p.started)
-	for _, d := range p.readers.mine {
-		if waited < time.Duration(d.rank)*p.cfg.StepIn {
-			break // duties are in order of rank
-		}
-		if p.wanted(d.chunk) && (d.rank == 0 || p.copies[d.chunk] == 0) {
-			return Fetch{Chunk: d.chunk, Kind: kind}, true
-		}
-	}
-	return Fetch{}, false
-}
-
-// fromSourceInstead reads from a source what no neighbour offers, if time
-// weighs more than the bytes of the origin.
-func (p *Planner) fromSourceInstead(now time.Time) (Fetch, bool) {
-	if p.cfg.Goal != intent.SpreadTime || p.busyEnough() {
-		return Fetch{}, false
-	}
-	kind, ok := p.openSource(now)
-	if !ok {
-		return Fetch{}, false
-	}
-	start := p.rng.IntN(p.count)
-	best := -1
-	for i, seen := 0, 0; i < p.count && seen < rareSample; i++ {
-		c := (start + i) % p.count
-		if !p.wanted(c) {
-			continue
-		}
-		seen++
-		if best < 0 || p.copies[c] < p.copies[best] {
-			best = c
-		}
-	}
-	if best < 0 {
-		return Fetch{}, false
+// perSource is how many chunks may be asked of a source at once.
+func (p *Planner) perSource() int {
+	if p.cfg.Goal == intent.SpreadTime {
+		return timeFactor * p.cfg.PerSource
 	}
-	return Fetch{Chunk: best, Kind: kind}, true
+	return p.cfg.PerSource
 }
 
-// busyEnough reports whether the pipeline is full enough that the link is
-// not idle.
-func (p *Planner) busyEnough() bool { return len(p.inflight) >= p.cfg.Pipeline/4 }
+// timeFactor is how many times more is asked of a source if time weighs more.
+const timeFactor = 2
--- a/spread/source.go
+++ b/spread/source.go
@@ -1,15 +1,6 @@
 package spread
 
-import (
-	"cmp"
-	"encoding/binary"
-	"slices"
-	"strconv"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-	"github.com/springgate/springgate/membership"
-)
+import "time"
 
 // maxRetryShift bounds the doubling of a source's retry wait.
 const maxRetryShift = 5
@@ -38,11 +29,21 @@
 			}
 			continue
 		}
-		return k, s.inflight < p.cfg.PerSource
+		return k, s.inflight < p.perSource()
 	}
 	return 0, false
 }
 
+// sourceWorks reports whether a source may be read now or will be soon.
+func (p *Planner) sourceWorks(now time.Time) bool {
+	for _, k := range []SourceKind{FromStore, FromOrigin} {
+		if s := &p.sources[k]; s.known && (s.failures == 0 || !now.Before(s.blocked)) {
+			return true
+		}
+	}
+	return false
+}
+
 // sourceFailed notes a failure. A store without the version is not asked
 // again. A limit is obeyed for the time asked and a random part more, so that
 // hosts told to wait together do not return together.
@@ -61,61 +62,3 @@
 	s.failures++
 	s.blocked = now.Add(base/2 + time.Duration(p.rng.Int64N(int64(base))))
 }
-
-// maxRank is how many hosts may step in for a chunk's first reader, one after
-// the other. Beyond it, every host may read.
-const maxRank = 4
-
-// duty is a chunk that this host reads from the source when its rank's turn
-// has come.
-type duty struct {
-	chunk int
-	rank  int
-}
-
-// readers holds this host's duties. They follow from rendezvous hashing over
-// the live hosts, so no host needs to be told.
-type readers struct {
-	mine []duty // by rank, then in a random but fixed order
-	// importRank is this host's place among the hosts of its failure domain
-	// for fetching a chunk from another domain.
-	importRank []uint8
-}
-
-func assign(key string, self Node, count int, nodes []Node) readers {
-	r := readers{importRank: make([]uint8, count)}
-	scores := make([]uint64, len(nodes))
-	for i, n := range nodes {
-		scores[i] = membership.Score(key, n.Host)
-	}
-	own := membership.Score(key, self.Host)
-	for c := range count {
-		salt := membership.Score(key, strconv.Itoa(c))
-		mine := combine(own, salt)
-		rank, domainRank := 0, 0
-		for i, n := range nodes {
-			if n.Host == self.Host || combine(scores[i], salt) <= mine {
-				continue
-			}
-			rank++
-			if n.Domain == self.Domain {
-				domainRank++
-			}
-		}
-		r.importRank[c] = uint8(min(domainRank, maxRank))
-		r.mine = append(r.mine, duty{c, min(rank, maxRank)})
-	}
-	slices.SortStableFunc(r.mine, func(a, b duty) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(combine(own, uint64(a.chunk)), combine(own, uint64(b.chunk))))
-	})
-	return r
-}
-
-// combine mixes a host's score with a chunk's, so that each chunk ranks the
-// hosts in an order of its own.
-func combine(host, chunk uint64) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], host)
-	binary.LittleEndian.PutUint64(b[8:], chunk)
-	return xxhash.Sum64(b[:])
-}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -21,19 +21,17 @@
 
 	mu      sync.Mutex
 	head    intent.Head
-	raw     []byte // published bytes of the head, if they are not JSON of head
 	older   *intent.Head
 	parts   map[digest.Digest][]byte
 	list    hostlist.List
 	changed chan struct{}
 
-	down    atomic.Bool
-	stale   atomic.Bool
-	calls   atomic.Int64 // calls of the configuration service, a watch as one
-	peak    atomic.Int64 // most calls within one second
-	second  atomic.Int64
-	inOne   atomic.Int64
-	waiting atomic.Int64
+	down   atomic.Bool
+	stale  atomic.Bool
+	calls  atomic.Int64 // calls of the configuration service, a watch as one
+	peak   atomic.Int64 // most calls within one second
+	second atomic.Int64
+	inOne  atomic.Int64
 }
 
 // NewPlatform starts a platform on addr.
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -127,7 +127,7 @@
 	if m.last != "" {
 		reason = m.last
 	}
-	return m.finishNotRun(reason, max(after, m.after))
+	return m.giveUp(reason, max(after, m.after))
 }
 
 // NotSent reports that the attempt could not be sent at all, for instance
@@ -154,6 +154,9 @@
 	if m.headOut {
 		return m.finish(outcome.Unknown, reason)
 	}
+	if m.req.Keyed && reason == outcome.Fenced {
+		return m.finish(outcome.Unknown, outcome.ConnectionLost)
+	}
 	if !info.Retryable || m.req.Keyed {
 		return m.finishNotRun(reason, after)
 	}
@@ -295,7 +298,7 @@
 	case done:
 		return Action{}
 	case choosing, backoff:
-		return m.finishNotRun(outcome.DeadlineExceeded, 0)
+		return m.giveUp(outcome.DeadlineExceeded, 0)
 	}
 	return m.finish(outcome.Unknown, outcome.DeadlineExceededRan)
 }
@@ -322,6 +325,16 @@
 	return Action{Kind: Wait, Reason: reason}
 }
 
+// giveUp ends a submission that is at no host. Only the home of a key can say
+// that the key never ran.
+func (m *Machine) giveUp(reason outcome.Reason, after time.Duration) Action {
+	a := m.finishNotRun(reason, after)
+	if m.req.Keyed {
+		a.Outcome = outcome.Unknown
+	}
+	return a
+}
+
 // finishNotRun ends a submission whose last attempt did not run. If an earlier
 // attempt may have run, the submission as a whole is unknown.
 func (m *Machine) finishNotRun(reason outcome.Reason, after time.Duration) Action {
