--- a/control/gossip.go
+++ b/control/gossip.go
@@ -24,7 +24,7 @@
 func (n *Node) round(now time.Time) {
 	n.lastRound = now
 	hb := n.heartbeat(now)
-	for _, m := range membership.GossipTargets(n.cfg.Host, n.cfg.Domain, n.view.Members(now), n.cfg.Near, n.cfg.Far, n.rng) {
+	for _, m := range membership.GossipTargets(n.cfg.Host, n.cfg.Domain, n.snapshot.Load().Members, n.cfg.Near, n.cfg.Far, n.rng) {
 		go n.exchange(m, hb)
 	}
 }
--- a/control/platform.go
+++ b/control/platform.go
@@ -262,8 +262,8 @@
 			return
 		}
 		n.hostsRaw = raw
-		n.closeUnlisted()
 		n.publish(now)
+		n.closeUnlisted()
 		n.round(now)
 	})
 }
@@ -271,7 +271,7 @@
 // closeUnlisted closes connections to processes that are gone.
 func (n *Node) closeUnlisted() {
 	addrs := map[string]bool{}
-	for _, m := range n.view.Members(time.Now()) {
+	for _, m := range n.snapshot.Load().Members {
 		addrs[m.Addr] = true
 	}
 	n.pool.Keep(func(addr string) bool { return addrs[addr] })
--- a/intent/fold.go
+++ b/intent/fold.go
@@ -157,11 +157,22 @@
 		return f.candidates[i].head.Ref().Less(f.candidates[j].head.Ref())
 	})
 	if len(f.candidates) > maxCandidates {
-		f.candidates = f.candidates[1:]
-		f.prune()
+		f.dropLowest(h.Ref())
 	}
 }
 
+// dropLowest forgets the lowest candidate but the newcomer, whose parts are
+// about to be offered: heads that never become whole must not keep a valid
+// one out.
+func (f *Fold) dropLowest(newcomer Ref) {
+	at := 0
+	if f.candidates[0].head.Ref() == newcomer {
+		at = 1
+	}
+	f.candidates = slices.Delete(f.candidates, at, at+1)
+	f.prune()
+}
+
 // settle activates the highest whole and valid candidate and returns the
 // verdict on ref.
 func (f *Fold) settle(now time.Time, ref Ref) (HeadVerdict, error) {
--- /dev/null
+++ b/intent/oracle_test.go
@@ -0,0 +1,186 @@
+package intent
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// published is one head with what the oracle knows of it.
+type published struct {
+	head  Head
+	parts [][]byte
+	valid bool
+}
+
+// foldNode is one process: it learns heads and parts in any order, from the
+// platform or from a peer.
+type foldNode struct {
+	fold    *Fold
+	highest Ref // oracle: highest valid revision that was whole here
+	offered map[Ref]bool
+	seen    map[string]bool // digests of parts offered after their head
+}
+
+// TestOracleFold holds a fleet of folds against an oracle: nothing invalid is
+// ever accepted, nothing ever reverts, and processes that have seen the same
+// agree on the highest valid revision.
+func TestOracleFold(t *testing.T) {
+	steps := 0
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		var pubs []published
+		nodes := make([]*foldNode, 3)
+		for i := range nodes {
+			nodes[i] = &foldNode{fold: NewFold(time.Minute), offered: map[Ref]bool{}, seen: map[string]bool{}}
+		}
+		pick := func(t *rapid.T) (*foldNode, published) {
+			if len(pubs) == 0 {
+				t.Skip("nothing published")
+			}
+			return nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")], pubs[rapid.IntRange(0, len(pubs)-1).Draw(t, "head")]
+		}
+		publish := func(t *rapid.T, revision uint64) {
+			n := rapid.IntRange(1, 400).Draw(t, "hosts")
+			file := string(largeFile(n)) + fmt.Sprintf("# %d\n", len(pubs))
+			valid := rapid.IntRange(0, 3).Draw(t, "valid") > 0
+			if !valid {
+				file = strings.Replace(file, "kind: engine", "kind: motor", 1)
+			}
+			h, parts := Pack(revision, []byte(file))
+			if rapid.IntRange(0, 9).Draw(t, "digest") == 0 {
+				h.Digest[0] ^= 1
+				valid = false
+			}
+			pubs = append(pubs, published{h, parts, valid})
+		}
+		revision := uint64(0)
+		actions := map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) { revision++; publish(t, revision) },
+			"publish the same number": func(t *rapid.T) {
+				if revision == 0 {
+					t.Skip("none")
+				}
+				publish(t, revision)
+			},
+			"head": func(t *rapid.T) {
+				n, p := pick(t)
+				_, _ = n.fold.OfferHead(now, p.head)
+			},
+			"part": func(t *rapid.T) {
+				n, p := pick(t)
+				n.fold.OfferPart(now, p.parts[rapid.IntRange(0, len(p.parts)-1).Draw(t, "part")])
+			},
+			"corrupt part": func(t *rapid.T) {
+				n, p := pick(t)
+				b := append([]byte(nil), p.parts[0]...)
+				b[0] ^= 1
+				if n.fold.OfferPart(now, b) {
+					t.Fatal("a corrupt part was taken")
+				}
+			},
+			"whole": func(t *rapid.T) {
+				n, p := pick(t)
+				_, _ = n.fold.OfferHead(now, p.head)
+				for _, b := range p.parts {
+					n.fold.OfferPart(now, b)
+				}
+				if p.valid && n.highest.Less(p.head.Ref()) {
+					n.highest = p.head.Ref()
+				}
+			},
+			"from peer": func(t *rapid.T) {
+				n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+				o := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "peer")]
+				a := o.fold.Accepted()
+				if a == nil {
+					t.Skip("peer has none")
+				}
+				_, _ = n.fold.OfferHead(now, a.Head)
+				for _, p := range a.Head.Parts {
+					if b := o.fold.Part(p.Digest); b != nil {
+						n.fold.OfferPart(now, b)
+					} else {
+						t.Fatal("a part of the accepted revision is gone")
+					}
+				}
+				if n.highest.Less(a.Head.Ref()) {
+					n.highest = a.Head.Ref()
+				}
+			},
+			"restart": func(t *rapid.T) {
+				n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+				*n = foldNode{fold: NewFold(time.Minute), offered: map[Ref]bool{}, seen: map[string]bool{}}
+			},
+			"time": func(*rapid.T) { now = now.Add(20 * time.Second) },
+		}
+		before := make([]Ref, len(nodes))
+		check := func(t *rapid.T) {
+			for i, n := range nodes {
+				ref := n.fold.Ref()
+				if ref.Less(before[i]) && n.highest != (Ref{}) {
+					t.Fatalf("node %d went back from %d to %d", i, before[i].Revision, ref.Revision)
+				}
+				if ref.Less(n.highest) {
+					t.Fatalf("node %d is at %d, but was given %d whole and valid", i, ref.Revision, n.highest.Revision)
+				}
+				before[i] = ref
+				a := n.fold.Accepted()
+				if a == nil {
+					continue
+				}
+				ok := false
+				for _, p := range pubs {
+					ok = ok || p.valid && p.head.Ref() == ref && p.head.Digest == a.Head.Digest
+				}
+				if !ok {
+					t.Fatalf("node %d accepted revision %d, which is not valid", i, ref.Revision)
+				}
+			}
+		}
+		for name, f := range actions {
+			actions[name] = func(t *rapid.T) { steps++; f(t) }
+		}
+		actions[""] = check
+		t.Repeat(actions)
+	})
+	t.Logf("%d steps", steps)
+}
+
+func TestFoldBoundsWhatItKeeps(t *testing.T) {
+	f := NewFold(time.Minute)
+	now := time.Unix(0, 0)
+	for i := range 40 {
+		file := append(largeFile(500), fmt.Sprintf("# %d\n", i)...)
+		h, parts := Pack(uint64(i+1), file)
+		_, _ = f.OfferHead(now, h)
+		f.OfferPart(now, parts[0]) // never whole
+	}
+	if len(f.candidates) > maxCandidates {
+		t.Fatalf("%d candidates", len(f.candidates))
+	}
+	if len(f.parts) > maxCandidates {
+		t.Fatalf("%d parts", len(f.parts))
+	}
+}
+
+// Heads that never become whole must not keep a lower valid one out.
+func TestFoldValidBehindBrokenHeads(t *testing.T) {
+	f := NewFold(time.Minute)
+	now := time.Unix(0, 0)
+	for i := range 2 * maxCandidates {
+		h, _ := Pack(uint64(100+i), fmt.Appendf(largeFile(10), "# %d\n", i))
+		_, _ = f.OfferHead(now, h)
+	}
+	h, parts := Pack(7, largeFile(10))
+	_, _ = f.OfferHead(now, h)
+	for _, p := range parts {
+		f.OfferPart(now, p)
+	}
+	if f.Ref() != h.Ref() {
+		t.Fatalf("in force: %d", f.Ref().Revision)
+	}
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -109,6 +110,7 @@
 	self    string
 	serial  uint64
 	hosts   map[string]*record
+	order   []string // names of hosts, sorted; nil if hosts were added or removed
 	notices []notice
 }
 
@@ -153,6 +155,7 @@
 	if r == nil {
 		r = &record{heardAt: now}
 		v.hosts[l.Host] = r
+		v.order = nil
 	}
 	if r.listed.Addr != "" && r.listed.Addr != l.Addr {
 		r.failedSince = time.Time{} // replaced: old failures say nothing
@@ -215,6 +218,7 @@
 	for h, r := range v.hosts {
 		if !r.inList && now.Sub(r.heardAt) > v.cfg.GoneAfter {
 			delete(v.hosts, h)
+			v.order = nil
 		}
 	}
 	v.notices = slices.DeleteFunc(v.notices, func(n notice) bool { return now.After(n.until) })
@@ -261,11 +265,13 @@
 
 // Members returns all hosts known, ordered by name.
 func (v *View) Members(now time.Time) []Member {
-	out := make([]Member, 0, len(v.hosts))
-	for h, r := range v.hosts {
-		out = append(out, v.member(now, h, r))
+	if v.order == nil {
+		v.order = slices.Sorted(maps.Keys(v.hosts))
+	}
+	out := make([]Member, len(v.order))
+	for i, h := range v.order {
+		out[i] = v.member(now, h, v.hosts[h])
 	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
 	return out
 }
 
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,220 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// pair connects two ends over an in-memory pipe.
+func pair(t *testing.T, h Handler) (client, server *Conn) {
+	t.Helper()
+	a, b := net.Pipe()
+	made := make(chan *Conn, 1)
+	go func() {
+		c, err := NewConn(b, Hello{Host: "server", Incarnation: 7}, false, h)
+		if err != nil {
+			panic(err)
+		}
+		made <- c
+	}()
+	client, err := NewConn(a, Hello{Host: "client"}, true, nil)
+	assert.NilError(t, err)
+	server = <-made
+	t.Cleanup(func() { client.Close(); server.Close() })
+	return client, server
+}
+
+func TestCallAndRemote(t *testing.T) {
+	c, _ := pair(t, func(ctx context.Context, s *Stream, m Message) {
+		_ = s.SendLast(ctx, &Fence{Attempt: m.(*Fence).Attempt, Incarnation: 9})
+	})
+	assert.Equal(t, c.Remote().Host, "server")
+	m, err := c.Call(t.Context(), &Fence{Attempt: Attempt{Try: 3}})
+	assert.NilError(t, err)
+	assert.Equal(t, m.(*Fence).Attempt.Try, uint16(3))
+}
+
+func TestStreamsAreSeparateAndOrdered(t *testing.T) {
+	const n = 300 // more than the window
+	c, _ := pair(t, func(ctx context.Context, s *Stream, m Message) {
+		first := m.(*Data).Offset
+		for i := range int64(n) {
+			if s.Send(ctx, &Data{Offset: first + i}) != nil {
+				return
+			}
+		}
+		_ = s.SendLast(ctx, &End{Length: first})
+	})
+	done := make(chan error, 2)
+	for _, first := range []int64{0, 1000000} {
+		go func() { done <- readAll(t.Context(), c, first, n) }()
+	}
+	assert.NilError(t, <-done)
+	assert.NilError(t, <-done)
+}
+
+func readAll(ctx context.Context, c *Conn, first int64, n int) error {
+	s, err := c.Open(ctx, &Data{Offset: first})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for i := range int64(n) {
+		m, err := s.Recv(ctx)
+		if err != nil {
+			return err
+		}
+		if d := m.(*Data); d.Offset != first+i {
+			return errors.Errorf("offset %d, want %d", d.Offset, first+i)
+		}
+	}
+	if _, err := s.Recv(ctx); err != nil {
+		return err
+	}
+	if _, err := s.Recv(ctx); !errors.Is(err, io.EOF) {
+		return errors.Errorf("after the end: %v", err)
+	}
+	return nil
+}
+
+// A sender whose receiver does not read must stop after the window.
+func TestBackPressure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent := 0
+		stop := make(chan struct{})
+		c, server := pair(t, func(ctx context.Context, s *Stream, _ Message) {
+			defer close(stop)
+			for s.Send(ctx, &Data{}) == nil {
+				sent++
+			}
+		})
+		s, err := c.Open(t.Context(), &Watch{})
+		assert.NilError(t, err)
+		synctest.Wait()
+		assert.Equal(t, sent, window)
+		s.Close()
+		<-stop
+		c.Close()
+		server.Close()
+	})
+}
+
+func TestResetAndLossAreTold(t *testing.T) {
+	cause, begun := make(chan error, 1), make(chan struct{}, 2)
+	c, server := pair(t, func(ctx context.Context, _ *Stream, _ Message) {
+		begun <- struct{}{}
+		<-ctx.Done()
+		cause <- context.Cause(ctx)
+	})
+	s, err := c.Open(t.Context(), &Watch{})
+	assert.NilError(t, err)
+	<-begun
+	s.Close()
+	assert.ErrorIs(t, <-cause, ErrReset)
+
+	s, err = c.Open(t.Context(), &Watch{})
+	assert.NilError(t, err)
+	<-begun
+	server.Close()
+	_, err = s.Recv(t.Context())
+	assert.ErrorIs(t, err, ErrConnLost)
+	assert.ErrorIs(t, <-cause, ErrConnLost)
+}
+
+func TestHandshakeRefusesOtherProtocols(t *testing.T) {
+	a, b := net.Pipe()
+	go func() {
+		f, _ := encodeFrame(0, 0, &Hello{Protocol: Protocol + 1})
+		go func() { _, _ = io.Copy(io.Discard, b) }()
+		_, _ = b.Write(f)
+	}()
+	_, err := NewConn(a, Hello{}, true, nil)
+	assert.ErrorIs(t, err, ErrProtocol)
+}
+
+func TestPoolDialsAgain(t *testing.T) {
+	h := func(ctx context.Context, s *Stream, m Message) { _ = s.SendLast(ctx, m) }
+	srv, err := Listen("127.0.0.1:0", Hello{Host: "s"}, h)
+	assert.NilError(t, err)
+	defer srv.Close()
+	p := NewPool(Hello{Host: "c"}, nil)
+	defer p.Close()
+	c1, err := p.Get(t.Context(), srv.Addr(), Traffic)
+	assert.NilError(t, err)
+	c2, err := p.Get(t.Context(), srv.Addr(), Bulk)
+	assert.NilError(t, err)
+	assert.Assert(t, c1 != c2, "classes have connections of their own")
+	c1.Close()
+	_, err = p.Call(t.Context(), srv.Addr(), Traffic, &Watch{})
+	assert.NilError(t, err)
+	srv.Close()
+	<-c2.Done()
+	_, err = p.Get(t.Context(), srv.Addr(), Bulk)
+	assert.ErrorIs(t, err, ErrDial)
+}
+
+func TestEveryKindHasAMessage(t *testing.T) {
+	for k := kindHello; k <= kindHistory; k++ {
+		if k == kindCredit || k == kindReset {
+			continue
+		}
+		m := newMessage(k)
+		assert.Assert(t, m != nil, "kind %d", k)
+		assert.Equal(t, m.Kind(), k)
+	}
+	assert.Assert(t, newMessage(kindHistory+1) == nil)
+}
+
+func FuzzFrame(f *testing.F) {
+	for _, m := range []Message{&Hello{Host: "h"}, &Dispatch{URI: "/x"}, &Have{Bits: []uint64{1}}, &End{Length: 3}} {
+		b, err := encodeFrame(5, flagOpen, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Add([]byte{0, 0, 0, 1, 2})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		fr, err := readFrame(bytes.NewReader(b))
+		if err != nil {
+			return
+		}
+		m, err := fr.decode()
+		if err != nil {
+			return
+		}
+		again, err := encodeFrame(fr.stream, fr.flags, m)
+		assert.NilError(t, err)
+		fr2, err := readFrame(bytes.NewReader(again))
+		assert.NilError(t, err)
+		m2, err := fr2.decode()
+		assert.NilError(t, err)
+		assert.Equal(t, m2.Kind(), m.Kind())
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	h := func(ctx context.Context, s *Stream, m Message) { _ = s.SendLast(ctx, m) }
+	srv, err := Listen("127.0.0.1:0", Hello{Host: "s"}, h)
+	assert.NilError(b, err)
+	defer srv.Close()
+	p := NewPool(Hello{Host: "c"}, nil)
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := p.Call(ctx, srv.Addr(), Traffic, &Fence{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -27,24 +27,25 @@
 		return targets
 	}
 	inDomain := func(n Node) bool { return n.Domain == self.Domain }
-	near := stretch(self, filter(entries, inDomain), filter(targets, inDomain), key, size*nearShare/4)
-	rest := func(n Node) bool { return !slices.Contains(near, n) }
-	far := stretch(self, entries, filter(targets, rest), key, size-len(near))
-	return append(near, far...)
+	all := func(Node) bool { return true }
+	outside := func(n Node) bool { return !inDomain(n) }
+	near := stretch(self, filter(entries, inDomain), filter(targets, inDomain), key, size*nearShare/4, all)
+	return append(near, stretch(self, entries, targets, key, size-len(near), outside)...)
 }
 
-func stretch(self Node, entries, targets []Node, key string, size int) []Node {
-	if len(targets) <= size {
-		return targets
-	}
+// stretch returns the first size targets that match, from the entry's own
+// place on the ring of targets.
+func stretch(self Node, entries, targets []Node, key string, size int, match func(Node) bool) []Node {
 	targets, entries = slices.Clone(targets), slices.Clone(entries)
 	ring(targets, key)
 	ring(entries, key)
 	at := max(0, slices.Index(entries, self))
 	start := at * len(targets) / max(1, len(entries))
 	out := make([]Node, 0, size)
-	for i := range size {
-		out = append(out, targets[(start+i)%len(targets)])
+	for i := 0; i < len(targets) && len(out) < size; i++ {
+		if n := targets[(start+i)%len(targets)]; match(n) {
+			out = append(out, n)
+		}
 	}
 	return out
 }
--- a/spread/planner.go
+++ b/spread/planner.go
@@ -103,7 +103,7 @@
 	switch {
 	case f.Kind != FromPeer:
 		p.sources[f.Kind].inflight++
-	case p.peers[f.Peer] != nil:
+	case !f.Asked && p.peers[f.Peer] != nil:
 		p.peers[f.Peer].inflight++
 	}
 	return f
@@ -167,7 +167,7 @@
 		p.sources[f.Kind].inflight--
 		return true
 	}
-	if q := p.peers[f.Peer]; q != nil {
+	if q := p.peers[f.Peer]; q != nil && !f.Asked {
 		q.inflight--
 	}
 	return true
--- /dev/null
+++ b/spread/planner_test.go
@@ -0,0 +1,303 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/digest"
+	"github.com/springgate/springgate/intent"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func nodes(n, domains int) []Node {
+	out := make([]Node, n)
+	for i := range out {
+		out[i] = Node{fmt.Sprintf("h%03d", i), fmt.Sprintf("d%d", i%domains)}
+	}
+	return out
+}
+
+func planner(cfg Config, self int, all []Node, chunks int, store bool) *Planner {
+	return NewPlanner(cfg, all[self], Assign("v", chunks, all), store, rand.New(rand.NewPCG(1, uint64(self))))
+}
+
+// take starts all fetches that the planner wants now.
+func take(p *Planner, now time.Time) []Fetch {
+	var out []Fetch
+	for {
+		f, ok := p.Next(now)
+		if !ok {
+			return out
+		}
+		out = append(out, f)
+	}
+}
+
+func TestEveryChunkHasOneFirstReader(t *testing.T) {
+	all := nodes(20, 4)
+	r := Assign("v", 100, all)
+	for c := range 100 {
+		chain := r.sourceChain(c)
+		first := all[chain[0]]
+		assert.Equal(t, r.importChain(c, first.Domain)[0], chain[0], "a source reader also serves its domain")
+		seen := map[uint16]bool{}
+		for _, i := range chain {
+			assert.Assert(t, !seen[i])
+			seen[i] = true
+		}
+	}
+}
+
+func TestStepsInOnlyForReadersThatCannot(t *testing.T) {
+	all := nodes(3, 1)
+	p := planner(Config{Goal: intent.SpreadOriginBytes, PerSource: 100}, 0, all, 30, false)
+	own := 0
+	var asked []Fetch
+	for _, f := range take(p, start) {
+		if f.Kind == FromOrigin {
+			own++
+			p.Done(start, f)
+		} else {
+			asked = append(asked, f)
+		}
+	}
+	assert.Assert(t, own > 3 && own < 20, "%d of its own", own)
+	for _, f := range asked {
+		p.Failed(start, f, FaultComing, 0)
+	}
+	now := start.Add(2 * time.Second)
+	for _, f := range take(p, now) {
+		assert.Equal(t, f.Kind, FromPeer, "a reader that waits is waited for")
+		p.Failed(now, f, FaultUnreachable, 0)
+	}
+	now = now.Add(time.Second)
+	steppedIn := 0
+	for range 20 {
+		for _, f := range take(p, now) {
+			if f.Kind == FromOrigin {
+				steppedIn++
+			}
+		}
+		now = now.Add(300 * time.Millisecond)
+	}
+	assert.Assert(t, steppedIn > 0, "a dead reader is replaced")
+}
+
+func TestStoreBeforeOriginAndLimitsObeyed(t *testing.T) {
+	p := planner(Config{}, 0, nodes(1, 1), 10, true)
+	f := take(p, start)[0]
+	assert.Equal(t, f.Kind, FromStore)
+	p.Failed(start, f, FaultLimited, 5*time.Second)
+	for _, f := range take(p, start.Add(time.Second)) {
+		assert.Equal(t, f.Kind, FromStore, "fetches that were under way")
+		p.Failed(start, f, FaultLimited, 5*time.Second)
+	}
+	assert.Equal(t, len(take(p, start.Add(4*time.Second))), 0, "told to wait")
+	f = take(p, start.Add(11*time.Second))[0]
+	assert.Equal(t, f.Kind, FromStore)
+	p.Failed(start, f, FaultMissing, 0)
+	got := take(p, start.Add(12*time.Second))
+	assert.Equal(t, got[len(got)-1].Kind, FromOrigin, "the store does not have it")
+}
+
+func TestSourceFailuresBackOff(t *testing.T) {
+	p := planner(Config{Goal: intent.SpreadOriginBytes}, 0, nodes(1, 1), 10, false)
+	now, tries := start, 0
+	for now.Before(start.Add(time.Minute)) {
+		for _, f := range take(p, now) {
+			tries++
+			p.Failed(now, f, FaultUnreachable, 0)
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	assert.Assert(t, tries >= 4 && tries < 20, "%d tries in a minute", tries)
+}
+
+func TestCorruptAndLyingPeersAreLeftAlone(t *testing.T) {
+	all := nodes(2, 1)
+	cfg := Config{Goal: intent.SpreadOriginBytes, Holds: 1}
+	p := planner(cfg, 0, all, 64, false)
+	p.PeerHolds("h001", []uint64{^uint64(0)})
+	fromPeer := func(now time.Time) (out []Fetch) {
+		for _, f := range take(p, now) {
+			if f.Kind == FromPeer && !f.Asked {
+				out = append(out, f)
+			}
+		}
+		return out
+	}
+	got := fromPeer(start)
+	assert.Assert(t, len(got) > 0)
+	p.Failed(start, got[0], FaultCorrupt, 0)
+	assert.Equal(t, len(fromPeer(start)), 0)
+	for _, f := range got[1:] {
+		p.Failed(start, f, FaultMissing, 0)
+	}
+	assert.Equal(t, len(fromPeer(start.Add(time.Second))), 0)
+	assert.Assert(t, len(fromPeer(start.Add(5*time.Minute))) > 0, "it gets another chance")
+}
+
+func TestSharedChunksAreNotFetched(t *testing.T) {
+	p := planner(Config{}, 0, nodes(1, 1), 4, false)
+	for _, c := range []int{0, 2, 3} {
+		p.Hold(c)
+	}
+	got := take(p, start)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Chunk, 1)
+	p.Done(start, got[0])
+	assert.Assert(t, p.Complete())
+}
+
+func TestManifest(t *testing.T) {
+	m, raw, err := NewManifest("v", 4, []byte("0123456789"))
+	assert.NilError(t, err)
+	got, err := ParseManifest(raw, digest.Of(raw))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, m)
+	assert.Equal(t, got.ChunkLen(2), 2)
+	_, err = ParseManifest(raw, digest.Of([]byte("other version, same name")))
+	assert.ErrorIs(t, err, ErrManifest)
+	for _, bad := range []string{"", "{}", `{"name":"v","size":10,"chunk_size":4,"chunks":[]}`,
+		`{"name":"v","size":-1,"chunk_size":4,"chunks":[]}`, `{"name":"v","size":1,"chunk_size":99999999,"chunks":[]}`} {
+		_, err = ParseManifest([]byte(bad), digest.Of([]byte(bad)))
+		assert.ErrorIs(t, err, ErrManifest, bad)
+	}
+}
+
+// TestOraclePlanner drives one planner through arbitrary answers, deaths and
+// lists, and holds it to what any plan must keep: never two fetches of one
+// chunk, never one that is held, bounds kept, and completion once the world
+// works again.
+func TestOraclePlanner(t *testing.T) {
+	steps := 0
+	rapid.Check(t, func(t *rapid.T) {
+		const chunks = 24
+		all := nodes(rapid.IntRange(1, 7).Draw(t, "hosts"), rapid.IntRange(1, 3).Draw(t, "domains"))
+		cfg := Config{Goal: rapid.SampledFrom([]intent.Spread{intent.SpreadTime, intent.SpreadOriginBytes}).Draw(t, "goal"), Pipeline: 6}
+		p := planner(cfg, 0, all, chunks, rapid.Bool().Draw(t, "store"))
+		now := start
+		held := map[int]bool{}
+		var open []Fetch
+		next := func(t *rapid.T) {
+			f, ok := p.Next(now)
+			if !ok {
+				return
+			}
+			if held[f.Chunk] {
+				t.Fatalf("chunk %d is held and fetched", f.Chunk)
+			}
+			if slices.ContainsFunc(open, func(o Fetch) bool { return o.Chunk == f.Chunk }) {
+				t.Fatalf("chunk %d is fetched twice", f.Chunk)
+			}
+			if f.Kind == FromPeer && f.Peer == all[0].Host {
+				t.Fatal("fetch from itself")
+			}
+			open = append(open, f)
+		}
+		one := func(t *rapid.T) Fetch {
+			if len(open) == 0 {
+				t.Skip("none open")
+			}
+			i := rapid.IntRange(0, len(open)-1).Draw(t, "fetch")
+			f := open[i]
+			open = append(open[:i:i], open[i+1:]...)
+			return f
+		}
+		actions := map[string]func(*rapid.T){
+			"next":  next,
+			"next2": next,
+			"done": func(t *rapid.T) {
+				f := one(t)
+				held[f.Chunk] = true
+				p.Done(now, f)
+			},
+			"failed": func(t *rapid.T) {
+				f := one(t)
+				fault := Fault(rapid.IntRange(1, 5).Draw(t, "fault"))
+				if f.Kind == FromPeer && fault == FaultLimited || f.Kind != FromPeer && fault == FaultComing {
+					fault = FaultUnreachable
+				}
+				p.Failed(now, f, fault, time.Second)
+			},
+			"twice": func(t *rapid.T) { // a late report of a fetch that has ended
+				f := one(t)
+				p.Failed(now, f, FaultUnreachable, 0)
+				p.Done(now, f)
+			},
+			"gained": func(t *rapid.T) {
+				p.PeerGained(all[rapid.IntRange(0, len(all)-1).Draw(t, "peer")].Host,
+					[]uint32{rapid.Uint32Range(0, chunks+5).Draw(t, "chunk")})
+			},
+			"holds": func(t *rapid.T) {
+				p.PeerHolds(all[rapid.IntRange(0, len(all)-1).Draw(t, "peer")].Host, []uint64{rapid.Uint64().Draw(t, "bits")})
+			},
+			"gone": func(t *rapid.T) { p.PeerGone(all[rapid.IntRange(0, len(all)-1).Draw(t, "peer")].Host) },
+			"list": func(t *rapid.T) {
+				n := rapid.IntRange(1, len(all)).Draw(t, "hosts")
+				p.SetReaders(Assign("v", chunks, all[:n]))
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 15000).Draw(t, "ms")) * time.Millisecond)
+				for _, f := range p.Expired(now) {
+					i := slices.Index(open, f)
+					open = append(open[:i:i], open[i+1:]...)
+					p.Failed(now, f, FaultUnreachable, 0)
+				}
+			},
+			"": func(t *rapid.T) {
+				if p.Inflight() != len(open) || p.Held() != len(held) {
+					t.Fatalf("in flight %d, want %d; held %d, want %d", p.Inflight(), len(open), p.Held(), len(held))
+				}
+				if n := p.Inflight() - p.holds; n > cfg.Pipeline+4 {
+					t.Fatalf("%d fetches in flight", n)
+				}
+			},
+		}
+		for name, f := range actions {
+			actions[name] = func(t *rapid.T) { steps++; f(t) }
+		}
+		t.Repeat(actions)
+		// From here everything works: whoever is asked delivers.
+		for i := 0; i < 10000 && !p.Complete(); i++ {
+			for _, f := range open {
+				p.Done(now, f)
+			}
+			open = open[:0]
+			next(t)
+			now = now.Add(100 * time.Millisecond)
+		}
+		if !p.Complete() {
+			t.Fatalf("%d of %d chunks", p.Held(), chunks)
+		}
+	})
+	t.Logf("%d steps", steps)
+}
+
+// TestSpreadOverLinks runs the swarm over fake links at a small size.
+func TestSpreadOverLinks(t *testing.T) {
+	for _, faults := range []bool{false, true} {
+		l := newLinks(20, 4, 128, intent.SpreadOriginBytes, 1)
+		if faults {
+			l.corruptEvery = 100
+			for _, i := range []int{3, 11} {
+				l.after(time.Duration(i)*5*time.Second, func() { l.kill(l.hosts[i]) })
+			}
+		}
+		took, ok := l.run(time.Hour)
+		assert.Assert(t, ok)
+		ratio := took.Seconds() / l.bound(20, 128).Seconds()
+		copies := float64(l.originChunks) / 128
+		if faults {
+			assert.Assert(t, ratio < 1.6 && copies < 1.3, "ratio %.2f, %.2f copies", ratio, copies)
+		} else {
+			assert.Assert(t, ratio < 1.25 && copies < 1.1, "ratio %.2f, %.2f copies", ratio, copies)
+		}
+	}
+}
