--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -173,7 +173,7 @@
 				}
 				delete(waiting, id)
 			},
-			"time": func(t *rapid.T) { now = now.Add(300 * time.Millisecond); apply(t, q.Tick(now)) },
+			"time":  func(t *rapid.T) { now = now.Add(300 * time.Millisecond); apply(t, q.Tick(now)) },
 			"leave": func(t *rapid.T) { apply(t, q.RefuseAll(outcome.Leaving)) },
 			"": func(t *rapid.T) {
 				if len(running) != q.Running() || len(waiting) != q.Queued() {
--- a/command/run.go
+++ b/command/run.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/telemetry"
 	"github.com/urfave/cli/v3"
 )
 
@@ -22,6 +24,10 @@
 		return err
 	}
 	setOnUsage(c, onUsage)
+	if err := quietLibraries(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
 	err := c.Run(context.Background(), args)
 	if err == nil {
 		return 0
@@ -37,6 +43,16 @@
 	return exitFailure
 }
 
+// quietLibraries keeps the libraries' own logs out of commands that log
+// nothing; 'serve' then sets up its log as its settings say.
+func quietLibraries() error {
+	l, err := telemetry.NewLogger(os.Stderr, logrus.ErrorLevel.String(), telemetry.FormatText)
+	if err != nil {
+		return err
+	}
+	return telemetry.TameLibraries(l)
+}
+
 func setOnUsage(c *cli.Command, f cli.OnUsageErrorFunc) {
 	c.OnUsageError = f
 	for _, sub := range c.Commands {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -67,8 +67,9 @@
 	logx.DisableStat()
 	stat.SetReporter(nil)
 	logx.SetWriter(logx.NewWriter(&lineWriter{entry: Part(l, "go-zero")}))
-	if !l.IsLevelEnabled(logrus.DebugLevel) {
-		logx.SetLevel(logx.SevereLevel)
+	logx.SetLevel(logx.SevereLevel)
+	if l.IsLevelEnabled(logrus.DebugLevel) {
+		logx.SetLevel(logx.InfoLevel)
 	}
 	return nil
 }
