--- a/standin/engine.go
+++ b/standin/engine.go
@@ -99,6 +99,9 @@
 // Orders returns how many load orders were accepted.
 func (e *Engine) Orders() int64 { return e.orders.Load() }
 
+// Running returns how many requests run now.
+func (e *Engine) Running() int64 { return e.running.Load() }
+
 // Restart makes the engine lose what it holds.
 func (e *Engine) Restart() {
 	e.mu.Lock()
--- a/submission/oracle_test.go
+++ b/submission/oracle_test.go
@@ -61,8 +61,7 @@
 
 // conn is one connection of a submission to an agent incarnation.
 type conn struct {
-	agent  *agentSim
-	broken bool
+	agent *agentSim
 }
 
 // packet is a frame on its way.
@@ -75,17 +74,16 @@
 }
 
 type agentSim struct {
-	name    string
-	inc     uint64
-	k       *intake.Intake
-	start   time.Time
-	dead    bool
-	paused  bool
-	leaving bool
-	view    view
-	works   map[idempotency.AttemptID]*workSim
-	order   []*workSim
-	asks    []func(reachable bool)
+	name   string
+	inc    uint64
+	k      *intake.Intake
+	start  time.Time
+	dead   bool
+	paused bool
+	view   view
+	works  map[idempotency.AttemptID]*workSim
+	order  []*workSim
+	asks   []func(reachable bool)
 }
 
 type workSim struct {
