Control: bytes metered, capacity measured, pauses and gaps tested

Cause: the cost of control a node was not known, and three mutants survived (home not checked, short history, cut-off home). Measured: TestCallsStayFew: at most 24 platform calls for one revision among 40 processes. Conclusion: the slopes can be measured again by one command.

--- /dev/null
+++ b/admission/main_test.go
@@ -0,0 +1,12 @@
+package admission
+
+import (
+	"testing"
+
+	"github.com/springgate/springgate/internal/fixedseed"
+)
+
+// checks is how many courses of events each stateful test tries.
+const checks = 500
+
+func TestMain(m *testing.M) { fixedseed.Main(m, checks) }
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -57,18 +57,19 @@
 	a.reasons = telemetry.NewReasons(a.metrics)
 	self := peer.Hello{Host: cfg.Control.Host, Incarnation: cfg.Control.Incarnation,
 		Role: string(membership.Agent), Domain: cfg.Control.Domain}
+	meter := &peer.Meter{}
 	ready := make(chan struct{})
 	handler := func(ctx context.Context, s *peer.Stream, m peer.Message) {
 		<-ready
 		a.handle(ctx, s, m)
 	}
-	server, err := peer.Listen(cfg.Control.Addr, self, handler)
+	server, err := peer.Listen(cfg.Control.Addr, self, handler, meter)
 	if err != nil {
 		return nil, errors.Wrapf(err, "agent %s", cfg.Control.Host)
 	}
 	cfg.Control.Addr = server.Addr()
 	a.cfg, a.server = cfg, server
-	a.pool = peer.NewPool(self, handler)
+	a.pool = peer.NewPool(self, handler, meter)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	a.node = control.New(cfg.Control, service, hosts, a.pool, telemetry.Part(log, "control"), a.metrics, rng)
 	a.permits = newPermits(cfg, a.node, a.pool)
--- /dev/null
+++ b/control/capacity_test.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/springgate/springgate/configservice"
+	"github.com/springgate/springgate/hostlist"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/peer"
+	"github.com/springgate/springgate/standin"
+	"github.com/springgate/springgate/telemetry"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// simFleet is a number of real nodes in one process.
+type simFleet struct {
+	platform *standin.Platform
+	nodes    []*Node
+	servers  []*peer.Server
+	pools    []*peer.Pool
+	cancel   context.CancelFunc
+}
+
+// startFleet runs nodes real nodes. The host list has listed entries; those
+// beyond the real ones are further names for the same nodes, so that each node
+// carries the state of the larger fleet.
+func startFleet(t testing.TB, nodes, listed, domains int) *simFleet {
+	p, err := standin.NewPlatform("127.0.0.1:0")
+	assert.NilError(t, err)
+	log, err := telemetry.NewLogger(io.Discard, "error", telemetry.FormatText)
+	assert.NilError(t, err)
+	assert.NilError(t, telemetry.TameLibraries(log))
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &simFleet{platform: p, cancel: cancel}
+	for i := range nodes {
+		f.startNode(t, ctx, fmt.Sprintf("n%05d", i), fmt.Sprintf("d%d", i%domains), i)
+		_ = log
+	}
+	var list []hostlist.Host
+	for i := range listed {
+		n := f.nodes[i%nodes]
+		list = append(list, hostlist.Host{Host: fmt.Sprintf("n%05d", i), Addr: n.cfg.Addr,
+			Domain: fmt.Sprintf("d%d", i%domains), Role: string(membership.Agent)})
+	}
+	p.SetHosts(list)
+	return f
+}
+
+func (f *simFleet) startNode(t testing.TB, ctx context.Context, name, domain string, seed int) {
+	log, err := telemetry.NewLogger(io.Discard, "error", telemetry.FormatText)
+	assert.NilError(t, err)
+	var n *Node
+	ready := make(chan struct{})
+	handler := func(ctx context.Context, s *peer.Stream, m peer.Message) {
+		<-ready
+		n.Handle(ctx, s, m)
+	}
+	meter := &peer.Meter{}
+	self := peer.Hello{Host: name, Incarnation: 1, Domain: domain}
+	srv, err := peer.Listen("127.0.0.1:0", self, handler, meter)
+	assert.NilError(t, err)
+	pool := peer.NewPool(self, handler, meter)
+	cfg := Config{Host: name, Addr: srv.Addr(), Domain: domain, Role: membership.Agent, Incarnation: 1, FleetSize: 100}
+	n = New(cfg, configservice.New(f.platform.URL()), hostlist.New(f.platform.URL()), pool,
+		telemetry.Part(log, "control"), metrics.NewRegistry(), rand.New(rand.NewPCG(1, uint64(seed))))
+	close(ready)
+	f.nodes = append(f.nodes, n)
+	f.servers = append(f.servers, srv)
+	f.pools = append(f.pools, pool)
+	go n.Run(ctx)
+}
+
+func (f *simFleet) close() {
+	f.cancel()
+	for i := range f.servers {
+		f.servers[i].Close()
+		f.pools[i].Close()
+	}
+	f.platform.Close()
+}
+
+// fleetFile names as many hosts as the list.
+func fleetFile(hosts, n int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "format: 1\nfleet: f\nteams: [{name: t%d}]\nservices:\n  - name: s\n    kind: plain\n    hosts:\n      - domain: d0\n        names:\n", n)
+	for i := range hosts {
+		fmt.Fprintf(&b, "          - n%05d\n", i)
+	}
+	return []byte(b.String())
+}
+
+// publish publishes a revision and returns how long each node took to have it
+// in force, in order.
+func (f *simFleet) publish(t testing.TB, hosts, n int) []time.Duration {
+	at := make([]time.Time, len(f.nodes))
+	began := time.Now()
+	revision := f.platform.Publish(fleetFile(hosts, n))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		left := 0
+		for i, node := range f.nodes {
+			if s := node.Snapshot(); s.Revision() >= revision && at[i].IsZero() {
+				at[i] = s.Accepted.At
+			}
+			if at[i].IsZero() {
+				left++
+			}
+		}
+		if left > 0 {
+			return poll.Continue("%d nodes left", left)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
+	out := make([]time.Duration, len(at))
+	for i := range at {
+		out[i] = at[i].Sub(began)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+func (f *simFleet) controlBytes() int64 {
+	var sum int64
+	for _, p := range f.pools {
+		in, out := p.Meter().Bytes(peer.Control)
+		sum += in + out
+	}
+	return sum
+}
+
+// Times of a measurement.
+const (
+	settleTime  = 4 * time.Second
+	measureTime = 4 * time.Second
+	revisions   = 5
+)
+
+// BenchmarkCapacity measures what control costs a node, for a number of real
+// nodes and for the size of the host list that each carries.
+func BenchmarkCapacity(b *testing.B) {
+	for _, c := range []struct{ nodes, listed int }{{3, 3}, {12, 12}, {48, 48}, {150, 150}, {48, 500}, {48, 1500}, {48, 4790}} {
+		b.Run(fmt.Sprintf("nodes=%d/listed=%d", c.nodes, c.listed), func(b *testing.B) {
+			for range b.N {
+				measureCapacity(b, c.nodes, c.listed)
+			}
+		})
+	}
+}
+
+func measureCapacity(b *testing.B, nodes, listed int) {
+	before := heap()
+	f := startFleet(b, nodes, listed, 7)
+	defer f.close()
+	f.publish(b, listed, 0)
+	time.Sleep(settleTime)
+	bytes, cpu := f.controlBytes(), cpuTime()
+	calls, _ := f.platform.Calls()
+	began := time.Now()
+	time.Sleep(measureTime)
+	span := time.Since(began).Seconds()
+	perNode := func(v float64) float64 { return v / span / float64(nodes) }
+	b.ReportMetric(perNode(float64(f.controlBytes()-bytes)), "idle-B/s/node")
+	b.ReportMetric(100*perNode((cpuTime()-cpu).Seconds()), "idle-cpu-%/node")
+	later, _ := f.platform.Calls()
+	b.ReportMetric(float64(later-calls)/span, "calls/s")
+	b.ReportMetric(float64(heap()-before)/float64(nodes)/1024, "KiB/node")
+	bytes, cpu = f.controlBytes(), cpuTime()
+	var all []time.Duration
+	for i := range revisions {
+		all = append(all, f.publish(b, listed, i+1)...)
+	}
+	slices.Sort(all)
+	b.ReportMetric(all[len(all)/2].Seconds()*1000, "p50-ms")
+	b.ReportMetric(all[len(all)*99/100].Seconds()*1000, "p99-ms")
+	b.ReportMetric(all[len(all)-1].Seconds()*1000, "max-ms")
+	b.ReportMetric(float64(f.controlBytes()-bytes)/revisions/float64(nodes), "B/revision/node")
+	b.ReportMetric((cpuTime()-cpu).Seconds()*1000/revisions/float64(nodes), "cpu-ms/revision/node")
+}
--- a/control/node.go
+++ b/control/node.go
@@ -32,7 +32,7 @@
 	staleHeads, rejectedHeads, accepted, pauses     metrics.Counter
 	heartbeatsOut, heartbeatsIn, directCalls, pulls metrics.Counter
 	platformFailures                                metrics.Counter
-	revision                                        metrics.Gauge
+	revision, bytesIn, bytesOut                     metrics.Gauge
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -42,6 +42,8 @@
 		pauses: c("pauses"), heartbeatsOut: c("heartbeats_out"), heartbeatsIn: c("heartbeats_in"),
 		directCalls: c("platform_calls"), pulls: c("pulls"), platformFailures: c("platform_failures"),
 		revision: metrics.NewRegisteredGauge("control.revision", r),
+		bytesIn:  metrics.NewRegisteredGauge("control.bytes_in", r),
+		bytesOut: metrics.NewRegisteredGauge("control.bytes_out", r),
 	}
 }
 
@@ -169,6 +171,7 @@
 		n.nextFallback = time.Time{}
 	}
 	n.lastTick = now
+	n.noteBytes()
 	n.view.Tick(now)
 	n.fold.Expire(now)
 	n.publish(now)
@@ -179,6 +182,13 @@
 	n.fallback(now)
 }
 
+// noteBytes brings the gauges of exchanged bytes up to date.
+func (n *Node) noteBytes() {
+	in, out := n.pool.Meter().Bytes(peer.Control)
+	n.count.bytesIn.Update(in)
+	n.count.bytesOut.Update(out)
+}
+
 // publish stores a new snapshot and tells the listeners.
 func (n *Node) publish(now time.Time) {
 	s := &Snapshot{Accepted: n.fold.Accepted(), Past: n.pastHosts(now), KnownSince: n.knownSince,
--- /dev/null
+++ b/control/node_test.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/intent"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func waitFor(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// Few processes watch; the rest hears from peers. The platform counts.
+func TestCallsStayFew(t *testing.T) {
+	f := startFleet(t, 40, 40, 2)
+	defer f.close()
+	f.publish(t, 40, 0)
+	waitFor(t, "readers are chosen", func() bool { return f.readers() == 6 })
+	before, _ := f.platform.Calls()
+	f.publish(t, 40, 1)
+	after, peak := f.platform.Calls()
+	// Each reader may read the head, watch again and read the one part.
+	assert.Assert(t, after-before <= 6*4, "%d calls for one revision", after-before)
+	assert.Assert(t, peak <= 400, "%d calls in one second", peak)
+}
+
+func (f *simFleet) readers() int {
+	n := 0
+	for _, x := range f.nodes {
+		if x.Snapshot().Reader {
+			n++
+		}
+	}
+	return n
+}
+
+// A paused process does not act until it has caught up.
+func TestPauseIsNoticed(t *testing.T) {
+	f := startFleet(t, 3, 3, 1)
+	defer f.close()
+	f.publish(t, 3, 0)
+	n := f.nodes[0]
+	waitFor(t, "awake", func() bool { return n.Awake(time.Now()) })
+	assert.Assert(t, !n.Awake(time.Now().Add(n.cfg.Pause+tickEvery)), "no tick for too long")
+	pauses := n.count.pauses.Count()
+	_ = n.loop.Call(func() {
+		n.proof = time.Time{}
+		n.lastTick = time.Now().Add(-time.Minute)
+		n.tick(time.Now())
+		assert.Check(t, !n.snapshot.Load().Awake)
+	})
+	assert.Equal(t, n.count.pauses.Count(), pauses+1)
+	waitFor(t, "caught up", func() bool { return n.Awake(time.Now()) })
+}
+
+// A process that skipped revisions takes its knowledge of earlier homes for
+// incomplete until a peer fills the gap.
+func TestSkippedRevisionShortensHistory(t *testing.T) {
+	n := &Node{cfg: Config{}.applyDefaults(), fold: intent.NewFold(time.Minute), asked: map[string]bool{}}
+	start := time.Unix(1_800_000_000, 0)
+	n.extendHistory(start, 0, 5)
+	n.extendHistory(start.Add(time.Second), 5, 6)
+	assert.Equal(t, n.knownSince, start)
+	n.extendHistory(start.Add(2*time.Second), 6, 9)
+	assert.Equal(t, n.knownSince, start.Add(2*time.Second))
+	assert.Equal(t, n.knownUpTo, uint64(9))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,13 +85,14 @@
 	e.count = newCounters(e.metrics)
 	self := peer.Hello{Host: cfg.Control.Host, Incarnation: cfg.Control.Incarnation,
 		Role: string(membership.Entry), Domain: cfg.Control.Domain}
+	meter := &peer.Meter{}
 	ready := make(chan struct{})
 	handler := func(ctx context.Context, s *peer.Stream, m peer.Message) {
 		<-ready
 		e.handle(ctx, s, m)
 	}
 	var err error
-	if e.server, err = peer.Listen(cfg.Control.Addr, self, handler); err != nil {
+	if e.server, err = peer.Listen(cfg.Control.Addr, self, handler, meter); err != nil {
 		return nil, errors.Wrapf(err, "entry %s", cfg.Control.Host)
 	}
 	if e.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
@@ -100,7 +101,7 @@
 	}
 	cfg.Control.Addr = e.server.Addr()
 	e.cfg = cfg
-	e.pool = peer.NewPool(self, handler)
+	e.pool = peer.NewPool(self, handler, meter)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	e.node = control.New(cfg.Control, service, hosts, e.pool, telemetry.Part(log, "control"), e.metrics, rng)
 	e.targets = newTargets(cfg, e.node, e.pool, telemetry.Part(log, "targets"))
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,6 +37,14 @@
 	ErrViolation = errors.New("peer: flow control violated")
 )
 
+// Meter counts the bytes that a process exchanges with others, by class.
+type Meter struct {
+	in, out [Bulk + 1]atomic.Int64
+}
+
+// Bytes returns how many bytes of a class were received and sent.
+func (m *Meter) Bytes(c Class) (in, out int64) { return m.in[c].Load(), m.out[c].Load() }
+
 // Handler serves a stream that the other side opened. ctx ends with the
 // stream; its cause is ErrReset if the other side closed the stream, and
 // ErrConnLost if the connection broke. The stream is reset when the handler
@@ -46,6 +55,8 @@
 type Conn struct {
 	nc      net.Conn
 	remote  Hello
+	class   Class
+	meter   *Meter
 	handler Handler
 
 	out    chan []byte
@@ -59,7 +70,9 @@
 
 // NewConn shakes hands on nc and starts the connection. The dialling side
 // numbers its streams odd, the accepting side even.
-func NewConn(nc net.Conn, self Hello, dialled bool, h Handler) (*Conn, error) {
+//
+// meter counts the bytes of the connection.
+func NewConn(nc net.Conn, self Hello, dialled bool, h Handler, meter *Meter) (*Conn, error) {
 	self.Protocol = Protocol
 	remote, err := handshake(nc, self)
 	if err != nil {
@@ -67,7 +80,11 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
-	c := &Conn{nc: nc, remote: remote, handler: h, out: make(chan []byte, writeQueue),
+	class := remote.Class
+	if dialled {
+		class = self.Class
+	}
+	c := &Conn{nc: nc, remote: remote, class: min(class, Bulk), meter: meter, handler: h, out: make(chan []byte, writeQueue),
 		ctx: ctx, cancel: cancel, streams: map[uint64]*Stream{}, nextID: 2}
 	if dialled {
 		c.nextID = 1
@@ -192,6 +209,7 @@
 		if _, err := w.Write(b); err != nil {
 			return false
 		}
+		c.meter.out[c.class].Add(int64(len(b)))
 		select {
 		case b = <-c.out:
 		default:
@@ -208,6 +226,7 @@
 		if err != nil {
 			return
 		}
+		c.meter.in[c.class].Add(int64(lengthSize + headSize + len(f.payload)))
 		if c.deliver(f) != nil {
 			return
 		}
--- a/peer/message.go
+++ b/peer/message.go
@@ -115,6 +115,7 @@
 	Incarnation uint64
 	Role        string
 	Domain      string
+	Class       Class // of the connection; set by the side that dials
 }
 
 // Attempt identifies one dispatch of a submission. Every answer frame carries
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -19,13 +19,13 @@
 	a, b := net.Pipe()
 	made := make(chan *Conn, 1)
 	go func() {
-		c, err := NewConn(b, Hello{Host: "server", Incarnation: 7}, false, h)
+		c, err := NewConn(b, Hello{Host: "server", Incarnation: 7}, false, h, &Meter{})
 		if err != nil {
 			panic(err)
 		}
 		made <- c
 	}()
-	client, err := NewConn(a, Hello{Host: "client"}, true, nil)
+	client, err := NewConn(a, Hello{Host: "client"}, true, nil, &Meter{})
 	assert.NilError(t, err)
 	server = <-made
 	t.Cleanup(func() { client.Close(); server.Close() })
@@ -136,16 +136,16 @@
 		go func() { _, _ = io.Copy(io.Discard, b) }()
 		_, _ = b.Write(f)
 	}()
-	_, err := NewConn(a, Hello{}, true, nil)
+	_, err := NewConn(a, Hello{}, true, nil, &Meter{})
 	assert.ErrorIs(t, err, ErrProtocol)
 }
 
 func TestPoolDialsAgain(t *testing.T) {
 	h := func(ctx context.Context, s *Stream, m Message) { _ = s.SendLast(ctx, m) }
-	srv, err := Listen("127.0.0.1:0", Hello{Host: "s"}, h)
+	srv, err := Listen("127.0.0.1:0", Hello{Host: "s"}, h, &Meter{})
 	assert.NilError(t, err)
 	defer srv.Close()
-	p := NewPool(Hello{Host: "c"}, nil)
+	p := NewPool(Hello{Host: "c"}, nil, &Meter{})
 	defer p.Close()
 	c1, err := p.Get(t.Context(), srv.Addr(), Traffic)
 	assert.NilError(t, err)
@@ -204,10 +204,10 @@
 
 func BenchmarkCall(b *testing.B) {
 	h := func(ctx context.Context, s *Stream, m Message) { _ = s.SendLast(ctx, m) }
-	srv, err := Listen("127.0.0.1:0", Hello{Host: "s"}, h)
+	srv, err := Listen("127.0.0.1:0", Hello{Host: "s"}, h, &Meter{})
 	assert.NilError(b, err)
 	defer srv.Close()
-	p := NewPool(Hello{Host: "c"}, nil)
+	p := NewPool(Hello{Host: "c"}, nil, &Meter{})
 	defer p.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
 	defer cancel()
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -40,14 +40,26 @@
 type Pool struct {
 	self    Hello
 	handler Handler
+	meter   *Meter
 
 	mu    sync.Mutex
 	slots map[poolKey]*slot
 }
 
-// NewPool returns a pool whose connections say self and serve streams by h.
-func NewPool(self Hello, h Handler) *Pool {
-	return &Pool{self: self, handler: h, slots: map[poolKey]*slot{}}
+// NewPool returns a pool whose connections say self, serve streams by h and
+// are counted by meter.
+func NewPool(self Hello, h Handler, meter *Meter) *Pool {
+	return &Pool{self: self, handler: h, meter: meter, slots: map[poolKey]*slot{}}
+}
+
+// Meter returns the counters of the pool.
+func (p *Pool) Meter() *Meter { return p.meter }
+
+// Len returns how many connections are open.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.slots)
 }
 
 // Get returns a live connection, dialling if there is none.
@@ -65,7 +77,7 @@
 	if s.conn != nil && s.conn.ctx.Err() == nil {
 		return s.conn, nil
 	}
-	c, err := p.dial(ctx, addr)
+	c, err := p.dial(ctx, addr, class)
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +85,7 @@
 	return c, nil
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
+func (p *Pool) dial(ctx context.Context, addr string, class Class) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -81,7 +93,9 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
-	c, err := NewConn(nc, p.self, true, p.handler)
+	self := p.self
+	self.Class = class
+	c, err := NewConn(nc, self, true, p.handler, p.meter)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
@@ -126,19 +140,20 @@
 	ln      net.Listener
 	self    Hello
 	handler Handler
+	meter   *Meter
 
 	mu     sync.Mutex
 	conns  map[*Conn]struct{}
 	closed bool
 }
 
-// Listen starts a server on addr.
-func Listen(addr string, self Hello, h Handler) (*Server, error) {
+// Listen starts a server on addr whose connections are counted by meter.
+func Listen(addr string, self Hello, h Handler, meter *Meter) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer: listen")
 	}
-	s := &Server{ln: ln, self: self, handler: h, conns: map[*Conn]struct{}{}}
+	s := &Server{ln: ln, self: self, handler: h, meter: meter, conns: map[*Conn]struct{}{}}
 	go s.accept()
 	return s, nil
 }
@@ -157,7 +172,7 @@
 }
 
 func (s *Server) start(nc net.Conn) {
-	c, err := NewConn(nc, s.self, false, s.handler)
+	c, err := NewConn(nc, s.self, false, s.handler, s.meter)
 	if err != nil {
 		return
 	}
--- a/submission/replay_test.go
+++ b/submission/replay_test.go
@@ -38,6 +38,9 @@
 	//   finish    the target of agent a ends
 	//   restart   agent a is replaced by a new incarnation
 	//   leave     agent a leaves
+	//   current   agent a has current as the only host in force
+	//   cut-off   agent a last knew the head to be current ms ago
+	//   young     agent a knows the revisions of the last ms only
 	//   sleep     time passes
 	//   outcome   what the caller must have been told (want, reason, runs)
 	Do         string
@@ -47,6 +50,7 @@
 	Key        string // "now" for a key issued now
 	Part       bool
 	Past       string
+	Current    string
 	Cross      string // the frame belongs to this request
 	Ms         int
 	Want       outcome.Outcome
@@ -72,6 +76,10 @@
 	past [][]string
 	self string
 	born time.Time
+
+	current []string
+	headAge time.Duration
+	known   time.Duration
 }
 
 type player struct {
@@ -87,7 +95,8 @@
 func (p *player) spawn(name string, born time.Time) {
 	p.incs++
 	a := &traceAgent{inc: p.incs, self: name, born: born,
-		k: intake.New(idempotency.Config{KeyWindow: simWindow, ClockSkew: simSkew}, born)}
+		k:       intake.New(idempotency.Config{KeyWindow: simWindow, ClockSkew: simSkew}, born),
+		current: []string{name}, known: time.Hour}
 	a.k.Configure(p.now, admission.Limits{Concurrency: 1, Queue: 1}, []admission.TeamLimits{{Name: simTeam, Weight: 1}})
 	p.agents[name] = a
 }
@@ -133,6 +142,12 @@
 		p.spawn(e.A, p.now)
 	case "leave":
 		a.k.Leave(p.now)
+	case "current":
+		a.current = []string{e.Current}
+	case "cut-off":
+		a.headAge = time.Duration(e.Ms) * time.Millisecond
+	case "young":
+		a.known = time.Duration(e.Ms) * time.Millisecond
 	case "sleep":
 		p.now = p.now.Add(time.Duration(e.Ms) * time.Millisecond)
 	case "outcome":
@@ -165,7 +180,7 @@
 	att := intake.Attempt{ID: r.attempt(), Incarnation: r.inc, Service: service, Team: simTeam, Key: r.key,
 		Urgency: 3, Deadline: p.now.Add(time.Hour)}
 	h := intake.Host{Incarnation: a.inc, Awake: true, HasIntent: true, Service: service, Ready: true,
-		Past: idempotency.Past{Self: a.self, Current: []string{a.self}, Hosts: a.past, KnownSince: p.now.Add(-time.Hour)}}
+		Past: idempotency.Past{Self: a.self, Current: a.current, Hosts: a.past, HeadAge: a.headAge, KnownSince: p.now.Add(-a.known)}}
 	d, _ := a.k.Arrive(p.now, h, att, fenced)
 	if d.Action != intake.Ask {
 		return d
