--- a/command/agent.go
+++ b/command/agent.go
@@ -17,6 +17,7 @@
 		Usage:                 "the process beside one target: runs requests, holds weights, gives orders",
 		EnableShellCompletion: true,
 		Suggest:               true,
+		Action:                unknownCommand,
 		Commands:              []*cli.Command{agentServeCommand(), versionCommand()},
 	}
 }
--- a/command/run.go
+++ b/command/run.go
@@ -53,6 +53,14 @@
 	return telemetry.TameLibraries(l)
 }
 
+// unknownCommand runs when no command was named, or one that does not exist.
+func unknownCommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return cli.Exit(fmt.Sprintf("unknown command %q; see '%s --help'", c.Args().First(), c.Name), exitUsage)
+	}
+	return cli.ShowAppHelp(c)
+}
+
 func setOnUsage(c *cli.Command, f cli.OnUsageErrorFunc) {
 	c.OnUsageError = f
 	for _, sub := range c.Commands {
--- a/command/springgate.go
+++ b/command/springgate.go
@@ -45,6 +45,7 @@
 		Description:           "Settings are flags or environment variables; 'serve --help' lists both.",
 		EnableShellCompletion: true,
 		Suggest:               true,
+		Action:                unknownCommand,
 		Commands: []*cli.Command{serveCommand(), checkCommand(), packCommand(), statusCommand(),
 			demoCommand(), standinCommand(), versionCommand()},
 	}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -49,7 +49,7 @@
 
 // testFleet is a whole fleet on loopback: stand-ins, agents and one entry.
 type testFleet struct {
-	t        *testing.T
+	t        testing.TB
 	log      *logrus.Logger
 	platform *standin.Platform
 	origin   *standin.Source
@@ -61,7 +61,7 @@
 	ids      []digest.Digest
 }
 
-func newFleet(t *testing.T, engines, plains int) *testFleet {
+func newFleet(t testing.TB, engines, plains int) *testFleet {
 	f := &testFleet{t: t, runs: standin.NewRuns(), hosts: map[string]*testHost{}, versions: map[digest.Digest]*spread.Manifest{}}
 	var err error
 	f.log, err = telemetry.NewLogger(io.Discard, "error", telemetry.FormatText)
--- a/intent/parse.go
+++ b/intent/parse.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net/url"
 	"regexp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -44,6 +46,7 @@
 	}
 	f := d.fleet(root)
 	if len(d.faults) > 0 {
+		slices.SortStableFunc(d.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
 		return nil, d.faults
 	}
 	f.index()
