Connections to peers are few and idle ones close; frames by position

Cause: heartbeats went to three random hosts each round over connections that were never closed: at 4,790 processes each would have ended with thousands of connections of 128 KiB each, far over 128 MB. Change: partners are drawn for 10 s at a time; connections idle for 20 s close; buffers of 16 KiB; msgpack structs are encoded as arrays; status messages to entries leave out what entries do not use and come every 800 ms. Conclusion: nothing of control grows with the square of the fleet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -202,7 +202,9 @@
 		a.mu.Lock()
 		changed := a.changed
 		a.mu.Unlock()
-		if s.Send(ctx, a.status()) != nil {
+		st := a.status()
+		st.Host, st.Version = "", "" // the entry needs neither, and there are many
+		if s.Send(ctx, st) != nil {
 			return
 		}
 		t := time.NewTimer(a.cfg.StatusEvery)
--- a/agent/config.go
+++ b/agent/config.go
@@ -20,7 +20,8 @@
 	TargetURL string
 
 	// StatusEvery is the longest time between two status messages to an
-	// entry. Default 500 ms.
+	// entry. It must be well below the age at which entries stop choosing the
+	// host. Default 800 ms.
 	StatusEvery time.Duration
 	// DrainTimeout bounds how long a leaving agent waits for requests that
 	// run. Default 10 min.
@@ -47,7 +48,7 @@
 }
 
 func (c Config) applyDefaults() Config {
-	c.StatusEvery = cmp.Or(c.StatusEvery, 500*time.Millisecond)
+	c.StatusEvery = cmp.Or(c.StatusEvery, 800*time.Millisecond)
 	c.DrainTimeout = cmp.Or(c.DrainTimeout, 10*time.Minute)
 	c.ResumeGrace = cmp.Or(c.ResumeGrace, 15*time.Second)
 	c.AnswerMemory = cmp.Or(c.AnswerMemory, 32<<20)
--- a/control/capacity_test.go
+++ b/control/capacity_test.go
@@ -161,7 +161,7 @@
 // BenchmarkCapacity measures what control costs a node, for a number of real
 // nodes and for the size of the host list that each carries.
 func BenchmarkCapacity(b *testing.B) {
-	for _, c := range []struct{ nodes, listed int }{{3, 3}, {12, 12}, {48, 48}, {150, 150}, {48, 500}, {48, 1500}, {48, 4790}} {
+	for _, c := range []struct{ nodes, listed int }{{3, 3}, {12, 12}, {48, 48}, {150, 150}, {48, 500}, {48, 1500}, {48, 4790}, {150, 4790}} {
 		b.Run(fmt.Sprintf("nodes=%d/listed=%d", c.nodes, c.listed), func(b *testing.B) {
 			for range b.N {
 				measureCapacity(b, c.nodes, c.listed)
--- a/control/gossip.go
+++ b/control/gossip.go
@@ -24,11 +24,32 @@
 func (n *Node) round(now time.Time) {
 	n.lastRound = now
 	hb := n.heartbeat(now)
-	for _, m := range membership.GossipTargets(n.cfg.Host, n.cfg.Domain, n.snapshot.Load().Members, n.cfg.Near, n.cfg.Far, n.rng) {
+	n.choosePartners(now)
+	for _, m := range membership.GossipTargets(n.cfg.Host, n.cfg.Domain, n.partners, n.cfg.Near, n.cfg.Far, n.rng) {
 		go n.exchange(m, hb)
 	}
 }
 
+// Partners are drawn anew now and then, so that a process has few connections
+// at a time and meets all others in the long run.
+const (
+	partnerFactor = 3 // partners for each host that gets a heartbeat in a round
+	partnersFor   = 10 * time.Second
+)
+
+func (n *Node) choosePartners(now time.Time) {
+	if now.Sub(n.partnersAt) < partnersFor && len(n.partners) > 0 {
+		return
+	}
+	n.partnersAt = now
+	n.partners = membership.GossipTargets(n.cfg.Host, n.cfg.Domain, n.snapshot.Load().Members,
+		partnerFactor*n.cfg.Near, partnerFactor*n.cfg.Far, n.rng)
+	n.pool.CloseIdle(now, idleConn)
+}
+
+// idleConn is how long a connection may be unused.
+const idleConn = 2 * partnersFor
+
 // heartbeat returns what this process says about itself. It runs on the loop.
 func (n *Node) heartbeat(now time.Time) *peer.Heartbeat {
 	ref := n.fold.Ref()
@@ -63,7 +84,10 @@
 // failed notes that a host could not be reached.
 func (n *Node) failed(host string) {
 	if n.ctx.Err() == nil {
-		n.loop.Post(func() { n.view.Failed(time.Now(), host) })
+		n.loop.Post(func() {
+			n.view.Failed(time.Now(), host)
+			n.partners = nil // draw others
+		})
 	}
 }
 
--- a/control/node.go
+++ b/control/node.go
@@ -29,10 +29,10 @@
 
 // Counters of a Node.
 type counters struct {
-	staleHeads, rejectedHeads, accepted, pauses     metrics.Counter
-	heartbeatsOut, heartbeatsIn, directCalls, pulls metrics.Counter
-	platformFailures                                metrics.Counter
-	revision, bytesIn, bytesOut                     metrics.Gauge
+	staleHeads, rejectedHeads, accepted, pauses        metrics.Counter
+	heartbeatsOut, heartbeatsIn, directCalls, pulls    metrics.Counter
+	platformFailures                                   metrics.Counter
+	revision, bytesIn, bytesOut, trafficIn, trafficOut metrics.Gauge
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -41,9 +41,11 @@
 		staleHeads: c("stale_heads"), rejectedHeads: c("rejected_heads"), accepted: c("accepted"),
 		pauses: c("pauses"), heartbeatsOut: c("heartbeats_out"), heartbeatsIn: c("heartbeats_in"),
 		directCalls: c("platform_calls"), pulls: c("pulls"), platformFailures: c("platform_failures"),
-		revision: metrics.NewRegisteredGauge("control.revision", r),
-		bytesIn:  metrics.NewRegisteredGauge("control.bytes_in", r),
-		bytesOut: metrics.NewRegisteredGauge("control.bytes_out", r),
+		revision:   metrics.NewRegisteredGauge("control.revision", r),
+		bytesIn:    metrics.NewRegisteredGauge("control.bytes_in", r),
+		bytesOut:   metrics.NewRegisteredGauge("control.bytes_out", r),
+		trafficIn:  metrics.NewRegisteredGauge("control.traffic_bytes_in", r),
+		trafficOut: metrics.NewRegisteredGauge("control.traffic_bytes_out", r),
 	}
 }
 
@@ -80,6 +82,8 @@
 	awake        bool
 	reader       bool
 	stopReader   context.CancelFunc
+	partners     []membership.Member // hosts that heartbeats are exchanged with
+	partnersAt   time.Time
 	pulling      map[string]bool
 	asked        map[string]bool // peers whose history was asked for
 	past         []PastHosts     // learned from them
@@ -187,6 +191,9 @@
 	in, out := n.pool.Meter().Bytes(peer.Control)
 	n.count.bytesIn.Update(in)
 	n.count.bytesOut.Update(out)
+	in, out = n.pool.Meter().Bytes(peer.Traffic)
+	n.count.trafficIn.Update(in)
+	n.count.trafficOut.Update(out)
 }
 
 // publish stores a new snapshot and tells the listeners.
--- a/control/platform.go
+++ b/control/platform.go
@@ -262,6 +262,7 @@
 			return
 		}
 		n.hostsRaw = raw
+		n.partners = nil
 		n.publish(now)
 		n.closeUnlisted()
 		n.round(now)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -24,7 +24,7 @@
 	// creditEvery is how many frames the reader takes before it grants more.
 	creditEvery      = window / 2
 	writeQueue       = 256
-	bufferSize       = 64 << 10
+	bufferSize       = 16 << 10
 	handshakeTimeout = 5 * time.Second
 	writeTimeout     = 30 * time.Second
 )
@@ -66,6 +66,7 @@
 	mu      sync.Mutex
 	streams map[uint64]*Stream
 	nextID  uint64
+	used    time.Time // when a stream was last opened here
 }
 
 // NewConn shakes hands on nc and starts the connection. The dialling side
@@ -85,7 +86,7 @@
 		class = self.Class
 	}
 	c := &Conn{nc: nc, remote: remote, class: min(class, Bulk), meter: meter, handler: h, out: make(chan []byte, writeQueue),
-		ctx: ctx, cancel: cancel, streams: map[uint64]*Stream{}, nextID: 2}
+		ctx: ctx, cancel: cancel, streams: map[uint64]*Stream{}, nextID: 2, used: time.Now()}
 	if dialled {
 		c.nextID = 1
 	}
@@ -131,6 +132,16 @@
 // Done is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
 
+// idleFor returns how long no stream has been opened, or zero if one is open.
+func (c *Conn) idleFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.streams) > 0 {
+		return 0
+	}
+	return now.Sub(c.used)
+}
+
 // Close ends the connection; all streams fail with ErrConnLost.
 func (c *Conn) Close() {
 	c.cancel(ErrConnLost)
@@ -144,6 +155,7 @@
 	c.nextID += 2
 	s := newStream(c, id)
 	c.streams[id] = s
+	c.used = time.Now()
 	c.mu.Unlock()
 	if err := s.send(ctx, flagOpen, m); err != nil {
 		c.drop(id)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -4,6 +4,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -45,11 +46,16 @@
 
 // encodeFrame returns the wire form of a message.
 func encodeFrame(stream uint64, fl flags, m Message) ([]byte, error) {
-	payload, err := msgpack.Marshal(m)
-	if err != nil {
+	var payload bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&payload)
+	// Fields go by position, not by name: status messages are many and small.
+	enc.UseArrayEncodedStructs(true)
+	if err := enc.Encode(m); err != nil {
 		return nil, errors.Wrap(err, "peer: encode")
 	}
-	return rawFrame(stream, fl, m.Kind(), payload)
+	return rawFrame(stream, fl, m.Kind(), payload.Bytes())
 }
 
 func rawFrame(stream uint64, fl flags, k Kind, payload []byte) ([]byte, error) {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -124,6 +124,25 @@
 	}
 }
 
+// CloseIdle closes connections on which no stream is open and none has been
+// opened for limit, so that their number follows what is in use.
+func (p *Pool) CloseIdle(now time.Time, limit time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, s := range p.slots {
+		if !s.mu.TryLock() {
+			continue // being dialled
+		}
+		if s.conn == nil || s.conn.ctx.Err() != nil || s.conn.idleFor(now) > limit {
+			delete(p.slots, k)
+			if s.conn != nil {
+				s.conn.Close()
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Close closes all connections.
 func (p *Pool) Close() { p.Keep(func(string) bool { return false }) }
 
