Spread: the time allowed for a fetch follows what fetches take

Change: the planner learns what a fetch takes and allows four times that; each time-out doubles it up to a bound. Failure tests: only holder dies, stall, liar, origin down for a minute, domain cut off and joined, and pairs of them. Conclusion: no fixed timeout fits all links; a learned one does.

--- a/spread/config.go
+++ b/spread/config.go
@@ -39,8 +39,8 @@
 	// the chunk and cannot get it, is passed over. Shorter comes back to it
 	// sooner; longer reads less twice. Default 10 s.
 	Unable time.Duration
-	// FetchTimeout is when a fetch is given up and asked elsewhere.
-	// Default 10 s.
+	// FetchTimeout is the least time after which a fetch is given up and asked
+	// elsewhere; it grows with what fetches take. Default 10 s.
 	FetchTimeout time.Duration
 	// Ban is how long a peer that sent a corrupt chunk or lied is left
 	// alone the first time; it doubles. Default 30 s.
--- /dev/null
+++ b/spread/failure_test.go
@@ -0,0 +1,69 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/intent"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	failHosts  = 15
+	failChunks = 128
+)
+
+// TestSpreadThroughFailures causes failures on the fake links, alone and two
+// at once. Every live host must end with the whole version, and the origin
+// must not be read much more than once.
+func TestSpreadThroughFailures(t *testing.T) {
+	at := func(l *links, d time.Duration, f func()) { l.after(d, f) }
+	cases := map[string]struct {
+		prepare func(l *links)
+		copies  float64
+	}{
+		"the only holder dies": {func(l *links) {
+			// Each host dies just after its first chunk arrived from the origin.
+			at(l, 3*time.Second, func() { l.kill(l.hosts[4]) })
+			at(l, 6*time.Second, func() { l.kill(l.hosts[9]) })
+		}, 1.3},
+		"a link stalls without closing": {func(l *links) {
+			at(l, 10*time.Second, func() { l.hosts[2].stalled = true })
+		}, 1.5},
+		"a peer lies about what it holds": {func(l *links) {
+			l.hosts[3].liar = true
+			for _, h := range l.hosts {
+				if h != l.hosts[3] {
+					h.planner.PeerHolds("h003", []uint64{^uint64(0), ^uint64(0)})
+				}
+			}
+		}, 1.3},
+		"the origin is down and returns after a minute": {func(l *links) {
+			l.originDown = func() bool { return l.now > 5*time.Second && l.now < 65*time.Second }
+		}, 1.3},
+		"a failure domain is cut off and joins": {func(l *links) {
+			l.cut = func(a, b *linkHost) bool {
+				return l.now > 10*time.Second && l.now < 70*time.Second && (a.node.Domain == "d1") != (b.node.Domain == "d1")
+			}
+		}, 2.2}, // both sides read the origin for themselves meanwhile
+		"a stall and corrupt chunks": {func(l *links) {
+			l.corruptEvery = 50
+			at(l, 10*time.Second, func() { l.hosts[2].stalled = true })
+		}, 1.6},
+		"a death while the origin is down": {func(l *links) {
+			l.originDown = func() bool { return l.now > 5*time.Second && l.now < 35*time.Second }
+			at(l, 15*time.Second, func() { l.kill(l.hosts[6]) })
+		}, 1.4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := newLinksWith(Config{Goal: intent.SpreadOriginBytes}, failHosts, 3, failChunks, 1)
+			c.prepare(l)
+			took, ok := l.run(20 * time.Minute)
+			assert.Assert(t, ok, "not done after %s", took)
+			copies := float64(l.originChunks) / failChunks
+			t.Logf("%.2f times the floor, %.2f copies", took.Seconds()/l.bound(failHosts, failChunks).Seconds(), copies)
+			assert.Assert(t, copies <= c.copies, "%.2f copies", copies)
+		})
+	}
+}
--- a/spread/links_test.go
+++ b/spread/links_test.go
@@ -27,6 +27,9 @@
 	left                    int // live hosts that are not done
 	last                    time.Duration
 	relist                  bool // a new host list is on its way
+
+	originDown func() bool               // reads from the origin fail
+	cut        func(a, b *linkHost) bool // the two cannot reach each other
 }
 
 type linkHost struct {
@@ -35,6 +38,8 @@
 	planner  *Planner
 	up, down time.Duration // when the link is free
 	dead     bool
+	stalled  bool // what it sends never arrives, and its connections stay open
+	liar     bool // it says that it holds everything
 	done     time.Duration
 	gained   []uint32
 	flushing bool
@@ -88,7 +93,12 @@
 
 func (l *links) time() time.Time { return time.Unix(0, 0).Add(l.now) }
 
+// newLinks returns links between hosts that all want one version.
 func newLinks(hosts, domains, chunks int, goal intent.Spread, seed uint64) *links {
+	return newLinksWith(Config{Goal: goal}, hosts, domains, chunks, seed)
+}
+
+func newLinksWith(cfg Config, hosts, domains, chunks int, seed uint64) *links {
 	l := &links{rng: rand.New(rand.NewPCG(seed, seed))}
 	l.chunk = window / 2 / time.Duration(chunks)
 	l.origin = window / 4 / time.Duration(chunks)
@@ -103,7 +113,6 @@
 	for _, h := range l.hosts {
 		byName[h.node.Host] = h
 		rng := rand.New(rand.NewPCG(seed, uint64(h.index)))
-		cfg := Config{Goal: goal, FetchTimeout: time.Minute}
 		h.planner = NewPlanner(cfg, h.node, readers, false, rng)
 	}
 	l.left = hosts
@@ -124,6 +133,10 @@
 		}
 		l.controlBytes += requestBytes
 		if f.Kind != FromPeer {
+			if l.originDown != nil && l.originDown() {
+				l.fail(h, f)
+				continue
+			}
 			l.originChunks++
 			start := max(l.now+linkLatency, l.free)
 			l.free = start + l.origin
@@ -134,11 +147,12 @@
 		var i int
 		_, _ = fmt.Sscanf(f.Peer, "h%d", &i)
 		src = l.hosts[i]
-		if src.dead {
-			l.after(deadAfter, func() {
-				h.planner.Failed(l.time(), f, FaultUnreachable, 0)
-				l.pump(h)
-			})
+		if src.dead || l.cut != nil && l.cut(h, src) {
+			l.fail(h, f)
+			continue
+		}
+		if src.liar && !src.planner.Has(f.Chunk) {
+			l.after(2*linkLatency, func() { l.answerMissing(h, src, f) })
 			continue
 		}
 		if f.Asked && !src.planner.Has(f.Chunk) {
@@ -153,8 +167,19 @@
 	}
 }
 
+// fail ends a fetch whose source cannot be reached.
+func (l *links) fail(h *linkHost, f Fetch) {
+	l.after(deadAfter, func() {
+		h.planner.Failed(l.time(), f, FaultUnreachable, 0)
+		l.pump(h)
+	})
+}
+
 // send carries a chunk from one host to another.
 func (l *links) send(h, src *linkHost, f Fetch) {
+	if src.stalled {
+		return
+	}
 	if f.Far {
 		l.farChunks++
 	}
@@ -248,6 +273,9 @@
 		return
 	}
 	for _, a := range h.audience {
+		if l.cut != nil && l.cut(h, a) {
+			continue
+		}
 		l.controlBytes += haveHeader + 3*int64(len(more))
 		l.after(linkLatency, func() {
 			a.planner.PeerGained(h.node.Host, more)
--- a/spread/planner.go
+++ b/spread/planner.go
@@ -20,8 +20,10 @@
 	have     *bitset.BitSet
 	busy     *bitset.BitSet // in flight
 	inflight []Fetch
-	holds    int      // of them, questions that the peer may hold
-	copies   []uint16 // neighbours that hold each chunk
+	holds    int           // of them, questions that the peer may hold
+	typical  time.Duration // of a fetch that succeeded
+	patience time.Duration // allowed for a fetch
+	copies   []uint16      // neighbours that hold each chunk
 	peers    map[string]*peer
 	order    []*peer // neighbours, for random draws
 	sources  [FromOrigin + 1]source
@@ -48,6 +50,7 @@
 		have: bitset.New(uint(n)), busy: bitset.New(uint(n)),
 		copies: make([]uint16, n), peers: map[string]*peer{},
 		unable: map[string]time.Time{}, askAgain: make([]time.Time, n)}
+	p.patience = p.cfg.FetchTimeout
 	p.sources[FromOrigin].known = true
 	p.sources[FromStore].known = hasStore
 	p.SetReaders(readers)
@@ -93,7 +96,7 @@
 
 func (p *Planner) begin(now time.Time, f Fetch) Fetch {
 	f.Started = now
-	f.Deadline = now.Add(p.cfg.FetchTimeout)
+	f.Deadline = now.Add(p.patience)
 	if f.Hold > 0 {
 		p.holds++
 		f.Deadline = f.Deadline.Add(f.Hold)
@@ -115,6 +118,7 @@
 		return
 	}
 	p.have.Set(uint(f.Chunk))
+	p.learn(now.Sub(f.Started))
 	if f.Kind == FromPeer {
 		p.peerWorked(f.Peer)
 		return
@@ -140,6 +144,23 @@
 	p.sourceFailed(now, f.Kind, fault, wait)
 }
 
+// Constants of the time allowed for a fetch.
+const (
+	typicalWeight = 0.1 // of a new sample
+	patienceOver  = 4   // times the typical fetch
+	maxPatience   = 16  // times FetchTimeout
+)
+
+// learn adapts the time allowed for a fetch to what fetches take: on a slow or
+// shared link a chunk waits long behind others without anything being wrong.
+func (p *Planner) learn(took time.Duration) {
+	if p.typical == 0 {
+		p.typical = took
+	}
+	p.typical += time.Duration(typicalWeight * float64(took-p.typical))
+	p.patience = min(max(p.cfg.FetchTimeout, patienceOver*p.typical), maxPatience*p.cfg.FetchTimeout)
+}
+
 // Expired returns the fetches whose time is up. The caller cancels them and
 // reports them as failed.
 func (p *Planner) Expired(now time.Time) []Fetch {
@@ -149,6 +170,9 @@
 			out = append(out, f)
 		}
 	}
+	if len(out) > 0 {
+		p.patience = min(2*p.patience, maxPatience*p.cfg.FetchTimeout)
+	}
 	return out
 }
 
