Tests of the library traps and of the entry's own paths

Cause: go-zero's signal handler, body cap and answer timeout would cut requests. Conclusion: the traps are held by tests.

--- /dev/null
+++ b/entry/traps_test.go
@@ -0,0 +1,80 @@
+package entry_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/springgate/springgate/standin"
+	"gotest.tools/v3/assert"
+)
+
+// go-zero kills its process 5.5 s after SIGTERM unless told otherwise. A
+// stream that is longer than that must end whole.
+func TestSignalHandlerOfTheLibraryCutsNothing(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	f.publish(0)
+	f.until("version 0", f.serves(0))
+	f.ready("engine")
+	own := make(chan os.Signal, 1)
+	signal.Notify(own, syscall.SIGTERM)
+	defer signal.Stop(own)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+f.entry.CallerAddr()+"/engine/x?tokens=6500", nil)
+	assert.NilError(t, err)
+	r.Header.Set(standin.CallHeader, "long")
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-own
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(b), "data: long "), 6500)
+	assert.Equal(t, f.call("engine", "after").status, http.StatusOK, "the listener is still ours")
+}
+
+// go-zero caps bodies at 1 MB and answers at 3 s by default.
+func TestLibraryLimitsAreOff(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	f.publish(0)
+	f.ready("plain")
+	body := bytes.Repeat([]byte("x"), 3<<20)
+	resp, err := http.Post("http://"+f.entry.CallerAddr()+"/plain/x", "text/plain", bytes.NewReader(body))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, bytes.Count(b, []byte("x")), len(body)+1, "body and path come back")
+}
+
+func TestOwnPaths(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	get := func(path string) (int, string) {
+		resp, err := http.Get("http://" + f.entry.CallerAddr() + path)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		return resp.StatusCode, string(b)
+	}
+	status, _ := get("/healthz")
+	assert.Equal(t, status, http.StatusOK)
+	status, _ = get("/readyz")
+	assert.Equal(t, status, http.StatusServiceUnavailable, "no fleet file yet")
+	f.publish(0)
+	f.ready("plain")
+	status, _ = get("/readyz")
+	assert.Equal(t, status, http.StatusOK)
+	_, text := get("/metrics")
+	for _, want := range []string{"springgate_refused_no_intent_total ", "springgate_requests_completed_total 1", "springgate_control_revision 1"} {
+		assert.Assert(t, strings.Contains(text, want), want)
+	}
+	_, text = get("/status")
+	assert.Assert(t, strings.Contains(text, `"host": "p0"`) && strings.Contains(text, `"ready": true`), text)
+}
