A store with a corrupt manifest no longer keeps the origin out

Cause: found by TestVersionArrivesPastBadSources: hosts asked the store for the manifest again and again, since it answered, and never went on to the origin. Change: a manifest is checked where it is read, and the next source is asked. Tests for a corrupting store, a truncating origin, an engine that keeps the old version, and pauses of a minute. Conclusion: every content that is read is verified before it ends a search.

--- a/agent/config.go
+++ b/agent/config.go
@@ -33,6 +33,10 @@
 	// Default 32 MiB.
 	AnswerMemory int64
 
+	// LoadTimeout is how long an engine may take to report what it was told to
+	// load before it is told again. Default 5 min.
+	LoadTimeout time.Duration
+
 	// WeightMemory bounds the weight chunks held, in bytes. Default 1 GiB.
 	WeightMemory int64
 	// LinkRate paces weight transfer in each direction, in bytes a second.
@@ -51,6 +55,7 @@
 	c.StatusEvery = cmp.Or(c.StatusEvery, 800*time.Millisecond)
 	c.DrainTimeout = cmp.Or(c.DrainTimeout, 10*time.Minute)
 	c.ResumeGrace = cmp.Or(c.ResumeGrace, 15*time.Second)
+	c.LoadTimeout = cmp.Or(c.LoadTimeout, 5*time.Minute)
 	c.AnswerMemory = cmp.Or(c.AnswerMemory, 32<<20)
 	c.WeightMemory = cmp.Or(c.WeightMemory, 1<<30)
 	c.HaveEvery = cmp.Or(c.HaveEvery, 200*time.Millisecond)
--- a/agent/supervisor.go
+++ b/agent/supervisor.go
@@ -23,9 +23,6 @@
 	// that does not check fences: an order of the process before it has then
 	// arrived or timed out.
 	orderGrace = 6 * time.Second
-	// loadTimeout is how long an engine may take to report what it was told
-	// to load.
-	loadTimeout = 5 * time.Minute
 	// orderRetry is the wait after an order was refused.
 	orderRetry = 2 * time.Second
 	// drainLimit bounds the wait for running requests before a switch.
@@ -210,12 +207,12 @@
 	s.order(ctx, service, want)
 }
 
-// underWay waits for an order that was given, up to loadTimeout.
+// underWay waits for an order that was given, up to the load timeout.
 func (s *supervisor) underWay(ctx context.Context, service string, now time.Time) bool {
 	if s.orderedAt.IsZero() {
 		return false
 	}
-	if now.Sub(s.orderedAt) < loadTimeout {
+	if now.Sub(s.orderedAt) < s.cfg.LoadTimeout {
 		s.permits.ask(ctx, service) // renew
 		return true
 	}
--- a/agent/weights.go
+++ b/agent/weights.go
@@ -224,13 +224,10 @@
 // share, so that few read it from the source.
 func (w *weights) fetchManifest(t *transfer, goal intent.Spread) {
 	for t.ctx.Err() == nil {
-		b, err := w.readManifest(t)
+		m, b, err := w.readManifest(t)
 		if err == nil {
-			var m *spread.Manifest
-			if m, err = spread.ParseManifest(b, t.id); err == nil {
-				w.loop.Post(func() { w.begin(t, m, b, goal) })
-				return
-			}
+			w.loop.Post(func() { w.begin(t, m, b, goal) })
+			return
 		}
 		w.log.WithField("version", t.id.Short()).WithError(err).Debug("Manifest not read.")
 		jitter := time.Duration(rand.Int64N(int64(manifestRetry)))
@@ -241,7 +238,7 @@
 // manifestReaders is how many hosts read a manifest from the source.
 const manifestReaders = 2
 
-func (w *weights) readManifest(t *transfer) ([]byte, error) {
+func (w *weights) readManifest(t *transfer) (*spread.Manifest, []byte, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, manifestTimeout)
 	defer cancel()
 	var nodes []string
@@ -254,7 +251,7 @@
 			sources[k] = c
 		}
 	}); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	first := membership.Rank("manifest/"+t.id.String(), nodes, manifestReaders)
 	duty := false
@@ -263,15 +260,21 @@
 	}
 	if !duty {
 		for _, h := range first {
-			if b, err := w.chunkFromPeer(ctx, h, &peer.GetChunk{Digest: t.id}); err == nil {
-				return b, nil
+			b, err := w.chunkFromPeer(ctx, h, &peer.GetChunk{Digest: t.id})
+			if err != nil {
+				continue
+			}
+			if m, err := spread.ParseManifest(b, t.id); err == nil {
+				return m, b, nil
 			}
 		}
 	}
 	return manifestFromSources(ctx, sources, t.id)
 }
 
-func manifestFromSources(ctx context.Context, sources map[intent.SourceKind]*weightstore.Client, id digest.Digest) ([]byte, error) {
+// manifestFromSources reads a manifest from the store or, if that does not
+// have it whole, from the origin.
+func manifestFromSources(ctx context.Context, sources map[intent.SourceKind]*weightstore.Client, id digest.Digest) (*spread.Manifest, []byte, error) {
 	err := weightstore.ErrUnavailable
 	for _, k := range []intent.SourceKind{intent.Store, intent.Origin} {
 		c := sources[k]
@@ -279,11 +282,15 @@
 			continue
 		}
 		var b []byte
-		if b, err = c.Manifest(ctx, id); err == nil {
-			return b, nil
+		if b, err = c.Manifest(ctx, id); err != nil {
+			continue
+		}
+		var m *spread.Manifest
+		if m, err = spread.ParseManifest(b, id); err == nil {
+			return m, b, nil
 		}
 	}
-	return nil, err
+	return nil, nil, err
 }
 
 // begin starts planning once the manifest is known. It runs on the loop.
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -53,6 +53,7 @@
 	log      *logrus.Logger
 	platform *standin.Platform
 	origin   *standin.Source
+	store    *standin.Source // nil if there is none
 	runs     *standin.Runs
 	hosts    map[string]*testHost
 	names    []string
@@ -112,7 +113,7 @@
 }
 
 func (f *testFleet) startAgent(h *testHost) {
-	cfg := agent.Config{Control: f.control(h.name), TargetURL: h.url,
+	cfg := agent.Config{Control: f.control(h.name), TargetURL: h.url, LoadTimeout: 200 * time.Millisecond,
 		Idempotency: idempotency.Config{KeyWindow: keyWindow, ClockSkew: time.Millisecond}}
 	a, err := agent.New(cfg, configservice.New(f.platform.URL()), hostlist.New(f.platform.URL()), f.log)
 	assert.NilError(f.t, err)
@@ -132,7 +133,11 @@
 // publish makes version v of the model the one in force.
 func (f *testFleet) publish(v int) uint64 {
 	var b strings.Builder
-	fmt.Fprintf(&b, "format: 1\nfleet: test\nsources: [{name: o, kind: origin, url: %q}]\nteams: [{name: default}]\nservices:\n", f.origin.URL())
+	sources := fmt.Sprintf("{name: o, kind: origin, url: %q}", f.origin.URL())
+	if f.store != nil {
+		sources += fmt.Sprintf(", {name: s, kind: store, url: %q}", f.store.URL())
+	}
+	fmt.Fprintf(&b, "format: 1\nfleet: test\nsources: [%s]\nteams: [{name: default}]\nservices:\n", sources)
 	for _, kind := range []string{"engine", "plain"} {
 		var names []string
 		for _, n := range f.names {
@@ -381,6 +386,38 @@
 	}
 }
 
+// A store that corrupts all it sends, an origin that truncates for a while,
+// and an engine that accepts an order and goes on with the old version.
+func TestVersionArrivesPastBadSources(t *testing.T) {
+	f := newFleet(t, 2, 0)
+	var err error
+	f.store, err = standin.NewSource(loopback, 0)
+	assert.NilError(t, err)
+	for i := range 2 {
+		_, _, err = f.store.Add("v", 1<<12, standin.Content(1<<17, uint64(i)))
+		assert.NilError(t, err)
+	}
+	f.store.Faults.Corrupt.Store(1)
+	f.origin.Faults.Truncate.Store(true)
+	f.publish(0)
+	f.until("the origin is asked", func() bool { return f.origin.Requests() > 3 })
+	assert.Equal(t, f.hosts["e0"].engine.Loadout(), "")
+	f.origin.Faults.Truncate.Store(false)
+	f.until("version 0", f.serves(0))
+	old := f.hosts["e1"].engine
+	old.Faults.KeepOld.Store(true)
+	orders := old.Orders()
+	f.publish(1)
+	f.until("the engine is told again", func() bool { return old.Orders() >= orders+2 })
+	f.until("the other goes on", func() bool { return f.hosts["e0"].engine.Loadout() != old.Loadout() })
+	f.until("the old version is still served", func() bool { return f.call("engine", "c").status == http.StatusOK })
+	old.Faults.KeepOld.Store(false)
+	f.until("version 1", f.serves(1))
+	for _, h := range f.hosts {
+		assert.Equal(t, h.engine.Mixed(), int64(0))
+	}
+}
+
 // While the platform is down, shows an older head, or an invalid file is
 // published, the last accepted revision stays in force, also in a process
 // that starts meanwhile.
--- a/spread/failure_test.go
+++ b/spread/failure_test.go
@@ -46,6 +46,13 @@
 				return l.now > 10*time.Second && l.now < 70*time.Second && (a.node.Domain == "d1") != (b.node.Domain == "d1")
 			}
 		}, 2.2}, // both sides read the origin for themselves meanwhile
+		"a host is paused for a minute": {func(l *links) {
+			at(l, 20*time.Second, func() { l.hosts[5].asleep = l.now + time.Minute })
+		}, 1.3},
+		"a pause and a death": {func(l *links) {
+			at(l, 20*time.Second, func() { l.hosts[5].asleep = l.now + time.Minute })
+			at(l, 30*time.Second, func() { l.kill(l.hosts[8]) })
+		}, 1.4},
 		"a stall and corrupt chunks": {func(l *links) {
 			l.corruptEvery = 50
 			at(l, 10*time.Second, func() { l.hosts[2].stalled = true })
--- a/spread/links_test.go
+++ b/spread/links_test.go
@@ -38,8 +38,9 @@
 	planner  *Planner
 	up, down time.Duration // when the link is free
 	dead     bool
-	stalled  bool // what it sends never arrives, and its connections stay open
-	liar     bool // it says that it holds everything
+	asleep   time.Duration // paused until then
+	stalled  bool          // what it sends never arrives, and its connections stay open
+	liar     bool          // it says that it holds everything
 	done     time.Duration
 	gained   []uint32
 	flushing bool
@@ -126,7 +127,7 @@
 
 // pump starts the fetches that a host's planner wants.
 func (l *links) pump(h *linkHost) {
-	for !h.dead {
+	for !h.dead && l.now >= h.asleep {
 		f, ok := h.planner.Next(l.time())
 		if !ok {
 			return
@@ -180,6 +181,10 @@
 	if src.stalled {
 		return
 	}
+	if l.now < src.asleep {
+		l.after(src.asleep-l.now, func() { l.send(h, src, f) })
+		return
+	}
 	if f.Far {
 		l.farChunks++
 	}
@@ -242,6 +247,10 @@
 }
 
 func (l *links) arrived(h *linkHost, f Fetch, bad bool) {
+	if l.now < h.asleep {
+		l.after(h.asleep-l.now, func() { l.arrived(h, f, bad) })
+		return
+	}
 	if h.dead {
 		return
 	}
@@ -336,6 +345,10 @@
 	if h.dead || h.done > 0 {
 		return
 	}
+	if l.now < h.asleep {
+		l.after(h.asleep-l.now, func() { l.wake(h) })
+		return
+	}
 	for _, f := range h.planner.Expired(l.time()) {
 		h.planner.Failed(l.time(), f, FaultUnreachable, 0)
 	}
