--- a/intent/oracle_test.go
+++ b/intent/oracle_test.go
@@ -25,6 +25,17 @@
 	seen    map[string]bool // digests of parts offered after their head
 }
 
+// readWhole gives a process a head and all its parts.
+func readWhole(n *foldNode, now time.Time, p published) {
+	_, _ = n.fold.OfferHead(now, p.head)
+	for _, b := range p.parts {
+		n.fold.OfferPart(now, b)
+	}
+	if p.valid && n.highest.Less(p.head.Ref()) {
+		n.highest = p.head.Ref()
+	}
+}
+
 // TestOracleFold holds a fleet of folds against an oracle: nothing invalid is
 // ever accepted, nothing ever reverts, and processes that have seen the same
 // agree on the highest valid revision.
@@ -37,6 +48,10 @@
 		for i := range nodes {
 			nodes[i] = &foldNode{fold: NewFold(time.Minute), offered: map[Ref]bool{}, seen: map[string]bool{}}
 		}
+		// The platform may be down, or show an older head, to a part of the fleet;
+		// the fleet may be cut in two.
+		down, stale, cut := make([]bool, len(nodes)), make([]bool, len(nodes)), false
+		side := func(i int) bool { return i == 0 }
 		pick := func(t *rapid.T) (*foldNode, published) {
 			if len(pubs) == 0 {
 				t.Skip("nothing published")
@@ -84,17 +99,14 @@
 			},
 			"whole": func(t *rapid.T) {
 				n, p := pick(t)
-				_, _ = n.fold.OfferHead(now, p.head)
-				for _, b := range p.parts {
-					n.fold.OfferPart(now, b)
-				}
-				if p.valid && n.highest.Less(p.head.Ref()) {
-					n.highest = p.head.Ref()
-				}
+				readWhole(n, now, p)
 			},
 			"from peer": func(t *rapid.T) {
-				n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
-				o := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "peer")]
+				i, j := rapid.IntRange(0, len(nodes)-1).Draw(t, "node"), rapid.IntRange(0, len(nodes)-1).Draw(t, "peer")
+				if cut && side(i) != side(j) {
+					t.Skip("cut off")
+				}
+				n, o := nodes[i], nodes[j]
 				a := o.fold.Accepted()
 				if a == nil {
 					t.Skip("peer has none")
@@ -116,6 +128,22 @@
 				*n = foldNode{fold: NewFold(time.Minute), offered: map[Ref]bool{}, seen: map[string]bool{}}
 			},
 			"time": func(*rapid.T) { now = now.Add(20 * time.Second) },
+			"cut":  func(*rapid.T) { cut = !cut },
+			"platform": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
+				down[i], stale[i] = rapid.Bool().Draw(t, "down"), rapid.Bool().Draw(t, "stale")
+			},
+			"read newest": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
+				at := len(pubs) - 1
+				if stale[i] {
+					at--
+				}
+				if down[i] || at < 0 {
+					t.Skip("nothing to read")
+				}
+				readWhole(nodes[i], now, pubs[at])
+			},
 		}
 		before := make([]Ref, len(nodes))
 		check := func(t *rapid.T) {
@@ -146,6 +174,21 @@
 		}
 		actions[""] = check
 		t.Repeat(actions)
+		// All is whole again: every process reads what is published, and all agree.
+		var top Ref
+		for _, p := range pubs {
+			if p.valid && top.Less(p.head.Ref()) {
+				top = p.head.Ref()
+			}
+			for _, n := range nodes {
+				readWhole(n, now, p)
+			}
+		}
+		for i, n := range nodes {
+			if n.fold.Ref() != top {
+				t.Fatalf("node %d ends at %d, want %d", i, n.fold.Ref().Revision, top.Revision)
+			}
+		}
 	})
 	t.Logf("%d steps", steps)
 }
