--- a/caller/problem.go
+++ b/caller/problem.go
@@ -40,6 +40,9 @@
 // WriteProblem answers with a problem document.
 func WriteProblem(w http.ResponseWriter, r Refusal) {
 	info := outcome.Lookup(r.Reason)
+	if !worthRepeating(info.Status) {
+		r.RetryAfter = 0
+	}
 	p := Problem{Type: problemBase + string(r.Reason), Title: info.Text, Status: info.Status, Detail: r.Detail,
 		Outcome: r.Outcome, Reason: r.Reason, RequestID: r.RequestID, RetryAfter: wholeSeconds(r.RetryAfter)}
 	h := w.Header()
@@ -53,4 +56,14 @@
 	_ = json.NewEncoder(w).Encode(p) // the caller may be gone
 }
 
+// worthRepeating is false for answers that the same request would get again.
+func worthRepeating(status int) bool {
+	switch status {
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
 func wholeSeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
