--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -115,7 +115,7 @@
 	if t == nil {
 		return x.machine.NoHost(outcome.NoCandidate, time.Second)
 	}
-	c := t.Pick(now, x.entry.rng(), x.tried)
+	c := x.pick(now, t)
 	if c == nil {
 		return x.machine.NoHost(outcome.NoCandidate, time.Second)
 	}
@@ -125,6 +125,15 @@
 	return x.machine.Chosen()
 }
 
+// pick prefers the engine of the conversation, if the service asks for it.
+func (x *exchange) pick(now time.Time, t *routing.Table) *routing.Candidate {
+	n := min(x.svc.AffinityBytes, len(x.body.held))
+	if n == 0 {
+		return t.Pick(now, x.entry.rng(), x.tried)
+	}
+	return t.PickPrefix(now, x.entry.rng(), string(x.body.held[:n]), x.tried)
+}
+
 // chooseHome picks the one host that keeps the record of the key.
 func (x *exchange) chooseHome(member func(string) (membership.Member, bool)) submission.Action {
 	k := idempotency.KeyID{Service: x.svc.Name, Team: x.req.Team, Key: x.req.Key}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -60,6 +60,7 @@
 	entry    *entry.Entry
 	versions map[digest.Digest]*spread.Manifest
 	ids      []digest.Digest
+	affinity int // bytes of a body that name a conversation
 }
 
 func newFleet(t testing.TB, engines, plains int) *testFleet {
@@ -150,7 +151,7 @@
 		}
 		fmt.Fprintf(&b, "  - {name: %s, kind: %s, hosts: [{domain: d, names: [%s]}], limits: {timeout: 30s}", kind, kind, strings.Join(names, ","))
 		if kind == "engine" {
-			fmt.Fprintf(&b, ", fenced: true, model: {name: m, manifest: %q}", f.ids[v])
+			fmt.Fprintf(&b, ", fenced: true, affinity_bytes: %d, model: {name: m, manifest: %q}", f.affinity, f.ids[v])
 		}
 		b.WriteString("}\n")
 	}
@@ -386,6 +387,22 @@
 	}
 }
 
+// Requests of one conversation go to one engine.
+func TestConversationStaysWithItsEngine(t *testing.T) {
+	f := newFleet(t, 3, 0)
+	f.affinity = 4
+	f.publish(0)
+	f.until("version 0", f.serves(0))
+	f.ready("engine")
+	f.until("one host answers all", func() bool { // once the entry knows all three
+		hosts := map[string]bool{}
+		for range 10 {
+			hosts[f.call("engine", "c").header.Get(caller.HeaderHost)] = true
+		}
+		return len(hosts) == 1
+	})
+}
+
 // A store that corrupts all it sends, an origin that truncates for a while,
 // and an engine that accepts an order and goes on with the old version.
 func TestVersionArrivesPastBadSources(t *testing.T) {
--- a/intent/diff.go
+++ b/intent/diff.go
@@ -73,6 +73,7 @@
 	add("spread", old.Spread, new.Spread)
 	add("max_unavailable", old.MaxUnavailable, new.MaxUnavailable)
 	add("fenced", old.Fenced, new.Fenced)
+	add("affinity_bytes", old.AffinityBytes, new.AffinityBytes)
 	add("limits", old.Limits, new.Limits)
 	diffNamed(out, field+".hosts", old.Hosts, new.Hosts, func(h HostRef) string { return h.Name })
 }
--- a/intent/fleet.go
+++ b/intent/fleet.go
@@ -98,6 +98,9 @@
 	Spread   Spread
 	// MaxUnavailable bounds the engines that are out for a switch at once.
 	MaxUnavailable int
+	// AffinityBytes is how much of the start of a request body names a
+	// conversation, whose requests then go to one engine; 0 is no affinity.
+	AffinityBytes int
 	// Fenced is true if the engines refuse orders with an old fencing number.
 	Fenced bool
 	Limits Limits
--- a/intent/parse.go
+++ b/intent/parse.go
@@ -26,6 +26,7 @@
 	maxRate        = 1000000
 	maxPriority    = 7
 	maxTimeout     = time.Hour
+	maxAffinity    = 256 << 10
 	minTimeout     = 10 * time.Millisecond
 )
 
@@ -153,7 +154,7 @@
 
 func (d *decoder) service(e element) Service {
 	o := d.object(e.node, e.path, "name", "kind", "role", "hosts", "model", "adapters",
-		"spread", "max_unavailable", "fenced", "limits")
+		"spread", "max_unavailable", "fenced", "affinity_bytes", "limits")
 	s := Service{Name: o.nameOf("name"), Kind: enum(o, "kind", "", Engine, Plain)}
 	for _, h := range o.list("hosts", true) {
 		s.Hosts = append(s.Hosts, d.hosts(h)...)
@@ -163,7 +164,7 @@
 		d.engine(o, &s)
 		return s
 	}
-	for _, field := range []string{"role", "model", "adapters", "spread", "max_unavailable", "fenced"} {
+	for _, field := range []string{"role", "model", "adapters", "spread", "max_unavailable", "fenced", "affinity_bytes"} {
 		if o.has(field) && s.Kind == Plain {
 			o.fault(field, "only allowed for kind: %s", Engine)
 		}
@@ -175,6 +176,7 @@
 	s.Role = enum(o, "role", Mixed, Mixed, Prefill, Decode)
 	s.Spread = enum(o, "spread", SpreadTime, SpreadTime, SpreadOriginBytes)
 	s.Fenced = o.boolean("fenced", false)
+	s.AffinityBytes = o.integer("affinity_bytes", 0, 0, maxAffinity)
 	s.MaxUnavailable = o.integer("max_unavailable", 1, 1, max(1, len(s.Hosts)))
 	if n := o.fields["model"]; n != nil {
 		s.Model = d.version(element{n, o.name("model")})
