Spread: time allowed by kind of source; time goal waits before it doubles

Cause: a rerun of BenchmarkSpread did not end at 470 hosts. All hosts wait 34 s in the origin's queue, longer than the 10 s that peers had taught the planner; each gave up and asked again. With spread: time, idle hosts read at the start what others were about to bring: 1.98 copies at 100 hosts. Change: the time allowed is learned for each kind of source, and is longer for sources; the time goal reads in place of others only after 2 s without a chunk.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -45,7 +45,8 @@
 	originCopies = 4
 	hostCopies   = 2
 
-	keyWindow   = 5 * time.Second
+	keyWindow   = 4 * time.Second
+	clockSkew   = 50 * time.Millisecond
 	plainHosts  = 2
 	loadTime    = 150 * time.Millisecond
 	beforeTime  = 5 * time.Second
@@ -217,7 +218,7 @@
 	cs, hl := f.clients()
 	cfg := agent.Config{Control: f.control(h.name, h.domain, loopback), TargetURL: h.url,
 		LinkRate: f.hostRate(), WeightMemory: 2*f.cfg.Size + 1<<20,
-		Idempotency: idempotency.Config{KeyWindow: keyWindow}}
+		Idempotency: idempotency.Config{KeyWindow: keyWindow, ClockSkew: clockSkew}}
 	a, err := agent.New(cfg, cs, hl, f.log)
 	if err != nil {
 		return err
--- a/spread/duty.go
+++ b/spread/duty.go
@@ -148,9 +148,11 @@
 }
 
 // fromSourceInstead reads from a source what no neighbour offers, if time
-// weighs more than the bytes of the origin.
+// weighs more than the bytes of the origin and this host has gained nothing
+// for a while.
 func (p *Planner) fromSourceInstead(now time.Time) (Fetch, bool) {
-	if p.cfg.Goal != intent.SpreadTime || len(p.inflight) >= p.cfg.Pipeline/4 {
+	if p.cfg.Goal != intent.SpreadTime || len(p.inflight) >= p.cfg.Pipeline/4 ||
+		now.Sub(p.gainedAt) < idleTime {
 		return Fetch{}, false
 	}
 	kind, ok := p.openSource(now)
--- a/spread/failure_test.go
+++ b/spread/failure_test.go
@@ -41,6 +41,9 @@
 		"the origin is down and returns after a minute": {func(l *links) {
 			l.originDown = func() bool { return l.now > 5*time.Second && l.now < 65*time.Second }
 		}, 1.3},
+		"the origin is slow": {func(l *links) {
+			l.origin *= 8 // all wait long in its queue, and nothing is wrong
+		}, 1.1},
 		"a failure domain is cut off and joins": {func(l *links) {
 			l.cut = func(a, b *linkHost) bool {
 				return l.now > 10*time.Second && l.now < 70*time.Second && (a.node.Domain == "d1") != (b.node.Domain == "d1")
--- a/spread/planner.go
+++ b/spread/planner.go
@@ -20,10 +20,10 @@
 	have     *bitset.BitSet
 	busy     *bitset.BitSet // in flight
 	inflight []Fetch
-	holds    int           // of them, questions that the peer may hold
-	typical  time.Duration // of a fetch that succeeded
-	patience time.Duration // allowed for a fetch
-	copies   []uint16      // neighbours that hold each chunk
+	holds    int // of them, questions that the peer may hold
+	patience [FromOrigin + 1]patience
+	gainedAt time.Time // of the last chunk
+	copies   []uint16  // neighbours that hold each chunk
 	peers    map[string]*peer
 	order    []*peer // neighbours, for random draws
 	sources  [FromOrigin + 1]source
@@ -50,7 +50,9 @@
 		have: bitset.New(uint(n)), busy: bitset.New(uint(n)),
 		copies: make([]uint16, n), peers: map[string]*peer{},
 		unable: map[string]time.Time{}, askAgain: make([]time.Time, n)}
-	p.patience = p.cfg.FetchTimeout
+	for k := range p.patience {
+		p.patience[k] = newPatience(SourceKind(k), p.cfg.FetchTimeout)
+	}
 	p.sources[FromOrigin].known = true
 	p.sources[FromStore].known = hasStore
 	p.SetReaders(readers)
@@ -77,6 +79,9 @@
 
 // Next returns the next fetch to start, if any.
 func (p *Planner) Next(now time.Time) (Fetch, bool) {
+	if p.gainedAt.IsZero() {
+		p.gainedAt = now
+	}
 	if p.Complete() {
 		return Fetch{}, false
 	}
@@ -96,7 +101,7 @@
 
 func (p *Planner) begin(now time.Time, f Fetch) Fetch {
 	f.Started = now
-	f.Deadline = now.Add(p.patience)
+	f.Deadline = now.Add(p.patience[f.Kind].allowed)
 	if f.Hold > 0 {
 		p.holds++
 		f.Deadline = f.Deadline.Add(f.Hold)
@@ -118,7 +123,8 @@
 		return
 	}
 	p.have.Set(uint(f.Chunk))
-	p.learn(now.Sub(f.Started))
+	p.patience[f.Kind].learn(now.Sub(f.Started))
+	p.gainedAt = now
 	if f.Kind == FromPeer {
 		p.peerWorked(f.Peer)
 		return
@@ -144,34 +150,21 @@
 	p.sourceFailed(now, f.Kind, fault, wait)
 }
 
-// Constants of the time allowed for a fetch.
-const (
-	typicalWeight = 0.1 // of a new sample
-	patienceOver  = 4   // times the typical fetch
-	maxPatience   = 16  // times FetchTimeout
-)
-
-// learn adapts the time allowed for a fetch to what fetches take: on a slow or
-// shared link a chunk waits long behind others without anything being wrong.
-func (p *Planner) learn(took time.Duration) {
-	if p.typical == 0 {
-		p.typical = took
-	}
-	p.typical += time.Duration(typicalWeight * float64(took-p.typical))
-	p.patience = min(max(p.cfg.FetchTimeout, patienceOver*p.typical), maxPatience*p.cfg.FetchTimeout)
-}
-
 // Expired returns the fetches whose time is up. The caller cancels them and
 // reports them as failed.
 func (p *Planner) Expired(now time.Time) []Fetch {
 	var out []Fetch
+	late := [FromOrigin + 1]bool{}
 	for _, f := range p.inflight {
 		if !now.Before(f.Deadline) {
 			out = append(out, f)
+			late[f.Kind] = true
 		}
 	}
-	if len(out) > 0 {
-		p.patience = min(2*p.patience, maxPatience*p.cfg.FetchTimeout)
+	for k, is := range late {
+		if is {
+			p.patience[k].exhausted()
+		}
 	}
 	return out
 }
@@ -209,5 +202,9 @@
 	return p.cfg.PerSource
 }
 
+// idleTime is how long a host gains nothing before it reads from a source what
+// others are to bring.
+const idleTime = 2 * time.Second
+
 // timeFactor is how many times more is asked of a source if time weighs more.
 const timeFactor = 2
