--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/springgate/springgate/control"
 	"github.com/springgate/springgate/hostlist"
 	"github.com/springgate/springgate/intent"
+	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/target"
@@ -211,7 +212,7 @@
 		select {
 		case <-changed:
 			t.Stop()
-			sleep(ctx, statusBatch)
+			loop.Sleep(ctx, statusBatch)
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
--- a/agent/holdings.go
+++ b/agent/holdings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springgate/springgate/digest"
+	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/peer"
 )
 
@@ -38,7 +39,7 @@
 			w.listenOnce(ctx, t, host, m.Addr)
 			w.loop.Post(func() { t.planner.PeerGone(host) })
 		}
-		sleep(ctx, subscribeRetry)
+		loop.Sleep(ctx, subscribeRetry)
 	}
 }
 
@@ -93,7 +94,7 @@
 		}
 		select {
 		case <-changed:
-			sleep(ctx, w.cfg.HaveEvery)
+			loop.Sleep(ctx, w.cfg.HaveEvery)
 		case <-ctx.Done():
 		}
 		if ctx.Err() != nil {
--- a/agent/requests.go
+++ b/agent/requests.go
@@ -61,18 +61,7 @@
 }
 
 func (r *requests) run(ctx context.Context) {
-	go func() {
-		t := time.NewTicker(expireEvery)
-		defer t.Stop()
-		for {
-			select {
-			case <-t.C:
-				r.loop.Post(r.tick)
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
+	go r.loop.Every(ctx, expireEvery, r.tick)
 	r.loop.Run(ctx)
 }
 
--- a/control/node.go
+++ b/control/node.go
@@ -130,7 +130,7 @@
 	defer cancel()
 	n.ctx = ctx
 	go n.start()
-	go n.tickLoop()
+	go n.loop.Every(ctx, tickEvery, func() { n.tick(time.Now()) })
 	n.loop.Run(ctx)
 }
 
@@ -153,19 +153,6 @@
 	n.readHosts()
 }
 
-func (n *Node) tickLoop() {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			_ = n.loop.Call(func() { n.tick(time.Now()) })
-		case <-n.ctx.Done():
-			return
-		}
-	}
-}
-
 // tick looks over the state. It runs on the loop.
 func (n *Node) tick(now time.Time) {
 	if !n.lastTick.IsZero() && now.Sub(n.lastTick) > n.cfg.Pause {
--- a/control/platform.go
+++ b/control/platform.go
@@ -8,6 +8,7 @@
 	"github.com/springgate/springgate/configservice"
 	"github.com/springgate/springgate/hostlist"
 	"github.com/springgate/springgate/intent"
+	"github.com/springgate/springgate/loop"
 	"golang.org/x/time/rate"
 )
 
@@ -48,20 +49,11 @@
 func (n *Node) watchHead(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := n.readHead(ctx, n.cfg.WatchWait, false); err != nil {
-			sleep(ctx, watchRetry)
+			loop.Sleep(ctx, watchRetry)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // readHead reads or watches the head and offers it. limited says whether the
 // reads of parts obey the limit on direct calls.
 func (n *Node) readHead(ctx context.Context, wait time.Duration, limited bool) error {
@@ -88,7 +80,7 @@
 		return err
 	}
 	if v := n.verdict(h); v != intent.HeadAccepted && v != intent.HeadCurrent {
-		sleep(ctx, watchRetry) // a watch for a rejected or older head returns at once
+		loop.Sleep(ctx, watchRetry) // a watch for a rejected or older head returns at once
 	}
 	return nil
 }
@@ -232,7 +224,7 @@
 func (n *Node) watchHosts(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.readHosts()
-		sleep(ctx, n.cfg.HostsEvery)
+		loop.Sleep(ctx, n.cfg.HostsEvery)
 	}
 }
 
--- a/demo/report.go
+++ b/demo/report.go
@@ -8,6 +8,8 @@
 	"sync"
 	"text/tabwriter"
 	"time"
+
+	"github.com/springgate/springgate/loop"
 )
 
 // Result is what a demonstration measured. Lost, Doubled, Crossed and Mixed
@@ -92,7 +94,7 @@
 }
 
 func (p *progress) wait(ctx context.Context, d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end) && nap(ctx, showEvery); {
+	for end := time.Now().Add(d); time.Now().Before(end) && loop.Sleep(ctx, showEvery); {
 		p.line(p.fleet.cfg.Hosts)
 	}
 }
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/springgate/springgate/digest"
 	"github.com/springgate/springgate/intent"
+	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/target"
 )
 
@@ -37,7 +38,7 @@
 		if time.Since(began) > limit {
 			return 0, errors.Errorf("demo: %d of %d replicas after %s", n, f.cfg.Hosts, limit)
 		}
-		if !nap(ctx, lookEvery) {
+		if !loop.Sleep(ctx, lookEvery) {
 			return 0, ctx.Err()
 		}
 	}
@@ -46,7 +47,7 @@
 // awaitRevision waits until every process has the revision in force.
 func (f *fleet) awaitRevision(ctx context.Context, revision uint64, began time.Time) time.Duration {
 	for ctx.Err() == nil && !f.allAt(int64(revision)) {
-		nap(ctx, lookEvery)
+		loop.Sleep(ctx, lookEvery)
 	}
 	return time.Since(began)
 }
@@ -75,18 +76,6 @@
 	return g.Value()
 }
 
-// nap waits for d; it reports false if ctx ended first.
-func nap(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Faults of the demonstration, after the second version is published.
 const (
 	faultAfter   = time.Second
@@ -99,13 +88,13 @@
 // with empty memory, and takes the platform down for a while.
 func (f *fleet) breakThings(ctx context.Context, show *progress) {
 	f.origin.Faults.Corrupt.Store(corruptEvery)
-	if !nap(ctx, faultAfter) {
+	if !loop.Sleep(ctx, faultAfter) {
 		return
 	}
 	victim := f.hosts[int(f.cfg.Seed)%f.cfg.Hosts]
 	show.say("Fault: agent of %s killed; one in %d chunks of the origin is corrupt.", victim.name, corruptEvery)
 	victim.stop()
-	if !nap(ctx, restartAfter) {
+	if !loop.Sleep(ctx, restartAfter) {
 		return
 	}
 	if err := f.startAgent(ctx, victim); err != nil {
@@ -114,11 +103,11 @@
 	}
 	f.publishHosts()
 	show.say("Agent of %s restarted with empty memory.", victim.name)
-	if !nap(ctx, faultAfter) {
+	if !loop.Sleep(ctx, faultAfter) {
 		return
 	}
 	show.say("Fault: platform down for %s.", platformDown)
 	f.platform.SetDown(true)
-	nap(ctx, platformDown)
+	loop.Sleep(ctx, platformDown)
 	f.platform.SetDown(false)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/springgate/springgate/control"
 	"github.com/springgate/springgate/hostlist"
 	"github.com/springgate/springgate/intent"
+	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/outcome"
 	"github.com/springgate/springgate/peer"
@@ -145,7 +146,7 @@
 	e.log.WithField("notice", e.cfg.Notice.String()).Info("Leaving. Readiness is withdrawn.")
 	e.node.Leave()
 	e.http.SetKeepAlivesEnabled(false)
-	sleep(ctx, e.cfg.Notice)
+	loop.Sleep(ctx, e.cfg.Notice)
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.DrainTimeout)
 	defer cancel()
 	if err := e.http.Shutdown(ctx); err != nil {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/springgate/springgate/caller"
 	"github.com/springgate/springgate/idempotency"
 	"github.com/springgate/springgate/intent"
+	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/outcome"
 	"github.com/springgate/springgate/peer"
@@ -235,7 +236,7 @@
 func (x *exchange) fence(ctx context.Context) submission.Action {
 	x.release(false)
 	if x.fences > 0 {
-		sleep(ctx, fenceBase<<min(x.fences-1, 4))
+		loop.Sleep(ctx, fenceBase<<min(x.fences-1, 4))
 	}
 	x.fences++
 	if act, over := x.over(ctx); over {
@@ -301,7 +302,7 @@
 	}
 	x.retries++
 	x.entry.reasons.Retried(reason)
-	sleep(ctx, routing.Backoff(x.retries, x.entry.rng()))
+	loop.Sleep(ctx, routing.Backoff(x.retries, x.entry.rng()))
 	if act, over := x.over(ctx); over {
 		return act
 	}
--- a/entry/targets.go
+++ b/entry/targets.go
@@ -57,18 +57,7 @@
 
 func (t *targets) run(ctx context.Context) {
 	t.ctx = ctx
-	go func() {
-		tick := time.NewTicker(rebuildEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-tick.C:
-				_ = t.loop.Call(t.rebuildIfDirty)
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
+	go t.loop.Every(ctx, rebuildEvery, t.rebuildIfDirty)
 	t.loop.Run(ctx)
 }
 
@@ -135,7 +124,7 @@
 		for ctx.Err() == nil {
 			t.watchOnce(ctx, w)
 			t.loop.Post(func() { t.lost(w) })
-			sleep(ctx, rewatchDelay)
+			loop.Sleep(ctx, rewatchDelay)
 		}
 	}()
 }
@@ -242,12 +231,3 @@
 
 // failed makes the tables be rebuilt at once after repeated failures.
 func (t *targets) failed() { t.loop.Post(t.rebuild) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
