--- a/command/springgate.go
+++ b/command/springgate.go
@@ -305,8 +305,9 @@
 func demoCommand() *cli.Command {
 	var cfg demo.Config
 	var seed int
-	var logLevel string
+	var logLevel, fleetFile string
 	set := &settings.Set{}
+	set.Text(&fleetFile, "fleet", "fleet file whose hosts, teams and limits are run, in place of --hosts and --spread", "", false)
 	set.Int(&cfg.Hosts, "hosts", "engine hosts", 12, 1, 200)
 	set.Int(&cfg.Entries, "entries", "entries", 2, 1, 20)
 	set.Bytes(&cfg.Size, "size", "size of a version", "64MiB", 1<<16, 1<<30)
@@ -329,6 +330,11 @@
 			if err := telemetry.TameLibraries(log); err != nil {
 				return err
 			}
+			if fleetFile != "" {
+				if _, cfg.Fleet, err = readFleet(fleetFile); err != nil {
+					return err
+				}
+			}
 			cfg.Seed, cfg.Faults, cfg.JSON = uint64(seed), c.Bool("faults"), c.Bool("json")
 			cfg.Live = term.IsTerminal(int(os.Stdout.Fd()))
 			ctx, stop := signal.NotifyContext(ctx, os.Interrupt)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +17,7 @@
 	"github.com/springgate/springgate/entry"
 	"github.com/springgate/springgate/hostlist"
 	"github.com/springgate/springgate/idempotency"
+	"github.com/springgate/springgate/intent"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/spread"
 	"github.com/springgate/springgate/standin"
@@ -34,6 +34,10 @@
 	Duration time.Duration
 	JSON     bool
 	Live     bool // redraw one line in place of printing many
+	// Fleet is a fleet file to run in place of a made-up one: its hosts, teams
+	// and limits, with the stand-ins' versions and sources. Hosts and Spread
+	// are then not used.
+	Fleet *intent.Fleet
 }
 
 // Shape of the demonstration.
@@ -45,18 +49,13 @@
 	originCopies = 4
 	hostCopies   = 2
 
-	keyWindow   = 4 * time.Second
-	clockSkew   = 50 * time.Millisecond
-	plainHosts  = 2
-	loadTime    = 150 * time.Millisecond
-	beforeTime  = 5 * time.Second
-	loopback    = "127.0.0.1:0"
-	serviceName = "assistant"
-	plainName   = "balances"
+	keyWindow  = 4 * time.Second
+	clockSkew  = 50 * time.Millisecond
+	loadTime   = 150 * time.Millisecond
+	beforeTime = 5 * time.Second
+	loopback   = "127.0.0.1:0"
 )
 
-var domains = []string{"muscat", "sohar", "salalah"}
-
 // host is one target host of the fleet.
 type host struct {
 	name   string
@@ -79,6 +78,7 @@
 	names    []string // of the entries
 	versions map[digest.Digest]*spread.Manifest
 	window   time.Duration
+	layout   layout
 }
 
 func (f *fleet) hostRate() float64 { return hostCopies * float64(f.cfg.Size) / f.window.Seconds() }
@@ -97,13 +97,21 @@
 func Run(ctx context.Context, cfg Config, log *logrus.Logger, out io.Writer) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f := &fleet{cfg: cfg, log: log, runs: standin.NewRuns(), versions: map[digest.Digest]*spread.Manifest{},
+	l, err := newLayout(cfg)
+	if err != nil {
+		return err
+	}
+	cfg.Hosts = l.engines
+	f := &fleet{cfg: cfg, layout: l, log: log, runs: standin.NewRuns(), versions: map[digest.Digest]*spread.Manifest{},
 		window: time.Duration(float64(cfg.Duration) * windowPart)}
 	if err := f.start(ctx); err != nil {
 		return err
 	}
 	defer f.close()
 	show := &progress{out: out, fleet: f, live: cfg.Live}
+	if err := f.addAdapters(); err != nil {
+		return err
+	}
 	first, err := f.addVersion("v1", cfg.Seed)
 	if err != nil {
 		return err
@@ -113,9 +121,9 @@
 		return err
 	}
 	show.say("%d engine hosts, %d plain hosts, %d entries; version of %d bytes; link window %s",
-		cfg.Hosts, plainHosts, cfg.Entries, cfg.Size, f.window.Round(time.Millisecond))
-	f.platform.Publish(f.file(first))
-	if _, err := f.awaitReplicas(ctx, show, first, cfg.Duration); err != nil {
+		cfg.Hosts, len(f.hosts)-cfg.Hosts, cfg.Entries, cfg.Size, f.window.Round(time.Millisecond))
+	f.platform.Publish(f.layout.file(first, f.origin.URL()))
+	if _, err := f.awaitReplicas(ctx, show, f.layout.loadout(first), cfg.Duration); err != nil {
 		return err
 	}
 	return f.measure(ctx, show, second)
@@ -135,14 +143,14 @@
 	load.setPhase(during)
 	servedBefore := f.origin.Served()
 	began := time.Now()
-	revision := f.platform.Publish(f.file(second))
+	revision := f.platform.Publish(f.layout.file(second, f.origin.URL()))
 	show.say("Revision %d with version 2 published.", revision)
 	inForce := make(chan time.Duration, 1)
 	go func() { inForce <- f.awaitRevision(ctx, revision, began) }()
 	if f.cfg.Faults {
 		go f.breakThings(ctx, show)
 	}
-	took, err := f.awaitReplicas(ctx, show, second, f.cfg.Duration)
+	took, err := f.awaitReplicas(ctx, show, f.layout.loadout(second), f.cfg.Duration)
 	if err != nil {
 		return err
 	}
@@ -167,8 +175,8 @@
 	if f.origin, err = standin.NewSource(loopback, originCopies*float64(f.cfg.Size)/f.window.Seconds()); err != nil {
 		return err
 	}
-	for i := range f.cfg.Hosts + plainHosts {
-		h, err := f.startTarget(i)
+	for _, spec := range f.layout.hosts {
+		h, err := f.startTarget(spec)
 		if err != nil {
 			return err
 		}
@@ -186,9 +194,9 @@
 	return nil
 }
 
-func (f *fleet) startTarget(i int) (*host, error) {
-	h := &host{name: fmt.Sprintf("host-%03d", i), domain: domains[i%len(domains)]}
-	if i >= f.cfg.Hosts {
+func (f *fleet) startTarget(spec hostSpec) (*host, error) {
+	h := &host{name: spec.Name, domain: spec.Domain}
+	if !spec.engine {
 		p, err := standin.NewPlain(loopback, standin.PlainConfig{Latency: 5 * time.Millisecond}, f.runs)
 		if err != nil {
 			return nil, err
@@ -197,7 +205,7 @@
 		return h, nil
 	}
 	cfg := standin.EngineConfig{FirstToken: 60 * time.Millisecond, NextToken: 10 * time.Millisecond, Tokens: 16,
-		Slots: 8, LoadTime: loadTime, Fenced: true}
+		Slots: 8, LoadTime: loadTime, Fenced: spec.fenced}
 	e, err := standin.NewEngine(loopback, cfg, f.runs, func(d digest.Digest) *spread.Manifest { return f.versions[d] })
 	if err != nil {
 		return nil, err
@@ -232,7 +240,7 @@
 func (f *fleet) startEntry(ctx context.Context, i int) error {
 	cs, hl := f.clients()
 	name := fmt.Sprintf("entry-%d", i)
-	cfg := entry.Config{Control: f.control(name, domains[i%len(domains)], loopback), Listen: loopback}
+	cfg := entry.Config{Control: f.control(name, f.layout.domain(i), loopback), Listen: loopback}
 	e, err := entry.New(cfg, cs, hl, f.log)
 	if err != nil {
 		return err
@@ -249,7 +257,7 @@
 		list = append(list, hostlist.Host{Host: h.name, Addr: h.agent.Addr(), Domain: h.domain, Role: string(membership.Agent)})
 	}
 	for i, e := range f.entries {
-		list = append(list, hostlist.Host{Host: f.names[i], Addr: e.Addr(), Domain: domains[i%len(domains)], Role: string(membership.Entry)})
+		list = append(list, hostlist.Host{Host: f.names[i], Addr: e.Addr(), Domain: f.layout.domain(i), Role: string(membership.Entry)})
 	}
 	f.platform.SetHosts(list)
 }
@@ -262,6 +270,22 @@
 	f.origin.Close()
 }
 
+// addAdapters gives the origin the adapters that the fleet file names.
+func (f *fleet) addAdapters() error {
+	for i := range f.layout.fleet.Services {
+		svc := &f.layout.fleet.Services[i]
+		for k := range svc.Adapters {
+			id, m, err := f.origin.Add(svc.Adapters[k].Name, adapterSize/adapterChunks, standin.Content(adapterSize, uint64(k+100)))
+			if err != nil {
+				return err
+			}
+			svc.Adapters[k].Manifest = id
+			f.versions[id] = m
+		}
+	}
+	return nil
+}
+
 func (f *fleet) addVersion(name string, seed uint64) (digest.Digest, error) {
 	size := int(f.cfg.Size)
 	chunk := (size + chunksPerVersion - 1) / chunksPerVersion
@@ -270,42 +294,12 @@
 	return id, err
 }
 
-// file returns the fleet file whose model is the given version.
-func (f *fleet) file(model digest.Digest) []byte {
-	var b strings.Builder
-	fmt.Fprintf(&b, "format: 1\nfleet: demo\nsources:\n  - {name: origin, kind: origin, url: %q}\n", f.origin.URL())
-	b.WriteString("teams:\n  - {name: default, weight: 1}\n  - {name: citizens, weight: 4}\n  - {name: disputes, weight: 2}\n")
-	b.WriteString("services:\n")
-	fmt.Fprintf(&b, "  - name: %s\n    kind: engine\n    model: {name: wallet, manifest: %q}\n    spread: %s\n", serviceName, model, f.cfg.Spread)
-	fmt.Fprintf(&b, "    max_unavailable: %d\n    fenced: true\n    limits: {concurrency: 8, queue: 64, timeout: 20s}\n", max(1, f.cfg.Hosts/4))
-	f.writeHosts(&b, f.hosts[:f.cfg.Hosts])
-	fmt.Fprintf(&b, "  - name: %s\n    kind: plain\n    limits: {concurrency: 32, queue: 64, timeout: 5s}\n", plainName)
-	f.writeHosts(&b, f.hosts[f.cfg.Hosts:])
-	return []byte(b.String())
-}
-
-func (f *fleet) writeHosts(b *strings.Builder, hosts []*host) {
-	b.WriteString("    hosts:\n")
-	for _, d := range domains {
-		var names []string
-		for _, h := range hosts {
-			if h.domain == d {
-				names = append(names, h.name)
-			}
-		}
-		if len(names) > 0 {
-			fmt.Fprintf(b, "      - {domain: %s, names: [%s]}\n", d, strings.Join(names, ", "))
-		}
-	}
-}
-
-// replicas counts the engines that serve the given model, as the engines
-// themselves say.
-func (f *fleet) replicas(model digest.Digest) int {
+// replicas counts the engines that serve a loadout, as the engines themselves
+// say.
+func (f *fleet) replicas(loadout string) int {
 	n := 0
-	want := loadoutID(model)
 	for _, h := range f.hosts[:f.cfg.Hosts] {
-		if h.engine.Loadout() == want {
+		if h.engine.Loadout() == loadout {
 			n++
 		}
 	}
--- a/demo/load.go
+++ b/demo/load.go
@@ -92,7 +92,7 @@
 		l.calls = append(l.calls, c)
 		l.mu.Unlock()
 		entry := l.fleet.entries[rng.IntN(len(l.fleet.entries))].CallerAddr()
-		plain, keyed := rng.IntN(5) == 0, rng.IntN(2) == 0
+		plain, keyed := rng.IntN(5) == 0 && l.fleet.layout.plain != "", rng.IntN(2) == 0
 		l.active.Go(func() { l.send(c, entry, plain, keyed) })
 	}
 }
@@ -100,15 +100,15 @@
 func (l *load) wait() { l.active.Wait() }
 
 func (l *load) request(c *call, entry string, plain, keyed bool) (*http.Request, error) {
-	url := fmt.Sprintf("http://%s/%s/v1/answer?tokens=%d", entry, serviceName, tokens)
+	url := fmt.Sprintf("http://%s/%s/v1/answer?tokens=%d", entry, l.fleet.layout.engine, tokens)
 	if plain {
-		url = fmt.Sprintf("http://%s/%s/accounts/7", entry, plainName)
+		url = fmt.Sprintf("http://%s/%s/accounts/7", entry, l.fleet.layout.plain)
 	}
 	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader("why is my transfer pending?"))
 	if err != nil {
 		return nil, err
 	}
-	r.Header.Set(caller.HeaderTeam, "citizens")
+	r.Header.Set(caller.HeaderTeam, l.fleet.layout.team)
 	r.Header.Set(standin.CallHeader, c.id)
 	if !c.repeatable {
 		r.Header.Set(caller.HeaderRepeatable, "no")
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -5,10 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/springgate/springgate/digest"
-	"github.com/springgate/springgate/intent"
 	"github.com/springgate/springgate/loop"
-	"github.com/springgate/springgate/target"
 )
 
 // Intervals of the observation.
@@ -17,17 +14,13 @@
 	showEvery = time.Second
 )
 
-func loadoutID(model digest.Digest) string {
-	return target.Loadout{Model: model, Role: intent.Mixed}.ID()
-}
-
-// awaitReplicas waits until every engine serves the model and returns how
+// awaitReplicas waits until every engine serves the loadout and returns how
 // long that took.
-func (f *fleet) awaitReplicas(ctx context.Context, show *progress, model digest.Digest, limit time.Duration) (time.Duration, error) {
+func (f *fleet) awaitReplicas(ctx context.Context, show *progress, loadout string, limit time.Duration) (time.Duration, error) {
 	began := time.Now()
 	next := began
 	for {
-		n := f.replicas(model)
+		n := f.replicas(loadout)
 		if n == f.cfg.Hosts {
 			return time.Since(began), nil
 		}
