--- a/submission/oracle_test.go
+++ b/submission/oracle_test.go
@@ -27,6 +27,9 @@
 	simTTL    = 5 * time.Minute
 	simTeam   = "team"
 	service   = "service"
+	// foreign is the try number that the shell gives to a frame of another
+	// submission.
+	foreign = 0
 )
 
 // sub is one submission as its caller sees it.
@@ -572,6 +575,27 @@
 				w.act(t, s, s.m.Abandon(outcome.CallerLeft))
 			}
 		},
+		"cross": func(t *rapid.T) { // frames of another submission reach this one
+			if len(w.subs) < 2 {
+				t.Skip("no other submission")
+			}
+			s, o := w.subs[one(t, "sub", len(w.subs))], w.subs[one(t, "other", len(w.subs))]
+			if s == o || s.outcome != "" {
+				t.Skip("nothing to cross")
+			}
+			b := content(o.name())
+			w.act(t, s, s.m.Head(foreign))
+			if a := s.m.Data(foreign, 0, b); a.Kind != submission.None {
+				t.Fatal("a crossed frame was passed on")
+			}
+			w.act(t, s, s.m.End(foreign, int64(len(b)), xxhash.Sum64(b)))
+			w.act(t, s, s.m.Refused(foreign, outcome.QueueFull, 0))
+		},
+		"agent leaves": withLive(func(t *rapid.T, a *agentSim) {
+			if rapid.IntRange(0, 3).Draw(t, "really") == 0 {
+				w.apply(a, a.k.Leave(w.now))
+			}
+		}),
 		"kill":  withLive(func(_ *rapid.T, a *agentSim) { a.dead = true }),
 		"pause": withLive(func(_ *rapid.T, a *agentSim) { a.paused = true }),
 		"wake": func(*rapid.T) {
