Tests of the end of an answer and of a full fleet

Cause: a mutant that did not check the sum of an answer survived all tests. Change: length and sum in a table; two refusals for lack of room end a request. Conclusion: no whole-looking answer with another content passes.

--- /dev/null
+++ b/submission/submission_test.go
@@ -0,0 +1,53 @@
+package submission_test
+
+import (
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/springgate/springgate/outcome"
+	"github.com/springgate/springgate/submission"
+	"gotest.tools/v3/assert"
+)
+
+// An answer is whole only if its length and its checksum are those that the
+// agent states.
+func TestEndIsChecked(t *testing.T) {
+	body := []byte("whole")
+	for name, c := range map[string]struct {
+		length int64
+		sum    uint64
+		want   submission.ActionKind
+		out    outcome.Outcome
+	}{
+		"whole":     {5, xxhash.Sum64(body), submission.Finish, outcome.Completed},
+		"wrong sum": {5, xxhash.Sum64(body) + 1, submission.Finish, outcome.Unknown},
+		"too short": {3, xxhash.Sum64(body[:3]), submission.Finish, outcome.Unknown},
+		"missing":   {9, 0, submission.Fence, ""},
+	} {
+		m, _ := submission.New(submission.Request{})
+		m.Chosen()
+		m.Head(1)
+		assert.Equal(t, m.Data(1, 0, body).Kind, submission.Forward, name)
+		a := m.End(1, c.length, c.sum)
+		assert.Equal(t, a.Kind, c.want, name)
+		assert.Equal(t, a.Outcome, c.out, name)
+		assert.Equal(t, a.Abort, c.out == outcome.Unknown, name)
+	}
+}
+
+// Two hosts without room end a request; other refusals are tried on.
+func TestFullFleetRefusesFast(t *testing.T) {
+	tries := func(reason outcome.Reason) int {
+		m, _ := submission.New(submission.Request{Repeatable: true})
+		for n := 1; ; n++ {
+			m.Chosen()
+			if a := m.Refused(m.Try(), reason, 0); a.Kind == submission.Finish {
+				assert.Equal(t, a.Outcome, outcome.NotRun)
+				return n
+			}
+			m.Waited(true)
+		}
+	}
+	assert.Equal(t, tries(outcome.QueueFull), 2)
+	assert.Equal(t, tries(outcome.Leaving), 4)
+}
