Capacity with the configuration service at its limit

Cause: the time in force was only known for a service that answers. Change: the stand-in can refuse n of ten calls; BenchmarkCapacityAtLimit; a test of a revision through a refusing and a missing platform.

--- a/control/capacity_test.go
+++ b/control/capacity_test.go
@@ -170,6 +170,29 @@
 	}
 }
 
+// BenchmarkCapacityAtLimit measures how long a revision takes to be in force
+// while the configuration service refuses most calls.
+func BenchmarkCapacityAtLimit(b *testing.B) {
+	for _, nodes := range []int{12, 48, 150} {
+		b.Run(fmt.Sprintf("nodes=%d/refused=8of10", nodes), func(b *testing.B) {
+			for range b.N {
+				f := startFleet(b, nodes, nodes, 7)
+				f.publish(b, nodes, 0)
+				f.platform.SetAtLimit(8)
+				var all []time.Duration
+				for i := range revisions {
+					all = append(all, f.publish(b, nodes, i+1)...)
+				}
+				f.close()
+				slices.Sort(all)
+				b.ReportMetric(all[len(all)/2].Seconds()*1000, "p50-ms")
+				b.ReportMetric(all[len(all)*99/100].Seconds()*1000, "p99-ms")
+				b.ReportMetric(all[len(all)-1].Seconds()*1000, "max-ms")
+			}
+		})
+	}
+}
+
 func measureCapacity(b *testing.B, nodes, listed int) {
 	before := heap()
 	f := startFleet(b, nodes, listed, 7)
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -43,6 +43,30 @@
 	return n
 }
 
+// A revision comes into force while the platform refuses most calls, and when
+// it was down for a while.
+func TestRevisionThroughAFailingPlatform(t *testing.T) {
+	f := startFleet(t, 12, 12, 3)
+	defer f.close()
+	f.publish(t, 12, 0)
+	f.platform.SetAtLimit(8)
+	f.publish(t, 12, 1)
+	f.platform.SetAtLimit(0)
+	f.platform.SetDown(true)
+	before, _ := f.platform.Calls()
+	waitFor(t, "calls go on while it is down", func() bool {
+		now, _ := f.platform.Calls()
+		return now > before+5
+	})
+	revision := f.nodes[0].Snapshot().Revision()
+	assert.Equal(t, revision, uint64(2))
+	f.platform.SetDown(false)
+	f.publish(t, 12, 2)
+	for _, n := range f.nodes {
+		assert.Equal(t, n.Snapshot().Revision(), uint64(3))
+	}
+}
+
 // A paused process does not act until it has caught up.
 func TestPauseIsNoticed(t *testing.T) {
 	f := startFleet(t, 3, 3, 1)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -27,6 +27,7 @@
 	changed chan struct{}
 
 	down   atomic.Bool
+	refuse atomic.Int64 // of ten calls, for a service at its limit
 	stale  atomic.Bool
 	calls  atomic.Int64 // calls of the configuration service, a watch as one
 	peak   atomic.Int64 // most calls within one second
@@ -87,6 +88,10 @@
 // SetDown makes every call fail.
 func (p *Platform) SetDown(on bool) { p.down.Store(on) }
 
+// SetAtLimit makes n of ten calls of the configuration service fail, as a
+// service does that has reached its limit.
+func (p *Platform) SetAtLimit(n int) { p.refuse.Store(int64(n)) }
+
 // SetStale makes the service answer with the head before the newest.
 func (p *Platform) SetStale(on bool) { p.stale.Store(on) }
 
@@ -102,6 +107,10 @@
 func (p *Platform) counted(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		p.countCall(time.Now().Unix())
+		if p.calls.Load()%10 < p.refuse.Load() {
+			http.Error(w, "over the limit", http.StatusTooManyRequests)
+			return
+		}
 		if p.down.Load() {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
