--- a/control/node_test.go
+++ b/control/node_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// A head below the revision in force comes from a stale replica and proves
+// nothing.
+func TestStaleReplicaIsNoProof(t *testing.T) {
+	f := startFleet(t, 1, 1, 1)
+	defer f.close()
+	f.publish(t, 1, 0)
+	f.publish(t, 1, 1)
+	n := f.nodes[0]
+	assert.NilError(t, n.loop.Call(func() {
+		now, old := time.Now(), n.fold.Ref()
+		old.Revision--
+		n.proof, n.awake = time.Time{}, false
+		n.proven(now, old)
+		assert.Check(t, n.proof.IsZero() && !n.awake)
+		n.proven(now, n.fold.Ref())
+		assert.Check(t, n.proof.Equal(now) && n.awake)
+	}))
+}
+
 // A paused process does not act until it has caught up.
 func TestPauseIsNoticed(t *testing.T) {
 	f := startFleet(t, 3, 3, 1)
--- a/entry/traps_test.go
+++ b/entry/traps_test.go
@@ -36,6 +36,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, strings.Count(string(b), "data: long "), 6500)
 	assert.Equal(t, f.call("engine", "after").status, http.StatusOK, "the listener is still ours")
+	select {
+	case <-own: // to the programs a second signal means to end at once
+		t.Fatal("the library has signalled its own process")
+	default:
+	}
 }
 
 // go-zero caps bodies at 1 MB and answers at 3 s by default.
