--- a/command/agent.go
+++ b/command/agent.go
@@ -18,7 +18,7 @@
 		EnableShellCompletion: true,
 		Suggest:               true,
 		Action:                unknownCommand,
-		Commands:              []*cli.Command{agentServeCommand(), versionCommand()},
+		Commands:              []*cli.Command{agentServeCommand(), sidecarCommand(), versionCommand()},
 	}
 }
 
--- /dev/null
+++ b/dispatch/book.go
@@ -0,0 +1,359 @@
+package dispatch
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+)
+
+// Config holds the constants of the choice.
+type Config struct {
+	// Admit is the part of the objective that the forecast may take. The rest
+	// covers the way to the caller and what the forecast does not see.
+	// Default 0.75.
+	Admit float64
+	// AdmitGap is the part of the longest pause that the forecast may take.
+	// Default 0.8.
+	AdmitGap float64
+	// RemoteCost is added to the forecast at targets of other failure
+	// domains: the longer way, and bytes that are paid for. Default 15 ms.
+	RemoteCost time.Duration
+	// Sample is how many targets are looked at for one choice. Default 64.
+	Sample int
+	// VersionTimeout is the time in which a new version must be served
+	// everywhere; zero is no limit. VersionMargin is how much sooner engines
+	// with an older one get no more requests. Default 700 ms.
+	VersionTimeout, VersionMargin time.Duration
+	// PlainLatency is assumed of a plain target that has not answered yet.
+	// Default 50 ms.
+	PlainLatency time.Duration
+}
+
+func (c Config) applyDefaults() Config {
+	c.Admit = cmp.Or(c.Admit, 0.75)
+	c.AdmitGap = cmp.Or(c.AdmitGap, 0.8)
+	c.RemoteCost = cmp.Or(c.RemoteCost, 15*time.Millisecond)
+	c.Sample = cmp.Or(c.Sample, 64)
+	c.VersionMargin = cmp.Or(c.VersionMargin, 700*time.Millisecond)
+	c.PlainLatency = cmp.Or(c.PlainLatency, 50*time.Millisecond)
+	return c
+}
+
+// EngineState is what the agent beside an engine says about it.
+type EngineState struct {
+	Version int // served whole; 0 is none
+	Loading bool
+}
+
+// Target is one instance with what an entry knows of it. Its fields are
+// guarded by the Book.
+type Target struct {
+	fleet.Instance
+	model  *fleet.EngineModel
+	own    Load
+	others map[string]Load // by entry
+	load   Load            // own and others
+	health health
+	gone   bool
+}
+
+// Verdict says why no target was chosen.
+type Verdict uint8
+
+// Verdicts of a choice.
+const (
+	Chosen    Verdict = iota
+	Saturated         // all that could serve are too loaded for the objective
+	NoTarget          // none could serve now
+)
+
+// String returns the name of the verdict.
+func (v Verdict) String() string { return [...]string{"chosen", "saturated", "no_target"}[v] }
+
+// Choice is the target that a request goes to.
+type Choice struct {
+	Target   *Target
+	Forecast Forecast
+	Load     Load // at the target before the request
+	Version  int  // the only one that may serve the request; 0 is any
+}
+
+// wanted is the version of a model that the operators want served.
+type wanted struct {
+	version int
+	since   time.Time
+}
+
+// Book holds the targets of all services. Its methods may be called
+// concurrently.
+type Book struct {
+	cfg Config
+
+	mu       sync.Mutex
+	services map[string][]*Target
+	byID     map[string]*Target
+	addrs    map[string]bool        // of all targets
+	states   map[string]EngineState // by address, from agents
+	versions map[string]wanted      // by model
+	rng      *rand.Rand
+	changed  chan struct{} // closed when a target may have become free
+}
+
+// NewBook returns an empty book.
+func NewBook(cfg Config, rng *rand.Rand) *Book {
+	return &Book{cfg: cfg.applyDefaults(), services: map[string][]*Target{}, byID: map[string]*Target{},
+		states: map[string]EngineState{}, versions: map[string]wanted{}, rng: rng, changed: make(chan struct{})}
+}
+
+// Apply takes the list of instances and the services' cost models. Loads and
+// health of instances that remain are kept.
+func (b *Book) Apply(instances []*fleet.Instance, services map[string]*fleet.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	byID := make(map[string]*Target, len(instances))
+	lists := map[string][]*Target{}
+	addrs := make(map[string]bool, len(instances))
+	for _, i := range instances {
+		t := b.byID[i.ID]
+		if t == nil {
+			t = &Target{others: map[string]Load{}}
+		}
+		t.Instance = *i
+		if s := services[i.Service]; s != nil {
+			t.model = s.Engine
+		}
+		byID[i.ID] = t
+		addrs[i.Addr] = true
+		lists[i.Service] = append(lists[i.Service], t)
+	}
+	for _, l := range lists {
+		slices.SortFunc(l, func(x, y *Target) int { return cmp.Compare(x.ID, y.ID) })
+	}
+	b.byID, b.services, b.addrs = byID, lists, addrs
+	b.wake()
+}
+
+// SetVersion names the version of a model that is wanted since a time.
+func (b *Book) SetVersion(v fleet.VersionTarget, since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if v.Version > b.versions[v.Model].version {
+		b.versions[v.Model] = wanted{v.Version, since}
+	}
+}
+
+// SetState takes what the agent beside an engine says.
+func (b *Book) SetState(addr string, s EngineState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.states[addr] = s
+	b.wake()
+}
+
+// ForgetState drops what an agent said, because it is not heard any more.
+func (b *Book) ForgetState(addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.states, addr)
+}
+
+// SetLoads replaces what another entry has in flight. An empty map forgets it.
+func (b *Book) SetLoads(from string, loads map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, t := range b.byID {
+		l, ok := loads[id]
+		old, had := t.others[from]
+		switch {
+		case ok:
+			t.others[from] = l
+		case had:
+			delete(t.others, from)
+		default:
+			continue
+		}
+		t.load = Load{t.load.Requests + l.Requests - old.Requests, t.load.Unread + l.Unread - old.Unread}
+	}
+	b.wake()
+}
+
+// OwnLoads returns what this entry has in flight.
+func (b *Book) OwnLoads() map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]Load{}
+	for id, t := range b.byID {
+		if t.own != (Load{}) {
+			out[id] = t.own
+		}
+	}
+	return out
+}
+
+// Changed returns a channel that is closed when a target may have become free.
+func (b *Book) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+func (b *Book) wake() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Pick chooses a target of service and counts the request there; Finish must
+// follow. Instances in avoid are left out.
+func (b *Book) Pick(now time.Time, service string, d Demand, avoid []string) (Choice, Verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	targets := b.services[service]
+	n := len(targets)
+	if n == 0 {
+		return Choice{}, NoTarget
+	}
+	var best, spare candidate
+	start := b.rng.IntN(n)
+	for k := range min(n, b.cfg.Sample) {
+		t := targets[(start+k)%n]
+		version, ok := b.usable(now, t)
+		if !ok || slices.Contains(avoid, t.ID) {
+			continue
+		}
+		c := candidate{Choice: Choice{Target: t, Forecast: b.forecast(t, d), Load: t.load, Version: version}}
+		c.cost = c.Forecast.FirstEvent
+		if t.Domain != d.Domain {
+			c.cost += b.cfg.RemoteCost
+		}
+		if t.Doubtful || t.health.ejected(now) || t.health.silent(now) {
+			spare.improve(c)
+		} else {
+			best.improve(c)
+		}
+	}
+	if best.Target == nil {
+		best = spare
+	}
+	if best.Target == nil {
+		return Choice{}, NoTarget
+	}
+	if !b.admits(best.Forecast, d) {
+		return best.Choice, Saturated
+	}
+	b.start(now, best.Target, d)
+	return best.Choice, Chosen
+}
+
+// candidate is a choice and its cost.
+type candidate struct {
+	Choice
+	cost time.Duration
+}
+
+func (c *candidate) improve(o candidate) {
+	if c.Target == nil || o.cost < c.cost {
+		*c = o
+	}
+}
+
+func (b *Book) admits(f Forecast, d Demand) bool {
+	if d.Objective > 0 && float64(f.FirstEvent) > b.cfg.Admit*float64(d.Objective) {
+		return false
+	}
+	return d.MaxGap == 0 || float64(f.Gap) <= b.cfg.AdmitGap*float64(d.MaxGap)
+}
+
+// usable reports whether a target may get requests, and which version of its
+// model it must serve; zero is any.
+func (b *Book) usable(now time.Time, t *Target) (version int, ok bool) {
+	if t.Draining || t.gone {
+		return 0, false
+	}
+	if t.model == nil {
+		return 0, true
+	}
+	holds := t.Holds(t.model)
+	if s, said := b.states[t.Addr]; said {
+		if s.Loading {
+			return 0, false
+		}
+		holds = s.Version
+	}
+	if holds == 0 {
+		return 0, false
+	}
+	w := b.versions[t.model.Model]
+	if b.cfg.VersionTimeout == 0 || now.Sub(w.since) < b.cfg.VersionTimeout-b.cfg.VersionMargin {
+		return 0, true
+	}
+	return w.version, holds >= w.version
+}
+
+func (b *Book) forecast(t *Target, d Demand) Forecast {
+	if t.model != nil {
+		return forecastEngine(t.model, t.load, d)
+	}
+	return forecastPlain(t.Slots, cmp.Or(t.health.latency, b.cfg.PlainLatency), t.load)
+}
+
+func (b *Book) start(now time.Time, t *Target, d Demand) {
+	l := Load{Requests: 1, Unread: d.Prompt}
+	t.own, t.load = t.own.add(l), t.load.add(l)
+	if t.health.waitingSince.IsZero() {
+		t.health.waitingSince = now
+	}
+}
+
+// Heard notes that a target sent something. first is the prompt whose first
+// event came, or zero.
+func (b *Book) Heard(now time.Time, t *Target, first int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.health.waitingSince = now
+	l := Load{Unread: -first}
+	t.own, t.load = t.own.add(l), t.load.add(l)
+}
+
+// Result is how a request ended at a target.
+type Result struct {
+	Unread  int           // prompt tokens, if no first event came
+	Failed  bool          // the target failed it
+	Down    bool          // no connection could be made
+	Gone    bool          // another instance has the address
+	Latency time.Duration // of a whole answer; zero if there was none
+}
+
+// Finish counts the end of a request.
+func (b *Book) Finish(now time.Time, t *Target, r Result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := Load{Requests: -1, Unread: -r.Unread}
+	t.own, t.load = t.own.add(l), t.load.add(l)
+	t.health.waitingSince = now
+	if t.own.Requests == 0 {
+		t.health.waitingSince = time.Time{}
+	}
+	switch {
+	case r.Gone:
+		t.gone = true
+	case r.Down:
+		t.health.eject(now)
+	default:
+		t.health.observe(now, !r.Failed)
+	}
+	if r.Latency > 0 && t.model == nil {
+		t.health.measured(r.Latency)
+	}
+	b.wake()
+}
+
+// Knows reports whether a target has the address.
+func (b *Book) Knows(addr string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.addrs[addr]
+}
--- /dev/null
+++ b/dispatch/cost.go
@@ -0,0 +1,78 @@
+// Package dispatch chooses the target of a request from the engines' cost
+// model, the load that all entries report, and what the answers showed. It
+// does no I/O; clock readings and randomness are arguments.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+)
+
+// Load is what is in flight at a target.
+type Load struct {
+	Requests int // sent and not answered in full
+	Unread   int // prompt tokens of requests without a first event
+}
+
+func (l Load) add(o Load) Load { return Load{l.Requests + o.Requests, l.Unread + o.Unread} }
+
+// Demand is what a request asks of a target.
+type Demand struct {
+	Prompt    int           // tokens
+	Objective time.Duration // latency up to the first event
+	MaxGap    time.Duration // longest pause between events; zero for none
+	Domain    string        // failure domain of the entry
+}
+
+// Forecast is what is expected of a request at a target.
+type Forecast struct {
+	FirstEvent time.Duration // until its first event or its answer
+	Gap        time.Duration // longest pause it causes between events of others
+}
+
+// passTime is the duration of one pass of an engine that decodes n sequences.
+func passTime(m *fleet.EngineModel, n int) time.Duration {
+	n = min(max(n, 1), m.Slots)
+	context := float64(m.MeanPrompt+m.MeanAnswer/2) / 1000
+	perSeq := m.StepPerSeq + time.Duration(context*float64(m.StepPerKilo))
+	return time.Duration(m.Stride) * (m.Step + time.Duration(n)*perSeq)
+}
+
+// readTime is how long an engine reads prompts.
+func readTime(m *fleet.EngineModel, tokens int) time.Duration {
+	if m.PrefillRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / m.PrefillRate * float64(time.Second))
+}
+
+// forecastEngine predicts a request at a model engine. Passes are not
+// interrupted: the request waits for half of one on average, is read together
+// with the other unread prompts, and gets its first event at the end of its
+// first pass. With all slots taken it first waits until one is free.
+func forecastEngine(m *fleet.EngineModel, l Load, d Demand) Forecast {
+	pass := passTime(m, l.Requests+1)
+	read := readTime(m, l.Unread+d.Prompt)
+	f := Forecast{FirstEvent: pass/2 + read + pass, Gap: pass + read}
+	if over := l.Requests + 1 - m.Slots; over > 0 {
+		f.FirstEvent += time.Duration(over) * slotInterval(m, pass)
+	}
+	return f
+}
+
+// slotInterval is the mean time between two ends of requests at a full engine.
+// A request decodes for so many passes, and each pass also reads the prompts
+// of the requests that take the free slots.
+func slotInterval(m *fleet.EngineModel, pass time.Duration) time.Duration {
+	passes := max(m.MeanAnswer/m.Stride, 1)
+	decode := time.Duration(passes) * pass / time.Duration(m.Slots)
+	return decode + readTime(m, m.MeanPrompt)
+}
+
+// forecastPlain predicts a request at a plain target from the latency that it
+// showed.
+func forecastPlain(slots int, latency time.Duration, l Load) Forecast {
+	over := max(l.Requests+1-max(slots, 1), 0)
+	return Forecast{FirstEvent: latency + time.Duration(over)*latency/time.Duration(max(slots, 1))}
+}
--- /dev/null
+++ b/fleet/instance.go
@@ -0,0 +1,38 @@
+package fleet
+
+// ModelVersion is the weights of a model that an engine holds.
+type ModelVersion struct {
+	Model   string
+	Version int
+	Layers  int // how many layers are held
+}
+
+// Instance is one incarnation of a target.
+type Instance struct {
+	ID       string
+	Service  string
+	Addr     string
+	Domain   string
+	Slots    int
+	Draining bool
+	Doubtful bool // its entry vanished from the list a moment ago
+	Models   []ModelVersion
+}
+
+// Holds returns the version of m's model that the instance holds with all its
+// layers, or zero.
+func (i *Instance) Holds(m *EngineModel) int {
+	best := 0
+	for _, v := range i.Models {
+		if v.Model == m.Model && v.Layers >= m.Layers && v.Version > best {
+			best = v.Version
+		}
+	}
+	return best
+}
+
+// VersionTarget is the version of a model that the operators want served.
+type VersionTarget struct {
+	Model   string
+	Version int
+}
--- /dev/null
+++ b/gateway/control.go
@@ -0,0 +1,326 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/peer"
+)
+
+// Decoder turns items of the store into the product's types.
+type Decoder interface {
+	// Config returns nil if the item is not the configuration.
+	Config(i mirror.Item) (*fleet.Config, error)
+	Version(i mirror.Item) (v fleet.VersionTarget, ok bool, err error)
+	Instance(i mirror.Item) (*fleet.Instance, error)
+}
+
+// ControlConfig holds the times of a Control.
+type ControlConfig struct {
+	// Tick is the time between two looks at what changes with time only.
+	// Default 200 ms.
+	Tick time.Duration
+	// VersionTimeout is the time in which a new version must be everywhere.
+	VersionTimeout time.Duration
+}
+
+// Relay is told which weights are wanted.
+type Relay interface {
+	Want(ctx context.Context, model string, version, pieces int)
+}
+
+// Control owns what an entry believes of the fleet. Its goroutine follows the
+// copies of the store and hands the results to the gateway and its book.
+type Control struct {
+	cfg       ControlConfig
+	gateway   *Gateway
+	book      *dispatch.Book
+	decoder   Decoder
+	operator  *mirror.Table
+	instances *mirror.Table
+	outage    func() (down bool, ended time.Time)
+	relay     Relay
+	log       logrus.FieldLogger
+
+	roster     Roster
+	decoded    map[string]decodedInstance
+	configRev  int64
+	versionRev map[string]int64 // by key
+	list       []*fleet.Instance
+
+	mu          sync.Mutex
+	assignments map[string]*assignment // by service
+	changed     chan struct{}
+}
+
+type decodedInstance struct {
+	revision int64
+	instance *fleet.Instance
+}
+
+// assignment is the version that the engines of a service are to serve.
+type assignment struct {
+	model    *fleet.EngineModel
+	version  int
+	since    time.Time
+	order    []string // addresses of engines that change, in turn
+	assigned bool     // the operators named the version
+}
+
+// ControlOptions are what a Control is made of.
+type ControlOptions struct {
+	Config              ControlConfig
+	Gateway             *Gateway
+	Book                *dispatch.Book
+	Decoder             Decoder
+	Operator, Instances *mirror.Table
+	Outage              func() (down bool, ended time.Time)
+	Roster              Roster
+	Relay               Relay
+	Log                 logrus.FieldLogger
+}
+
+// NewControl returns a control that is not running.
+func NewControl(o ControlOptions) *Control {
+	o.Config.Tick = cmp.Or(o.Config.Tick, 200*time.Millisecond)
+	return &Control{cfg: o.Config, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, operator: o.Operator,
+		instances: o.Instances, outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
+		decoded: map[string]decodedInstance{}, versionRev: map[string]int64{}, assignments: map[string]*assignment{},
+		changed: make(chan struct{})}
+}
+
+// Run follows until ctx ends.
+func (c *Control) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		operatorItems, operatorChanged := c.operator.Items()
+		instanceItems, instancesChanged := c.instances.Items()
+		c.applyOperator(ctx, operatorItems)
+		c.applyInstances(instanceItems)
+		c.assign()
+	wait:
+		for {
+			select {
+			case <-operatorChanged:
+				break wait
+			case <-instancesChanged:
+				break wait
+			case <-ticker.C:
+				if c.roster.Pending() {
+					break wait
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (c *Control) applyOperator(ctx context.Context, items []mirror.Item) {
+	for _, i := range items {
+		c.applyConfig(i)
+	}
+	for _, i := range items {
+		c.applyVersion(ctx, i)
+	}
+}
+
+func (c *Control) applyConfig(i mirror.Item) {
+	if i.Revision <= c.configRev {
+		return
+	}
+	cfg, err := c.decoder.Config(i)
+	if err != nil {
+		c.configRev = i.Revision
+		c.log.WithError(err).WithFields(logrus.Fields{"key": i.Key, "revision": i.Revision}).Error("Configuration not readable, the last one stays.")
+		return
+	}
+	if cfg == nil {
+		return
+	}
+	c.configRev = i.Revision
+	if c.gateway.SetConfig(cfg) {
+		c.log.WithFields(logrus.Fields{"config": cfg.Version, "revision": i.Revision}).Info("Configuration in force.")
+	}
+	c.book.Apply(c.list, cfg.Services)
+}
+
+// applyVersion takes the version that the operators name for a model. The
+// first one that this process reads may be old already; engines without it get
+// no requests.
+func (c *Control) applyVersion(ctx context.Context, i mirror.Item) {
+	if i.Revision <= c.versionRev[i.Key] {
+		return
+	}
+	v, ok, err := c.decoder.Version(i)
+	if err != nil {
+		c.versionRev[i.Key] = i.Revision
+		c.log.WithError(err).WithFields(logrus.Fields{"key": i.Key, "revision": i.Revision}).Error("Version not readable, the last one stays.")
+		return
+	}
+	cfg := c.gateway.Config()
+	if !ok || cfg == nil {
+		return
+	}
+	since := time.Now()
+	if i.Revision <= c.operator.FirstRevision() {
+		since = since.Add(-c.cfg.VersionTimeout)
+	}
+	c.versionRev[i.Key] = i.Revision
+	c.log.WithFields(logrus.Fields{"model": v.Model, "version": v.Version, "revision": i.Revision,
+		"age_ms": time.Since(since).Milliseconds()}).Info("Version wanted.")
+	c.book.SetVersion(v, since)
+	for name, s := range cfg.Services {
+		if s.Engine != nil && s.Engine.Model == v.Model {
+			c.want(ctx, name, s.Engine, v.Version, since)
+		}
+	}
+}
+
+func (c *Control) want(ctx context.Context, service string, m *fleet.EngineModel, version int, since time.Time) {
+	if old := c.assignments[service]; old != nil && old.assigned && old.version >= version {
+		return
+	}
+	a := &assignment{model: m, version: version, since: since, assigned: true}
+	key := fmt.Sprintf("%s/%d", m.Model, version)
+	var addrs []string
+	for _, i := range c.list {
+		if i.Service == service && i.Holds(m) > 0 {
+			addrs = append(addrs, i.Addr)
+		}
+	}
+	a.order = membership.Rank(key, addrs, len(addrs))
+	c.setAssignment(service, a)
+	c.relay.Want(ctx, m.Model, version, m.Chunks)
+}
+
+// assign gives engines of services for which no version was named the newest
+// one that an engine holds.
+func (c *Control) assign() {
+	cfg := c.gateway.Config()
+	if cfg == nil {
+		return
+	}
+	for name, s := range cfg.Services {
+		if s.Engine == nil || c.assignments[name] != nil && c.assignments[name].assigned {
+			continue
+		}
+		version := 1
+		for _, i := range c.list {
+			if i.Service == name {
+				version = max(version, i.Holds(s.Engine))
+			}
+		}
+		if old := c.assignments[name]; old == nil || old.version < version {
+			c.setAssignment(name, &assignment{model: s.Engine, version: version, since: time.Now()})
+		}
+	}
+}
+
+func (c *Control) setAssignment(service string, a *assignment) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.assignments[service] = a
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Assignment implements mesh.Listener.
+func (c *Control) Assignment(agent peer.Presence) (*peer.Assignment, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.assignments[agent.Service]
+	if a == nil {
+		return nil, c.changed
+	}
+	out := &peer.Assignment{Model: a.model.Model, Version: a.version, Layers: a.model.Layers, Pieces: a.model.Chunks,
+		AgeMs: time.Since(a.since).Milliseconds(), TimeoutMs: c.cfg.VersionTimeout.Milliseconds(), Turns: len(a.order)}
+	out.Turn = max(slices.Index(a.order, agent.Engine), 0)
+	return out, c.changed
+}
+
+func (c *Control) applyInstances(items []mirror.Item) {
+	list := make([]*fleet.Instance, 0, len(items))
+	next := make(map[string]decodedInstance, len(items))
+	for _, i := range items {
+		d := c.decoded[i.Key]
+		if d.revision != i.Revision {
+			d = c.decodeInstance(i, d)
+		}
+		next[i.Key] = d
+		if d.instance != nil {
+			list = append(list, d.instance)
+		}
+	}
+	c.logVanished(next)
+	c.decoded = next
+	down, ended := c.outage()
+	c.list = c.roster.Update(time.Now(), list, down, ended)
+	if cfg := c.gateway.Config(); cfg != nil {
+		c.book.Apply(c.list, cfg.Services)
+	}
+}
+
+func (c *Control) decodeInstance(i mirror.Item, old decodedInstance) decodedInstance {
+	inst, err := c.decoder.Instance(i)
+	if err != nil {
+		c.log.WithError(err).WithFields(logrus.Fields{"key": i.Key, "revision": i.Revision}).Error("Target not readable, the last entry stays.")
+		return decodedInstance{i.Revision, old.instance}
+	}
+	c.log.WithFields(logrus.Fields{"target": inst.ID, "service": inst.Service, "addr": inst.Addr, "draining": inst.Draining,
+		"models": inst.Models, "revision": i.Revision}).Info("Target listed.")
+	return decodedInstance{i.Revision, inst}
+}
+
+func (c *Control) logVanished(next map[string]decodedInstance) {
+	for key, d := range c.decoded {
+		if _, ok := next[key]; !ok && d.instance != nil {
+			c.log.WithFields(logrus.Fields{"target": d.instance.ID, "service": d.instance.Service,
+				"draining": d.instance.Draining}).Info("Target no longer listed.")
+		}
+	}
+}
+
+// Loads implements mesh.Listener.
+func (c *Control) Loads(l *peer.Loads) {
+	loads := make(map[string]dispatch.Load, len(l.Targets))
+	for _, t := range l.Targets {
+		loads[t.Instance] = dispatch.Load{Requests: t.Requests, Unread: t.Unread}
+	}
+	c.book.SetLoads(l.From.Addr, loads)
+}
+
+// Lost implements mesh.Listener.
+func (c *Control) Lost(addr string) { c.book.SetLoads(addr, nil) }
+
+// EngineState implements mesh.Listener.
+func (c *Control) EngineState(addr string, s *peer.EngineState) {
+	if s == nil {
+		c.log.WithField("addr", addr).Info("Agent not heard any more.")
+		c.book.ForgetState(addr)
+		return
+	}
+	c.log.WithFields(logrus.Fields{"addr": addr, "model": s.Model, "version": s.Version, "loading": s.Loading}).Info("Engine state heard.")
+	c.book.SetState(addr, dispatch.EngineState{Version: s.Version, Loading: s.Loading})
+}
+
+// OwnLoads returns what this entry has in flight, for the other entries.
+func (c *Control) OwnLoads() []peer.TargetLoad {
+	own := c.book.OwnLoads()
+	out := make([]peer.TargetLoad, 0, len(own))
+	for id, l := range own {
+		out = append(out, peer.TargetLoad{Instance: id, Requests: l.Requests, Unread: l.Unread})
+	}
+	slices.SortFunc(out, func(a, b peer.TargetLoad) int { return cmp.Compare(a.Instance, b.Instance) })
+	return out
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,174 @@
+// Package gateway is the entry where callers' requests go straight from the
+// entry to the target: it matches routes and teams, chooses targets, passes
+// answers and event streams on, and resumes broken streams elsewhere. The
+// names on the wire are a Dialect's.
+package gateway
+
+import (
+	"cmp"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/routing"
+	"github.com/springgate/springgate/targetconn"
+)
+
+// Call is what a caller's header says beside the request itself.
+type Call struct {
+	ID        string // of this attempt of the caller
+	Key       string // API key
+	Remaining time.Duration
+	Prompt    int // tokens
+	MaxAnswer int // tokens
+	LastEvent string
+}
+
+// Send is what the header of a request to a target says.
+type Send struct {
+	Instance  string // the only one that may run it
+	Team      string
+	Remaining time.Duration
+	Version   int    // of the weights; 0 is any
+	LastEvent string // a stream goes on after it
+}
+
+// AnswerInfo is what the header of a target's answer says.
+type AnswerInfo struct {
+	ID            string // of the request it answers
+	Signed        bool   // it bears the target's signature
+	NotRun        bool   // the target states that it did not run the request
+	OtherInstance bool   // another instance has the address
+}
+
+// Dialect translates the names of headers.
+type Dialect interface {
+	Decode(h http.Header) Call
+	// EncodeSend sets and removes fields of a forwarded header.
+	EncodeSend(h http.Header, s Send)
+	DecodeAnswer(status int, h http.Header) AnswerInfo
+}
+
+// Config holds the limits of a Gateway.
+type Config struct {
+	Domain string // failure domain of this entry
+
+	// Patience is the part of the objective that a request may wait for a
+	// target. A caller that is refused within a quarter of it can still be
+	// served in time elsewhere; the rest is for the way. Default 0.2.
+	Patience float64
+	// RetryPatience is how long a request that failed at one target may wait
+	// for another. Default 250 ms.
+	RetryPatience time.Duration
+	// FirstEventTimeout is how long a stream's first event may take before
+	// another target is tried, beyond the forecast. Default 700 ms.
+	FirstEventTimeout time.Duration
+	// StallTimeout is how long a stream may pause before it is resumed
+	// elsewhere, at the least. An engine's pass takes up to 400 ms. Default
+	// 900 ms.
+	StallTimeout time.Duration
+	// AnswerMemory bounds how much of a plain answer is held until it is
+	// known to be whole, in bytes. Default 256 KiB.
+	AnswerMemory int64
+	// RetryAfterBase and RetryAfterSpread bound the time after which a refused
+	// caller should come back: about what a full engine takes for a request.
+	// Defaults 300 ms and 900 ms.
+	RetryAfterBase, RetryAfterSpread time.Duration
+	// RetryRatio is how many retries each request pays for, and RetryBurst
+	// how many may be saved up by all entries together.
+	RetryRatio, RetryBurst float64
+	// MinLeft is the least time in which a target can still do something for
+	// a request. Default 30 ms.
+	MinLeft time.Duration
+}
+
+func (c Config) applyDefaults() Config {
+	c.Patience = cmp.Or(c.Patience, 0.2)
+	c.RetryPatience = cmp.Or(c.RetryPatience, 250*time.Millisecond)
+	c.FirstEventTimeout = cmp.Or(c.FirstEventTimeout, 700*time.Millisecond)
+	c.StallTimeout = cmp.Or(c.StallTimeout, 900*time.Millisecond)
+	c.AnswerMemory = cmp.Or(c.AnswerMemory, int64(256<<10))
+	c.RetryAfterBase = cmp.Or(c.RetryAfterBase, 300*time.Millisecond)
+	c.RetryAfterSpread = cmp.Or(c.RetryAfterSpread, 900*time.Millisecond)
+	c.MinLeft = cmp.Or(c.MinLeft, 30*time.Millisecond)
+	return c
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	cfg     Config
+	dialect Dialect
+	book    *dispatch.Book
+	pool    *targetconn.Pool
+	stats   *Stats
+	log     logrus.FieldLogger
+
+	config   atomic.Pointer[fleet.Config]
+	draining atomic.Bool
+	inflight atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*routing.Budget // by service
+	entries int
+}
+
+// New returns a gateway that refuses all until it has a configuration.
+func New(cfg Config, d Dialect, book *dispatch.Book, pool *targetconn.Pool, stats *Stats, log logrus.FieldLogger) *Gateway {
+	return &Gateway{cfg: cfg.applyDefaults(), dialect: d, book: book, pool: pool, stats: stats, log: log,
+		budgets: map[string]*routing.Budget{}, entries: 1}
+}
+
+// SetConfig puts a configuration in force. Older versions are ignored.
+func (g *Gateway) SetConfig(c *fleet.Config) bool {
+	for {
+		old := g.config.Load()
+		if old != nil && old.Version >= c.Version {
+			return false
+		}
+		if g.config.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
+
+// Config returns the configuration in force, or nil.
+func (g *Gateway) Config() *fleet.Config { return g.config.Load() }
+
+// Ready reports whether the gateway should get callers' connections.
+func (g *Gateway) Ready() bool { return g.config.Load() != nil && !g.draining.Load() }
+
+// Drain makes the gateway not ready, and lets callers close their connections
+// after the next answer.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Inflight returns how many requests are being served.
+func (g *Gateway) Inflight() int64 { return g.inflight.Load() }
+
+// SetEntries tells how many entries share the retry budget.
+func (g *Gateway) SetEntries(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n != g.entries {
+		g.entries = n
+		g.budgets = map[string]*routing.Budget{}
+	}
+}
+
+// budget returns the retry budget of a service. The entries share it without
+// talking: each takes an equal part of the burst, and pays in by its own
+// requests.
+func (g *Gateway) budget(service string) *routing.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		part := max(g.cfg.RetryBurst/float64(max(g.entries, 1)), 1)
+		b = routing.NewBudget(routing.BudgetConfig{Ratio: g.cfg.RetryRatio, Reserve: part / 2, Cap: part, NoRefill: true})
+		g.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/gateway/roster.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+)
+
+// Roster keeps instances whose entries vanished for a moment: entries lapse
+// while the store is away although the targets live, and a target that really
+// left answers that it has not run a request. It is pure.
+type Roster struct {
+	// Hold is how long an instance that vanished without draining is kept. It
+	// must stay under the time in which a target that left may still get
+	// requests.
+	Hold time.Duration
+	// CatchUp is how long after an outage of the store an entry may be missing
+	// although the target lives.
+	CatchUp time.Duration
+
+	known    map[string]*fleet.Instance
+	vanished map[string]time.Time
+}
+
+// Update takes the list and returns the instances that may be used. down is
+// true while the store cannot be read, and ended is when it last came back.
+func (r *Roster) Update(now time.Time, list []*fleet.Instance, down bool, ended time.Time) []*fleet.Instance {
+	listed := make(map[string]*fleet.Instance, len(list))
+	for _, i := range list {
+		listed[i.ID] = i
+	}
+	out := list
+	vanished := map[string]time.Time{}
+	for id, old := range r.known {
+		if listed[id] != nil || old.Draining {
+			continue
+		}
+		since, ok := r.vanished[id]
+		if !ok {
+			since = now
+		}
+		if !down && now.Sub(since) >= r.Hold && now.Sub(ended) >= r.CatchUp {
+			continue
+		}
+		kept := *old
+		kept.Doubtful = true
+		listed[id] = &kept
+		vanished[id] = since
+		out = append(out, &kept)
+	}
+	r.known, r.vanished = listed, vanished
+	return out
+}
+
+// Pending reports whether instances are kept that are no longer listed.
+func (r *Roster) Pending() bool { return len(r.vanished) > 0 }
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/httpclient"
+	"github.com/springgate/springgate/loop"
+)
+
+// ServerConfig holds the addresses and times of a Server.
+type ServerConfig struct {
+	CallerAddr string
+	ReadyAddr  string
+	// DrainTimeout is the time from the request to stop until the process is
+	// killed. Default 8 s.
+	DrainTimeout time.Duration
+	// DrainMargin is how long before that connections are closed. Default 700 ms.
+	DrainMargin time.Duration
+	// DrainAtLeast is how long the server goes on in any case: the balancer
+	// sends new connections until it has asked twice. Default 3.5 s.
+	DrainAtLeast time.Duration
+}
+
+func (c ServerConfig) applyDefaults() ServerConfig {
+	c.DrainTimeout = cmp.Or(c.DrainTimeout, 8*time.Second)
+	c.DrainMargin = cmp.Or(c.DrainMargin, 700*time.Millisecond)
+	c.DrainAtLeast = cmp.Or(c.DrainAtLeast, 3500*time.Millisecond)
+	return c
+}
+
+// Timeouts and limits of the callers' connections. The configuration's limits
+// bind callers; these are wider, so that a caller that keeps within them is
+// never cut by a race.
+const (
+	headerTimeout  = 15 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	drainPoll      = 50 * time.Millisecond
+)
+
+// Server listens for callers and for the balancer's question. net/http serves
+// the callers: the routes of go-zero's rest are fixed at start, and its
+// handlers buffer and time out answers by themselves.
+type Server struct {
+	cfg     ServerConfig
+	gateway *Gateway
+	log     logrus.FieldLogger
+	servers []*http.Server
+}
+
+// NewServer returns a server that is not listening yet.
+func NewServer(cfg ServerConfig, g *Gateway, log logrus.FieldLogger) *Server {
+	return &Server{cfg: cfg.applyDefaults(), gateway: g, log: log}
+}
+
+// Start listens.
+func (s *Server) Start(ctx context.Context) error {
+	err := s.listen(ctx, s.cfg.CallerAddr, s.gateway)
+	if err != nil {
+		return err
+	}
+	return s.listen(ctx, s.cfg.ReadyAddr, http.HandlerFunc(s.serveReady))
+}
+
+func (s *Server) listen(ctx context.Context, addr string, h http.Handler) error {
+	lc := httpclient.ListenConfig()
+	ln, err := lc.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "gateway: listen")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+	s.servers = append(s.servers, server)
+	go s.serve(server, ln)
+	return nil
+}
+
+func (s *Server) serve(server *http.Server, ln net.Listener) {
+	if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		s.log.WithError(err).Error("Listener failed.")
+	}
+}
+
+// serveReady answers the balancer.
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.gateway.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Drain serves on until all requests have ended, or the time is over.
+func (s *Server) Drain() {
+	start := time.Now()
+	s.gateway.Drain()
+	s.log.WithField("inflight", s.gateway.Inflight()).Info("Draining.")
+	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DrainTimeout-s.cfg.DrainMargin)
+	defer cancel()
+	for loop.Sleep(ctx, drainPoll) {
+		if time.Since(start) >= s.cfg.DrainAtLeast && s.gateway.Inflight() == 0 {
+			break
+		}
+	}
+	s.log.WithFields(logrus.Fields{"inflight": s.gateway.Inflight(), "ms": time.Since(start).Milliseconds()}).Info("Drained.")
+	for _, server := range s.servers {
+		// Shutdown closes idle connections; what is left ends with the process.
+		shut, done := context.WithTimeout(context.Background(), drainPoll)
+		_ = server.Shutdown(shut)
+		done()
+	}
+}
--- /dev/null
+++ b/gateway/stats.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// sampleSize and sampleAlpha shape the histograms: a sample of about a
+// thousand values, biased to the last minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Stats are the counters and histograms of a gateway. Times are in ms.
+type Stats struct {
+	answered   metrics.Counter
+	refused    map[Reason]metrics.Counter
+	retried    map[Reason]metrics.Counter
+	firstEvent metrics.Histogram
+	whole      metrics.Histogram
+	waited     metrics.Histogram
+	// forecastError is how much later than forecast first events came.
+	forecastError metrics.Histogram
+}
+
+// NewStats registers the counters.
+func NewStats(r metrics.Registry) *Stats {
+	s := &Stats{answered: metrics.NewRegisteredCounter("gateway.answered", r),
+		refused: map[Reason]metrics.Counter{}, retried: map[Reason]metrics.Counter{},
+		firstEvent: histogram("gateway.first_event_ms", r), whole: histogram("gateway.answer_ms", r),
+		waited: histogram("gateway.wait_ms", r), forecastError: histogram("gateway.forecast_error_ms", r)}
+	for _, reason := range reasons {
+		s.refused[reason] = metrics.NewRegisteredCounter("gateway.failed."+string(reason), r)
+		s.retried[reason] = metrics.NewRegisteredCounter("gateway.retried."+string(reason), r)
+	}
+	return s
+}
+
+func histogram(name string, r metrics.Registry) metrics.Histogram {
+	return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
+
+func (s *Stats) failed(r Reason)                   { s.refused[r].Inc(1) }
+func (s *Stats) triedAgain(r Reason)               { s.retried[r].Inc(1) }
+func observe(h metrics.Histogram, d time.Duration) { h.Update(d.Milliseconds()) }
--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -5,7 +5,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -39,7 +38,7 @@
 // settings and leaves bodies as they are.
 func Transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         Dialer(dialTimeout).DialContext,
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- /dev/null
+++ b/mesh/members.go
@@ -0,0 +1,140 @@
+// Package mesh connects the processes of the system: entries find each other
+// from a few seeds, tell each other what they have in flight, and hear from the
+// agents what the engines beside them serve. There is no leader and no shared
+// state; what a process says is forgotten when it is not heard any more.
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/springgate/springgate/peer"
+)
+
+// Config holds the times of a Mesh.
+type Config struct {
+	// Interval is the time between two rounds of load messages; one is sent
+	// only if the load changed. At 12 requests/s an engine gets 0.6 requests
+	// in it, which is the error of the count. Default 50 ms.
+	Interval time.Duration
+	// Heartbeat is the longest time without a message. Default 500 ms.
+	Heartbeat time.Duration
+	// ExpireAfter is how long an entry that is not heard counts as live.
+	// Default 1.6 s, three heartbeats.
+	ExpireAfter time.Duration
+	// BehindAfter is how long the own copy of the store may be behind a
+	// peer's before it is read from there. A watch at the store is quicker
+	// unless it is cut. Default 300 ms.
+	BehindAfter time.Duration
+	// RetryAfter is the pause before a link that broke is opened again.
+	// Default 400 ms.
+	RetryAfter time.Duration
+}
+
+func (c Config) applyDefaults() Config {
+	c.Interval = cmp.Or(c.Interval, 50*time.Millisecond)
+	c.Heartbeat = cmp.Or(c.Heartbeat, 500*time.Millisecond)
+	c.ExpireAfter = cmp.Or(c.ExpireAfter, 1600*time.Millisecond)
+	c.BehindAfter = cmp.Or(c.BehindAfter, 300*time.Millisecond)
+	c.RetryAfter = cmp.Or(c.RetryAfter, 400*time.Millisecond)
+	return c
+}
+
+// member is an entry that was heard, or of which another one told.
+type member struct {
+	peer.Presence
+	heardAt time.Time // zero if only told of
+}
+
+// Members is the set of entries that one process knows. It is pure.
+type Members struct {
+	self        string // address; never a member
+	expireAfter time.Duration
+	byAddr      map[string]*member
+}
+
+// NewMembers returns a set that knows the seeds by address only.
+func NewMembers(self string, seeds []string, expireAfter time.Duration) *Members {
+	m := &Members{self: self, expireAfter: expireAfter, byAddr: map[string]*member{}}
+	for _, s := range seeds {
+		m.Told(s)
+	}
+	return m
+}
+
+// Told adds an address that may be an entry's.
+func (m *Members) Told(addr string) {
+	if addr == "" || addr == m.self || m.byAddr[addr] != nil {
+		return
+	}
+	m.byAddr[addr] = &member{Presence: peer.Presence{Addr: addr}}
+}
+
+// Heard takes what an entry says of itself. It reports whether the entry was
+// not live before. Words of an earlier incarnation are ignored.
+func (m *Members) Heard(now time.Time, p peer.Presence) bool {
+	if p.Addr == "" || p.Addr == m.self {
+		return false
+	}
+	old := m.byAddr[p.Addr]
+	if old != nil && old.Incarnation > p.Incarnation {
+		return false
+	}
+	isNew := old == nil || !m.live(now, old) || old.Incarnation != p.Incarnation
+	m.byAddr[p.Addr] = &member{Presence: p, heardAt: now}
+	return isNew && !p.Leaving
+}
+
+// Lost notes that an entry cannot be reached.
+func (m *Members) Lost(addr string) {
+	if old := m.byAddr[addr]; old != nil {
+		old.heardAt = time.Time{}
+	}
+}
+
+func (m *Members) live(now time.Time, x *member) bool {
+	return !x.heardAt.IsZero() && now.Sub(x.heardAt) <= m.expireAfter && !x.Leaving
+}
+
+// Live returns the entries heard lately, ordered by address.
+func (m *Members) Live(now time.Time) []peer.Presence {
+	var out []peer.Presence
+	for _, x := range m.byAddr {
+		if m.live(now, x) {
+			out = append(out, x.Presence)
+		}
+	}
+	slices.SortFunc(out, func(a, b peer.Presence) int { return cmp.Compare(a.Addr, b.Addr) })
+	return out
+}
+
+// Addrs returns all addresses that may be entries, in order.
+func (m *Members) Addrs() []string {
+	out := make([]string, 0, len(m.byAddr))
+	for a := range m.byAddr {
+		out = append(out, a)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Ahead returns the live entry whose copy of prefix reaches furthest beyond
+// revision, or false.
+func (m *Members) Ahead(now time.Time, prefix string, revision int64) (addr string, ok bool) {
+	for _, x := range m.Live(now) {
+		if r := revisionOf(x, prefix); r > revision {
+			addr, revision, ok = x.Addr, r, true
+		}
+	}
+	return addr, ok
+}
+
+func revisionOf(p peer.Presence, prefix string) int64 {
+	for _, r := range p.Revisions {
+		if r.Prefix == prefix {
+			return r.Revision
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,420 @@
+package mesh
+
+import (
+	"context"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/loop"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/peer"
+)
+
+// Listener is told what others say. Its methods must not block.
+type Listener interface {
+	// Loads is what another entry has in flight.
+	Loads(l *peer.Loads)
+	// Lost says that an entry is not heard any more.
+	Lost(addr string)
+	// EngineState is what an agent says; nil when it is not heard any more.
+	EngineState(addr string, s *peer.EngineState)
+	// Assignment returns what the engine beside an agent is to serve, or nil,
+	// and a channel that is closed when that may have changed.
+	Assignment(agent peer.Presence) (*peer.Assignment, <-chan struct{})
+}
+
+// Mesh is this process's part of the network.
+type Mesh struct {
+	cfg      Config
+	self     peer.Presence
+	pool     *peer.Pool
+	log      logrus.FieldLogger
+	listener Listener
+	assigned func(peer.Assignment)
+	tables   []*mirror.Table
+	prefixes []string
+
+	mu          sync.Mutex
+	members     *Members
+	links       map[string]*link
+	live        []peer.Presence
+	changed     chan struct{} // closed when live changes
+	leaving     bool
+	behindSince map[string]time.Time
+	catchingUp  map[string]bool
+}
+
+// Options are what a Mesh is made of.
+type Options struct {
+	Config   Config
+	Self     peer.Presence
+	Seeds    []string
+	Pool     *peer.Pool
+	Listener Listener              // nil at agents
+	Assigned func(peer.Assignment) // at agents
+	Prefixes []string
+	Tables   []*mirror.Table // one for each prefix
+	Log      logrus.FieldLogger
+}
+
+// New returns a mesh that is not running.
+func New(o Options) *Mesh {
+	cfg := o.Config.applyDefaults()
+	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, prefixes: o.Prefixes,
+		tables: o.Tables, members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
+		changed: make(chan struct{}), behindSince: map[string]time.Time{}, catchingUp: map[string]bool{}}
+}
+
+// Leave tells the others that this process is leaving.
+func (m *Mesh) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+}
+
+// Entries returns the live entries, without this process.
+func (m *Mesh) Entries() []peer.Presence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.live
+}
+
+func (m *Mesh) presence() peer.Presence {
+	p := m.self
+	p.Leaving = m.leaving
+	for i, t := range m.tables {
+		p.Revisions = append(p.Revisions, peer.PrefixRevision{Prefix: m.prefixes[i], Revision: t.Revision()})
+	}
+	return p
+}
+
+// Run keeps links to all entries and refreshes the members until ctx ends.
+// loads returns what this process has in flight; nil at agents.
+func (m *Mesh) Run(ctx context.Context, loads func() []peer.TargetLoad) {
+	ticker := time.NewTicker(m.cfg.Interval)
+	defer ticker.Stop()
+	var last []peer.TargetLoad
+	var lastAt time.Time
+	for {
+		now := time.Now()
+		m.refresh(ctx, now)
+		if loads != nil {
+			current := loads()
+			if now.Sub(lastAt) >= m.cfg.Heartbeat || !reflect.DeepEqual(current, last) {
+				m.broadcast(&peer.Loads{Targets: current})
+				last, lastAt = current, now
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// refresh opens links to entries that have none, and notes who is live.
+func (m *Mesh) refresh(ctx context.Context, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, addr := range m.members.Addrs() {
+		if m.links[addr] == nil {
+			l := &link{mesh: m, addr: addr, out: make(chan peer.Message, 1)}
+			m.links[addr] = l
+			go l.run(ctx)
+		}
+	}
+	m.setLive(m.members.Live(now))
+	for i, t := range m.tables {
+		m.compare(ctx, now, m.prefixes[i], t)
+	}
+}
+
+func (m *Mesh) setLive(live []peer.Presence) {
+	if sameAddrs(live, m.live) {
+		m.live = live
+		return
+	}
+	for _, old := range m.live {
+		if !hasAddr(live, old.Addr) {
+			m.log.WithField("peer", old.Addr).Warn("Entry lost.")
+			if m.listener != nil {
+				m.listener.Lost(old.Addr)
+			}
+		}
+	}
+	for _, p := range live {
+		if !hasAddr(m.live, p.Addr) {
+			m.log.WithFields(logrus.Fields{"peer": p.Addr, "host": p.Host, "incarnation": p.Incarnation}).Info("Entry found.")
+		}
+	}
+	m.live = live
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// compare reads from a peer what its copy of the store has and the own has not.
+func (m *Mesh) compare(ctx context.Context, now time.Time, prefix string, t *mirror.Table) {
+	addr, ahead := m.members.Ahead(now, prefix, t.Revision())
+	if !ahead {
+		delete(m.behindSince, prefix)
+		return
+	}
+	if m.behindSince[prefix].IsZero() {
+		m.behindSince[prefix] = now
+	}
+	if now.Sub(m.behindSince[prefix]) < m.cfg.BehindAfter || m.catchingUp[prefix] {
+		return
+	}
+	m.catchingUp[prefix] = true
+	go m.catchUp(ctx, prefix, addr, t)
+}
+
+func (m *Mesh) catchUp(ctx context.Context, prefix, addr string, t *mirror.Table) {
+	before := t.Revision()
+	err := mirror.CatchUp(ctx, &peerSource{mesh: m, addr: addr}, t)
+	m.mu.Lock()
+	delete(m.catchingUp, prefix)
+	delete(m.behindSince, prefix)
+	m.mu.Unlock()
+	fields := logrus.Fields{"peer": addr, "prefix": prefix, "from_revision": before, "to_revision": t.Revision()}
+	if err != nil {
+		m.log.WithFields(fields).WithError(err).Info("Could not catch up from a peer.")
+		return
+	}
+	m.log.WithFields(fields).Info("Caught up from a peer.")
+}
+
+func sameAddrs(a, b []peer.Presence) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Addr != b[i].Addr || a[i].Incarnation != b[i].Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
+func hasAddr(list []peer.Presence, addr string) bool {
+	for _, p := range list {
+		if p.Addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// broadcast hands a message to all links. A link that is behind gets only the
+// newest.
+func (m *Mesh) broadcast(msg peer.Message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l, ok := msg.(*peer.Loads); ok {
+		l.From = m.presence()
+	}
+	for _, l := range m.links {
+		l.offer(msg)
+	}
+}
+
+// Say tells all entries the state of the engine beside this agent; links that
+// open later tell it first.
+func (m *Mesh) Say(s peer.EngineState) { m.broadcast(&s) }
+
+// heard notes what an entry says of itself.
+func (m *Mesh) heard(p peer.Presence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members.Heard(time.Now(), p)
+}
+
+func (m *Mesh) told(list []peer.Presence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range list {
+		m.members.Told(p.Addr)
+	}
+}
+
+func (m *Mesh) lost(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members.Lost(addr)
+}
+
+// known returns the live entries and this one, for those who ask, and a
+// channel that is closed when they change.
+func (m *Mesh) known() ([]peer.Presence, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := append([]peer.Presence{m.presence()}, m.live...)
+	return list, m.changed
+}
+
+// Serve handles a stream that another process opened with its Presence.
+func (m *Mesh) Serve(ctx context.Context, s *peer.Stream, first *peer.Presence) {
+	if first.Addr != "" {
+		m.heard(*first)
+	}
+	go m.tell(ctx, s, *first)
+	engine := ""
+	for {
+		msg, err := s.Recv(ctx)
+		if err != nil {
+			break
+		}
+		switch v := msg.(type) {
+		case *peer.Loads:
+			m.heard(v.From)
+			m.listener.Loads(v)
+		case *peer.EngineState:
+			engine = v.Addr
+			m.listener.EngineState(engine, v)
+		}
+	}
+	if engine != "" {
+		m.listener.EngineState(engine, nil)
+	}
+}
+
+// tell sends the members, and an agent its assignment, whenever they change.
+func (m *Mesh) tell(ctx context.Context, s *peer.Stream, to peer.Presence) {
+	for {
+		list, membersChanged := m.known()
+		if s.Send(ctx, &peer.Presences{Entries: list}) != nil {
+			return
+		}
+		assignment, assignmentChanged := m.listener.Assignment(to)
+		if assignment != nil && s.Send(ctx, assignment) != nil {
+			return
+		}
+		select {
+		case <-membersChanged:
+		case <-assignmentChanged:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// link is the way to one entry.
+type link struct {
+	mesh *Mesh
+	addr string
+
+	mu   sync.Mutex
+	last peer.Message
+	out  chan peer.Message
+}
+
+// offer replaces the message that waits to be sent.
+func (l *link) offer(msg peer.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last = msg
+	select {
+	case <-l.out:
+	default:
+	}
+	l.out <- msg
+}
+
+func (l *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.session(ctx)
+		l.mesh.lost(l.addr)
+		if !loop.Sleep(ctx, l.mesh.cfg.RetryAfter) {
+			return
+		}
+	}
+}
+
+// session opens a stream and sends what is offered until it breaks.
+func (l *link) session(ctx context.Context) {
+	c, err := l.mesh.pool.Get(ctx, l.addr, peer.Control)
+	if err != nil {
+		return
+	}
+	l.mesh.mu.Lock()
+	self := l.mesh.presence()
+	l.mesh.mu.Unlock()
+	s, err := c.Open(ctx, &self)
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	l.mu.Lock()
+	last := l.last
+	l.mu.Unlock()
+	if last != nil && s.Send(ctx, last) != nil {
+		return
+	}
+	ended := make(chan struct{})
+	go l.receive(ctx, s, ended)
+	for {
+		select {
+		case msg := <-l.out:
+			if s.Send(ctx, msg) != nil {
+				return
+			}
+		case <-ended:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// receive takes the members that the entry knows. An agent, which hears no
+// load messages, so also learns that the entry lives.
+func (l *link) receive(ctx context.Context, s *peer.Stream, ended chan struct{}) {
+	defer close(ended)
+	for {
+		msg, err := s.Recv(ctx)
+		if err != nil {
+			return
+		}
+		switch v := msg.(type) {
+		case *peer.Presences:
+			l.mesh.told(v.Entries)
+			if l.mesh.listener == nil && len(v.Entries) > 0 {
+				l.mesh.linked(v.Entries[0])
+			}
+		case *peer.Assignment:
+			l.mesh.assigned(*v)
+		}
+	}
+}
+
+// linked notes that an agent's link to an entry is up; it counts as heard
+// until the link breaks.
+func (m *Mesh) linked(p peer.Presence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members.Heard(time.Now().Add(linkedFor), p)
+}
+
+// linkedFor is longer than any link lasts.
+const linkedFor = 24 * time.Hour
+
+// Near returns the live entry that this process should ask first for key: of
+// the own failure domain if there is one, by rendezvous hashing.
+func (m *Mesh) Near(key string) (addr string, ok bool) {
+	var near, all []string
+	for _, p := range m.Entries() {
+		all = append(all, p.Addr)
+		if p.Domain == m.self.Domain {
+			near = append(near, p.Addr)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	addr = membership.First(key, near)
+	return addr, addr != ""
+}
--- /dev/null
+++ b/mirror/table.go
@@ -0,0 +1,229 @@
+// Package mirror keeps copies of prefixes of the platform's key-value store
+// in each process. A copy follows the store directly or, where the store
+// cannot be reached, the copy of a peer: revisions are the store's own, so
+// that a process may change its source at any time and never goes back.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of sources.
+var (
+	// ErrCompacted says that the history after a revision is gone: read all.
+	ErrCompacted = errors.New("mirror: history compacted")
+	// ErrUnavailable says that a source answered but cannot serve.
+	ErrUnavailable = errors.New("mirror: source unavailable")
+)
+
+// Item is one key of the store.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64 // of its last change
+}
+
+// Event is a change of one key.
+type Event struct {
+	Item
+	Deleted bool
+}
+
+// Batch is what a source returns: a whole prefix or the changes since a
+// revision.
+type Batch struct {
+	Events   []Event
+	Revision int64         // continue from here
+	Age      time.Duration // how long ago the source last heard the store
+}
+
+// Source is the store or a peer's copy of it.
+type Source interface {
+	// Name is used in logs.
+	Name() string
+	// Range returns all items of prefix.
+	Range(ctx context.Context, prefix string) (Batch, error)
+	// Watch waits for changes after a revision, at most for wait.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
+}
+
+// historyLength is how many changes a table keeps for peers that follow it. A
+// change has a few hundred bytes, but a configuration tens of thousands.
+const historyLength = 128
+
+// Table is the copy of one prefix. Its methods may be called concurrently.
+type Table struct {
+	prefix string
+
+	mu        sync.Mutex
+	items     map[string]Item
+	history   []Event
+	start     int64 // history is complete after this revision
+	revision  int64
+	first     int64     // revision of the first read
+	contactAt time.Time // when the store was last known to agree
+	changed   chan struct{}
+}
+
+// NewTable returns an empty copy of prefix.
+func NewTable(prefix string) *Table {
+	return &Table{prefix: prefix, items: map[string]Item{}, changed: make(chan struct{})}
+}
+
+// Revision returns the store's revision of the copy; zero before the first read.
+func (t *Table) Revision() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.revision
+}
+
+// FirstRevision returns the revision of the first read: changes up to it may be
+// of any age.
+func (t *Table) FirstRevision() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.first
+}
+
+// ContactAt returns when the store was last known to agree with the copy.
+func (t *Table) ContactAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.contactAt
+}
+
+// Items returns the items of the copy, and a channel closed at the next change.
+func (t *Table) Items() ([]Item, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Item, 0, len(t.items))
+	for _, i := range t.items {
+		out = append(out, i)
+	}
+	return out, t.changed
+}
+
+// Apply takes changes from a watch. Older changes than the copy's are skipped.
+func (t *Table) Apply(now time.Time, b Batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := false
+	for _, e := range b.Events {
+		changed = t.apply(e) || changed
+	}
+	t.advance(now, b, changed)
+}
+
+// Replace takes a whole prefix. Keys that it lacks are gone, unless they
+// changed after its revision. A replacement older than the copy is ignored.
+func (t *Table) Replace(now time.Time, b Batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b.Revision < t.revision {
+		return
+	}
+	named := make(map[string]bool, len(b.Events))
+	changed := t.revision == 0
+	for _, e := range b.Events {
+		named[e.Key] = true
+		changed = t.apply(e) || changed
+	}
+	for key, i := range t.items {
+		if !named[key] && i.Revision <= b.Revision {
+			changed = t.apply(Event{Item: Item{Key: key, Revision: b.Revision}, Deleted: true}) || changed
+		}
+	}
+	if t.revision == 0 {
+		t.start, t.first = b.Revision, b.Revision
+	}
+	t.advance(now, b, changed)
+}
+
+func (t *Table) apply(e Event) bool {
+	old, known := t.items[e.Key]
+	if known && e.Revision <= old.Revision && !e.Deleted {
+		return false
+	}
+	if e.Deleted && (!known || e.Revision < old.Revision) {
+		return false
+	}
+	if e.Deleted {
+		delete(t.items, e.Key)
+	} else {
+		t.items[e.Key] = e.Item
+	}
+	t.history = append(t.history, e)
+	if over := len(t.history) - historyLength; over > 0 {
+		t.start = max(t.start, t.history[over-1].Revision)
+		t.history = append([]Event(nil), t.history[over:]...)
+	}
+	return true
+}
+
+func (t *Table) advance(now time.Time, b Batch, changed bool) {
+	moved := b.Revision > t.revision
+	t.revision = max(t.revision, b.Revision)
+	if at := now.Add(-b.Age); at.After(t.contactAt) {
+		t.contactAt = at
+	}
+	if changed || moved {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+// Range returns the whole copy for a peer.
+func (t *Table) Range(now time.Time) (Batch, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.revision == 0 {
+		return Batch{}, ErrUnavailable
+	}
+	b := Batch{Revision: t.revision, Age: now.Sub(t.contactAt)}
+	for _, i := range t.items {
+		b.Events = append(b.Events, Event{Item: i})
+	}
+	return b, nil
+}
+
+// Watch waits for changes after a revision for a peer. It returns an empty
+// batch when wait or ctx ends first.
+func (t *Table) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		b, changed, err := t.since(time.Now(), after)
+		if err != nil || len(b.Events) > 0 {
+			return b, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return b, nil
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
+	}
+}
+
+func (t *Table) since(now time.Time, after int64) (Batch, <-chan struct{}, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.revision == 0 {
+		return Batch{}, nil, ErrUnavailable
+	}
+	if after < t.start {
+		return Batch{}, nil, ErrCompacted
+	}
+	b := Batch{Revision: max(after, t.revision), Age: now.Sub(t.contactAt)}
+	for _, e := range t.history {
+		if e.Revision > after {
+			b.Events = append(b.Events, e)
+		}
+	}
+	return b, t.changed, nil
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -45,6 +45,16 @@
 	kindNodeStatus
 	kindGetHistory
 	kindHistory
+	kindMirrorRead
+	kindMirrorBatch
+	kindPresence
+	kindPresences
+	kindLoads
+	kindEngineState
+	kindGetManifest
+	kindGetPiece
+	kindAssignment
+	kindManifest
 )
 
 // newMessage returns an empty message of the given kind, or nil.
@@ -104,6 +114,26 @@
 		return &GetHistory{}
 	case kindHistory:
 		return &History{}
+	case kindMirrorRead:
+		return &MirrorRead{}
+	case kindMirrorBatch:
+		return &MirrorBatch{}
+	case kindPresence:
+		return &Presence{}
+	case kindPresences:
+		return &Presences{}
+	case kindLoads:
+		return &Loads{}
+	case kindEngineState:
+		return &EngineState{}
+	case kindGetManifest:
+		return &GetManifest{}
+	case kindGetPiece:
+		return &GetPiece{}
+	case kindAssignment:
+		return &Assignment{}
+	case kindManifest:
+		return &Manifest{}
 	}
 	return nil
 }
--- /dev/null
+++ b/peer/mirror.go
@@ -0,0 +1,145 @@
+package peer
+
+// MirrorRead asks for a peer's copy of a prefix of the store. The reply is a
+// MirrorBatch.
+type MirrorRead struct {
+	Prefix string
+	All    bool  // the whole prefix; otherwise changes after a revision
+	After  int64 // revision of the store
+	WaitMs int64 // how long to wait for changes
+}
+
+// Kind implements Message.
+func (*MirrorRead) Kind() Kind { return kindMirrorRead }
+
+// MirrorEvent is one changed key of the store.
+type MirrorEvent struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Deleted  bool
+}
+
+// MirrorStatus tells whether a MirrorRead was served.
+type MirrorStatus uint8
+
+// Results of a MirrorRead.
+const (
+	MirrorOK MirrorStatus = iota
+	MirrorCompacted
+	MirrorEmpty // the peer has read nothing itself yet
+)
+
+// MirrorBatch answers a MirrorRead.
+type MirrorBatch struct {
+	Status   MirrorStatus
+	Events   []MirrorEvent
+	Revision int64
+	AgeMs    int64 // since the peer last heard the store
+}
+
+// Kind implements Message.
+func (*MirrorBatch) Kind() Kind { return kindMirrorBatch }
+
+// Presence is what a process says about itself when it opens a link, and at
+// intervals.
+type Presence struct {
+	Host        string
+	Role        string
+	Domain      string
+	Addr        string // of its peer listener; empty if it has none
+	Service     string // of the engine beside an agent
+	Engine      string // address of the engine beside an agent
+	Incarnation uint64
+	Revisions   []PrefixRevision
+	Leaving     bool
+}
+
+// Kind implements Message.
+func (*Presence) Kind() Kind { return kindPresence }
+
+// PrefixRevision is how far a process's copy of a prefix reaches.
+type PrefixRevision struct {
+	Prefix   string
+	Revision int64
+}
+
+// Presences answers a Presence with the entries that the peer knows.
+type Presences struct{ Entries []Presence }
+
+// Kind implements Message.
+func (*Presences) Kind() Kind { return kindPresences }
+
+// Loads tells what an entry has in flight at targets. It replaces what the
+// entry said before.
+type Loads struct {
+	From    Presence
+	Targets []TargetLoad
+}
+
+// Kind implements Message.
+func (*Loads) Kind() Kind { return kindLoads }
+
+// TargetLoad is one entry's share of the load of one target.
+type TargetLoad struct {
+	Instance string
+	Requests int // sent and not answered in full
+	Unread   int // prompt tokens of requests without a first event
+}
+
+// EngineState is what the agent beside an engine says about it.
+type EngineState struct {
+	Addr    string // address that the engine serves on
+	Model   string
+	Version int  // served whole; 0 is none
+	Loading bool // an order is in progress: new requests would wait
+}
+
+// Kind implements Message.
+func (*EngineState) Kind() Kind { return kindEngineState }
+
+// Assignment tells an agent what the engine beside it is to serve.
+type Assignment struct {
+	Model   string
+	Version int
+	Layers  int
+	Pieces  int
+	// AgeMs is how long ago the version was announced, as far as the entry
+	// knows; TimeoutMs is the time in which all engines must serve it.
+	AgeMs, TimeoutMs int64
+	// Turn of Turns is the engine's place in the order of the change.
+	Turn, Turns int
+}
+
+// Kind implements Message.
+func (*Assignment) Kind() Kind { return kindAssignment }
+
+// GetManifest asks an entry for the digests of a version's pieces; the reply
+// is a Manifest.
+type GetManifest struct {
+	Model   string
+	Version int
+	Hops    int // how often the request was passed on
+}
+
+// Kind implements Message.
+func (*GetManifest) Kind() Kind { return kindGetManifest }
+
+// Manifest lists the SHA-256 digests of a version's pieces; none if it could
+// not be had.
+type Manifest struct{ Digests [][]byte }
+
+// Kind implements Message.
+func (*Manifest) Kind() Kind { return kindManifest }
+
+// GetPiece asks an entry for one piece of a version's weights; the reply is a
+// Blob.
+type GetPiece struct {
+	Model   string
+	Version int
+	Index   int
+	Hops    int // how often the request was passed on
+}
+
+// Kind implements Message.
+func (*GetPiece) Kind() Kind { return kindGetPiece }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/springgate/springgate/httpclient"
 )
 
 // Class separates connections by purpose, so that bulk data never delays
@@ -88,8 +89,7 @@
 func (p *Pool) dial(ctx context.Context, addr string, class Class) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := httpclient.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
@@ -168,7 +168,8 @@
 
 // Listen starts a server on addr whose connections are counted by meter.
 func Listen(addr string, self Hello, h Handler, meter *Meter) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
+	lc := httpclient.ListenConfig()
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer: listen")
 	}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -17,6 +17,8 @@
 	Reserve float64
 	// Cap bounds what may be saved up. Default 100.
 	Cap float64
+	// NoRefill leaves the reserve to what requests pay in.
+	NoRefill bool
 }
 
 func (c BudgetConfig) applyDefaults() BudgetConfig {
@@ -52,7 +54,7 @@
 func (b *Budget) Spend(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < b.cfg.Reserve && !b.at.IsZero() {
+	if b.tokens < b.cfg.Reserve && !b.at.IsZero() && !b.cfg.NoRefill {
 		b.tokens = min(b.cfg.Reserve, b.tokens+now.Sub(b.at).Seconds())
 	}
 	b.at = now
--- /dev/null
+++ b/telemetry/async.go
@@ -0,0 +1,83 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// asyncLines is how many log lines may wait for the output, and asyncPause how
+// long lines are gathered for one write. A line has about 300 bytes, so the
+// buffer takes at most 1.2 MB.
+const (
+	asyncLines = 4096
+	asyncPause = 100 * time.Millisecond
+	asyncBatch = 64 << 10
+)
+
+// AsyncWriter passes log lines on without ever blocking the caller. Lines that
+// do not fit are dropped and counted, and the count is logged.
+type AsyncWriter struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewAsyncWriter starts a writer to w.
+func NewAsyncWriter(w io.Writer) *AsyncWriter {
+	a := &AsyncWriter{lines: make(chan []byte, asyncLines)}
+	go a.run(w)
+	return a
+}
+
+// Write implements io.Writer.
+func (a *AsyncWriter) Write(p []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), p...):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
+
+func (a *AsyncWriter) run(w io.Writer) {
+	var buf []byte
+	said := int64(0)
+	for line := range a.lines {
+		buf = append(buf[:0], line...)
+		time.Sleep(asyncPause)
+		buf = a.drain(buf)
+		if n := a.dropped.Load(); n > said {
+			buf = fmt.Appendf(buf, "{\"level\":\"warning\",\"part\":\"log\",\"msg\":\"Lines dropped.\",\"dropped\":%d}\n", n-said)
+			said = n
+		}
+		// An output that fails has nowhere to be reported.
+		_, _ = w.Write(buf)
+	}
+}
+
+// drain appends the lines that wait, up to the size of a batch.
+func (a *AsyncWriter) drain(buf []byte) []byte {
+	for len(buf) < asyncBatch {
+		select {
+		case line := <-a.lines:
+			buf = append(buf, line...)
+		default:
+			return buf
+		}
+	}
+	return buf
+}
+
+// Flush waits until the lines that are there now have been taken, at most for
+// limit.
+func (a *AsyncWriter) Flush(limit time.Duration) {
+	deadline := time.Now().Add(limit)
+	for len(a.lines) > 0 && time.Now().Before(deadline) {
+		time.Sleep(asyncPause / 10)
+	}
+	time.Sleep(asyncPause + asyncPause/2)
+}
