--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -29,7 +29,8 @@
 
 	stage *stage
 	said  peer.EngineState
-	up    bool
+	up    bool // the engine answered the last report
+	asked bool // a report was asked for before
 	step  Step
 
 	mu         sync.Mutex
@@ -128,10 +129,10 @@
 }
 
 func (s *Sidecar) engineLost(err error) {
-	if s.up {
+	if s.up || !s.asked {
 		s.log.WithError(err).WithField("engine", s.engineAddr).Warn("Engine lost.")
 	}
-	s.up = false
+	s.up, s.asked = false, true
 	s.stage = nil // what lies there is checked again
 	if a, _ := s.assigned(); a.Model != "" {
 		s.tell(a, 0, false)
