--- a/command/gateway.go
+++ b/command/gateway.go
@@ -171,14 +171,14 @@
 // entryProcess are the parts of an entry.
 type entryProcess struct {
 	*onPlatform
-	gateway   *gateway.Gateway
-	book      *dispatch.Book
-	conns     *targetconn.Pool
-	control   *gateway.Control
-	mesh      *mesh.Mesh
-	relay     *weights.Relay
-	followers []*mirror.Follower
-	server    *gateway.Server
+	gateway  *gateway.Gateway
+	book     *dispatch.Book
+	conns    *targetconn.Pool
+	control  *gateway.Control
+	mesh     *mesh.Mesh
+	relay    *weights.Relay
+	follower *mirror.Follower
+	server   *gateway.Server
 }
 
 func runGateway(f platformFlags) error {
@@ -215,24 +215,21 @@
 	e := &entryProcess{onPlatform: p}
 	p.pool = peer.NewPool(p.hello(), e.servePeer, p.meter)
 	store := platform.NewStore(s.Store.Addr)
-	prefixes := []string{platform.PrefixOperator, platform.PrefixInstances}
-	tables := []*mirror.Table{mirror.NewTable(prefixes[0]), mirror.NewTable(prefixes[1])}
+	table := mirror.NewTable(platform.PrefixAll)
 	e.book = dispatch.NewBook(dispatch.Config{VersionTimeout: s.VersionTimeout()}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.conns = targetconn.NewPool(targetconn.Config{})
 	e.gateway = gateway.New(gateway.Config{Domain: s.Domain, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.book, e.conns,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
-	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e, Prefixes: prefixes,
-		Tables: tables, Log: telemetry.Part(p.log, "mesh")})
-	for _, t := range tables {
-		e.followers = append(e.followers, mirror.NewFollower(mirror.Config{}, t, func() mirror.Source { return store },
-			e.mesh.Source, telemetry.Part(p.log, "mirror")))
-	}
+	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e,
+		Table: table, Log: telemetry.Part(p.log, "mesh")})
+	e.follower = mirror.NewFollower(mirror.Config{}, table, func() mirror.Source { return store }, e.mesh.Source,
+		telemetry.Part(p.log, "mirror"))
 	e.relay = weights.NewRelay(weights.Config{}, p.self, e.mesh.Entries, e.origin, platform.NewEngines(), p.call,
 		telemetry.Part(p.log, "weights"))
 	e.control = gateway.NewControl(gateway.ControlOptions{Config: gateway.ControlConfig{VersionTimeout: s.VersionTimeout()},
-		Gateway: e.gateway, Book: e.book, Decoder: platform.Decoder{}, Operator: tables[0], Instances: tables[1],
-		Outage: e.followers[1].Outage, Roster: gateway.Roster{Hold: rosterHold, CatchUp: rosterCatchUp}, Relay: e.relay,
+		Gateway: e.gateway, Book: e.book, Decoder: platform.Decoder{}, Table: table,
+		Outage: e.follower.Outage, Roster: gateway.Roster{Hold: rosterHold, CatchUp: rosterCatchUp}, Relay: e.relay,
 		Log: telemetry.Part(p.log, "control")})
 	e.server = gateway.NewServer(gateway.ServerConfig{CallerAddr: s.Listen.Callers, ReadyAddr: s.Listen.Readiness,
 		DrainTimeout: s.DrainTimeout()}, e.gateway, telemetry.Part(p.log, "server"))
@@ -240,9 +237,7 @@
 }
 
 func (e *entryProcess) start(ctx context.Context) {
-	for _, f := range e.followers {
-		go f.Run(ctx)
-	}
+	go e.follower.Run(ctx)
 	go e.control.Run(ctx)
 	go e.mesh.Run(ctx, e.control.OwnLoads)
 	go e.sweep(ctx)
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -82,12 +82,26 @@
 	Version  int  // the only one that may serve the request; 0 is any
 }
 
-// wanted is the version of a model that the operators want served.
+// wanted is a version of a model that the operators want served.
 type wanted struct {
 	version int
 	since   time.Time
 }
 
+// wantedVersions are those of one model, oldest first. Each has its own time:
+// a newer one does not put the duty to leave an older one off.
+type wantedVersions []wanted
+
+// due returns the newest version that must be served by now, or zero.
+func (w wantedVersions) due(now time.Time, timeout time.Duration) int {
+	for i := len(w) - 1; i >= 0; i-- {
+		if now.Sub(w[i].since) >= timeout {
+			return w[i].version
+		}
+	}
+	return 0
+}
+
 // Book holds the targets of all services. Its methods may be called
 // concurrently.
 type Book struct {
@@ -98,7 +112,7 @@
 	byID     map[string]*Target
 	addrs    map[string]bool        // of all targets
 	states   map[string]EngineState // by address, from agents
-	versions map[string]wanted      // by model
+	versions map[string]wantedVersions // by model
 	rng      *rand.Rand
 	changed  chan struct{} // closed when a target may have become free
 }
@@ -106,7 +120,7 @@
 // NewBook returns an empty book.
 func NewBook(cfg Config, rng *rand.Rand) *Book {
 	return &Book{cfg: cfg.applyDefaults(), services: map[string][]*Target{}, byID: map[string]*Target{},
-		states: map[string]EngineState{}, versions: map[string]wanted{}, rng: rng, changed: make(chan struct{})}
+		states: map[string]EngineState{}, versions: map[string]wantedVersions{}, rng: rng, changed: make(chan struct{})}
 }
 
 // Apply takes the list of instances and the services' cost models. Loads and
@@ -137,13 +151,19 @@
 	b.wake()
 }
 
+// versionsKept bounds the versions that are remembered; those before are due.
+const versionsKept = 8
+
 // SetVersion names the version of a model that is wanted since a time.
 func (b *Book) SetVersion(v fleet.VersionTarget, since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if v.Version > b.versions[v.Model].version {
-		b.versions[v.Model] = wanted{v.Version, since}
+	w := b.versions[v.Model]
+	if len(w) > 0 && v.Version <= w[len(w)-1].version {
+		return
 	}
+	w = append(w, wanted{v.Version, since})
+	b.versions[v.Model] = w[max(len(w)-versionsKept, 0):]
 }
 
 // SetState takes what the agent beside an engine says.
@@ -286,11 +306,11 @@
 	if holds == 0 {
 		return 0, false
 	}
-	w := b.versions[t.model.Model]
-	if b.cfg.VersionTimeout == 0 || now.Sub(w.since) < b.cfg.VersionTimeout-b.cfg.VersionMargin {
+	if b.cfg.VersionTimeout == 0 {
 		return 0, true
 	}
-	return w.version, holds >= w.version
+	due := b.versions[t.model.Model].due(now, b.cfg.VersionTimeout-b.cfg.VersionMargin)
+	return 0, holds >= due
 }
 
 func (b *Book) forecast(t *Target, d Demand) Forecast {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -21,6 +21,7 @@
 	// Config returns nil if the item is not the configuration.
 	Config(i mirror.Item) (*fleet.Config, error)
 	Version(i mirror.Item) (v fleet.VersionTarget, ok bool, err error)
+	IsInstance(i mirror.Item) bool
 	Instance(i mirror.Item) (*fleet.Instance, error)
 }
 
@@ -35,21 +36,23 @@
 
 // Relay is told which weights are wanted.
 type Relay interface {
+	// Keep holds the pieces of a version that pass through.
+	Keep(model string, version int) bool
+	// Want also reads them ahead.
 	Want(ctx context.Context, model string, version, pieces int)
 }
 
 // Control owns what an entry believes of the fleet. Its goroutine follows the
 // copies of the store and hands the results to the gateway and its book.
 type Control struct {
-	cfg       ControlConfig
-	gateway   *Gateway
-	book      *dispatch.Book
-	decoder   Decoder
-	operator  *mirror.Table
-	instances *mirror.Table
-	outage    func() (down bool, ended time.Time)
-	relay     Relay
-	log       logrus.FieldLogger
+	cfg     ControlConfig
+	gateway *Gateway
+	book    *dispatch.Book
+	decoder Decoder
+	table   *mirror.Table
+	outage  func() (down bool, ended time.Time)
+	relay   Relay
+	log     logrus.FieldLogger
 
 	roster     Roster
 	decoded    map[string]decodedInstance
@@ -78,22 +81,22 @@
 
 // ControlOptions are what a Control is made of.
 type ControlOptions struct {
-	Config              ControlConfig
-	Gateway             *Gateway
-	Book                *dispatch.Book
-	Decoder             Decoder
-	Operator, Instances *mirror.Table
-	Outage              func() (down bool, ended time.Time)
-	Roster              Roster
-	Relay               Relay
-	Log                 logrus.FieldLogger
+	Config  ControlConfig
+	Gateway *Gateway
+	Book    *dispatch.Book
+	Decoder Decoder
+	Table   *mirror.Table
+	Outage  func() (down bool, ended time.Time)
+	Roster  Roster
+	Relay   Relay
+	Log     logrus.FieldLogger
 }
 
 // NewControl returns a control that is not running.
 func NewControl(o ControlOptions) *Control {
 	o.Config.Tick = cmp.Or(o.Config.Tick, 200*time.Millisecond)
-	return &Control{cfg: o.Config, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, operator: o.Operator,
-		instances: o.Instances, outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
+	return &Control{cfg: o.Config, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, table: o.Table,
+		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]int64{}, assignments: map[string]*assignment{},
 		changed: make(chan struct{})}
 }
@@ -103,17 +106,14 @@
 	ticker := time.NewTicker(c.cfg.Tick)
 	defer ticker.Stop()
 	for {
-		operatorItems, operatorChanged := c.operator.Items()
-		instanceItems, instancesChanged := c.instances.Items()
-		c.applyOperator(ctx, operatorItems)
-		c.applyInstances(instanceItems)
+		items, changed := c.table.Items()
+		c.applyOperator(ctx, items)
+		c.applyInstances(items)
 		c.assign()
 	wait:
 		for {
 			select {
-			case <-operatorChanged:
-				break wait
-			case <-instancesChanged:
+			case <-changed:
 				break wait
 			case <-ticker.C:
 				if c.roster.Pending() {
@@ -173,7 +173,7 @@
 		return
 	}
 	since := time.Now()
-	if i.Revision <= c.operator.FirstRevision() {
+	if i.Revision <= c.table.FirstRevision() {
 		since = since.Add(-c.cfg.VersionTimeout)
 	}
 	c.versionRev[i.Key] = i.Revision
@@ -222,6 +222,7 @@
 			}
 		}
 		if old := c.assignments[name]; old == nil || old.version < version {
+			c.relay.Keep(s.Engine.Model, version)
 			c.setAssignment(name, &assignment{model: s.Engine, version: version, since: time.Now()})
 		}
 	}
@@ -253,6 +254,9 @@
 	list := make([]*fleet.Instance, 0, len(items))
 	next := make(map[string]decodedInstance, len(items))
 	for _, i := range items {
+		if !c.decoder.IsInstance(i) {
+			continue
+		}
 		d := c.decoded[i.Key]
 		if d.revision != i.Revision {
 			d = c.decodeInstance(i, d)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -41,7 +41,6 @@
 	headerTimeout  = 15 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	drainPoll      = 50 * time.Millisecond
 )
 
 // Server listens for callers and for the balancer's question. net/http serves
@@ -103,16 +102,13 @@
 	s.log.WithField("inflight", s.gateway.Inflight()).Info("Draining.")
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.DrainTimeout-s.cfg.DrainMargin)
 	defer cancel()
-	for loop.Sleep(ctx, drainPoll) {
-		if time.Since(start) >= s.cfg.DrainAtLeast && s.gateway.Inflight() == 0 {
-			break
+	loop.Sleep(ctx, s.cfg.DrainAtLeast)
+	// From here on no more requests are taken: each that was gets its answer
+	// before the process is killed.
+	for _, server := range s.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			s.log.WithError(err).WithField("inflight", s.gateway.Inflight()).Warn("Requests cut at the end.")
 		}
 	}
 	s.log.WithFields(logrus.Fields{"inflight": s.gateway.Inflight(), "ms": time.Since(start).Milliseconds()}).Info("Drained.")
-	for _, server := range s.servers {
-		// Shutdown closes idle connections; what is left ends with the process.
-		shut, done := context.WithTimeout(context.Background(), drainPoll)
-		_ = server.Shutdown(shut)
-		done()
-	}
 }
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -119,22 +119,13 @@
 	return out
 }
 
-// Ahead returns the live entry whose copy of prefix reaches furthest beyond
+// Ahead returns the live entry whose copy of the store reaches furthest beyond
 // revision, or false.
-func (m *Members) Ahead(now time.Time, prefix string, revision int64) (addr string, ok bool) {
+func (m *Members) Ahead(now time.Time, revision int64) (addr string, ok bool) {
 	for _, x := range m.Live(now) {
-		if r := revisionOf(x, prefix); r > revision {
-			addr, revision, ok = x.Addr, r, true
+		if x.Revision > revision {
+			addr, revision, ok = x.Addr, x.Revision, true
 		}
 	}
 	return addr, ok
 }
-
-func revisionOf(p peer.Presence, prefix string) int64 {
-	for _, r := range p.Revisions {
-		if r.Prefix == prefix {
-			return r.Revision
-		}
-	}
-	return 0
-}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -34,8 +34,7 @@
 	log      logrus.FieldLogger
 	listener Listener
 	assigned func(peer.Assignment)
-	tables   []*mirror.Table
-	prefixes []string
+	table    *mirror.Table // nil at agents
 
 	mu          sync.Mutex
 	members     *Members
@@ -43,8 +42,8 @@
 	live        []peer.Presence
 	changed     chan struct{} // closed when live changes
 	leaving     bool
-	behindSince map[string]time.Time
-	catchingUp  map[string]bool
+	behindSince time.Time
+	catchingUp  bool
 }
 
 // Options are what a Mesh is made of.
@@ -55,17 +54,16 @@
 	Pool     *peer.Pool
 	Listener Listener              // nil at agents
 	Assigned func(peer.Assignment) // at agents
-	Prefixes []string
-	Tables   []*mirror.Table // one for each prefix
+	Table    *mirror.Table         // own copy of the store; nil at agents
 	Log      logrus.FieldLogger
 }
 
 // New returns a mesh that is not running.
 func New(o Options) *Mesh {
 	cfg := o.Config.applyDefaults()
-	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, prefixes: o.Prefixes,
-		tables: o.Tables, members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
-		changed: make(chan struct{}), behindSince: map[string]time.Time{}, catchingUp: map[string]bool{}}
+	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, table: o.Table,
+		members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
+		changed: make(chan struct{})}
 }
 
 // Leave tells the others that this process is leaving.
@@ -85,8 +83,8 @@
 func (m *Mesh) presence() peer.Presence {
 	p := m.self
 	p.Leaving = m.leaving
-	for i, t := range m.tables {
-		p.Revisions = append(p.Revisions, peer.PrefixRevision{Prefix: m.prefixes[i], Revision: t.Revision()})
+	if m.table != nil {
+		p.Revision = m.table.Revision()
 	}
 	return p
 }
@@ -128,8 +126,8 @@
 		}
 	}
 	m.setLive(m.members.Live(now))
-	for i, t := range m.tables {
-		m.compare(ctx, now, m.prefixes[i], t)
+	if m.table != nil {
+		m.compare(ctx, now)
 	}
 }
 
@@ -157,30 +155,29 @@
 }
 
 // compare reads from a peer what its copy of the store has and the own has not.
-func (m *Mesh) compare(ctx context.Context, now time.Time, prefix string, t *mirror.Table) {
-	addr, ahead := m.members.Ahead(now, prefix, t.Revision())
+func (m *Mesh) compare(ctx context.Context, now time.Time) {
+	addr, ahead := m.members.Ahead(now, m.table.Revision())
 	if !ahead {
-		delete(m.behindSince, prefix)
+		m.behindSince = time.Time{}
 		return
 	}
-	if m.behindSince[prefix].IsZero() {
-		m.behindSince[prefix] = now
+	if m.behindSince.IsZero() {
+		m.behindSince = now
 	}
-	if now.Sub(m.behindSince[prefix]) < m.cfg.BehindAfter || m.catchingUp[prefix] {
+	if now.Sub(m.behindSince) < m.cfg.BehindAfter || m.catchingUp {
 		return
 	}
-	m.catchingUp[prefix] = true
-	go m.catchUp(ctx, prefix, addr, t)
+	m.catchingUp = true
+	go m.catchUp(ctx, addr)
 }
 
-func (m *Mesh) catchUp(ctx context.Context, prefix, addr string, t *mirror.Table) {
-	before := t.Revision()
-	err := mirror.CatchUp(ctx, &peerSource{mesh: m, addr: addr}, t)
+func (m *Mesh) catchUp(ctx context.Context, addr string) {
+	before := m.table.Revision()
+	err := mirror.CatchUp(ctx, &peerSource{mesh: m, addr: addr}, m.table)
 	m.mu.Lock()
-	delete(m.catchingUp, prefix)
-	delete(m.behindSince, prefix)
+	m.catchingUp, m.behindSince = false, time.Time{}
 	m.mu.Unlock()
-	fields := logrus.Fields{"peer": addr, "prefix": prefix, "from_revision": before, "to_revision": t.Revision()}
+	fields := logrus.Fields{"peer": addr, "from_revision": before, "to_revision": m.table.Revision()}
 	if err != nil {
 		m.log.WithFields(fields).WithError(err).Info("Could not catch up from a peer.")
 		return
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -28,13 +28,13 @@
 func (s *peerSource) Name() string { return "peer " + s.addr }
 
 // Range implements mirror.Source.
-func (s *peerSource) Range(ctx context.Context, prefix string) (mirror.Batch, error) {
-	return s.read(ctx, &peer.MirrorRead{Prefix: prefix, All: true})
+func (s *peerSource) Range(ctx context.Context, _ string) (mirror.Batch, error) {
+	return s.read(ctx, &peer.MirrorRead{All: true})
 }
 
 // Watch implements mirror.Source.
-func (s *peerSource) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (mirror.Batch, error) {
-	return s.read(ctx, &peer.MirrorRead{Prefix: prefix, After: after, WaitMs: wait.Milliseconds()})
+func (s *peerSource) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (mirror.Batch, error) {
+	return s.read(ctx, &peer.MirrorRead{After: after, WaitMs: wait.Milliseconds()})
 }
 
 func (s *peerSource) read(ctx context.Context, q *peer.MirrorRead) (mirror.Batch, error) {
@@ -67,15 +67,11 @@
 
 func (m *Mesh) readMirror(ctx context.Context, q *peer.MirrorRead) *peer.MirrorBatch {
 	var b mirror.Batch
-	err := mirror.ErrUnavailable
-	for i, t := range m.tables {
-		switch {
-		case m.prefixes[i] != q.Prefix:
-		case q.All:
-			b, err = t.Range(time.Now())
-		default:
-			b, err = t.Watch(ctx, q.After, time.Duration(q.WaitMs)*time.Millisecond)
-		}
+	var err error
+	if q.All {
+		b, err = m.table.Range(time.Now())
+	} else {
+		b, err = m.table.Watch(ctx, q.After, time.Duration(q.WaitMs)*time.Millisecond)
 	}
 	switch {
 	case errors.Is(err, mirror.ErrCompacted):
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -14,14 +14,15 @@
 
 // Config holds the times of a Follower.
 type Config struct {
-	// Wait is how long one watch waits. Each watch is one paid call. Default
-	// 25 s, under the 30 s that the store allows.
+	// Wait is how long one watch waits. Each watch is one paid call, but a
+	// watch that was cut without a word is noticed only after it. Default 1 s:
+	// configurations must be in force within 2 s.
 	Wait time.Duration
 	// PeerWait is how long a watch at a peer waits. It bounds how long the
 	// store is not tried again. Default 1 s.
 	PeerWait time.Duration
 	// Timeout bounds a read that does not wait, and how late a watch may be.
-	// Default 2 s.
+	// Default 1 s.
 	Timeout time.Duration
 	// Backoff is the pause after a failure with no other source; it doubles
 	// up to MaxBackoff. Defaults 50 ms and 1 s.
@@ -29,9 +30,9 @@
 }
 
 func (c Config) applyDefaults() Config {
-	c.Wait = cmp.Or(c.Wait, 25*time.Second)
+	c.Wait = cmp.Or(c.Wait, time.Second)
 	c.PeerWait = cmp.Or(c.PeerWait, time.Second)
-	c.Timeout = cmp.Or(c.Timeout, 2*time.Second)
+	c.Timeout = cmp.Or(c.Timeout, time.Second)
 	c.Backoff = cmp.Or(c.Backoff, 50*time.Millisecond)
 	c.MaxBackoff = cmp.Or(c.MaxBackoff, time.Second)
 	return c
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -1,10 +1,8 @@
 package peer
 
-// MirrorRead asks for a peer's copy of a prefix of the store. The reply is a
-// MirrorBatch.
+// MirrorRead asks for a peer's copy of the store. The reply is a MirrorBatch.
 type MirrorRead struct {
-	Prefix string
-	All    bool  // the whole prefix; otherwise changes after a revision
+	All    bool  // all of it; otherwise changes after a revision
 	After  int64 // revision of the store
 	WaitMs int64 // how long to wait for changes
 }
@@ -51,19 +49,13 @@
 	Service     string // of the engine beside an agent
 	Engine      string // address of the engine beside an agent
 	Incarnation uint64
-	Revisions   []PrefixRevision
+	Revision    int64 // how far its copy of the store reaches
 	Leaving     bool
 }
 
 // Kind implements Message.
 func (*Presence) Kind() Kind { return kindPresence }
 
-// PrefixRevision is how far a process's copy of a prefix reaches.
-type PrefixRevision struct {
-	Prefix   string
-	Revision int64
-}
-
 // Presences answers a Presence with the entries that the peer knows.
 type Presences struct{ Entries []Presence }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -174,7 +174,7 @@
 
 // load checks the staged pieces once more and orders the engine to load them.
 func (s *Sidecar) load(ctx context.Context, a peer.Assignment, r Report) time.Duration {
-	if time.Since(s.stage.checked) > s.cfg.VerifyAge && !s.verify(ctx) {
+	if !s.verify(ctx, s.cfg.VerifyAge) {
 		return 0 // the next step stages what is bad
 	}
 	s.tell(a, r.serves(a.Model, a.Layers), true)
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -16,8 +16,8 @@
 	version  int
 	manifest *weights.Manifest
 	staged   []bool
+	checked  []time.Time // when each piece was last known to be sound
 	missing  int
-	checked  time.Time // when the staged bytes were last read back
 	started  time.Time
 }
 
@@ -45,11 +45,12 @@
 	}
 	st.manifest = m
 	st.staged = make([]bool, len(m.Digests))
+	st.checked = make([]time.Time, len(m.Digests))
 	st.missing = len(m.Digests)
 	s.stage = st
 	// The first piece tells whether the rest is worth reading.
 	if s.check(ctx, 0) {
-		s.verify(ctx)
+		s.verify(ctx, 0)
 	}
 	return nil
 }
@@ -63,6 +64,7 @@
 }
 
 func (s *Sidecar) mark(index int, ok bool) {
+	s.stage.checked[index] = time.Now()
 	if s.stage.staged[index] == ok {
 		return
 	}
@@ -74,16 +76,15 @@
 	}
 }
 
-// verify reads all staged pieces back. Bytes may go bad while they lie there.
-func (s *Sidecar) verify(ctx context.Context) bool {
-	start := time.Now()
+// verify reads staged pieces back that were last checked longer than age ago.
+// Bytes may go bad while they lie there.
+func (s *Sidecar) verify(ctx context.Context, age time.Duration) bool {
 	bad := 0
-	for i := range s.stage.staged {
-		if !s.check(ctx, i) {
+	for i, at := range s.stage.checked {
+		if time.Since(at) >= age && !s.check(ctx, i) {
 			bad++
 		}
 	}
-	s.stage.checked = start
 	if bad > 0 {
 		s.log.WithField("pieces", bad).WithField("version", s.stage.version).Info("Staged pieces are missing or spoilt.")
 	}
@@ -119,7 +120,6 @@
 		}()
 	}
 	wg.Wait()
-	s.stage.checked = time.Now()
 	return firstErr
 }
 
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -88,18 +88,24 @@
 // ManifestKey is what the readers of a manifest are chosen by.
 func ManifestKey(model string, version int) string { return fmt.Sprintf("%s/%d", model, version) }
 
-// Want drops older versions of a model and reads the pieces for which this
-// entry is the reader of its failure domain.
-func (r *Relay) Want(ctx context.Context, model string, version, pieces int) {
+// Keep makes the relay hold the pieces of a version that pass through it, in
+// place of those of older versions. It reports whether the version is newer.
+func (r *Relay) Keep(model string, version int) bool {
 	r.mu.Lock()
-	h := r.versions[model]
-	if h != nil && h.version >= version {
-		r.mu.Unlock()
-		return
+	defer r.mu.Unlock()
+	if h := r.versions[model]; h != nil && h.version >= version {
+		return false
 	}
 	r.versions[model] = &held{version: version, pieces: map[int][]byte{}}
-	r.mu.Unlock()
-	go r.prefetch(ctx, model, version, pieces)
+	return true
+}
+
+// Want reads the pieces of a new version for which this entry is the reader of
+// its failure domain, before an agent asks for them.
+func (r *Relay) Want(ctx context.Context, model string, version, pieces int) {
+	if r.Keep(model, version) {
+		go r.prefetch(ctx, model, version, pieces)
+	}
 }
 
 func (r *Relay) prefetch(ctx context.Context, model string, version, pieces int) {
