Loads are told every 15 ms

Ruled out: the cost model, which is right within 20 ms at engines that one entry filled. Change: load messages every 15 ms in place of 50. Also: the line at a request's end carries load, forecast and longest pause.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -164,7 +164,7 @@
 // send passes the request to one target and its answer to the caller.
 func (x *exchange) send(ctx context.Context, c dispatch.Choice) result {
 	t := c.Target
-	x.target = t.ID
+	x.target, x.choice = t.ID, c
 	h := forwardHeader(x.r.Header)
 	x.g.dialect.EncodeSend(h, Send{Instance: t.ID, Team: x.teamName(), Remaining: time.Until(x.deadline),
 		Version: c.Version, LastEvent: x.lastEvent})
@@ -199,6 +199,7 @@
 	began  time.Time
 	unread int // prompt tokens that the target has not read yet
 	events int
+	lastAt time.Time // when the last event came
 }
 
 // Causes of an attempt's end by our own clock.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
 )
 
@@ -38,7 +39,9 @@
 	started   bool // the head of the answer is passed on
 	waited    time.Duration
 	firstAt   time.Duration
-	target    string // of the last send
+	maxGap    time.Duration   // longest pause between events
+	target    string          // of the last send
+	choice    dispatch.Choice // of the last send
 	retries   []Reason
 }
 
@@ -164,10 +167,11 @@
 		f["team"] = x.team.Name
 	}
 	if x.target != "" {
-		f["target"] = x.target
+		f["target"], f["load"], f["unread"] = x.target, x.choice.Load.Requests, x.choice.Load.Unread
+		f["forecast_ms"] = x.choice.Forecast.FirstEvent.Milliseconds()
 	}
 	if x.events > 0 {
-		f["events"], f["first_ms"] = x.events, x.firstAt.Milliseconds()
+		f["events"], f["first_ms"], f["gap_ms"] = x.events, x.firstAt.Milliseconds(), x.maxGap.Milliseconds()
 	}
 	if len(x.retries) > 0 {
 		f["retries"] = x.retries
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -117,6 +117,10 @@
 	if a.events == 0 {
 		observe(x.g.stats.forecastError, now.Sub(a.began)-a.choice.Forecast.FirstEvent)
 	}
+	if !a.lastAt.IsZero() {
+		x.maxGap = max(x.maxGap, now.Sub(a.lastAt))
+	}
+	a.lastAt = now
 	a.events++
 	x.g.book.Heard(now, a.choice.Target, a.unread)
 	a.unread = 0
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -16,7 +16,7 @@
 type Config struct {
 	// Interval is the time between two rounds of load messages; one is sent
 	// only if the load changed. At 12 requests/s an engine gets 0.6 requests
-	// in it, which is the error of the count. Default 50 ms.
+	// in 50 ms, and what other entries sent meanwhile is not seen. Default 15 ms.
 	Interval time.Duration
 	// Heartbeat is the longest time without a message. Default 500 ms.
 	Heartbeat time.Duration
@@ -33,7 +33,7 @@
 }
 
 func (c Config) applyDefaults() Config {
-	c.Interval = cmp.Or(c.Interval, 50*time.Millisecond)
+	c.Interval = cmp.Or(c.Interval, 15*time.Millisecond)
 	c.Heartbeat = cmp.Or(c.Heartbeat, 500*time.Millisecond)
 	c.ExpireAfter = cmp.Or(c.ExpireAfter, 1600*time.Millisecond)
 	c.BehindAfter = cmp.Or(c.BehindAfter, 300*time.Millisecond)
