Pieces come from agents nearby first, and before the engine has started

Change: entries read the first version ahead from agents that have it staged (origin and other regions only if there is none); agents keep fetched pieces in memory until the engine answers; the margin before the time of a version is over is 1 s, was 0.7 s.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -103,7 +103,7 @@
 	if role == roleEntry {
 		p.self.Addr = s.PeerAddr()
 	} else {
-		p.self.Service, p.self.Engine = s.Service, s.EngineAddr
+		p.self.Service, p.self.Engine, p.self.Pieces = s.Service, s.EngineAddr, s.PeerAddr()
 	}
 	telemetry.Part(log, "main").WithFields(logrus.Fields{"version": Version, "role": role, "host": s.Host,
 		"failure_domain": s.Domain, "incarnation": p.self.Incarnation, "seeds": strings.Join(s.Seeds, ","),
@@ -225,7 +225,7 @@
 		Table: table, Log: telemetry.Part(p.log, "mesh")})
 	e.follower = mirror.NewFollower(mirror.Config{}, table, func() mirror.Source { return store }, e.mesh.Source,
 		telemetry.Part(p.log, "mirror"))
-	e.relay = weights.NewRelay(weights.Config{}, p.self, e.mesh.Entries, e.origin, platform.NewEngines(), p.call,
+	e.relay = weights.NewRelay(weights.Config{}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewEngines(), p.call,
 		telemetry.Part(p.log, "weights"))
 	e.control = gateway.NewControl(gateway.ControlOptions{Config: gateway.ControlConfig{VersionTimeout: s.VersionTimeout()},
 		Gateway: e.gateway, Book: e.book, Decoder: platform.Decoder{}, Table: table,
@@ -243,6 +243,10 @@
 	go e.sweep(ctx)
 }
 
+func (e *entryProcess) holders(domain, model string, version int) []string {
+	return e.control.Holders(domain, model, version)
+}
+
 func (e *entryProcess) origin() *fleet.Origin {
 	if c := e.gateway.Config(); c != nil {
 		return c.OriginOf()
@@ -287,7 +291,7 @@
 func (e *entryProcess) Lost(addr string) { e.control.Lost(addr) }
 
 // EngineState implements mesh.Listener.
-func (e *entryProcess) EngineState(addr string, s *peer.EngineState) { e.control.EngineState(addr, s) }
+func (e *entryProcess) EngineState(p peer.Presence, s *peer.EngineState) { e.control.EngineState(p, s) }
 
 // Assignment implements mesh.Listener.
 func (e *entryProcess) Assignment(p peer.Presence) (*peer.Assignment, <-chan struct{}) {
@@ -356,8 +360,13 @@
 	var agent *sidecar.Sidecar
 	network := mesh.New(mesh.Options{Self: p.self, Seeds: p.settings.Seeds, Pool: p.pool, Log: telemetry.Part(p.log, "mesh"),
 		Assigned: func(a peer.Assignment) { agent.Assign(time.Now(), a) }})
-	agent = sidecar.New(sidecar.Config{}, platform.NewEngines(), p.settings.EngineAddr, entrySource{network, p.call},
+	agent = sidecar.New(sidecar.Config{FirstStart: p.settings.FirstStart}, platform.NewEngines(), p.settings.EngineAddr, entrySource{network, p.call},
 		network.Say, telemetry.Part(p.log, "sidecar"))
+	peers, err := peer.Listen(p.self.Pieces, p.hello(), agent.ServePiece, p.meter)
+	if err != nil {
+		return err
+	}
+	defer peers.Close()
 	stopAdmin, err := p.serveAdmin(f, func() bool { return true })
 	if err != nil {
 		return err
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -26,7 +26,8 @@
 	Sample int
 	// VersionTimeout is the time in which a new version must be served
 	// everywhere; zero is no limit. VersionMargin is how much sooner engines
-	// with an older one get no more requests. Default 700 ms.
+	// with an older one get no more requests, since those may wait there
+	// before they begin. Default 1 s.
 	VersionTimeout, VersionMargin time.Duration
 	// PlainLatency is assumed of a plain target that has not answered yet.
 	// Default 50 ms.
@@ -38,7 +39,7 @@
 	c.AdmitGap = cmp.Or(c.AdmitGap, 0.8)
 	c.RemoteCost = cmp.Or(c.RemoteCost, 15*time.Millisecond)
 	c.Sample = cmp.Or(c.Sample, 64)
-	c.VersionMargin = cmp.Or(c.VersionMargin, 700*time.Millisecond)
+	c.VersionMargin = cmp.Or(c.VersionMargin, time.Second)
 	c.PlainLatency = cmp.Or(c.PlainLatency, 50*time.Millisecond)
 	return c
 }
@@ -110,8 +111,8 @@
 	mu       sync.Mutex
 	services map[string][]*Target
 	byID     map[string]*Target
-	addrs    map[string]bool        // of all targets
-	states   map[string]EngineState // by address, from agents
+	addrs    map[string]bool           // of all targets
+	states   map[string]EngineState    // by address, from agents
 	versions map[string]wantedVersions // by model
 	rng      *rand.Rand
 	changed  chan struct{} // closed when a target may have become free
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -36,9 +36,7 @@
 
 // Relay is told which weights are wanted.
 type Relay interface {
-	// Keep holds the pieces of a version that pass through.
-	Keep(model string, version int) bool
-	// Want also reads them ahead.
+	// Want reads the pieces of a new version ahead.
 	Want(ctx context.Context, model string, version, pieces int)
 }
 
@@ -62,9 +60,18 @@
 
 	mu          sync.Mutex
 	assignments map[string]*assignment // by service
+	holders     map[string]holder      // by address of the engine
 	changed     chan struct{}
 }
 
+// holder is an agent whose engine holds a version of a model.
+type holder struct {
+	addr    string // where it hands out pieces
+	domain  string
+	model   string
+	version int
+}
+
 type decodedInstance struct {
 	revision int64
 	instance *fleet.Instance
@@ -98,6 +105,7 @@
 	return &Control{cfg: o.Config, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]int64{}, assignments: map[string]*assignment{},
+		holders: map[string]holder{},
 		changed: make(chan struct{})}
 }
 
@@ -109,7 +117,7 @@
 		items, changed := c.table.Items()
 		c.applyOperator(ctx, items)
 		c.applyInstances(items)
-		c.assign()
+		c.assign(ctx)
 	wait:
 		for {
 			select {
@@ -206,7 +214,7 @@
 
 // assign gives engines of services for which no version was named the newest
 // one that an engine holds.
-func (c *Control) assign() {
+func (c *Control) assign(ctx context.Context) {
 	cfg := c.gateway.Config()
 	if cfg == nil {
 		return
@@ -222,7 +230,7 @@
 			}
 		}
 		if old := c.assignments[name]; old == nil || old.version < version {
-			c.relay.Keep(s.Engine.Model, version)
+			c.relay.Want(ctx, s.Engine.Model, version, s.Engine.Chunks)
 			c.setAssignment(name, &assignment{model: s.Engine, version: version, since: time.Now()})
 		}
 	}
@@ -308,14 +316,40 @@
 func (c *Control) Lost(addr string) { c.book.SetLoads(addr, nil) }
 
 // EngineState implements mesh.Listener.
-func (c *Control) EngineState(addr string, s *peer.EngineState) {
+func (c *Control) EngineState(agent peer.Presence, s *peer.EngineState) {
 	if s == nil {
-		c.log.WithField("addr", addr).Info("Agent not heard any more.")
-		c.book.ForgetState(addr)
+		c.log.WithField("addr", agent.Engine).Info("Agent not heard any more.")
+		c.book.ForgetState(agent.Engine)
+		c.setHolder(agent, peer.EngineState{})
+		return
+	}
+	c.setHolder(agent, *s)
+	c.log.WithFields(logrus.Fields{"addr": s.Addr, "model": s.Model, "version": s.Version, "loading": s.Loading}).Info("Engine state heard.")
+	c.book.SetState(s.Addr, dispatch.EngineState{Version: s.Version, Loading: s.Loading})
+}
+
+// setHolder notes which version an agent's engine holds.
+func (c *Control) setHolder(agent peer.Presence, s peer.EngineState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Version == 0 || agent.Pieces == "" {
+		delete(c.holders, agent.Engine)
 		return
 	}
-	c.log.WithFields(logrus.Fields{"addr": addr, "model": s.Model, "version": s.Version, "loading": s.Loading}).Info("Engine state heard.")
-	c.book.SetState(addr, dispatch.EngineState{Version: s.Version, Loading: s.Loading})
+	c.holders[agent.Engine] = holder{agent.Pieces, agent.Domain, s.Model, s.Version}
+}
+
+// Holders returns the agents of a failure domain whose engines hold a version.
+func (c *Control) Holders(domain, model string, version int) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, h := range c.holders {
+		if h.domain == domain && h.model == model && h.version == version {
+			out = append(out, h.addr)
+		}
+	}
+	return out
 }
 
 // OwnLoads returns what this entry has in flight, for the other entries.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -20,7 +20,7 @@
 	// Lost says that an entry is not heard any more.
 	Lost(addr string)
 	// EngineState is what an agent says; nil when it is not heard any more.
-	EngineState(addr string, s *peer.EngineState)
+	EngineState(agent peer.Presence, s *peer.EngineState)
 	// Assignment returns what the engine beside an agent is to serve, or nil,
 	// and a channel that is closed when that may have changed.
 	Assignment(agent peer.Presence) (*peer.Assignment, <-chan struct{})
@@ -259,7 +259,7 @@
 		m.heard(*first)
 	}
 	go m.tell(ctx, s, *first)
-	engine := ""
+	agent := false
 	for {
 		msg, err := s.Recv(ctx)
 		if err != nil {
@@ -270,12 +270,12 @@
 			m.heard(v.From)
 			m.listener.Loads(v)
 		case *peer.EngineState:
-			engine = v.Addr
-			m.listener.EngineState(engine, v)
+			agent = true
+			m.listener.EngineState(*first, v)
 		}
 	}
-	if engine != "" {
-		m.listener.EngineState(engine, nil)
+	if agent {
+		m.listener.EngineState(*first, nil)
 	}
 }
 
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -15,9 +15,13 @@
 // Config holds the times of a sidecar.
 type Config struct {
 	// Poll is the time between two reads of the engine's report while nothing
-	// is to be done; PollBusy while an order or a change is in progress.
-	// Defaults 400 ms and 40 ms.
-	Poll, PollBusy time.Duration
+	// is to be done; PollBusy while an order or a change is in progress, and
+	// PollDown while the engine does not answer. Defaults 400 ms, 40 ms and
+	// 100 ms.
+	Poll, PollBusy, PollDown time.Duration
+	// FirstStart is true when the whole fleet starts for the first time: its
+	// engines hold weights already.
+	FirstStart bool
 	// Lead is when the first engine's turn comes after an announcement. It is
 	// what staging takes at the least: two links of 2 s each, overlapping.
 	// Default 2.5 s.
@@ -42,6 +46,7 @@
 func (c Config) applyDefaults() Config {
 	c.Poll = cmp.Or(c.Poll, 400*time.Millisecond)
 	c.PollBusy = cmp.Or(c.PollBusy, 40*time.Millisecond)
+	c.PollDown = cmp.Or(c.PollDown, 100*time.Millisecond)
 	c.Lead = cmp.Or(c.Lead, 2500*time.Millisecond)
 	c.Margin = cmp.Or(c.Margin, 1300*time.Millisecond)
 	c.Fetches = cmp.Or(c.Fetches, 3)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -27,11 +27,12 @@
 	say        func(peer.EngineState)
 	log        logrus.FieldLogger
 
-	stage *stage
-	said  peer.EngineState
-	up    bool // the engine answered the last report
-	asked bool // a report was asked for before
-	step  Step
+	stage   *stage
+	said    peer.EngineState
+	up      bool // the engine answered the last report
+	asked   bool // a report was asked for before
+	reached bool // the engine has answered a report
+	step    Step
 
 	mu         sync.Mutex
 	assignment peer.Assignment
@@ -94,10 +95,10 @@
 	r, err := s.report(ctx)
 	if err != nil {
 		s.engineLost(err)
-		return s.cfg.Poll
+		return s.awaitEngine(ctx)
 	}
 	if !s.up {
-		s.up = true
+		s.up, s.reached = true, true
 		s.log.WithField("engine", s.engineAddr).Info("Engine reached.")
 	}
 	a, announced := s.assigned()
@@ -119,9 +120,25 @@
 	case Load:
 		return s.load(ctx, a, r)
 	}
+	s.stage = nil // loaded; the pieces take memory
 	return s.cfg.Poll
 }
 
+// awaitEngine fetches pieces while a new engine is still starting; they are
+// staged as soon as it answers.
+func (s *Sidecar) awaitEngine(ctx context.Context) time.Duration {
+	a, _ := s.assigned()
+	if s.reached || s.cfg.FirstStart || a.Model == "" {
+		return s.cfg.PollDown
+	}
+	if !s.stage.is(a) && s.begin(ctx, a) != nil {
+		return s.cfg.PollDown // asked for again at the next turn
+	}
+	// Staging itself fails until the engine answers; what was fetched stays.
+	_ = s.fetchMissing(ctx, s.cfg.Fetches)
+	return s.cfg.PollDown
+}
+
 func (s *Sidecar) report(ctx context.Context) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
@@ -133,7 +150,9 @@
 		s.log.WithError(err).WithField("engine", s.engineAddr).Warn("Engine lost.")
 	}
 	s.up, s.asked = false, true
-	s.stage = nil // what lies there is checked again
+	if s.reached {
+		s.stage = nil // what lies there is checked again
+	}
 	if a, _ := s.assigned(); a.Model != "" {
 		s.tell(a, 0, false)
 	}
@@ -189,3 +208,16 @@
 	return s.cfg.PollBusy
 }
 
+// ServePiece hands a piece that lies at the engine to an entry, which checks it.
+func (s *Sidecar) ServePiece(ctx context.Context, st *peer.Stream, first peer.Message) {
+	q, ok := first.(*peer.GetPiece)
+	if !ok {
+		return
+	}
+	data, err := s.engine.StagedPiece(ctx, s.engineAddr, q.Model, q.Index)
+	if err != nil {
+		s.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "piece": q.Index}).Info("Piece not handed out.")
+	}
+	// The asker notices a reply that does not arrive by its own timeout.
+	_ = st.SendLast(ctx, &peer.Blob{Found: err == nil, Data: data})
+}
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -16,6 +16,7 @@
 	version  int
 	manifest *weights.Manifest
 	staged   []bool
+	pieces   [][]byte    // fetched, kept until they are loaded
 	checked  []time.Time // when each piece was last known to be sound
 	missing  int
 	started  time.Time
@@ -45,6 +46,7 @@
 	}
 	st.manifest = m
 	st.staged = make([]bool, len(m.Digests))
+	st.pieces = make([][]byte, len(m.Digests))
 	st.checked = make([]time.Time, len(m.Digests))
 	st.missing = len(m.Digests)
 	s.stage = st
@@ -132,9 +134,13 @@
 func (s *Sidecar) fetch(ctx context.Context, index int) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.FetchTimeout)
 	defer cancel()
-	data, err := s.source.Piece(ctx, s.stage.manifest, index)
-	if err != nil {
-		return err
+	data := s.stage.pieces[index]
+	if data == nil {
+		var err error
+		if data, err = s.source.Piece(ctx, s.stage.manifest, index); err != nil {
+			return err
+		}
+		s.stage.pieces[index] = data
 	}
 	return s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, data)
 }
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/peer"
 	"github.com/zeromicro/go-zero/core/syncx"
@@ -27,6 +28,9 @@
 	// OriginConns is how many reads at the origin run at once; two keep its
 	// link busy. Default 3.
 	OriginConns int
+	// HolderWait is how long agents that hold the first version are awaited
+	// before it is read from the origin. Default 4 s.
+	HolderWait time.Duration
 	// Tries is how often a corrupt or failed read is repeated. Default 4.
 	Tries int
 }
@@ -35,6 +39,7 @@
 	c.OriginTimeout = cmp.Or(c.OriginTimeout, 4*time.Second)
 	c.PeerTimeout = cmp.Or(c.PeerTimeout, 5*time.Second)
 	c.OriginConns = cmp.Or(c.OriginConns, 3)
+	c.HolderWait = cmp.Or(c.HolderWait, 4*time.Second)
 	c.Tries = cmp.Or(c.Tries, 4)
 	return c
 }
@@ -46,12 +51,16 @@
 // Caller asks another entry.
 type Caller func(ctx context.Context, addr string, m peer.Message) (peer.Message, error)
 
+// Holders returns the agents of a failure domain that have a version staged.
+type Holders func(domain, model string, version int) []string
+
 // Relay holds the pieces of the newest version of each model in an entry and
 // serves them to agents and other entries.
 type Relay struct {
 	cfg     Config
 	self    peer.Presence
 	entries func() []peer.Presence // live ones, without this
+	holders Holders
 	origin  func() *fleet.Origin
 	from    Origin
 	call    Caller
@@ -73,10 +82,10 @@
 }
 
 // NewRelay returns an empty relay.
-func NewRelay(cfg Config, self peer.Presence, entries func() []peer.Presence, origin func() *fleet.Origin, from Origin,
+func NewRelay(cfg Config, self peer.Presence, entries func() []peer.Presence, holders Holders, origin func() *fleet.Origin, from Origin,
 	call Caller, log logrus.FieldLogger) *Relay {
 	cfg = cfg.applyDefaults()
-	return &Relay{cfg: cfg, self: self, entries: entries, origin: origin, from: from, call: call, log: log,
+	return &Relay{cfg: cfg, self: self, entries: entries, holders: holders, origin: origin, from: from, call: call, log: log,
 		flight: syncx.NewSingleFlight(), slots: make(chan struct{}, cfg.OriginConns), versions: map[string]*held{}}
 }
 
@@ -88,28 +97,22 @@
 // ManifestKey is what the readers of a manifest are chosen by.
 func ManifestKey(model string, version int) string { return fmt.Sprintf("%s/%d", model, version) }
 
-// Keep makes the relay hold the pieces of a version that pass through it, in
-// place of those of older versions. It reports whether the version is newer.
-func (r *Relay) Keep(model string, version int) bool {
+// Want holds the pieces of a version in place of older ones. It reads those for
+// which this entry is the reader of its failure domain before an agent asks for
+// them: by then the origin may be away.
+func (r *Relay) Want(ctx context.Context, model string, version, pieces int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if h := r.versions[model]; h != nil && h.version >= version {
-		return false
+		return
 	}
 	r.versions[model] = &held{version: version, pieces: map[int][]byte{}}
-	return true
-}
-
-// Want reads the pieces of a new version for which this entry is the reader of
-// its failure domain, before an agent asks for them.
-func (r *Relay) Want(ctx context.Context, model string, version, pieces int) {
-	if r.Keep(model, version) {
-		go r.prefetch(ctx, model, version, pieces)
-	}
+	go r.prefetch(ctx, model, version, pieces)
 }
 
 func (r *Relay) prefetch(ctx context.Context, model string, version, pieces int) {
 	start := time.Now()
+	r.awaitHolders(ctx, model, version)
 	fetched := 0
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, r.cfg.OriginConns)
@@ -133,6 +136,26 @@
 		"ms": time.Since(start).Milliseconds()}).Info("Own pieces read.")
 }
 
+// awaitHolders waits for agents that have the version staged already, if there
+// is reason to expect any: a version that engines held at their start.
+func (r *Relay) awaitHolders(ctx context.Context, model string, version int) {
+	if version > firstVersion {
+		return
+	}
+	deadline := time.Now().Add(r.cfg.HolderWait)
+	for time.Now().Before(deadline) && len(r.holders(r.self.Domain, model, version)) == 0 {
+		if !loop.Sleep(ctx, holderPoll) {
+			return
+		}
+	}
+}
+
+// firstVersion is the version that engines may hold when the fleet starts.
+const firstVersion = 1
+
+// holderPoll is the time between two looks for holders.
+const holderPoll = 100 * time.Millisecond
+
 // reader returns the entry of a failure domain that reads key, this one
 // included, or "" if the domain has none.
 func (r *Relay) reader(key, domain string) string {
@@ -148,6 +171,17 @@
 	return membership.First(key, addrs)
 }
 
+// pieceSources returns whom to ask for a piece: an agent nearby that has it
+// staged goes first, since it costs neither the origin nor a link between
+// regions.
+func (r *Relay) pieceSources(key string, q *peer.GetPiece) []string {
+	near := membership.First(key, r.holders(r.self.Domain, q.Model, q.Version))
+	if near == "" || q.Hops > maxHops {
+		return r.upstream(key, q.Hops)
+	}
+	return append([]string{near}, r.upstream(key, q.Hops)...)
+}
+
 // upstream returns whom to ask for key, in order; "" is the origin.
 func (r *Relay) upstream(key string, hops int) []string {
 	o := r.origin()
@@ -275,7 +309,7 @@
 		if err != nil {
 			return nil, err
 		}
-		for _, addr := range r.upstream(key, q.Hops) {
+		for _, addr := range r.pieceSources(key, q) {
 			data, err := r.pieceFrom(ctx, addr, q)
 			if err == nil {
 				err = m.Verify(q.Index, data)
