Refused callers are told to come back in 1 to 2 s, and go first when they do

Change: 0.85 of the objective, 100 ms, Retry-After 1 to 2 s. A returning caller is known by the time it has left.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -16,6 +16,10 @@
 	// covers the way to the caller and what the forecast does not see.
 	// Default 0.75.
 	Admit float64
+	// AdmitLate is the same for requests that were refused or failed before:
+	// they go before new ones, and an answer that is a little late is better
+	// than none. Default 0.85.
+	AdmitLate float64
 	// AdmitGap is the part of the longest pause that the forecast may take.
 	// Default 0.8.
 	AdmitGap float64
@@ -36,6 +40,7 @@
 
 func (c Config) applyDefaults() Config {
 	c.Admit = cmp.Or(c.Admit, 0.75)
+	c.AdmitLate = cmp.Or(c.AdmitLate, 0.85)
 	c.AdmitGap = cmp.Or(c.AdmitGap, 0.8)
 	c.RemoteCost = cmp.Or(c.RemoteCost, 15*time.Millisecond)
 	c.Sample = cmp.Or(c.Sample, 64)
@@ -282,7 +287,11 @@
 }
 
 func (b *Book) admits(f Forecast, d Demand) bool {
-	if d.Objective > 0 && float64(f.FirstEvent) > b.cfg.Admit*float64(d.Objective) {
+	part := b.cfg.Admit
+	if d.Late {
+		part = b.cfg.AdmitLate
+	}
+	if float64(f.FirstEvent) > part*float64(d.Objective) {
 		return false
 	}
 	return d.MaxGap == 0 || float64(f.Gap) <= b.cfg.AdmitGap*float64(d.MaxGap)
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -23,6 +23,7 @@
 	Objective time.Duration // latency up to the first event
 	MaxGap    time.Duration // longest pause between events; zero for none
 	Domain    string        // failure domain of the entry
+	Late      bool          // the request was refused or failed before
 }
 
 // Forecast is what is expected of a request at a target.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,11 @@
 	// target. A caller that is refused within a quarter of it can still be
 	// served in time elsewhere; the rest is for the way. Default 0.2.
 	Patience float64
+	// ReturnPatience is how long a caller that comes back after a refusal may
+	// wait: it was told when to come, so it is not sent away again while a
+	// late answer is still worth something. Waiting longer fills engines with
+	// late work. Default 100 ms.
+	ReturnPatience time.Duration
 	// RetryPatience is how long a request that failed at one target may wait
 	// for another. Default 250 ms.
 	RetryPatience time.Duration
@@ -76,7 +81,8 @@
 	AnswerMemory int64
 	// RetryAfterBase and RetryAfterSpread bound the time after which a refused
 	// caller should come back: about what a full engine takes for a request.
-	// Defaults 300 ms and 900 ms.
+	// Callers heed up to a third of the time they have left, 2 s of 6 s.
+	// Defaults 1 s and 1 s.
 	RetryAfterBase, RetryAfterSpread time.Duration
 	// RetryRatio is how many retries each request pays for, and RetryBurst
 	// how many may be saved up by all entries together.
@@ -88,12 +94,13 @@
 
 func (c Config) applyDefaults() Config {
 	c.Patience = cmp.Or(c.Patience, 0.2)
+	c.ReturnPatience = cmp.Or(c.ReturnPatience, 100*time.Millisecond)
 	c.RetryPatience = cmp.Or(c.RetryPatience, 250*time.Millisecond)
 	c.FirstEventTimeout = cmp.Or(c.FirstEventTimeout, 700*time.Millisecond)
 	c.StallTimeout = cmp.Or(c.StallTimeout, 900*time.Millisecond)
 	c.AnswerMemory = cmp.Or(c.AnswerMemory, int64(256<<10))
-	c.RetryAfterBase = cmp.Or(c.RetryAfterBase, 300*time.Millisecond)
-	c.RetryAfterSpread = cmp.Or(c.RetryAfterSpread, 900*time.Millisecond)
+	c.RetryAfterBase = cmp.Or(c.RetryAfterBase, 1000*time.Millisecond)
+	c.RetryAfterSpread = cmp.Or(c.RetryAfterSpread, 1000*time.Millisecond)
 	c.MinLeft = cmp.Or(c.MinLeft, 30*time.Millisecond)
 	return c
 }
@@ -111,6 +118,8 @@
 	draining atomic.Bool
 	inflight atomic.Int64
 
+	returns returns
+
 	mu      sync.Mutex
 	budgets map[string]*routing.Budget // by service
 	entries int
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -110,8 +110,8 @@
 // place waits until a target can serve the request in time.
 func (x *exchange) place(ctx context.Context) (dispatch.Choice, Reason) {
 	d := dispatch.Demand{Prompt: x.call.Prompt, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain}
-	if x.sends > 0 {
-		d.Objective = 0 // the objective is lost or nearly so; the answer is still due
+	if x.sends > 0 || x.returning {
+		d.Late = true
 	}
 	began := time.Now()
 	patience := time.NewTimer(x.patience())
@@ -157,6 +157,9 @@
 	if x.sends > 0 {
 		return min(x.g.cfg.RetryPatience, time.Until(x.deadline))
 	}
+	if x.returning {
+		return min(x.g.cfg.ReturnPatience-time.Since(x.start), time.Until(x.deadline))
+	}
 	limit := time.Duration(x.g.cfg.Patience * float64(x.route.Objective))
 	return max(min(limit-time.Since(x.start), time.Until(x.deadline)), 0)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -38,6 +38,7 @@
 	events    int
 	started   bool // the head of the answer is passed on
 	waited    time.Duration
+	returning bool // the caller was refused before
 	firstAt   time.Duration
 	maxGap    time.Duration   // longest pause between events
 	target    string          // of the last send
@@ -83,6 +84,7 @@
 		left = x.call.Remaining
 	}
 	x.deadline = x.start.Add(left)
+	x.returning = x.g.returns.returning(x.route.Name, x.call.Remaining)
 	x.service = x.route.Shares[pickShare(x.route.Shares)].Service
 	return x.readBody()
 }
@@ -173,6 +175,9 @@
 	if x.events > 0 {
 		f["events"], f["first_ms"], f["gap_ms"] = x.events, x.firstAt.Milliseconds(), x.maxGap.Milliseconds()
 	}
+	if x.returning {
+		f["returning"] = true
+	}
 	if len(x.retries) > 0 {
 		f["retries"] = x.retries
 	}
