A target's home entry grants its places; late targets that still speak are not left

Change: each target has a home entry by rendezvous hashing that grants places; a first event is late only if its target is silent, or after 2.2 s.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -177,6 +177,7 @@
 	control  *gateway.Control
 	mesh     *mesh.Mesh
 	relay    *weights.Relay
+	homes    *mesh.Reserver
 	follower *mirror.Follower
 	server   *gateway.Server
 }
@@ -218,11 +219,12 @@
 	table := mirror.NewTable(platform.PrefixAll)
 	e.book = dispatch.NewBook(dispatch.Config{VersionTimeout: s.VersionTimeout()}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.conns = targetconn.NewPool(targetconn.Config{})
-	e.gateway = gateway.New(gateway.Config{Domain: s.Domain, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
-		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.book, e.conns,
-		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e,
 		Table: table, Log: telemetry.Part(p.log, "mesh")})
+	e.homes = mesh.NewReserver(e.mesh, e.book)
+	e.gateway = gateway.New(gateway.Config{Domain: s.Domain, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
+		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.book, e.conns, e.homes,
+		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = mirror.NewFollower(mirror.Config{}, table, func() mirror.Source { return store }, e.mesh.Source,
 		telemetry.Part(p.log, "mirror"))
 	e.relay = weights.NewRelay(weights.Config{}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewEngines(), p.call,
@@ -277,6 +279,8 @@
 		e.mesh.Serve(ctx, s, m)
 	case *peer.MirrorRead:
 		e.mesh.ServeMirror(ctx, s, m)
+	case *peer.Reserve:
+		e.homes.Serve(ctx, s, m)
 	case *peer.GetManifest, *peer.GetPiece:
 		e.relay.Serve(ctx, s, first)
 	}
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -338,6 +338,43 @@
 	}
 }
 
+// Reserve decides for another entry whether one more request may go to a
+// target. The grant counts as that entry's load until its next account. A
+// target that is not known here is granted: the asker may know better.
+func (b *Book) Reserve(from, instance string, d Demand) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.byID[instance]
+	if t == nil {
+		return true
+	}
+	if !b.admits(b.forecast(t, d), d) {
+		return false
+	}
+	l := Load{Requests: 1, Unread: d.Prompt}
+	t.others[from] = t.others[from].add(l)
+	t.load = t.load.add(l)
+	return true
+}
+
+// Cancel takes a choice back that was not followed.
+func (b *Book) Cancel(t *Target, d Demand) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := Load{Requests: -1, Unread: -d.Prompt}
+	t.own, t.load = t.own.add(l), t.load.add(l)
+	if t.own.Requests == 0 {
+		t.health.waitingSince = time.Time{}
+	}
+}
+
+// Silent reports whether a target with work has sent nothing for too long.
+func (b *Book) Silent(now time.Time, t *Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return t.health.silent(now)
+}
+
 // Heard notes that a target sent something. first is the prompt whose first
 // event came, or zero.
 func (b *Book) Heard(now time.Time, t *Target, first int) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,15 @@
 	DecodeAnswer(status int, h http.Header) AnswerInfo
 }
 
+// Reserver asks the home entry of a target for a place there. Each target has
+// one home, so that entries that see the same free target at the same moment do
+// not all fill it.
+type Reserver interface {
+	// Reserve reports whether the request may go to the target. It also does
+	// if the home cannot be asked in time.
+	Reserve(ctx context.Context, t *dispatch.Target, d dispatch.Demand) bool
+}
+
 // Config holds the limits of a Gateway.
 type Config struct {
 	Domain string // failure domain of this entry
@@ -69,6 +79,9 @@
 	// RetryPatience is how long a request that failed at one target may wait
 	// for another. Default 250 ms.
 	RetryPatience time.Duration
+	// FirstEventLimit is how long a first event may take at a target that
+	// sends events of other streams. Default 2.2 s.
+	FirstEventLimit time.Duration
 	// FirstEventTimeout is how long a stream's first event may take before
 	// another target is tried, beyond the forecast. Default 700 ms.
 	FirstEventTimeout time.Duration
@@ -96,6 +109,7 @@
 	c.Patience = cmp.Or(c.Patience, 0.2)
 	c.ReturnPatience = cmp.Or(c.ReturnPatience, 100*time.Millisecond)
 	c.RetryPatience = cmp.Or(c.RetryPatience, 250*time.Millisecond)
+	c.FirstEventLimit = cmp.Or(c.FirstEventLimit, 2200*time.Millisecond)
 	c.FirstEventTimeout = cmp.Or(c.FirstEventTimeout, 700*time.Millisecond)
 	c.StallTimeout = cmp.Or(c.StallTimeout, 900*time.Millisecond)
 	c.AnswerMemory = cmp.Or(c.AnswerMemory, int64(256<<10))
@@ -111,6 +125,7 @@
 	dialect Dialect
 	book    *dispatch.Book
 	pool    *targetconn.Pool
+	homes   Reserver
 	stats   *Stats
 	log     logrus.FieldLogger
 
@@ -126,8 +141,8 @@
 }
 
 // New returns a gateway that refuses all until it has a configuration.
-func New(cfg Config, d Dialect, book *dispatch.Book, pool *targetconn.Pool, stats *Stats, log logrus.FieldLogger) *Gateway {
-	return &Gateway{cfg: cfg.applyDefaults(), dialect: d, book: book, pool: pool, stats: stats, log: log,
+func New(cfg Config, d Dialect, book *dispatch.Book, pool *targetconn.Pool, homes Reserver, stats *Stats, log logrus.FieldLogger) *Gateway {
+	return &Gateway{cfg: cfg.applyDefaults(), dialect: d, book: book, pool: pool, homes: homes, stats: stats, log: log,
 		budgets: map[string]*routing.Budget{}, entries: 1}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -119,6 +119,11 @@
 	for {
 		changed := x.g.book.Changed()
 		choice, verdict := x.g.book.Pick(time.Now(), x.service, d, x.avoid)
+		if verdict == dispatch.Chosen && !x.g.homes.Reserve(ctx, choice.Target, d) {
+			x.g.book.Cancel(choice.Target, d)
+			x.denied++
+			verdict = dispatch.Saturated
+		}
 		if verdict == dispatch.Chosen {
 			x.waited += time.Since(began)
 			return choice, ReasonNone
@@ -215,7 +220,7 @@
 	var watchdog *time.Timer
 	if a.x.route.Idempotent() {
 		// Only then another target may be tried.
-		watchdog = time.AfterFunc(a.firstEventLimit(), func() { a.cancel(errFirstEventLate) })
+		watchdog = time.AfterFunc(a.firstEventLimit(), func() { a.late(watchdog) })
 		defer watchdog.Stop()
 	}
 	resp, err := a.x.g.pool.Do(a.ctx, a.choice.Target.Addr, r, a.idOf)
@@ -236,6 +241,22 @@
 	return a.plain(resp, watchdog)
 }
 
+// lateRecheck is the time between two looks at a late target that still sends
+// events of other streams: it is loaded, and sending the request elsewhere would
+// only add load.
+const lateRecheck = 150 * time.Millisecond
+
+func (a *attempt) late(watchdog *time.Timer) {
+	x := a.x
+	now := time.Now()
+	if x.route.Kind == fleet.Streaming && a.events == 0 && now.Sub(a.began) < x.g.cfg.FirstEventLimit &&
+		!x.g.book.Silent(now, a.choice.Target) {
+		watchdog.Reset(lateRecheck)
+		return
+	}
+	a.cancel(errFirstEventLate)
+}
+
 func (a *attempt) idOf(h http.Header) string { return a.x.g.dialect.DecodeAnswer(0, h).ID }
 
 func notRun(info AnswerInfo) result {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -31,6 +31,7 @@
 	deadline time.Time
 
 	sends     int      // targets that the request was sent to
+	denied    int      // places that a target's home denied
 	dials     int      // targets that could not be reached
 	ran       bool     // a target may have run it
 	avoid     []string // instances that failed it
@@ -175,6 +176,9 @@
 	if x.events > 0 {
 		f["events"], f["first_ms"], f["gap_ms"] = x.events, x.firstAt.Milliseconds(), x.maxGap.Milliseconds()
 	}
+	if x.denied > 0 {
+		f["denied"] = x.denied
+	}
 	if x.returning {
 		f["returning"] = true
 	}
--- /dev/null
+++ b/mesh/reserve.go
@@ -0,0 +1,69 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/membership"
+	"github.com/springgate/springgate/peer"
+)
+
+// Reserver asks the home entries of targets for places. The home is an entry of
+// the target's failure domain, chosen by rendezvous hashing. It implements
+// gateway.Reserver.
+type Reserver struct {
+	mesh *Mesh
+	book *dispatch.Book
+	// timeout bounds the question. The way to another region and back takes
+	// 6 ms; a home that is slower is not waited for.
+	timeout time.Duration
+}
+
+// reserveTimeout is four times the longest way there and back.
+const reserveTimeout = 25 * time.Millisecond
+
+// NewReserver returns a reserver that answers for this entry's book.
+func NewReserver(m *Mesh, b *dispatch.Book) *Reserver {
+	return &Reserver{mesh: m, book: b, timeout: reserveTimeout}
+}
+
+// Reserve implements gateway.Reserver.
+func (r *Reserver) Reserve(ctx context.Context, t *dispatch.Target, d dispatch.Demand) bool {
+	home := r.mesh.home(t.ID, t.Domain)
+	if home == r.mesh.self.Addr {
+		return true // the own book has decided
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	msg, err := r.mesh.pool.Call(ctx, home, peer.Traffic, &peer.Reserve{From: r.mesh.self.Addr, Instance: t.ID,
+		Prompt: d.Prompt, ObjectiveMs: d.Objective.Milliseconds(), MaxGapMs: d.MaxGap.Milliseconds(), Late: d.Late})
+	if err != nil {
+		return true
+	}
+	reply, ok := msg.(*peer.ReserveReply)
+	return !ok || reply.Granted
+}
+
+// Serve answers another entry.
+func (r *Reserver) Serve(ctx context.Context, s *peer.Stream, q *peer.Reserve) {
+	granted := r.book.Reserve(q.From, q.Instance, dispatch.Demand{Prompt: q.Prompt, Late: q.Late,
+		Objective: time.Duration(q.ObjectiveMs) * time.Millisecond, MaxGap: time.Duration(q.MaxGapMs) * time.Millisecond})
+	// The asker does not wait long, and goes on without an answer.
+	_ = s.SendLast(ctx, &peer.ReserveReply{Granted: granted})
+}
+
+// home returns the entry that decides who may use a target.
+func (m *Mesh) home(target, domain string) string {
+	var near, all []string
+	for _, p := range append([]peer.Presence{m.self}, m.Entries()...) {
+		all = append(all, p.Addr)
+		if p.Domain == domain {
+			near = append(near, p.Addr)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	return membership.First(target, near)
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -55,6 +55,8 @@
 	kindGetPiece
 	kindAssignment
 	kindManifest
+	kindReserve
+	kindReserveReply
 )
 
 // newMessage returns an empty message of the given kind, or nil.
@@ -134,6 +136,10 @@
 		return &Assignment{}
 	case kindManifest:
 		return &Manifest{}
+	case kindReserve:
+		return &Reserve{}
+	case kindReserveReply:
+		return &ReserveReply{}
 	}
 	return nil
 }
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -136,3 +136,23 @@
 
 // Kind implements Message.
 func (*GetPiece) Kind() Kind { return kindGetPiece }
+
+// Reserve asks the home entry of a target whether one more request may go
+// there now.
+type Reserve struct {
+	From        string // address of the entry that asks
+	Instance    string
+	Prompt      int // tokens
+	ObjectiveMs int64
+	MaxGapMs    int64
+	Late        bool
+}
+
+// Kind implements Message.
+func (*Reserve) Kind() Kind { return kindReserve }
+
+// ReserveReply answers a Reserve.
+type ReserveReply struct{ Granted bool }
+
+// Kind implements Message.
+func (*ReserveReply) Kind() Kind { return kindReserveReply }
