Tests of the choice of targets and of the copies of the store; a copy that read all anew tells peers so

Cause: the oracle of the copies found that a peer could keep a key for ever: the key came and went between two whole reads of the copy that it followed, whose history did not show it. Ruled out: a late answer (the copy rightly ignores older ones). Change: a whole read starts the history anew; a peer that is behind reads all.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -85,7 +85,6 @@
 	Target   *Target
 	Forecast Forecast
 	Load     Load // at the target before the request
-	Version  int  // the only one that may serve the request; 0 is any
 }
 
 // wanted is a version of a model that the operators want served.
@@ -246,11 +245,10 @@
 	start := b.rng.IntN(n)
 	for k := range min(n, b.cfg.Sample) {
 		t := targets[(start+k)%n]
-		version, ok := b.usable(now, t)
-		if !ok || slices.Contains(avoid, t.ID) {
+		if !b.usable(now, t) || slices.Contains(avoid, t.ID) {
 			continue
 		}
-		c := candidate{Choice: Choice{Target: t, Forecast: b.forecast(t, d), Load: t.load, Version: version}}
+		c := candidate{Choice: Choice{Target: t, Forecast: b.forecast(t, d), Load: t.load}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain {
 			c.cost += b.cfg.RemoteCost
@@ -297,30 +295,30 @@
 	return d.MaxGap == 0 || float64(f.Gap) <= b.cfg.AdmitGap*float64(d.MaxGap)
 }
 
-// usable reports whether a target may get requests, and which version of its
-// model it must serve; zero is any.
-func (b *Book) usable(now time.Time, t *Target) (version int, ok bool) {
+// usable reports whether a target may get requests: an engine must hold all
+// layers of a version whose time is not over.
+func (b *Book) usable(now time.Time, t *Target) bool {
 	if t.Draining || t.gone {
-		return 0, false
+		return false
 	}
 	if t.model == nil {
-		return 0, true
+		return true
 	}
 	holds := t.Holds(t.model)
 	if s, said := b.states[t.Addr]; said {
 		if s.Loading {
-			return 0, false
+			return false
 		}
 		holds = s.Version
 	}
 	if holds == 0 {
-		return 0, false
+		return false
 	}
 	if b.cfg.VersionTimeout == 0 {
-		return 0, true
+		return true
 	}
 	due := b.versions[t.model.Model].due(now, b.cfg.VersionTimeout-b.cfg.VersionMargin)
-	return 0, holds >= due
+	return holds >= due
 }
 
 func (b *Book) forecast(t *Target, d Demand) Forecast {
--- /dev/null
+++ b/dispatch/book_test.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const testService = "svc"
+
+// engineModel is an engine of 16 slots that reads 19,100 tokens a second.
+func engineModel() *fleet.EngineModel {
+	return &fleet.EngineModel{Model: "m", Slots: 16, Step: 8870 * time.Microsecond, StepPerSeq: 39 * time.Microsecond,
+		StepPerKilo: 23 * time.Microsecond, PrefillRate: 19100, Stride: 5, MeanPrompt: 977, MeanAnswer: 94, Layers: 16}
+}
+
+func engine(i, version int) *fleet.Instance {
+	return &fleet.Instance{ID: fmt.Sprintf("i-%d", i), Service: testService, Addr: fmt.Sprintf("10.0.0.%d:80", i), Domain: "a",
+		Models: []fleet.ModelVersion{{Model: "m", Version: version, Layers: 16}}}
+}
+
+func plain(i int) *fleet.Instance {
+	return &fleet.Instance{ID: fmt.Sprintf("p-%d", i), Service: testService, Addr: fmt.Sprintf("10.0.1.%d:80", i), Domain: "a", Slots: 6}
+}
+
+func book(m *fleet.EngineModel, cfg Config, instances ...*fleet.Instance) *Book {
+	b := NewBook(cfg, rand.New(rand.NewPCG(1, 2)))
+	b.Apply(instances, map[string]*fleet.Service{testService: {Name: testService, Engine: m}})
+	return b
+}
+
+func demand() Demand {
+	return Demand{Prompt: 1000, Objective: 400 * time.Millisecond, MaxGap: 400 * time.Millisecond, Domain: "a"}
+}
+
+// picked returns the id of the choice, or the verdict.
+func picked(b *Book, now time.Time, avoid ...string) string {
+	c, v := b.Pick(now, testService, demand(), avoid)
+	if v != Chosen {
+		return v.String()
+	}
+	return c.Target.ID
+}
+
+func TestForecastFollowsTheCostModel(t *testing.T) {
+	m := engineModel()
+	idle := forecastEngine(m, Load{}, demand())
+	busy := forecastEngine(m, Load{Requests: 15}, demand())
+	full := forecastEngine(m, Load{Requests: 16}, demand())
+	reading := forecastEngine(m, Load{Requests: 8, Unread: 4000}, demand())
+	assert.Assert(t, idle.FirstEvent < busy.FirstEvent)
+	assert.Assert(t, busy.FirstEvent < full.FirstEvent, "a full engine makes it wait for a slot")
+	assert.Assert(t, reading.Gap > 200*time.Millisecond, "4,000 tokens are read between two events of others")
+}
+
+func TestPickTakesTheLeastLoaded(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1), engine(2, 1))
+	b.SetLoads("other", map[string]Load{"i-1": {Requests: 5, Unread: 3000}})
+	assert.Equal(t, picked(b, start), "i-2")
+}
+
+func TestPickLeavesOut(t *testing.T) {
+	draining, empty := engine(1, 1), engine(2, 1)
+	draining.Draining = true
+	empty.Models = nil
+	b := book(engineModel(), Config{}, draining, empty, engine(3, 1), engine(4, 1))
+	b.SetState("10.0.0.3:80", EngineState{Version: 1, Loading: true})
+	for range 3 {
+		assert.Equal(t, picked(b, start), "i-4")
+	}
+	assert.Equal(t, picked(b, start, "i-4"), "no_target")
+}
+
+func TestAgentIsNewerThanTheList(t *testing.T) {
+	empty := engine(1, 1)
+	empty.Models = nil
+	b := book(engineModel(), Config{}, empty)
+	assert.Equal(t, picked(b, start), "no_target")
+	b.SetState(empty.Addr, EngineState{Version: 1})
+	assert.Equal(t, picked(b, start), "i-1")
+	b.ForgetState(empty.Addr)
+	assert.Equal(t, picked(b, start), "no_target")
+}
+
+// A second version must not put the time of the first off.
+func TestEachVersionKeepsItsTime(t *testing.T) {
+	cfg := Config{VersionTimeout: 8 * time.Second, VersionMargin: time.Second}
+	b := book(engineModel(), cfg, engine(1, 1), engine(2, 2), engine(3, 3))
+	b.SetVersion(fleet.VersionTarget{Model: "m", Version: 2}, start)
+	b.SetVersion(fleet.VersionTarget{Model: "m", Version: 3}, start.Add(2*time.Second))
+	assert.Equal(t, picked(b, start.Add(6*time.Second), "i-2", "i-3"), "i-1")
+	assert.Equal(t, picked(b, start.Add(7*time.Second), "i-2", "i-3"), "no_target", "version 1 is over")
+	assert.Equal(t, picked(b, start.Add(8*time.Second), "i-1", "i-3"), "i-2")
+	assert.Equal(t, picked(b, start.Add(9*time.Second), "i-1", "i-3"), "no_target", "version 2 is over")
+	assert.Equal(t, picked(b, start.Add(9*time.Second)), "i-3")
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	b := book(engineModel(), Config{VersionTimeout: time.Second, VersionMargin: time.Millisecond}, engine(1, 1), engine(2, 2))
+	b.SetVersion(fleet.VersionTarget{Model: "m", Version: 2}, start)
+	b.SetVersion(fleet.VersionTarget{Model: "m", Version: 1}, start.Add(time.Hour))
+	assert.Equal(t, picked(b, start.Add(2*time.Hour), "i-2"), "no_target")
+}
+
+func TestSaturatedWhenTheForecastIsTooLate(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1))
+	b.SetLoads("other", map[string]Load{"i-1": {Requests: 30}})
+	assert.Equal(t, picked(b, start), "saturated")
+	b.SetLoads("other", nil)
+	assert.Equal(t, picked(b, start), "i-1", "the other entry's load is forgotten")
+}
+
+func TestReturningCallersAreAdmittedLonger(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1))
+	b.SetLoads("other", map[string]Load{"i-1": {Requests: 17}})
+	assert.Equal(t, picked(b, start), "saturated")
+	d := demand()
+	d.Late = true
+	_, v := b.Pick(start, testService, d, nil)
+	assert.Equal(t, v, Chosen)
+}
+
+func TestFailingTargetIsLeftAndTriedAgain(t *testing.T) {
+	b := book(nil, Config{}, plain(1), plain(2))
+	for range 6 {
+		c, v := b.Pick(start, testService, demand(), []string{"p-2"})
+		assert.Equal(t, v, Chosen)
+		b.Finish(start, c.Target, Result{Failed: true})
+	}
+	for range 10 {
+		assert.Equal(t, picked(b, start), "p-2")
+	}
+	assert.Equal(t, picked(b, start, "p-2"), "p-1", "an ejected target is better than none")
+	later := start.Add(ejectMax)
+	assert.Assert(t, !b.byID["p-1"].health.ejected(later))
+}
+
+func TestSilentTargetIsLeftUntilItSpeaks(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1), engine(2, 1))
+	c, _ := b.Pick(start, testService, demand(), []string{"i-2"})
+	later := start.Add(silentAfter + time.Millisecond)
+	assert.Assert(t, b.Silent(later, c.Target))
+	assert.Equal(t, picked(b, later), "i-2")
+	b.Heard(later, c.Target, 1000)
+	assert.Assert(t, !b.Silent(later, c.Target))
+}
+
+func TestDoubtfulTargetIsTheLastResort(t *testing.T) {
+	doubtful := plain(1)
+	doubtful.Doubtful = true
+	b := book(nil, Config{}, doubtful, plain(2))
+	for range 5 {
+		assert.Equal(t, picked(b, start), "p-2")
+	}
+	assert.Equal(t, picked(b, start, "p-2"), "p-1")
+}
+
+func TestAnotherInstanceAtTheAddressEndsTheTarget(t *testing.T) {
+	b := book(nil, Config{}, plain(1))
+	c, _ := b.Pick(start, testService, demand(), nil)
+	b.Finish(start, c.Target, Result{Gone: true})
+	assert.Equal(t, picked(b, start), "no_target")
+}
+
+// Entries that see the same free engine ask its home; the home counts each
+// grant at once, so that only as many are let in as it can serve.
+func TestHomeGrantsOnlyWhatTheTargetCanServe(t *testing.T) {
+	home := book(engineModel(), Config{}, engine(1, 1))
+	granted := 0
+	for i := range 14 {
+		if home.Reserve(fmt.Sprintf("entry-%d", i), "i-1", demand()) {
+			granted++
+		}
+	}
+	assert.Assert(t, granted >= 3 && granted <= 6, "granted %d", granted)
+	home.SetLoads("entry-0", nil)
+	assert.Assert(t, home.Reserve("entry-0", "i-1", demand()), "an account replaces the grant")
+	assert.Assert(t, home.Reserve("entry-0", "unknown", demand()))
+}
+
+func TestCancelTakesTheChoiceBack(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1))
+	c, _ := b.Pick(start, testService, demand(), nil)
+	b.Cancel(c.Target, demand())
+	assert.Equal(t, len(b.OwnLoads()), 0)
+	assert.Assert(t, !b.Silent(start.Add(time.Hour), c.Target))
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 100, 4400} {
+		var list []*fleet.Instance
+		for i := range n {
+			list = append(list, engine(i, 1))
+		}
+		bk := book(engineModel(), Config{}, list...)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				c, v := bk.Pick(start, testService, demand(), nil)
+				if v == Chosen {
+					bk.Cancel(c.Target, demand())
+				}
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,7 +34,6 @@
 	Instance  string // the only one that may run it
 	Team      string
 	Remaining time.Duration
-	Version   int    // of the weights; 0 is any
 	LastEvent string // a stream goes on after it
 }
 
--- /dev/null
+++ b/mirror/oracle_test.go
@@ -0,0 +1,109 @@
+package mirror
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// model is the store: its keys and all its changes.
+type model struct {
+	items   map[string]Event
+	changes []Event
+}
+
+func (m *model) revision() int64 { return int64(len(m.changes)) + 1 }
+
+func (m *model) all() Batch {
+	b := Batch{Revision: m.revision()}
+	for _, e := range m.items {
+		b.Events = append(b.Events, e)
+	}
+	return b
+}
+
+func (m *model) since(after int64, most int) Batch {
+	b := Batch{Revision: after}
+	for _, e := range m.changes {
+		if e.Revision > after && len(b.Events) < most {
+			b.Events = append(b.Events, e)
+			b.Revision = e.Revision
+		}
+	}
+	return b
+}
+
+func (m *model) contents() map[string]string {
+	out := map[string]string{}
+	for k, e := range m.items {
+		out[k] = string(e.Value)
+	}
+	return out
+}
+
+// TestMirrorOracle lets three copies follow a store and each other in any order
+// of whole reads and partial watches, some of them answered late. No copy may go
+// back, and each agrees with the store once it has read all changes.
+func TestMirrorOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &model{items: map[string]Event{}}
+		copies := []*Table{NewTable(""), NewTable(""), NewTable("")}
+		reached := make([]int64, len(copies))
+		late := []Batch{}
+		pick := func(t *rapid.T) int { return rapid.IntRange(0, len(copies)-1).Draw(t, "copy") }
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				key := fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key"))
+				e := Event{Item: Item{Key: key, Revision: store.revision() + 1}}
+				_, exists := store.items[key]
+				if exists && rapid.Bool().Draw(t, "delete") {
+					e.Deleted = true
+					delete(store.items, key)
+				} else {
+					e.Value = fmt.Append(nil, e.Revision)
+					store.items[key] = e
+				}
+				store.changes = append(store.changes, e)
+			},
+			"read all": func(t *rapid.T) { copies[pick(t)].Replace(start, store.all()) },
+			"watch": func(t *rapid.T) {
+				c := copies[pick(t)]
+				if c.Revision() == 0 {
+					t.Skip()
+				}
+				c.Apply(start, store.since(c.Revision(), rapid.IntRange(1, 4).Draw(t, "most")))
+			},
+			"hold an answer back": func(t *rapid.T) { late = append(late, store.all()) },
+			"late answer": func(t *rapid.T) {
+				if len(late) == 0 {
+					t.Skip()
+				}
+				copies[pick(t)].Replace(start, rapid.SampledFrom(late).Draw(t, "answer"))
+			},
+			"follow a peer": func(t *rapid.T) {
+				from, to := copies[pick(t)], copies[pick(t)]
+				b, err := from.Watch(t.Context(), to.Revision(), 0)
+				switch {
+				case err == nil:
+					to.Apply(start, b)
+				case errors.Is(err, ErrCompacted):
+					b, err = from.Range(start)
+					assert.NilError(t, err)
+					to.Replace(start, b)
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, c := range copies {
+					assert.Assert(t, c.Revision() >= reached[i])
+					reached[i] = c.Revision()
+					if c.Revision() == store.revision() {
+						assert.DeepEqual(t, contents(c), store.contents())
+					}
+				}
+			},
+		})
+	})
+}
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -138,8 +138,11 @@
 		}
 	}
 	if t.revision == 0 {
-		t.start, t.first = b.Revision, b.Revision
+		t.first = b.Revision
 	}
+	// Keys that came and went since the last read were not seen here, so a
+	// peer that is behind must read all too.
+	t.start, t.history = b.Revision, nil
 	t.advance(now, b, changed)
 }
 
--- /dev/null
+++ b/mirror/table_test.go
@@ -0,0 +1,230 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func set(key string, revision int64) Event {
+	return Event{Item: Item{Key: key, Value: fmt.Append(nil, revision), Revision: revision}}
+}
+
+func gone(key string, revision int64) Event {
+	return Event{Item: Item{Key: key, Revision: revision}, Deleted: true}
+}
+
+// contents returns the values by key.
+func contents(t *Table) map[string]string {
+	out := map[string]string{}
+	items, _ := t.Items()
+	for _, i := range items {
+		out[i.Key] = string(i.Value)
+	}
+	return out
+}
+
+func TestTableNeverGoesBack(t *testing.T) {
+	table := NewTable("")
+	table.Replace(start, Batch{Events: []Event{set("a", 5)}, Revision: 6})
+	table.Apply(start, Batch{Events: []Event{set("a", 4)}, Revision: 5})
+	table.Replace(start, Batch{Events: []Event{set("a", 3)}, Revision: 4})
+	assert.DeepEqual(t, contents(table), map[string]string{"a": "5"})
+	assert.Equal(t, table.Revision(), int64(6))
+}
+
+func TestReplaceDropsWhatIsGone(t *testing.T) {
+	table := NewTable("")
+	table.Replace(start, Batch{Events: []Event{set("a", 1), set("b", 2)}, Revision: 2})
+	table.Apply(start, Batch{Events: []Event{set("c", 9)}, Revision: 9})
+	table.Replace(start, Batch{Events: []Event{set("b", 2)}, Revision: 9})
+	assert.DeepEqual(t, contents(table), map[string]string{"b": "2"})
+}
+
+func TestWatchOfAPeer(t *testing.T) {
+	table := NewTable("")
+	_, err := table.Watch(t.Context(), 0, 0)
+	assert.ErrorIs(t, err, ErrUnavailable)
+	table.Replace(start, Batch{Events: []Event{set("a", 5)}, Revision: 6})
+	_, err = table.Watch(t.Context(), 4, 0)
+	assert.ErrorIs(t, err, ErrCompacted, "what came before the first read is not known")
+	table.Apply(start, Batch{Events: []Event{set("a", 7), gone("a", 8)}, Revision: 8})
+	b, err := table.Watch(t.Context(), 6, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Events), 2)
+	assert.Equal(t, b.Revision, int64(8))
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	table := NewTable("")
+	table.Replace(start, Batch{Revision: 1})
+	for r := int64(2); r < 2+2*historyLength; r++ {
+		table.Apply(start, Batch{Events: []Event{set("a", r)}, Revision: r})
+	}
+	_, err := table.Watch(t.Context(), 1, 0)
+	assert.ErrorIs(t, err, ErrCompacted)
+	b, err := table.Watch(t.Context(), 2*historyLength, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Events), 1)
+}
+
+// scripted is a source whose answers are given by a function.
+type scripted struct {
+	name  string
+	watch func(after int64) (Batch, error)
+	all   func() (Batch, error)
+}
+
+func (s *scripted) Name() string { return s.name }
+
+func (s *scripted) Range(context.Context, string) (Batch, error) { return s.all() }
+
+func (s *scripted) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+	b, err := s.watch(after)
+	if err == nil && len(b.Events) == 0 {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
+	}
+	return b, err
+}
+
+func quiet() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
+
+// The store loses its history: the follower reads all again and does not go
+// back.
+func TestFollowerReadsAgainAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		reads := 0
+		src := &scripted{name: "store"}
+		src.all = func() (Batch, error) {
+			reads++
+			if reads == 1 {
+				return Batch{Events: []Event{set("a", 1)}, Revision: 1}, nil
+			}
+			return Batch{Events: []Event{set("a", 9)}, Revision: 9}, nil
+		}
+		src.watch = func(after int64) (Batch, error) {
+			if after < 9 {
+				return Batch{}, ErrCompacted
+			}
+			return Batch{Revision: after}, nil
+		}
+		table := NewTable("")
+		f := NewFollower(Config{}, table, func() Source { return src }, func() Source { return nil }, quiet())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, contents(table), map[string]string{"a": "9"})
+		assert.Equal(t, reads, 2)
+	})
+}
+
+// The store turns this process away: it follows a peer, and the store again
+// when that works.
+func TestFollowerFallsBackToAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		down := true
+		store := &scripted{name: "store", all: func() (Batch, error) {
+			if down {
+				return Batch{}, errors.New("busy")
+			}
+			return Batch{Events: []Event{set("a", 7)}, Revision: 7}, nil
+		}}
+		store.watch = func(after int64) (Batch, error) {
+			if down {
+				return Batch{}, errors.New("busy")
+			}
+			if after < 7 {
+				return Batch{Events: []Event{set("a", 7)}, Revision: 7}, nil
+			}
+			return Batch{Revision: after}, nil
+		}
+		peer := &scripted{name: "peer", all: func() (Batch, error) { return Batch{Events: []Event{set("a", 3)}, Revision: 3}, nil }}
+		peer.watch = func(after int64) (Batch, error) { return Batch{Revision: max(after, 3)}, nil }
+		table := NewTable("")
+		f := NewFollower(Config{}, table, func() Source { return store }, func() Source { return peer }, quiet())
+		go f.Run(ctx)
+		time.Sleep(time.Second / 2)
+		assert.DeepEqual(t, contents(table), map[string]string{"a": "3"})
+		isDown, _ := f.Outage()
+		assert.Assert(t, !isDown, "a peer serves")
+		down = false
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, contents(table), map[string]string{"a": "7"})
+	})
+}
+
+// An outage of all sources is known, and when it ended.
+func TestFollowerKnowsAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		down := false
+		src := &scripted{name: "store", all: func() (Batch, error) { return Batch{Revision: 1}, nil }}
+		src.watch = func(after int64) (Batch, error) {
+			if down {
+				return Batch{}, errors.New("down")
+			}
+			return Batch{Revision: after}, nil
+		}
+		f := NewFollower(Config{}, NewTable(""), func() Source { return src }, func() Source { return nil }, quiet())
+		go f.Run(ctx)
+		time.Sleep(3 * time.Second)
+		isDown, ended := f.Outage()
+		assert.Assert(t, !isDown && ended.IsZero())
+		down = true
+		time.Sleep(4 * time.Second)
+		isDown, _ = f.Outage()
+		assert.Assert(t, isDown)
+		down = false
+		time.Sleep(4 * time.Second)
+		isDown, ended = f.Outage()
+		assert.Assert(t, !isDown && !ended.IsZero())
+	})
+}
+
+// A watch that the store cut without a word ends by the follower's own time.
+func TestFollowerNoticesAWatchThatHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		src := &hanging{}
+		table := NewTable("")
+		f := NewFollower(Config{}, table, func() Source { return src }, func() Source { return nil }, quiet())
+		go f.Run(ctx)
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, src.calls >= 2, "asked %d times", src.calls)
+	})
+}
+
+// hanging is a source whose watches never answer.
+type hanging struct{ calls int }
+
+func (h *hanging) Name() string { return "hanging" }
+
+func (h *hanging) Range(context.Context, string) (Batch, error) { return Batch{Revision: 1}, nil }
+
+func (h *hanging) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (Batch, error) {
+	h.calls++
+	<-ctx.Done()
+	return Batch{}, ctx.Err()
+}
