Tests of members, links, homes, relays and agents; assignments go to agents only

The test of the mesh found that an entry which sent an assignment to another entry would end it; entries have no service, so it could not happen yet.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -286,9 +286,13 @@
 		if s.Send(ctx, &peer.Presences{Entries: list}) != nil {
 			return
 		}
-		assignment, assignmentChanged := m.listener.Assignment(to)
-		if assignment != nil && s.Send(ctx, assignment) != nil {
-			return
+		var assignmentChanged <-chan struct{} // nil, so never, for entries
+		if to.Engine != "" {
+			var assignment *peer.Assignment
+			assignment, assignmentChanged = m.listener.Assignment(to)
+			if assignment != nil && s.Send(ctx, assignment) != nil {
+				return
+			}
 		}
 		select {
 		case <-membersChanged:
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,190 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/peer"
+	"gotest.tools/v3/assert"
+)
+
+// node is an entry or an agent of the tests on loopback.
+type node struct {
+	mesh   *Mesh
+	table  *mirror.Table
+	book   *dispatch.Book
+	homes  *Reserver
+	server *peer.Server
+
+	mu          sync.Mutex
+	loads       map[string]int // targets in the last account, by sender
+	engines     map[string]*peer.EngineState
+	assignments chan peer.Assignment
+	changed     chan struct{}
+}
+
+// startNode runs a node until the test ends. Agents have no listener.
+func startNode(t *testing.T, name string, incarnation uint64, seeds []string, agent bool, own []peer.TargetLoad) *node {
+	t.Helper()
+	n := &node{table: mirror.NewTable(""), loads: map[string]int{}, engines: map[string]*peer.EngineState{},
+		assignments: make(chan peer.Assignment, 16), changed: make(chan struct{}),
+		book: dispatch.NewBook(dispatch.Config{}, rand.New(rand.NewPCG(1, 2)))}
+	hello, meter := peer.Hello{Host: name}, &peer.Meter{}
+	self := peer.Presence{Host: name, Domain: "a", Incarnation: incarnation}
+	if agent {
+		self.Engine = "engine-of-" + name
+	} else {
+		server, err := peer.Listen("127.0.0.1:0", hello, n.serve, meter)
+		assert.NilError(t, err)
+		t.Cleanup(server.Close)
+		n.server, self.Addr = server, server.Addr()
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o := Options{Self: self, Seeds: seeds, Pool: peer.NewPool(hello, n.serve, meter), Log: log,
+		Config: Config{RetryAfter: 20 * time.Millisecond, BehindAfter: 20 * time.Millisecond}}
+	if agent {
+		o.Assigned = func(a peer.Assignment) { n.assignments <- a }
+	} else {
+		o.Listener, o.Table = n, n.table
+	}
+	n.mesh = New(o)
+	n.homes = NewReserver(n.mesh, n.book)
+	ctx, cancel := context.WithCancel(t.Context())
+	var loads func() []peer.TargetLoad
+	if !agent {
+		loads = func() []peer.TargetLoad { return own }
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.mesh.Run(ctx, loads)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		o.Pool.Close()
+	})
+	return n
+}
+
+func (n *node) serve(ctx context.Context, s *peer.Stream, first peer.Message) {
+	switch m := first.(type) {
+	case *peer.Presence:
+		n.mesh.Serve(ctx, s, m)
+	case *peer.MirrorRead:
+		n.mesh.ServeMirror(ctx, s, m)
+	case *peer.Reserve:
+		n.homes.Serve(ctx, s, m)
+	}
+}
+
+func (n *node) note(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+func (n *node) Loads(l *peer.Loads) { n.note(func() { n.loads[l.From.Host] = len(l.Targets) }) }
+
+func (n *node) Lost(string) { n.note(func() {}) }
+
+func (n *node) EngineState(agent peer.Presence, s *peer.EngineState) {
+	n.note(func() { n.engines[agent.Engine] = s })
+}
+
+func (n *node) Assignment(peer.Presence) (*peer.Assignment, <-chan struct{}) {
+	return &peer.Assignment{Model: "m", Version: 7}, make(chan struct{})
+}
+
+// until waits until ok holds; it is asked after each message and each round.
+func (n *node) until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		n.mu.Lock()
+		done, changed := ok(), n.changed
+		n.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(5 * time.Millisecond):
+		case <-t.Context().Done():
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func TestEntriesFindEachOtherThroughOneSeed(t *testing.T) {
+	a := startNode(t, "a", 1, nil, false, []peer.TargetLoad{{Instance: "i", Requests: 1}})
+	seeds := []string{a.server.Addr()}
+	b := startNode(t, "b", 1, seeds, false, nil)
+	c := startNode(t, "c", 1, seeds, false, nil)
+	b.until(t, "b hears a and c", func() bool { return len(b.mesh.Entries()) == 2 })
+	c.until(t, "c hears a and b", func() bool { return len(c.mesh.Entries()) == 2 })
+	b.until(t, "the load of a", func() bool { return b.loads["a"] == 1 })
+}
+
+// An entry that is cut off from the store reads what a peer has.
+func TestEntryCatchesUpFromAPeer(t *testing.T) {
+	a := startNode(t, "a", 1, nil, false, nil)
+	b := startNode(t, "b", 1, []string{a.server.Addr()}, false, nil)
+	item := mirror.Event{Item: mirror.Item{Key: "k", Value: []byte("v"), Revision: 3}}
+	b.table.Replace(time.Now(), mirror.Batch{Revision: 1})
+	a.table.Replace(time.Now(), mirror.Batch{Events: []mirror.Event{item}, Revision: 4})
+	b.until(t, "b has the item", func() bool { return b.table.Revision() == 4 })
+	items, _ := b.table.Items()
+	assert.Equal(t, string(items[0].Value), "v")
+}
+
+func TestAgentIsAssignedAndHeard(t *testing.T) {
+	a := startNode(t, "a", 1, nil, false, nil)
+	b := startNode(t, "b", 1, []string{a.server.Addr()}, false, nil)
+	agent := startNode(t, "agent", 1, []string{a.server.Addr()}, true, nil)
+	assert.Equal(t, (<-agent.assignments).Version, 7)
+	agent.mesh.Say(peer.EngineState{Addr: "engine-of-agent", Model: "m", Version: 7})
+	for _, n := range []*node{a, b} {
+		n.until(t, "the engine's state", func() bool {
+			s := n.engines["engine-of-agent"]
+			return s != nil && s.Version == 7
+		})
+	}
+}
+
+// A target's home decides; an entry that cannot ask it goes on alone.
+func TestReserveAsksTheHome(t *testing.T) {
+	a := startNode(t, "a", 1, nil, false, nil)
+	b := startNode(t, "b", 1, []string{a.server.Addr()}, false, nil)
+	a.until(t, "both", func() bool { return len(a.mesh.Entries()) == 1 && len(b.mesh.Entries()) == 1 })
+	id := ""
+	for _, candidate := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"} {
+		if b.mesh.home(candidate, "a") == a.server.Addr() {
+			id = candidate
+		}
+	}
+	assert.Assert(t, id != "")
+	model := &fleet.EngineModel{Model: "m", Slots: 1, Step: 10 * time.Millisecond, PrefillRate: 1000, Stride: 1, MeanAnswer: 100, Layers: 1}
+	instance := &fleet.Instance{ID: id, Service: "s", Domain: "a", Models: []fleet.ModelVersion{{Model: "m", Version: 1, Layers: 1}}}
+	services := map[string]*fleet.Service{"s": {Name: "s", Engine: model}}
+	for _, n := range []*node{a, b} {
+		n.book.Apply([]*fleet.Instance{instance}, services)
+	}
+	b.homes.timeout = time.Minute
+	d := dispatch.Demand{Prompt: 10, Objective: 100 * time.Millisecond, Domain: "a"}
+	target := &dispatch.Target{Instance: *instance}
+	assert.Assert(t, b.homes.Reserve(t.Context(), target, d))
+	assert.Assert(t, !b.homes.Reserve(t.Context(), target, d), "the home has granted its only place")
+	a.server.Close()
+	assert.Assert(t, b.homes.Reserve(t.Context(), target, d), "nobody to ask")
+}
--- /dev/null
+++ b/weights/relay_test.go
@@ -0,0 +1,217 @@
+package weights
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/peer"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	testModel  = "m"
+	testPieces = 16
+)
+
+func piece(version, index int) []byte { return fmt.Appendf(nil, "version %d piece %d", version, index) }
+
+// fakeOrigin counts what it hands out, and spoils it if told so.
+type fakeOrigin struct {
+	mu            sync.Mutex
+	down          bool
+	spoilPieces   int // how many of the next pieces are spoilt
+	spoilManifest int
+	pieces        map[int]int // how often each was sent
+}
+
+func (o *fakeOrigin) Manifest(_ context.Context, _, model string, version int) (*Manifest, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, errors.New("origin down")
+	}
+	m := &Manifest{Model: model, Version: version}
+	for i := range testPieces {
+		m.Digests = append(m.Digests, sha256.Sum256(piece(version, i)))
+	}
+	if o.spoilManifest > 0 {
+		o.spoilManifest--
+		m.Digests[3][0] ^= 1
+	}
+	return m, nil
+}
+
+func (o *fakeOrigin) Piece(_ context.Context, _, _ string, version, index int) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, errors.New("origin down")
+	}
+	o.pieces[index]++
+	if o.spoilPieces > 0 {
+		o.spoilPieces--
+		return []byte("spoilt"), nil
+	}
+	return piece(version, index), nil
+}
+
+// network joins relays and agents by address.
+type network struct {
+	origin  *fakeOrigin
+	relays  map[string]*Relay
+	agents  map[string]int // version staged, by address
+	domains map[string]string // of the agents
+}
+
+func newNetwork(entries map[string]string) *network {
+	n := &network{origin: &fakeOrigin{pieces: map[int]int{}}, relays: map[string]*Relay{}, agents: map[string]int{}, domains: map[string]string{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for addr, domain := range entries {
+		self := peer.Presence{Addr: addr, Domain: domain}
+		others := func() []peer.Presence {
+			var out []peer.Presence
+			for a, d := range entries {
+				if a != addr {
+					out = append(out, peer.Presence{Addr: a, Domain: d})
+				}
+			}
+			return out
+		}
+		origin := func() *fleet.Origin { return &fleet.Origin{Addr: "origin", Domain: "a"} }
+		n.relays[addr] = NewRelay(Config{HolderWait: 1}, self, others, n.holders, origin, n.origin, n.call, log)
+	}
+	return n
+}
+
+func (n *network) holders(domain, _ string, version int) []string {
+	var out []string
+	for addr, v := range n.agents {
+		if v == version && n.domains[addr] == domain {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+func (n *network) call(ctx context.Context, addr string, m peer.Message) (peer.Message, error) {
+	if v, ok := n.agents[addr]; ok {
+		q := m.(*peer.GetPiece)
+		return &peer.Blob{Found: true, Data: piece(v, q.Index)}, nil
+	}
+	r := n.relays[addr]
+	if r == nil {
+		return nil, errors.New("no such peer")
+	}
+	switch q := m.(type) {
+	case *peer.GetManifest:
+		return r.manifestReply(ctx, q), nil
+	case *peer.GetPiece:
+		data, err := r.Piece(ctx, q)
+		return &peer.Blob{Found: err == nil, Data: data}, nil
+	}
+	return nil, errors.New("not understood")
+}
+
+// want makes all relays hold a version, without reading ahead.
+func (n *network) want(version int) {
+	for _, r := range n.relays {
+		r.versions[testModel] = &held{version: version, pieces: map[int][]byte{}}
+	}
+}
+
+func threeDomains() map[string]string {
+	return map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c"}
+}
+
+func readAll(t *testing.T, r *Relay, version int) {
+	t.Helper()
+	for i := range testPieces {
+		data, err := r.Piece(t.Context(), &peer.GetPiece{Model: testModel, Version: version, Index: i})
+		assert.NilError(t, err)
+		assert.Equal(t, string(data), string(piece(version, i)))
+	}
+}
+
+func TestVersionLeavesTheOriginOnce(t *testing.T) {
+	n := newNetwork(threeDomains())
+	n.want(2)
+	for _, r := range n.relays {
+		readAll(t, r, 2)
+	}
+	for i := range testPieces {
+		assert.Equal(t, n.origin.pieces[i], 1, "piece %d", i)
+	}
+}
+
+func TestSpoiltPieceIsReadAgain(t *testing.T) {
+	n := newNetwork(threeDomains())
+	n.want(2)
+	n.origin.spoilPieces = 2
+	readAll(t, n.relays["b1"], 2)
+}
+
+// A manifest may arrive spoilt like any other answer: then no bytes match.
+func TestSpoiltManifestIsReadAgain(t *testing.T) {
+	n := newNetwork(map[string]string{"a1": "a"})
+	n.want(2)
+	n.origin.spoilManifest = 1
+	readAll(t, n.relays["a1"], 2)
+}
+
+func TestAgentsNearbyGoBeforeTheOrigin(t *testing.T) {
+	n := newNetwork(threeDomains())
+	n.want(1)
+	for _, domain := range []string{"a", "b", "c"} {
+		n.agents["agent-"+domain] = 1
+		n.domains["agent-"+domain] = domain
+	}
+	_, err := n.relays["b1"].Manifest(t.Context(), &peer.GetManifest{Model: testModel, Version: 1})
+	assert.NilError(t, err)
+	n.origin.down = true
+	readAll(t, n.relays["b1"], 1)
+	assert.Equal(t, len(n.origin.pieces), 0)
+}
+
+// An agent that has staged the next version already hands out other bytes.
+func TestPieceOfAnotherVersionIsNotTaken(t *testing.T) {
+	n := newNetwork(threeDomains())
+	n.want(2)
+	n.agents["agent-b"] = 1
+	n.domains["agent-b"] = "b"
+	n.relays["b1"].holders = func(string, string, int) []string { return []string{"agent-b"} }
+	readAll(t, n.relays["b1"], 2)
+}
+
+func TestNoSourceIsAnError(t *testing.T) {
+	n := newNetwork(threeDomains())
+	n.want(2)
+	n.origin.down = true
+	_, err := n.relays["c1"].Piece(t.Context(), &peer.GetPiece{Model: testModel, Version: 2, Index: 0})
+	assert.ErrorIs(t, err, ErrNoSource)
+}
+
+// Entries that disagree about who reads a piece must not ask each other for ever.
+func TestHopsAreBounded(t *testing.T) {
+	n := newNetwork(map[string]string{"a1": "a", "a2": "a"})
+	n.want(2)
+	r := n.relays["a1"]
+	for i := range testPieces {
+		assert.DeepEqual(t, r.upstream(PieceKey(testModel, 2, i), maxHops), []string{""})
+	}
+}
+
+func TestOlderVersionIsNotHeldAgain(t *testing.T) {
+	n := newNetwork(map[string]string{"a1": "a"})
+	r := n.relays["a1"]
+	n.want(3)
+	r.Want(t.Context(), testModel, 2, testPieces)
+	assert.Equal(t, r.versions[testModel].version, 3)
+}
