--- /dev/null
+++ b/targetconn/exchange_test.go
@@ -0,0 +1,282 @@
+package targetconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const idHeader = "Test-Id"
+
+func idOf(h http.Header) string { return h.Get(idHeader) }
+
+// server is a target whose connections are handled by a function.
+type server struct {
+	addr  string
+	conns atomic.Int64
+	wg    sync.WaitGroup
+}
+
+// serve accepts connections until the test ends. n counts them from 1.
+func serve(t *testing.T, handle func(n int64, nc net.Conn, br *bufio.Reader)) *server {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &server{addr: ln.Addr().String()}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n := s.conns.Add(1)
+			s.wg.Add(1)
+			go func() {
+				defer s.wg.Done()
+				defer nc.Close()
+				handle(n, nc, bufio.NewReader(nc))
+			}()
+		}
+	}()
+	t.Cleanup(func() { ln.Close() })
+	return s
+}
+
+// readRequest reads one request and its body; it reports false at the end.
+func readRequest(br *bufio.Reader) (*http.Request, []byte, bool) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, nil, false
+	}
+	b, err := io.ReadAll(r.Body)
+	return r, b, err == nil
+}
+
+func answer(id, body string, more ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s", idHeader, id, len(body), strings.Join(more, ""), body)
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodPost, URI: "/a%2Fb/?q=1", Host: "host.example", ID: id, Body: []byte("body of " + id),
+		Header: http.Header{idHeader: {id}}}
+}
+
+// do returns the body of the answer.
+func do(ctx context.Context, p *Pool, addr string, r *Request) (string, error) {
+	resp, err := p.Do(ctx, addr, r, idOf)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	b, err := io.ReadAll(resp)
+	return string(b), err
+}
+
+func TestRequestArrivesAsItWas(t *testing.T) {
+	s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+		for {
+			r, body, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			fmt.Fprint(nc, answer(idOf(r.Header), r.Method+" "+r.RequestURI+" "+r.Host+" "+string(body)))
+		}
+	})
+	p := NewPool(Config{})
+	for i := range 3 {
+		id := fmt.Sprint("id", i)
+		got, err := do(t.Context(), p, s.addr, request(id))
+		assert.NilError(t, err)
+		assert.Equal(t, got, "POST /a%2Fb/?q=1 host.example body of "+id)
+	}
+	assert.Equal(t, s.conns.Load(), int64(1), "the connection is kept")
+}
+
+// A second answer to the first request stands where that to the second is
+// expected.
+func TestExtraAnswerIsNotTakenForTheNext(t *testing.T) {
+	s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+		r, _, _ := readRequest(br)
+		fmt.Fprint(nc, answer(idOf(r.Header), "first"))
+		r, _, ok := readRequest(br)
+		if !ok {
+			return
+		}
+		fmt.Fprint(nc, answer("first", "late copy")+answer(idOf(r.Header), "second"))
+	})
+	p := NewPool(Config{})
+	_, err := do(t.Context(), p, s.addr, request("first"))
+	assert.NilError(t, err)
+	got, err := do(t.Context(), p, s.addr, request("second"))
+	assert.NilError(t, err)
+	assert.Equal(t, got, "second")
+}
+
+// Bytes that arrive while a connection is idle end it.
+func TestConnectionWithStrayBytesIsNotUsedAgain(t *testing.T) {
+	stray := make(chan struct{})
+	s := serve(t, func(n int64, nc net.Conn, br *bufio.Reader) {
+		r, _, _ := readRequest(br)
+		fmt.Fprint(nc, answer(idOf(r.Header), fmt.Sprint("connection ", n)))
+		if n == 1 {
+			fmt.Fprint(nc, "stray")
+			close(stray)
+		}
+		_, _, _ = readRequest(br)
+	})
+	p := NewPool(Config{})
+	_, err := do(t.Context(), p, s.addr, request("a"))
+	assert.NilError(t, err)
+	<-stray
+	got, err := do(t.Context(), p, s.addr, request("b"))
+	assert.NilError(t, err)
+	assert.Equal(t, got, "connection 2")
+}
+
+// A target that closes an idle connection just as it is used: the request may
+// have run, so it is not sent again here.
+func TestNothingIsSentTwice(t *testing.T) {
+	var requests atomic.Int64
+	s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+		r, _, _ := readRequest(br)
+		requests.Add(1)
+		fmt.Fprint(nc, answer(idOf(r.Header), "ok"))
+		if _, _, ok := readRequest(br); ok {
+			requests.Add(1)
+		}
+	})
+	p := NewPool(Config{})
+	_, err := do(t.Context(), p, s.addr, request("a"))
+	assert.NilError(t, err)
+	_, err = do(t.Context(), p, s.addr, request("b"))
+	assert.ErrorIs(t, err, ErrNoReply)
+	s.wg.Wait()
+	assert.Equal(t, requests.Load(), int64(2))
+}
+
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	for name, raw := range map[string]string{
+		"cut body":    "HTTP/1.1 200 OK\r\nTest-Id: a\r\nContent-Length: 100\r\n\r\nshort",
+		"cut chunk":   "HTTP/1.1 200 OK\r\nTest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+		"no http":     "garbage\r\n\r\n",
+		"cut head":    "HTTP/1.1 200 OK\r\nTest-",
+		"nothing":     "",
+		"other's":     answer("x", "1") + answer("y", "2") + answer("z", "3") + answer("x", "4"),
+		"cut other's": "HTTP/1.1 200 OK\r\nTest-Id: x\r\nContent-Length: 100\r\n\r\nshort",
+	} {
+		s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+			_, _, _ = readRequest(br)
+			fmt.Fprint(nc, raw)
+		})
+		_, err := do(t.Context(), NewPool(Config{}), s.addr, request("a"))
+		assert.Assert(t, err != nil, name)
+	}
+}
+
+func TestDialFailureSaysThatNothingWasSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ln.Close()
+	_, err = do(t.Context(), NewPool(Config{}), ln.Addr().String(), request("a"))
+	assert.ErrorIs(t, err, ErrDial)
+}
+
+// A target may answer before it has read a long body. The connection is not
+// used again, since the rest of the body is still due on it.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	release := make(chan struct{})
+	s := serve(t, func(n int64, nc net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		fmt.Fprint(nc, answer(idOf(r.Header), fmt.Sprint("connection ", n)))
+		<-release
+	})
+	defer close(release)
+	long := request("a")
+	long.Body = bytes.Repeat([]byte("x"), 32<<20) // more than the sockets' buffers hold
+	p := NewPool(Config{})
+	got, err := do(t.Context(), p, s.addr, long)
+	assert.NilError(t, err)
+	assert.Equal(t, got, "connection 1")
+	got, err = do(t.Context(), p, s.addr, request("b"))
+	assert.NilError(t, err)
+	assert.Equal(t, got, "connection 2")
+}
+
+// Ending the context closes the connection, so that the target stops.
+func TestEndOfTheContextReachesTheTarget(t *testing.T) {
+	got, closed := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(_ int64, _ net.Conn, br *bufio.Reader) {
+		_, _, _ = readRequest(br)
+		close(got)
+		_, _ = br.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-got
+		cancel()
+	}()
+	_, err := do(ctx, NewPool(Config{}), s.addr, request("a"))
+	assert.Assert(t, err != nil)
+	<-closed
+}
+
+func TestConnectionsThatAreNotKept(t *testing.T) {
+	for name, more := range map[string]string{"close": "Connection: close\r\n"} {
+		s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+			for {
+				r, _, ok := readRequest(br)
+				if !ok {
+					return
+				}
+				fmt.Fprint(nc, answer(idOf(r.Header), "ok", more))
+			}
+		})
+		p := NewPool(Config{})
+		for _, id := range []string{"a", "b"} {
+			_, err := do(t.Context(), p, s.addr, request(id))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, s.conns.Load(), int64(2), name)
+	}
+}
+
+func TestKeepAliveTime(t *testing.T) {
+	for value, want := range map[string]time.Duration{"timeout=5": 5 * time.Second, "max=3, timeout=2": 2 * time.Second,
+		"": 0, "timeout=x": 0, "timeout=-1": 0} {
+		assert.Equal(t, keepAlive(http.Header{"Keep-Alive": {value}}), want, value)
+	}
+}
+
+func TestSweepClosesWhatIsNotWanted(t *testing.T) {
+	s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+		for {
+			r, _, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			fmt.Fprint(nc, answer(idOf(r.Header), "ok"))
+		}
+	})
+	p := NewPool(Config{})
+	_, err := do(t.Context(), p, s.addr, request("a"))
+	assert.NilError(t, err)
+	p.Sweep(func(string) bool { return true })
+	assert.Equal(t, len(p.idle), 1)
+	p.Sweep(func(string) bool { return false })
+	assert.Equal(t, len(p.idle), 0)
+}
