An agent's word reaches entries that are found after it

Ruled out: the stream's flow control (the goroutine waits for a message never sent). Change: the mesh keeps the newest word for links that open later.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -42,6 +42,7 @@
 	live        []peer.Presence
 	changed     chan struct{} // closed when live changes
 	leaving     bool
+	said        peer.Message // newest broadcast, for links that open later
 	behindSince time.Time
 	catchingUp  bool
 }
@@ -120,7 +121,7 @@
 	defer m.mu.Unlock()
 	for _, addr := range m.members.Addrs() {
 		if m.links[addr] == nil {
-			l := &link{mesh: m, addr: addr, out: make(chan peer.Message, 1)}
+			l := &link{mesh: m, addr: addr, last: m.said, out: make(chan peer.Message, 1)}
 			m.links[addr] = l
 			go l.run(ctx)
 		}
@@ -214,6 +215,7 @@
 	if l, ok := msg.(*peer.Loads); ok {
 		l.From = m.presence()
 	}
+	m.said = msg
 	for _, l := range m.links {
 		l.offer(msg)
 	}
