--- /dev/null
+++ b/command/sidecar.go
@@ -0,0 +1,97 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/springgate/springgate/mesh"
+	"github.com/springgate/springgate/peer"
+	"github.com/springgate/springgate/platform"
+	"github.com/springgate/springgate/settings"
+	"github.com/springgate/springgate/sidecar"
+	"github.com/springgate/springgate/telemetry"
+	"github.com/springgate/springgate/weights"
+	"github.com/urfave/cli/v3"
+)
+
+// sidecarCommand runs an agent that only looks after the engine's weights.
+func sidecarCommand() *cli.Command {
+	var f platformFlags
+	set := &settings.Set{}
+	f.add(set)
+	return &cli.Command{Name: "sidecar", Usage: "run the agent beside an engine on the platform that " + platform.SettingsVariable + " describes",
+		Flags: set.Flags(),
+		Action: func(_ context.Context, c *cli.Command) error {
+			if err := set.Load(c); err != nil {
+				return err
+			}
+			return runSidecar(f)
+		}}
+}
+
+// entrySource reads weights from the entries.
+type entrySource struct {
+	mesh *mesh.Mesh
+	call weights.Caller
+}
+
+// Manifest implements sidecar.Source.
+func (e entrySource) Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
+	addr, ok := e.mesh.Near(weights.ManifestKey(model, version))
+	if !ok {
+		return nil, weights.ErrNoSource
+	}
+	msg, err := e.call(ctx, addr, &peer.GetManifest{Model: model, Version: version})
+	if err != nil {
+		return nil, err
+	}
+	return weights.DecodeManifest(model, version, msg)
+}
+
+// Piece implements sidecar.Source.
+func (e entrySource) Piece(ctx context.Context, m *weights.Manifest, index int) ([]byte, error) {
+	addr, ok := e.mesh.Near(weights.PieceKey(m.Model, m.Version, index))
+	if !ok {
+		return nil, weights.ErrNoSource
+	}
+	msg, err := e.call(ctx, addr, &peer.GetPiece{Model: m.Model, Version: m.Version, Index: index})
+	if err != nil {
+		return nil, err
+	}
+	blob, ok := msg.(*peer.Blob)
+	if !ok || !blob.Found {
+		return nil, fmt.Errorf("%w: piece %d", weights.ErrNoSource, index)
+	}
+	return blob.Data, m.Verify(index, blob.Data)
+}
+
+func runSidecar(f platformFlags) error {
+	p, err := newOnPlatform(f, roleAgent)
+	if err != nil {
+		return err
+	}
+	p.pool = peer.NewPool(p.hello(), nil, p.meter)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var agent *sidecar.Sidecar
+	network := mesh.New(mesh.Options{Self: p.self, Seeds: p.settings.Seeds, Pool: p.pool, Log: telemetry.Part(p.log, "mesh"),
+		Assigned: func(a peer.Assignment) { agent.Assign(time.Now(), a) }})
+	agent = sidecar.New(sidecar.Config{FirstStart: p.settings.FirstStart}, platform.NewEngines(), p.settings.EngineAddr, entrySource{network, p.call},
+		network.Say, telemetry.Part(p.log, "sidecar"))
+	peers, err := peer.Listen(p.self.Pieces, p.hello(), agent.ServePiece, p.meter)
+	if err != nil {
+		return err
+	}
+	defer peers.Close()
+	stopAdmin, err := p.serveAdmin(f, func() bool { return true })
+	if err != nil {
+		return err
+	}
+	defer stopAdmin()
+	go network.Run(ctx, nil)
+	go agent.Run(ctx)
+	p.untilSignal()
+	p.stopped()
+	return nil
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,428 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/targetconn"
+	"gotest.tools/v3/assert"
+)
+
+// testDialect uses names of its own.
+type testDialect struct{}
+
+func (testDialect) Decode(h http.Header) Call {
+	ms, _ := strconv.Atoi(h.Get("Left-Ms"))
+	return Call{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Remaining: time.Duration(ms) * time.Millisecond}
+}
+
+func (testDialect) EncodeSend(h http.Header, s Send) {
+	h.Del("Key")
+	h.Set("Team", s.Team)
+	h.Set("Instance", s.Instance)
+	h.Set("Left-Ms", fmt.Sprint(s.Remaining.Milliseconds()))
+	h.Set("Last", s.LastEvent)
+}
+
+func (testDialect) DecodeAnswer(status int, h http.Header) AnswerInfo {
+	return AnswerInfo{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+		OtherInstance: status == http.StatusMisdirectedRequest}
+}
+
+// granted grants all places.
+type granted struct{}
+
+func (granted) Reserve(context.Context, *dispatch.Target, dispatch.Demand) bool { return true }
+
+// target is a fake target that notes what reached it.
+type target struct {
+	*httptest.Server
+	mu     sync.Mutex
+	seen   []*http.Request
+	bodies []string
+}
+
+func newTarget(t *testing.T, h http.HandlerFunc) *target {
+	x := &target{}
+	x.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		x.mu.Lock()
+		x.seen = append(x.seen, r)
+		x.bodies = append(x.bodies, string(b))
+		x.mu.Unlock()
+		w.Header().Set("Id", r.Header.Get("Id"))
+		h(w, r)
+	}))
+	t.Cleanup(x.Close)
+	return x
+}
+
+func (x *target) addr() string { return x.Listener.Addr().String() }
+
+func (x *target) count() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.seen)
+}
+
+func signed(w http.ResponseWriter, status int, body string) {
+	w.Header().Set("Signed", "by the target")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+}
+
+func ok(w http.ResponseWriter, r *http.Request) { signed(w, http.StatusOK, "done "+r.URL.RequestURI()) }
+
+func notRunAnswer(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func failure(w http.ResponseWriter, _ *http.Request) {
+	signed(w, http.StatusInternalServerError, "broken")
+}
+
+// abort closes the connection without an answer.
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func eventText(i int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i) }
+
+// events streams events after the last one that the caller has, up to most of
+// them, and breaks off unless whole.
+func events(total, most int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		last, _ := strconv.Atoi(r.Header.Get("Last"))
+		w.Header().Set("Signed", "by the target")
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		for i := last + 1; i <= total && i <= last+most; i++ {
+			_, _ = io.WriteString(w, eventText(i))
+			w.(http.Flusher).Flush()
+		}
+		if last+most < total {
+			_, _ = io.WriteString(w, "id: 99\ndata: half an ev") // breaks off inside an event
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+const testTimeout = 30 * time.Second
+
+func routes() []*fleet.Route {
+	route := func(name string, kind fleet.RouteKind, timeout time.Duration) *fleet.Route {
+		return &fleet.Route{Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Timeout: timeout,
+			Objective: time.Second, MaxAttempts: 2, Shares: []fleet.Share{{Service: "s", Weight: 1}}, Resumable: true}
+	}
+	return []*fleet.Route{route("safe", fleet.Safe, testTimeout), route("unsafe", fleet.Unsafe, testTimeout),
+		route("stream", fleet.Streaming, testTimeout), route("short", fleet.Unsafe, 50*time.Millisecond)}
+}
+
+// front is a gateway before targets; the first target is preferred.
+type front struct {
+	t       *testing.T
+	gateway *Gateway
+	server  *httptest.Server
+}
+
+func newFront(t *testing.T, targets ...*target) *front {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	book := dispatch.NewBook(dispatch.Config{}, rand.New(rand.NewPCG(1, 2)))
+	var list []*fleet.Instance
+	for i, x := range targets {
+		// Targets after the first stand elsewhere, which costs a little.
+		list = append(list, &fleet.Instance{ID: fmt.Sprintf("i-%d", i), Service: "s", Addr: x.addr(), Domain: fmt.Sprint(i), Slots: 100})
+	}
+	services := []*fleet.Service{{Name: "s"}}
+	teams := map[string]*fleet.Team{"secret": {Name: "blue"}}
+	cfg := fleet.NewConfig(1, routes(), services, teams, fleet.Limits{BodyBytes: 1 << 10})
+	book.Apply(list, cfg.Services)
+	g := New(Config{Domain: "0", RetryRatio: 1, RetryBurst: 100}, testDialect{}, book, targetconn.NewPool(targetconn.Config{}),
+		granted{}, NewStats(metrics.NewRegistry()), log)
+	g.SetConfig(cfg)
+	f := &front{t: t, gateway: g, server: httptest.NewServer(g)}
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+// answer is what the caller got; err is set if it was broken off.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (f *front) call(method, path, body string, header ...string) answer {
+	f.t.Helper()
+	r, err := http.NewRequestWithContext(f.t.Context(), method, f.server.URL+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	r.Host = "h.example"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "secret")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}).Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(b), resp.Header, err}
+}
+
+func TestAnswerIsPassedOn(t *testing.T) {
+	x := newTarget(t, ok)
+	a := newFront(t, x).call(http.MethodPost, "/unsafe/a%2Fb?q=1", "the body", "Team", "forged", "Left-Ms", "1000")
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Equal(t, a.body, "done /unsafe/a%2Fb?q=1")
+	assert.Equal(t, a.header.Get("Signed"), "by the target")
+	r := x.seen[0]
+	assert.Equal(t, x.bodies[0], "the body")
+	assert.Equal(t, r.Header.Get("Team"), "blue")
+	assert.Equal(t, r.Header.Get("Key"), "")
+	assert.Equal(t, r.Header.Get("Instance"), "i-0")
+	left, err := strconv.Atoi(r.Header.Get("Left-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 1000, "left %d", left)
+}
+
+// What each end of a request at the first target means for the caller, and
+// whether another target may be asked.
+func TestOutcomes(t *testing.T) {
+	unsignedOK := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "spoilt") }
+	encoded := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Encoding", "gzip")
+		signed(w, http.StatusOK, "spoilt")
+	}
+	misdirected := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+	wrongID := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "another")
+		signed(w, http.StatusOK, "another's answer")
+	}
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		signed(w, http.StatusOK, "cut")
+	}
+	for _, c := range []struct {
+		name      string
+		first     http.HandlerFunc
+		route     string
+		want      int
+		wantOther int // requests that reach the second target
+	}{
+		{"unsafe, not run", notRunAnswer, "unsafe", http.StatusOK, 1},
+		{"unsafe, other instance", misdirected, "unsafe", http.StatusOK, 1},
+		{"unsafe, connection lost", abort, "unsafe", http.StatusBadGateway, 0},
+		{"unsafe, failed", failure, "unsafe", http.StatusInternalServerError, 0},
+		{"unsafe, unsigned success", unsignedOK, "unsafe", http.StatusBadGateway, 0},
+		{"unsafe, encoded", encoded, "unsafe", http.StatusBadGateway, 0},
+		{"unsafe, cut", cut, "unsafe", http.StatusBadGateway, 0},
+		{"unsafe, answer to another", wrongID, "short", http.StatusGatewayTimeout, 0},
+		{"safe, not run", notRunAnswer, "safe", http.StatusOK, 1},
+		{"safe, connection lost", abort, "safe", http.StatusOK, 1},
+		{"safe, failed", failure, "safe", http.StatusOK, 1},
+		{"safe, cut", cut, "safe", http.StatusOK, 1},
+		{"safe, unsigned success", unsignedOK, "safe", http.StatusOK, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := newTarget(t, c.first), newTarget(t, ok)
+			a := newFront(t, first, second).call(http.MethodPost, "/"+c.route+"/x", "b")
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.status, c.want)
+			assert.Equal(t, second.count(), c.wantOther)
+			if c.want != http.StatusOK && c.want != http.StatusInternalServerError {
+				assert.Equal(t, a.header.Get("Signed"), "", "our own answers bear no signature")
+			}
+		})
+	}
+}
+
+// A status that promises "not run" is only given if no target was reached, or
+// each said so.
+func TestRefusalIsTrue(t *testing.T) {
+	x, y := newTarget(t, notRunAnswer), newTarget(t, notRunAnswer)
+	a := newFront(t, x, y).call(http.MethodPost, "/unsafe/x", "b")
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Assert(t, a.header.Get("Retry-After") != "")
+	assert.Equal(t, x.count()+y.count(), 2, "attempts are bounded")
+
+	x, y = newTarget(t, abort), newTarget(t, notRunAnswer)
+	a = newFront(t, x, y).call(http.MethodPost, "/safe/x", "b")
+	assert.Equal(t, a.status, http.StatusBadGateway, "the first target may have run it")
+}
+
+func TestFailureOfTheTargetIsPassedOnAtLast(t *testing.T) {
+	x, y := newTarget(t, failure), newTarget(t, failure)
+	a := newFront(t, x, y).call(http.MethodGet, "/safe/x", "")
+	assert.Equal(t, a.status, http.StatusInternalServerError)
+	assert.Equal(t, a.body, "broken")
+}
+
+func TestUnreachableTargetIsNoAttempt(t *testing.T) {
+	x, y := newTarget(t, ok), newTarget(t, ok)
+	f := newFront(t, x, y)
+	x.Close()
+	a := f.call(http.MethodPost, "/unsafe/x", "b")
+	assert.Equal(t, a.status, http.StatusOK)
+}
+
+func TestFinalAnswerAtTheTimeoutOfTheRoute(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	x := newTarget(t, func(http.ResponseWriter, *http.Request) { <-release })
+	a := newFront(t, x).call(http.MethodPost, "/short/x", "b")
+	assert.Equal(t, a.status, http.StatusGatewayTimeout)
+}
+
+func TestOwnAnswers(t *testing.T) {
+	x := newTarget(t, ok)
+	f := newFront(t, x)
+	assert.Equal(t, f.call(http.MethodGet, "/none/x", "").status, http.StatusNotFound)
+	assert.Equal(t, f.call(http.MethodGet, "/safe", "").status, http.StatusNotFound, "a prefix ends with its slash")
+	assert.Equal(t, f.call(http.MethodGet, "/safe/x", "", "Key", "revoked").status, http.StatusUnauthorized)
+	assert.Equal(t, f.call(http.MethodPost, "/safe/x", strings.Repeat("x", 2<<10)).status, http.StatusRequestEntityTooLarge)
+	f.gateway.config.Store(nil)
+	assert.Equal(t, f.call(http.MethodGet, "/none/x", "").status, http.StatusServiceUnavailable, "nothing is known yet")
+	assert.Equal(t, x.count(), 0)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := newFront(t, newTarget(t, ok))
+	assert.Assert(t, !f.gateway.SetConfig(fleet.NewConfig(1, nil, nil, nil, fleet.Limits{})))
+	assert.Assert(t, f.gateway.SetConfig(fleet.NewConfig(7, routes(), nil, nil, fleet.Limits{})))
+	assert.Assert(t, !f.gateway.SetConfig(fleet.NewConfig(6, nil, nil, nil, fleet.Limits{})))
+	assert.Equal(t, f.gateway.Config().Version, int64(7))
+}
+
+func TestDrainingAnswersAreTheLastOfTheirConnection(t *testing.T) {
+	f := newFront(t, newTarget(t, ok))
+	assert.Assert(t, f.gateway.Ready())
+	f.gateway.Drain()
+	assert.Assert(t, !f.gateway.Ready())
+	r := httptest.NewRequest(http.MethodGet, "http://h.example/safe/x", nil)
+	r.Header.Set("Key", "secret")
+	w := httptest.NewRecorder()
+	f.gateway.ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusOK, "it goes on serving")
+	assert.Equal(t, w.Header().Get("Connection"), "close")
+}
+
+func wantEvents(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(eventText(i))
+	}
+	return b.String()
+}
+
+func TestStreamIsPassedOn(t *testing.T) {
+	a := newFront(t, newTarget(t, events(5, 5))).call(http.MethodPost, "/stream/x", "b")
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.body, wantEvents(5))
+}
+
+// A stream that breaks inside an event goes on at another target with the
+// event after the last whole one.
+func TestBrokenStreamIsResumedElsewhere(t *testing.T) {
+	x, y := newTarget(t, events(7, 3)), newTarget(t, events(7, 7))
+	a := newFront(t, x, y).call(http.MethodPost, "/stream/x", "b")
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.body, wantEvents(7))
+	assert.Equal(t, y.seen[0].Header.Get("Last"), "3")
+	assert.Equal(t, y.seen[0].Header.Get("Instance"), "i-1")
+}
+
+func TestCallerResumesAStream(t *testing.T) {
+	a := newFront(t, newTarget(t, events(5, 5))).call(http.MethodPost, "/stream/x", "b", "Last", "3")
+	assert.Equal(t, a.body, eventText(4)+eventText(5))
+}
+
+// A stream that can't be completed must not look complete.
+func TestStreamThatCannotBeCompletedIsBrokenOff(t *testing.T) {
+	for name, second := range map[string]http.HandlerFunc{"breaks too": events(9, 2), "fails": failure, "refuses": notRunAnswer} {
+		a := newFront(t, newTarget(t, events(9, 3)), newTarget(t, second)).call(http.MethodPost, "/stream/x", "b")
+		assert.Assert(t, a.err != nil, name)
+		assert.Assert(t, strings.HasPrefix(wantEvents(9), a.body), name)
+	}
+}
+
+// The caller leaves: the target's connection is closed at once.
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	x := newTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	f := newFront(t, x)
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.server.URL+"/safe/x", nil)
+	assert.NilError(t, err)
+	r.Host = "h.example"
+	r.Header.Set("Key", "secret")
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(r)
+	assert.ErrorIs(t, err, context.Canceled)
+	<-ended
+}
+
+func TestRetryBudgetIsShared(t *testing.T) {
+	x, y := newTarget(t, notRunAnswer), newTarget(t, notRunAnswer)
+	f := newFront(t, x, y)
+	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.01, 8
+	f.gateway.SetEntries(4) // a part of 2, half of it at the start
+	for range 10 {
+		f.call(http.MethodPost, "/unsafe/x", "b")
+	}
+	assert.Equal(t, x.count()+y.count(), 11)
+}
+
+func TestReturningCallers(t *testing.T) {
+	var r returns
+	assert.Assert(t, !r.returning("a", 6*time.Second))
+	assert.Assert(t, !r.returning("a", 5990*time.Millisecond))
+	assert.Assert(t, r.returning("a", 4500*time.Millisecond))
+	assert.Assert(t, !r.returning("b", 3*time.Second), "routes differ")
+	assert.Assert(t, !r.returning("a", 0), "not said")
+}
+
+func TestEventReader(t *testing.T) {
+	read := func(s string) (ids []string, err error) {
+		e := eventReader{bufio.NewReaderSize(strings.NewReader(s), 16)}
+		for {
+			ev, err := e.next()
+			if err != nil {
+				return ids, err
+			}
+			ids = append(ids, ev.id)
+		}
+	}
+	ids, err := read("id: 1\ndata: a long line beyond the buffer's size\n\nid:2\r\ndata: x\r\n\r\n: comment\n\n")
+	assert.ErrorIs(t, err, io.EOF)
+	assert.DeepEqual(t, ids, []string{"1", "2", ""})
+	ids, err = read("id: 1\n\nid: 2\nda")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.DeepEqual(t, ids, []string{"1"})
+}
--- /dev/null
+++ b/gateway/roster_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func listed(ids ...string) []*fleet.Instance {
+	var out []*fleet.Instance
+	for _, id := range ids {
+		out = append(out, &fleet.Instance{ID: id})
+	}
+	return out
+}
+
+// state returns which instances are in use; true means doubtful.
+func state(list []*fleet.Instance) map[string]bool {
+	out := map[string]bool{}
+	for _, i := range list {
+		out[i.ID] = i.Doubtful
+	}
+	return out
+}
+
+func TestVanishedInstanceIsHeldForAMoment(t *testing.T) {
+	r := Roster{Hold: time.Second, CatchUp: 3 * time.Second}
+	r.Update(start, listed("a", "b"), false, time.Time{})
+	got := r.Update(at(0), listed("a"), false, time.Time{})
+	assert.DeepEqual(t, state(got), map[string]bool{"a": false, "b": true})
+	assert.Assert(t, r.Pending())
+	got = r.Update(at(time.Second), listed("a"), false, time.Time{})
+	assert.DeepEqual(t, state(got), map[string]bool{"a": false})
+	assert.Assert(t, !r.Pending())
+}
+
+func TestDrainedInstanceIsDroppedAtOnce(t *testing.T) {
+	r := Roster{Hold: time.Second, CatchUp: 3 * time.Second}
+	list := listed("a", "b")
+	list[1].Draining = true
+	r.Update(start, list, false, time.Time{})
+	assert.DeepEqual(t, state(r.Update(start, listed("a"), false, time.Time{})), map[string]bool{"a": false})
+}
+
+// Entries lapse while the store is away; those of live targets come back within
+// the time to catch up.
+func TestInstancesOutliveAnOutageOfTheStore(t *testing.T) {
+	r := Roster{Hold: time.Second, CatchUp: 3 * time.Second}
+	r.Update(start, listed("a", "b"), false, time.Time{})
+	got := r.Update(at(time.Minute), nil, true, time.Time{})
+	assert.DeepEqual(t, state(got), map[string]bool{"a": true, "b": true})
+	back := at(2 * time.Minute)
+	got = r.Update(back.Add(2*time.Second), listed("a"), false, back)
+	assert.DeepEqual(t, state(got), map[string]bool{"a": false, "b": true})
+	got = r.Update(back.Add(3*time.Second), listed("a"), false, back)
+	assert.DeepEqual(t, state(got), map[string]bool{"a": false})
+}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -30,7 +30,6 @@
 	serves  int
 	spoilt  bool // it was ever told to load what was not whole
 	orders  int
-	rotAt   int // order of the read of a piece after which piece 2 goes bad; 0 is never
 	reads   int
 	loading time.Time
 }
