--- a/command/gateway.go
+++ b/command/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/springgate/springgate/dispatch"
