--- a/command/springgate.go
+++ b/command/springgate.go
@@ -47,7 +47,7 @@
 		Suggest:               true,
 		Action:                unknownCommand,
 		Commands: []*cli.Command{serveCommand(), checkCommand(), packCommand(), statusCommand(),
-			demoCommand(), standinCommand(), gatewayCommand(), versionCommand()},
+			demoCommand(), standinCommand(), gatewayCommand(), explainCommand(), versionCommand()},
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -176,7 +176,7 @@
 	h := forwardHeader(x.r.Header)
 	x.g.dialect.EncodeSend(h, Send{Instance: t.ID, Team: x.teamName(), Remaining: time.Until(x.deadline), LastEvent: x.lastEvent})
 	x.g.log.WithFields(logrus.Fields{"request": x.call.ID, "target": t.ID, "addr": t.Addr, "load": c.Load.Requests,
-		"unread": c.Load.Unread, "forecast_ms": c.Forecast.FirstEvent.Milliseconds(), "wait_ms": x.waited.Milliseconds(), "send": x.sends + 1}).Debug("Sending.")
+		"unread": c.Load.Unread, "forecast_ms": c.Forecast.FirstEvent.Milliseconds(), "wait_ms": x.waited.Milliseconds(), "send": x.sends + 1}).Info("Sending.")
 	a := &attempt{x: x, choice: c, began: time.Now(), unread: x.call.Prompt}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -7,11 +7,11 @@
 	"time"
 )
 
-// asyncLines is how many log lines may wait for the output, and asyncPause how
-// long lines are gathered for one write. A line has about 300 bytes, so the
-// buffer takes at most 1.2 MB.
+// asyncLines is how many log lines of about 300 bytes may wait for the output,
+// 0.6 MB. Lines are gathered for asyncPause and written in one batch, so that at
+// most 640 KiB leave a second.
 const (
-	asyncLines = 4096
+	asyncLines = 2048
 	asyncPause = 100 * time.Millisecond
 	asyncBatch = 64 << 10
 )
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -23,6 +23,9 @@
 	FormatJSON = "json"
 )
 
+// jsonTime has milliseconds, so that lines of several processes can be ordered.
+const jsonTime = "2006-01-02T15:04:05.000Z07:00"
+
 // partField is the log field that carries the part's prefix.
 const partField = "part"
 
@@ -43,7 +46,7 @@
 	case FormatText:
 		l.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
 	case FormatJSON:
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: jsonTime})
 	default:
 		return nil, fmt.Errorf("log format %q: want %s or %s", format, FormatText, FormatJSON)
 	}
