--- a/command/gateway.go
+++ b/command/gateway.go
@@ -155,7 +155,7 @@
 // The mesh's listener is the control, which is made after the mesh.
 
 // Loads implements mesh.Listener.
-func (e *entryProcess) Loads(l *peer.Loads) { e.control.Loads(l) }
+func (e *entryProcess) Loads(from string, l *peer.Loads) { e.control.Loads(from, l) }
 
 // Lost implements mesh.Listener.
 func (e *entryProcess) Lost(addr string) { e.control.Lost(addr) }
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -191,21 +191,36 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, t := range b.byID {
-		l, ok := loads[id]
-		old, had := t.others[from]
-		switch {
-		case ok:
-			t.others[from] = l
-		case had:
-			delete(t.others, from)
-		default:
-			continue
+		t.setOther(from, loads[id])
+	}
+	b.wake()
+}
+
+// ChangeLoads replaces what another entry has in flight at some targets.
+func (b *Book) ChangeLoads(from string, loads map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, l := range loads {
+		if t := b.byID[id]; t != nil {
+			t.setOther(from, l)
 		}
-		t.load = Load{t.load.Requests + l.Requests - old.Requests, t.load.Unread + l.Unread - old.Unread}
 	}
 	b.wake()
 }
 
+func (t *Target) setOther(from string, l Load) {
+	old := t.others[from]
+	if l == old {
+		return
+	}
+	if l == (Load{}) {
+		delete(t.others, from)
+	} else {
+		t.others[from] = l
+	}
+	t.load = Load{t.load.Requests + l.Requests - old.Requests, t.load.Unread + l.Unread - old.Unread}
+}
+
 // OwnLoads returns what this entry has in flight.
 func (b *Book) OwnLoads() map[string]Load {
 	b.mu.Lock()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -304,12 +304,16 @@
 }
 
 // Loads implements mesh.Listener.
-func (c *Control) Loads(l *peer.Loads) {
+func (c *Control) Loads(from string, l *peer.Loads) {
 	loads := make(map[string]dispatch.Load, len(l.Targets))
 	for _, t := range l.Targets {
 		loads[t.Instance] = dispatch.Load{Requests: t.Requests, Unread: t.Unread}
 	}
-	c.book.SetLoads(l.From.Addr, loads)
+	if l.Full {
+		c.book.SetLoads(from, loads)
+	} else {
+		c.book.ChangeLoads(from, loads)
+	}
 }
 
 // Lost implements mesh.Listener.
--- /dev/null
+++ b/mesh/account.go
@@ -0,0 +1,65 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/springgate/springgate/peer"
+)
+
+// account decides what to tell of the own load: all of it at each heartbeat,
+// and in between what changed. A full account repairs what got lost. It is pure.
+type account struct {
+	heartbeat time.Duration
+	said      map[string]peer.TargetLoad
+	fullAt    time.Time
+}
+
+func newAccount(heartbeat time.Duration) *account {
+	return &account{heartbeat: heartbeat, said: map[string]peer.TargetLoad{}}
+}
+
+// next returns the message for the current loads, or nil if there is nothing to
+// tell.
+func (a *account) next(now time.Time, current []peer.TargetLoad) *peer.Loads {
+	msg := &peer.Loads{}
+	gone := a.said
+	a.said = make(map[string]peer.TargetLoad, len(current))
+	for _, l := range current {
+		old, had := gone[l.Instance]
+		delete(gone, l.Instance)
+		a.said[l.Instance] = l
+		if !had || old != l {
+			msg.Targets = append(msg.Targets, l)
+		}
+	}
+	for id := range gone {
+		msg.Targets = append(msg.Targets, peer.TargetLoad{Instance: id})
+	}
+	switch {
+	case now.Sub(a.fullAt) >= a.heartbeat:
+		a.fullAt = now
+		return &peer.Loads{Full: true, Targets: current}
+	case len(msg.Targets) > 0:
+		return msg
+	}
+	return nil
+}
+
+// merge joins two accounts of which the second is newer.
+func merge(a, b *peer.Loads) *peer.Loads {
+	if a == nil || b.Full {
+		return b
+	}
+	out := &peer.Loads{Full: a.Full, Leaving: b.Leaving, Revision: b.Revision}
+	newer := map[string]bool{}
+	for _, l := range b.Targets {
+		newer[l.Instance] = true
+	}
+	for _, l := range a.Targets {
+		if !newer[l.Instance] {
+			out.Targets = append(out.Targets, l)
+		}
+	}
+	out.Targets = append(out.Targets, b.Targets...)
+	return out
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -13,22 +13,51 @@
 type link struct {
 	mesh *Mesh
 	addr string
+	wake chan struct{} // something waits to be sent
 
-	mu   sync.Mutex
-	last peer.Message
-	out  chan peer.Message
+	mu      sync.Mutex
+	state   *peer.EngineState // an agent's newest word
+	told    bool              // the entry was told of it
+	account *peer.Loads       // what an entry has not told yet
 }
 
-// offer replaces the message that waits to be sent.
-func (l *link) offer(msg peer.Message) {
+// offer adds an account to what waits to be sent.
+func (l *link) offer(msg *peer.Loads) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.last = msg
+	l.account = merge(l.account, msg)
+	l.signal()
+}
+
+// say replaces an agent's word.
+func (l *link) say(s *peer.EngineState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state, l.told = s, false
+	l.signal()
+}
+
+func (l *link) signal() {
 	select {
-	case <-l.out:
+	case l.wake <- struct{}{}:
 	default:
 	}
-	l.out <- msg
+}
+
+// take returns the messages that wait to be sent.
+func (l *link) take() []peer.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []peer.Message
+	if l.state != nil && !l.told {
+		out = append(out, l.state)
+		l.told = true
+	}
+	if l.account != nil {
+		out = append(out, l.account)
+		l.account = nil
+	}
+	return out
 }
 
 func (l *link) run(ctx context.Context) {
@@ -56,18 +85,18 @@
 	}
 	defer s.Close()
 	l.mu.Lock()
-	last := l.last
+	l.told = false
+	l.signal()
 	l.mu.Unlock()
-	if last != nil && s.Send(ctx, last) != nil {
-		return
-	}
 	ended := make(chan struct{})
 	go l.receive(ctx, s, ended)
 	for {
 		select {
-		case msg := <-l.out:
-			if s.Send(ctx, msg) != nil {
-				return
+		case <-l.wake:
+			for _, msg := range l.take() {
+				if s.Send(ctx, msg) != nil {
+					return
+				}
 			}
 		case <-ended:
 			return
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"reflect"
 	"sync"
 	"time"
 
@@ -14,8 +13,8 @@
 
 // Listener is told what others say. Its methods must not block.
 type Listener interface {
-	// Loads is what another entry has in flight.
-	Loads(l *peer.Loads)
+	// Loads is what the entry at an address has in flight.
+	Loads(from string, l *peer.Loads)
 	// Lost says that an entry is not heard any more.
 	Lost(addr string)
 	// EngineState is what an agent says; nil when it is not heard any more.
@@ -41,7 +40,7 @@
 	live        []peer.Presence
 	changed     chan struct{} // closed when live changes
 	leaving     bool
-	said        peer.Message // newest broadcast, for links that open later
+	said        *peer.EngineState // an agent's newest word, for links that open later
 	behindSince time.Time
 	catchingUp  bool
 }
@@ -94,16 +93,13 @@
 func (m *Mesh) Run(ctx context.Context, loads func() []peer.TargetLoad) {
 	ticker := time.NewTicker(m.cfg.Interval)
 	defer ticker.Stop()
-	var last []peer.TargetLoad
-	var lastAt time.Time
+	account := newAccount(m.cfg.Heartbeat)
 	for {
 		now := time.Now()
 		m.refresh(ctx, now)
 		if loads != nil {
-			current := loads()
-			if now.Sub(lastAt) >= m.cfg.Heartbeat || !reflect.DeepEqual(current, last) {
-				m.broadcast(&peer.Loads{Targets: current})
-				last, lastAt = current, now
+			if msg := account.next(now, loads()); msg != nil {
+				m.tellLoads(msg)
 			}
 		}
 		select {
@@ -120,7 +116,7 @@
 	defer m.mu.Unlock()
 	for _, addr := range m.members.Addrs() {
 		if m.links[addr] == nil {
-			l := &link{mesh: m, addr: addr, last: m.said, out: make(chan peer.Message, 1)}
+			l := &link{mesh: m, addr: addr, state: m.said, wake: make(chan struct{}, 1)}
 			m.links[addr] = l
 			go l.run(ctx)
 		}
@@ -206,15 +202,11 @@
 	return false
 }
 
-// broadcast hands a message to all links. A link that is behind gets only the
-// newest.
-func (m *Mesh) broadcast(msg peer.Message) {
+// tellLoads hands an account to all links.
+func (m *Mesh) tellLoads(msg *peer.Loads) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if l, ok := msg.(*peer.Loads); ok {
-		l.From = m.presence()
-	}
-	m.said = msg
+	msg.Leaving, msg.Revision = m.leaving, m.table.Revision()
 	for _, l := range m.links {
 		l.offer(msg)
 	}
@@ -222,7 +214,14 @@
 
 // Say tells all entries the state of the engine beside this agent; links that
 // open later tell it first.
-func (m *Mesh) Say(s peer.EngineState) { m.broadcast(&s) }
+func (m *Mesh) Say(s peer.EngineState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.said = &s
+	for _, l := range m.links {
+		l.say(&s)
+	}
+}
 
 // heard notes what an entry says of itself.
 func (m *Mesh) heard(p peer.Presence) {
@@ -268,8 +267,10 @@
 		}
 		switch v := msg.(type) {
 		case *peer.Loads:
-			m.heard(v.From)
-			m.listener.Loads(v)
+			from := *first
+			from.Leaving, from.Revision = v.Leaving, v.Revision
+			m.heard(from)
+			m.listener.Loads(from.Addr, v)
 		case *peer.EngineState:
 			agent = true
 			m.listener.EngineState(*first, v)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -95,7 +95,13 @@
 	n.changed = make(chan struct{})
 }
 
-func (n *node) Loads(l *peer.Loads) { n.note(func() { n.loads[l.From.Host] = len(l.Targets) }) }
+func (n *node) Loads(from string, l *peer.Loads) {
+	n.note(func() {
+		if l.Full {
+			n.loads[from] = len(l.Targets)
+		}
+	})
+}
 
 func (n *node) Lost(string) { n.note(func() {}) }
 
@@ -133,7 +139,7 @@
 	c := startNode(t, "c", 1, seeds, false, nil)
 	b.until(t, "b hears a and c", func() bool { return len(b.mesh.Entries()) == 2 })
 	c.until(t, "c hears a and b", func() bool { return len(c.mesh.Entries()) == 2 })
-	b.until(t, "the load of a", func() bool { return b.loads["a"] == 1 })
+	b.until(t, "the load of a", func() bool { return b.loads[a.server.Addr()] == 1 })
 }
 
 // An entry that is cut off from the store reads what a peer has.
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -63,17 +63,20 @@
 // Kind implements Message.
 func (*Presences) Kind() Kind { return kindPresences }
 
-// Loads tells what an entry has in flight at targets. It replaces what the
-// entry said before.
+// Loads tells what an entry has in flight at targets, on the stream that it
+// opened with its Presence.
 type Loads struct {
-	From    Presence
-	Targets []TargetLoad
+	Full     bool  // all targets; otherwise those that changed
+	Leaving  bool  // the entry is leaving
+	Revision int64 // how far its copy of the store reaches
+	Targets  []TargetLoad
 }
 
 // Kind implements Message.
 func (*Loads) Kind() Kind { return kindLoads }
 
-// TargetLoad is one entry's share of the load of one target.
+// TargetLoad is one entry's share of the load of one target; zero if it has
+// nothing there any more.
 type TargetLoad struct {
 	Instance string
 	Requests int // sent and not answered in full
