A silent target is left after 0.6 s; the retry budget starts full

Ruled out: the link of the hosts, overload. Change: giving up does not end the silence, 0.6 s in place of 0.8 s, first look after 0.6 s, the budget starts full with 0.8 of what is allowed. Kept: callers are served sooner where an engine dies.

--- a/command/platform.go
+++ b/command/platform.go
@@ -42,7 +42,7 @@
 	rosterCatchUp = 2500 * time.Millisecond
 	// budgetShare is the part of the retry budget that entries use without
 	// knowing of each other's retries; the rest is for the error of that.
-	budgetShare = 0.6
+	budgetShare = 0.8
 	// sweepEvery is the time between two looks at idle connections.
 	sweepEvery = time.Second
 )
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -404,6 +404,7 @@
 	Failed  bool          // the target failed it
 	Down    bool          // no connection could be made
 	Gone    bool          // another instance has the address
+	Silent  bool          // the target sent nothing at the end
 	Latency time.Duration // of a whole answer; zero if there was none
 }
 
@@ -413,9 +414,11 @@
 	defer b.mu.Unlock()
 	l := Load{Requests: -1, Unread: -r.Unread}
 	t.own, t.load = t.own.add(l), t.load.add(l)
-	t.health.waitingSince = now
-	if t.own.Requests == 0 {
+	switch {
+	case t.own.Requests == 0:
 		t.health.waitingSince = time.Time{}
+	case !r.Silent:
+		t.health.waitingSince = now
 	}
 	switch {
 	case r.Gone:
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -151,6 +151,19 @@
 	assert.Assert(t, !b.Silent(later, c.Target))
 }
 
+// Requests that are given up at a dead target do not make it look alive.
+func TestGivingUpDoesNotEndTheSilence(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1))
+	first, _ := b.Pick(start, testService, demand(), nil)
+	_, v := b.Pick(start, testService, demand(), nil)
+	assert.Equal(t, v, Chosen)
+	later := start.Add(silentAfter + time.Millisecond)
+	b.Finish(later, first.Target, Result{Failed: true, Silent: true, Unread: 1000})
+	assert.Assert(t, b.Silent(later, first.Target))
+	b.Heard(later, first.Target, 1000)
+	assert.Assert(t, !b.Silent(later, first.Target))
+}
+
 func TestDoubtfulTargetIsTheLastResort(t *testing.T) {
 	doubtful := plain(1)
 	doubtful.Doubtful = true
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -18,7 +18,7 @@
 	// silentAfter is how long a target with work may send nothing. An engine
 	// sends at least one event each pass, and passes stay under the longest
 	// pause that callers accept, 400 ms.
-	silentAfter = 800 * time.Millisecond
+	silentAfter = 600 * time.Millisecond
 	// latencyWeight is the weight of the newest latency in its mean.
 	latencyWeight = 0.1
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,8 +81,8 @@
 	// FirstEventLimit is how long a first event may take at a target that
 	// sends events of other streams. Default 2.2 s.
 	FirstEventLimit time.Duration
-	// FirstEventTimeout is how long a stream's first event may take before
-	// another target is tried, beyond the forecast. Default 700 ms.
+	// FirstEventTimeout is how long a first event may take at a target that is
+	// silent, before another is tried. Default 600 ms.
 	FirstEventTimeout time.Duration
 	// StallTimeout is how long a stream may pause before it is resumed
 	// elsewhere, at the least. An engine's pass takes up to 400 ms. Default
@@ -109,7 +109,7 @@
 	c.ReturnPatience = cmp.Or(c.ReturnPatience, 100*time.Millisecond)
 	c.RetryPatience = cmp.Or(c.RetryPatience, 250*time.Millisecond)
 	c.FirstEventLimit = cmp.Or(c.FirstEventLimit, 2200*time.Millisecond)
-	c.FirstEventTimeout = cmp.Or(c.FirstEventTimeout, 700*time.Millisecond)
+	c.FirstEventTimeout = cmp.Or(c.FirstEventTimeout, 600*time.Millisecond)
 	c.StallTimeout = cmp.Or(c.StallTimeout, 900*time.Millisecond)
 	c.AnswerMemory = cmp.Or(c.AnswerMemory, int64(256<<10))
 	c.RetryAfterBase = cmp.Or(c.RetryAfterBase, 1000*time.Millisecond)
@@ -190,7 +190,7 @@
 	b := g.budgets[service]
 	if b == nil {
 		part := max(g.cfg.RetryBurst/float64(max(g.entries, 1)), 1)
-		b = routing.NewBudget(routing.BudgetConfig{Ratio: g.cfg.RetryRatio, Reserve: part / 2, Cap: part, NoRefill: true})
+		b = routing.NewBudget(routing.BudgetConfig{Ratio: g.cfg.RetryRatio, Reserve: part, Cap: part, NoRefill: true})
 		g.budgets[service] = b
 	}
 	return b
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -20,6 +20,7 @@
 	reason Reason // ReasonNone if the answer was passed on
 	ran    bool   // the target may have run the request
 	sent   bool   // the request left this process
+	silent bool   // the target sent nothing at the end
 	// held is a whole failure of the target that may be passed on if no other
 	// target does better.
 	held *heldAnswer
@@ -218,7 +219,7 @@
 	var watchdog *time.Timer
 	if a.x.route.Idempotent() {
 		// Only then another target may be tried.
-		watchdog = time.AfterFunc(a.firstEventLimit(), func() { a.late(watchdog) })
+		watchdog = time.AfterFunc(a.x.g.cfg.FirstEventTimeout, func() { a.late(watchdog) })
 		defer watchdog.Stop()
 	}
 	resp, err := a.x.g.pool.Do(a.ctx, a.choice.Target.Addr, r, a.idOf)
@@ -239,16 +240,20 @@
 	return a.plain(resp, watchdog)
 }
 
-// lateRecheck is the time between two looks at a late target that still sends
-// events of other streams: it is loaded, and sending the request elsewhere would
-// only add load.
-const lateRecheck = 150 * time.Millisecond
+// lateRecheck is the time between two looks at a late target.
+const lateRecheck = 100 * time.Millisecond
 
+// late decides about a request whose target is late. One that still sends events
+// of other streams is loaded, and sending the request elsewhere would only add
+// load; one that is silent is left. It runs on the timer's goroutine.
 func (a *attempt) late(watchdog *time.Timer) {
 	x := a.x
 	now := time.Now()
-	if x.route.Kind == fleet.Streaming && a.events == 0 && now.Sub(a.began) < x.g.cfg.FirstEventLimit &&
-		!x.g.book.Silent(now, a.choice.Target) {
+	limit := x.g.cfg.FirstEventLimit
+	if x.route.Kind != fleet.Streaming {
+		limit = a.plainLimit()
+	}
+	if now.Sub(a.began) < limit && !x.g.book.Silent(now, a.choice.Target) {
 		watchdog.Reset(lateRecheck)
 		return
 	}
@@ -270,18 +275,20 @@
 	case errors.Is(err, targetconn.ErrDial):
 		return result{reason: ReasonDialFailed}
 	case errors.Is(context.Cause(a.ctx), errFirstEventLate):
-		return result{reason: ReasonSlowStart, ran: true, sent: true}
+		return result{reason: ReasonSlowStart, ran: true, sent: true, silent: true}
 	case errors.Is(context.Cause(a.ctx), errStalled):
-		return result{reason: ReasonStalled, ran: true, sent: true}
+		return result{reason: ReasonStalled, ran: true, sent: true, silent: true}
 	case a.ctx.Err() != nil:
-		return result{reason: ReasonTimeout, ran: true, sent: true}
+		return result{reason: ReasonTimeout, ran: true, sent: true, silent: true}
 	case errors.Is(err, targetconn.ErrGarbled):
 		return result{reason: ReasonGarbled, ran: true, sent: true}
 	}
 	return result{reason: ReasonConnLost, ran: true, sent: true}
 }
 
-func (a *attempt) firstEventLimit() time.Duration {
+// plainLimit is how long an answer that is no stream may take before another
+// target is asked.
+func (a *attempt) plainLimit() time.Duration {
 	return max(a.choice.Forecast.FirstEvent, a.x.route.Objective) + a.x.g.cfg.FirstEventTimeout
 }
 
@@ -302,5 +309,6 @@
 	if res.reason != ReasonNone {
 		r.Latency = 0
 	}
+	r.Silent = res.silent
 	a.x.g.book.Finish(time.Now(), a.choice.Target, r)
 }
