Accounts of loads are fewer among many entries

Cause: each entry told each other one up to 66 times a second; at 390 entries that is 10 million messages a second (worked out), the square of their number. Change: the interval is at least 1.5 ms for each live entry, so that one entry sends at most 667 messages a second; homes, which count each grant at once, make up for it. Seen: TestAccountsAreFewerAmongManyEntries; at 5 entries nothing changes, at 14 it is 21 ms.

--- a/mesh/account.go
+++ b/mesh/account.go
@@ -12,12 +12,18 @@
 	heartbeat time.Duration
 	said      map[string]peer.TargetLoad
 	fullAt    time.Time
+	saidAt    time.Time
 }
 
 func newAccount(heartbeat time.Duration) *account {
 	return &account{heartbeat: heartbeat, said: map[string]peer.TargetLoad{}}
 }
 
+// due reports whether an account may be told again.
+func (a *account) due(now time.Time, interval time.Duration) bool {
+	return now.Sub(a.saidAt) >= interval
+}
+
 // next returns the message for the current loads, or nil if there is nothing to
 // tell.
 func (a *account) next(now time.Time, current []peer.TargetLoad) *peer.Loads {
@@ -37,9 +43,10 @@
 	}
 	switch {
 	case now.Sub(a.fullAt) >= a.heartbeat:
-		a.fullAt = now
+		a.fullAt, a.saidAt = now, now
 		return &peer.Loads{Full: true, Targets: current}
 	case len(msg.Targets) > 0:
+		a.saidAt = now
 		return msg
 	}
 	return nil
--- a/mesh/account_test.go
+++ b/mesh/account_test.go
@@ -24,6 +24,24 @@
 	assert.Assert(t, a.next(start.Add(time.Second), []peer.TargetLoad{load("b", 3)}).Full)
 }
 
+// The messages of one entry do not grow with the number of entries.
+func TestAccountsAreFewerAmongManyEntries(t *testing.T) {
+	cfg := Config{}.applyDefaults()
+	assert.Equal(t, cfg.accountInterval(4), cfg.Interval)
+	for _, entries := range []int{14, 100, 390} {
+		a := newAccount(cfg.Heartbeat)
+		told := 0
+		for step := range 2000 {
+			now := start.Add(time.Duration(step) * 5 * time.Millisecond)
+			if a.due(now, cfg.accountInterval(entries)) && a.next(now, []peer.TargetLoad{load("a", step)}) != nil {
+				told++
+			}
+		}
+		perSecond := told * entries / 10
+		assert.Assert(t, perSecond <= 700, "%d messages a second among %d entries", perSecond, entries)
+	}
+}
+
 // A receiver that gets accounts merged in any way ends with the sender's loads.
 func TestMergedAccountsSayTheSame(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -18,6 +18,10 @@
 	// only if the load changed. At 12 requests/s an engine gets 0.6 requests
 	// in 50 ms, and what other entries sent meanwhile is not seen. Default 15 ms.
 	Interval time.Duration
+	// IntervalPerEntry is the least interval for each live entry, so that the
+	// messages of one entry do not grow with their number; homes make up for
+	// older accounts. Default 1.5 ms: 15 ms at 10 entries, 0.6 s at 390.
+	IntervalPerEntry time.Duration
 	// Heartbeat is the longest time without a message. Default 500 ms.
 	Heartbeat time.Duration
 	// ExpireAfter is how long an entry that is not heard counts as live.
@@ -40,6 +44,7 @@
 
 func (c Config) applyDefaults() Config {
 	c.Interval = cmp.Or(c.Interval, 15*time.Millisecond)
+	c.IntervalPerEntry = cmp.Or(c.IntervalPerEntry, 1500*time.Microsecond)
 	c.Heartbeat = cmp.Or(c.Heartbeat, 500*time.Millisecond)
 	c.ExpireAfter = cmp.Or(c.ExpireAfter, 1600*time.Millisecond)
 	c.BehindAfter = cmp.Or(c.BehindAfter, 300*time.Millisecond)
@@ -49,6 +54,11 @@
 	return c
 }
 
+// accountInterval is the least time between two accounts to so many entries.
+func (c Config) accountInterval(entries int) time.Duration {
+	return max(c.Interval, time.Duration(entries)*c.IntervalPerEntry)
+}
+
 // member is an entry that was heard, or of which another one told.
 type member struct {
 	peer.Presence
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -97,7 +97,7 @@
 	for {
 		now := time.Now()
 		m.refresh(ctx, now)
-		if loads != nil {
+		if loads != nil && account.due(now, m.cfg.accountInterval(len(m.Entries()))) {
 			if msg := account.next(now, loads()); msg != nil {
 				m.tellLoads(msg)
 			}
--- a/weights/relay_test.go
+++ b/weights/relay_test.go
@@ -66,7 +66,7 @@
 type network struct {
 	origin  *fakeOrigin
 	relays  map[string]*Relay
-	agents  map[string]int // version staged, by address
+	agents  map[string]int    // version staged, by address
 	domains map[string]string // of the agents
 }
 
