--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,6 @@
 	Key       string // API key
 	Remaining time.Duration
 	Prompt    int // tokens
-	MaxAnswer int // tokens
 	LastEvent string
 }
 
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -91,13 +91,6 @@
 	return t.first
 }
 
-// ContactAt returns when the store was last known to agree with the copy.
-func (t *Table) ContactAt() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.contactAt
-}
-
 // Items returns the items of the copy, and a channel closed at the next change.
 func (t *Table) Items() ([]Item, <-chan struct{}) {
 	t.mu.Lock()
