--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -78,7 +78,7 @@
 	network := mesh.New(mesh.Options{Self: p.self, Seeds: p.settings.Seeds, Pool: p.pool, Log: telemetry.Part(p.log, "mesh"),
 		Assigned: func(a peer.Assignment) { agent.Assign(time.Now(), a) }})
 	agent = sidecar.New(sidecar.Config{FirstStart: p.settings.FirstStart}, platform.NewEngines(), p.settings.EngineAddr, entrySource{network, p.call},
-		network.Say, telemetry.Part(p.log, "sidecar"))
+		network.Say, sidecar.NewStats(p.metrics), telemetry.Part(p.log, "sidecar"))
 	peers, err := peer.Listen(p.self.Pieces, p.hello(), agent.ServePiece, p.meter)
 	if err != nil {
 		return err
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -25,6 +25,7 @@
 	engineAddr string
 	source     Source
 	say        func(peer.EngineState)
+	stats      *Stats
 	log        logrus.FieldLogger
 
 	stage   *stage
@@ -41,8 +42,9 @@
 }
 
 // New returns a sidecar of the engine at addr. say tells the entries.
-func New(cfg Config, engine Engine, addr string, source Source, say func(peer.EngineState), log logrus.FieldLogger) *Sidecar {
-	return &Sidecar{cfg: cfg.applyDefaults(), engine: engine, engineAddr: addr, source: source, say: say, log: log,
+func New(cfg Config, engine Engine, addr string, source Source, say func(peer.EngineState), stats *Stats,
+	log logrus.FieldLogger) *Sidecar {
+	return &Sidecar{cfg: cfg.applyDefaults(), engine: engine, engineAddr: addr, source: source, say: say, stats: stats, log: log,
 		wake: make(chan struct{}, 1)}
 }
 
@@ -185,8 +187,10 @@
 		return s.cfg.PollBusy
 	}
 	if s.stage.whole() {
+		took := time.Since(s.stage.started).Milliseconds()
+		s.stats.stageTime.Update(took)
 		s.log.WithFields(logrus.Fields{"model": a.Model, "version": a.Version, "pieces": len(s.stage.staged),
-			"ms": time.Since(s.stage.started).Milliseconds()}).Info("Staged.")
+			"ms": took}).Info("Staged.")
 	}
 	return 0
 }
@@ -201,9 +205,11 @@
 	defer cancel()
 	fields := logrus.Fields{"model": a.Model, "version": a.Version, "running": r.Running}
 	if err := s.engine.Start(ctx, s.engineAddr, a.Model, a.Version); err != nil {
+		s.stats.ordersFailed.Inc(1)
 		s.log.WithFields(fields).WithError(err).Warn("Load order failed.")
 		return s.cfg.PollBusy
 	}
+	s.stats.orders.Inc(1)
 	s.log.WithFields(fields).Info("Load ordered.")
 	return s.cfg.PollBusy
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/peer"
@@ -120,7 +121,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			last = st
-		}, log)
+		}, NewStats(metrics.NewRegistry()), log)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -88,6 +88,7 @@
 		}
 	}
 	if bad > 0 {
+		s.stats.spoilt.Inc(int64(bad))
 		s.log.WithField("pieces", bad).WithField("version", s.stage.version).Info("Staged pieces are missing or spoilt.")
 	}
 	return bad == 0
@@ -141,6 +142,7 @@
 			return err
 		}
 		s.stage.pieces[index] = data
+		s.stats.fetched.Inc(1)
 	}
 	return s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, data)
 }
