Weights are had from any entry that holds them; few connections at the origin

Idle connections of entries, kept for 90 s and those of the hosts without power for good, held the origin's places.

Ruled out: the engines' stage (verified whole in all 76), the entries' configuration, overload (the refusals follow the empty engines).

Change: sources that failed once are followed by other entries, asked only for what they hold; a pause between tries; agents ask a second entry; connections to the origin are closed after 0.3 s and bounded by the live entries' share of what it accepts. Agents drop the bytes of a piece once it lies at the engine.

Test: TestEntriesThatHoldAVersionMakeUpForTheOrigin failed on ("manifest of m version 2: origin down").

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -92,7 +92,7 @@
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.book, e.conns, e.homes,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = mirror.NewFollower(mirror.Config{}, table, e.source(store), e.otherSource(store), telemetry.Part(p.log, "mirror"))
-	e.relay = weights.NewRelay(weights.Config{}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewEngines(), p.call,
+	e.relay = weights.NewRelay(weights.Config{}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
 		telemetry.Part(p.log, "weights"))
 	e.control = gateway.NewControl(gateway.ControlOptions{Config: gateway.ControlConfig{VersionTimeout: s.VersionTimeout()},
 		Gateway: e.gateway, Book: e.book, Decoder: platform.Decoder{}, Table: table,
--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -38,29 +38,53 @@
 
 // Manifest implements sidecar.Source.
 func (e entrySource) Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
-	addr, ok := e.mesh.Near(weights.ManifestKey(model, version))
-	if !ok {
-		return nil, weights.ErrNoSource
-	}
-	msg, err := e.call(ctx, addr, &peer.GetManifest{Model: model, Version: version})
+	msg, err := e.ask(ctx, weights.ManifestKey(model, version), &peer.GetManifest{Model: model, Version: version})
 	if err != nil {
 		return nil, err
 	}
 	return weights.DecodeManifest(model, version, msg)
 }
 
-// Piece implements sidecar.Source.
-func (e entrySource) Piece(ctx context.Context, m *weights.Manifest, index int) ([]byte, error) {
-	addr, ok := e.mesh.Near(weights.PieceKey(m.Model, m.Version, index))
-	if !ok {
+// sourcesAsked is how many entries are asked in turn.
+const sourcesAsked = 2
+
+// askTimeout bounds the question to one of them. The origin sends a whole
+// version in 2 s, and the host's own link takes as long.
+const askTimeout = 3 * time.Second
+
+// ask asks the entries nearby until one has an answer.
+func (e entrySource) ask(ctx context.Context, key string, q peer.Message) (peer.Message, error) {
+	err := weights.ErrNoSource
+	for _, addr := range e.mesh.Nearest(key, sourcesAsked) {
+		var msg peer.Message
+		if msg, err = e.askOne(ctx, addr, q); err == nil {
+			return msg, nil
+		}
+	}
+	return nil, err
+}
+
+func (e entrySource) askOne(ctx context.Context, addr string, q peer.Message) (peer.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	msg, err := e.call(ctx, addr, q)
+	if err != nil {
+		return nil, err
+	}
+	if !weights.Answered(msg) {
 		return nil, weights.ErrNoSource
 	}
-	msg, err := e.call(ctx, addr, &peer.GetPiece{Model: m.Model, Version: m.Version, Index: index})
+	return msg, nil
+}
+
+// Piece implements sidecar.Source.
+func (e entrySource) Piece(ctx context.Context, m *weights.Manifest, index int) ([]byte, error) {
+	msg, err := e.ask(ctx, weights.PieceKey(m.Model, m.Version, index), &peer.GetPiece{Model: m.Model, Version: m.Version, Index: index})
 	if err != nil {
 		return nil, err
 	}
 	blob, ok := msg.(*peer.Blob)
-	if !ok || !blob.Found {
+	if !ok {
 		return nil, fmt.Errorf("%w: piece %d", weights.ErrNoSource, index)
 	}
 	return blob.Data, m.Verify(index, blob.Data)
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -73,8 +73,9 @@
 
 // Origin is where weights come from.
 type Origin struct {
-	Addr   string
-	Domain string // failure domain it stands in
+	Addr     string
+	Domain   string // failure domain it stands in
+	MaxConns int    // connections that it accepts from all callers together; 0 if not known
 }
 
 // Service is a set of equal targets.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -38,6 +38,9 @@
 type Relay interface {
 	// Want reads the pieces of a new version ahead.
 	Want(ctx context.Context, model string, version, pieces int)
+	// Hold reads those of a version that is not new as agents ask for them. It
+	// reports whether the version was not held before.
+	Hold(model string, version int) bool
 }
 
 // Control owns what an entry believes of the fleet. Its goroutine follows the
@@ -181,21 +184,37 @@
 		return
 	}
 	since := time.Now()
-	if i.Revision <= c.table.FirstRevision() {
+	announced := i.Revision > c.table.FirstRevision() // while this process runs
+	if !announced {
 		since = since.Add(-c.cfg.VersionTimeout)
 	}
 	c.versionRev[i.Key] = i.Revision
 	c.log.WithFields(logrus.Fields{"model": v.Model, "version": v.Version, "revision": i.Revision,
 		"age_ms": time.Since(since).Milliseconds()}).Info("Version wanted.")
 	c.book.SetVersion(v, since)
+	c.hold(ctx, v, announced)
 	for name, s := range cfg.Services {
 		if s.Engine != nil && s.Engine.Model == v.Model {
-			c.want(ctx, name, s.Engine, v.Version, since)
+			c.want(name, s.Engine, v.Version, since)
 		}
 	}
 }
 
-func (c *Control) want(ctx context.Context, service string, m *fleet.EngineModel, version int, since time.Time) {
+// hold tells the relay of a version. Few engines lack one that is not new.
+func (c *Control) hold(ctx context.Context, v fleet.VersionTarget, announced bool) {
+	if !announced {
+		c.relay.Hold(v.Model, v.Version)
+		return
+	}
+	for _, s := range c.gateway.Config().Services {
+		if s.Engine != nil && s.Engine.Model == v.Model {
+			c.relay.Want(ctx, v.Model, v.Version, s.Engine.Chunks)
+			return
+		}
+	}
+}
+
+func (c *Control) want(service string, m *fleet.EngineModel, version int, since time.Time) {
 	if old := c.assignments[service]; old != nil && old.assigned && old.version >= version {
 		return
 	}
@@ -209,7 +228,6 @@
 	}
 	a.order = membership.Rank(key, addrs, len(addrs))
 	c.setAssignment(service, a)
-	c.relay.Want(ctx, m.Model, version, m.Chunks)
 }
 
 // assign gives engines of services for which no version was named the newest
--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -19,6 +19,12 @@
 	dialTimeout      = 2 * time.Second
 	idleTimeout      = 90 * time.Second
 	idleConnsPerHost = 64
+	// briefIdle is how long a client made by NewBrief keeps an idle connection:
+	// enough for the next of several calls in a row.
+	briefIdle = 300 * time.Millisecond
+	// briefDial bounds its connection attempts; the longest way there and back
+	// takes 6 ms.
+	briefDial = 500 * time.Millisecond
 )
 
 // Errors of a call.
@@ -34,6 +40,17 @@
 	return httpc.NewServiceWithClient(name, &http.Client{Transport: Transport()})
 }
 
+// NewBrief is New for a server that counts the connections of all callers
+// together: idle ones are closed soon, so that they do not keep others out.
+// Those of a host that loses power stay open there for long.
+func NewBrief(name string) httpc.Service {
+	breaker.NoBreakerFor(name)
+	t := Transport()
+	t.DialContext = Dialer(briefDial).DialContext
+	t.IdleConnTimeout = briefIdle
+	return httpc.NewServiceWithClient(name, &http.Client{Transport: t})
+}
+
 // Transport returns a transport that keeps connections, follows no proxy
 // settings and leaves bodies as they are.
 func Transport() *http.Transport {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -305,19 +305,17 @@
 	}
 }
 
-// Near returns the live entry that this process should ask first for key: of
-// the own failure domain if there is one, by rendezvous hashing.
-func (m *Mesh) Near(key string) (addr string, ok bool) {
-	var near, all []string
+// Nearest returns up to n live entries that this process should ask for key, in
+// order: those of the own failure domain by rendezvous hashing, then others.
+func (m *Mesh) Nearest(key string, n int) []string {
+	var near, far []string
 	for _, p := range m.Entries() {
-		all = append(all, p.Addr)
 		if p.Domain == m.self.Domain {
 			near = append(near, p.Addr)
+		} else {
+			far = append(far, p.Addr)
 		}
 	}
-	if len(near) == 0 {
-		near = all
-	}
-	addr = membership.First(key, near)
-	return addr, addr != ""
+	near = membership.Rank(key, near, n)
+	return append(near, membership.Rank(key, far, n-len(near))...)
 }
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -41,11 +41,11 @@
 
 // Source returns the copy of a live entry, or nil if there is none.
 func (m *Mesh) Source() mirror.Source {
-	addr, ok := m.Near(m.self.Host)
-	if !ok {
+	nearest := m.Nearest(m.self.Host, 1)
+	if len(nearest) == 0 {
 		return nil
 	}
-	return &peerSource{mesh: m, addr: addr}
+	return &peerSource{mesh: m, addr: nearest[0]}
 }
 
 // Name implements mirror.Source.
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -116,6 +116,8 @@
 	Model   string
 	Version int
 	Hops    int // how often the request was passed on
+	// HeldOnly asks only for what the entry holds itself.
+	HeldOnly bool
 }
 
 // Kind implements Message.
@@ -135,6 +137,8 @@
 	Version int
 	Index   int
 	Hops    int // how often the request was passed on
+	// HeldOnly asks only for what the entry holds itself.
+	HeldOnly bool
 }
 
 // Kind implements Message.
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -16,7 +16,7 @@
 	version  int
 	manifest *weights.Manifest
 	staged   []bool
-	pieces   [][]byte    // fetched, kept until they are loaded
+	pieces   [][]byte    // fetched and not staged yet
 	checked  []time.Time // when each piece was last known to be sound
 	missing  int
 	started  time.Time
@@ -144,5 +144,9 @@
 		s.stage.pieces[index] = data
 		s.stats.fetched.Inc(1)
 	}
-	return s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, data)
+	if err := s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, data); err != nil {
+		return err
+	}
+	s.stage.pieces[index] = nil // it lies at the engine; memory is paid for
+	return nil
 }
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/loop"
-	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/peer"
 	"github.com/zeromicro/go-zero/core/syncx"
 )
@@ -25,14 +24,19 @@
 	// PeerTimeout bounds one read at another entry, which may have to read
 	// the origin first. Default 5 s.
 	PeerTimeout time.Duration
-	// OriginConns is how many reads at the origin run at once; two keep its
-	// link busy. Default 3.
+	// OriginConns is how many reads at the origin run at once at the most; two
+	// keep its link busy. Default 3. Many entries take fewer each: the origin
+	// resets connections beyond a number for all callers together.
 	OriginConns int
 	// HolderWait is how long agents that hold the first version are awaited
 	// before it is read from the origin. Default 4 s.
 	HolderWait time.Duration
-	// Tries is how often a corrupt or failed read is repeated. Default 4.
+	// Tries is how often the sources are gone through. Default 4; 2 for what
+	// another entry asks for, which has tries of its own.
 	Tries int
+	// RetryPause is the pause between two tries. Sources that refuse at once
+	// are not asked in a tight loop. Default 50 ms.
+	RetryPause time.Duration
 }
 
 func (c Config) applyDefaults() Config {
@@ -41,13 +45,10 @@
 	c.OriginConns = cmp.Or(c.OriginConns, 3)
 	c.HolderWait = cmp.Or(c.HolderWait, 4*time.Second)
 	c.Tries = cmp.Or(c.Tries, 4)
+	c.RetryPause = cmp.Or(c.RetryPause, 50*time.Millisecond)
 	return c
 }
 
-// maxHops bounds how often a request is passed on: to the reader of the own
-// failure domain, and from there to the one of the origin's domain.
-const maxHops = 2
-
 // Caller asks another entry.
 type Caller func(ctx context.Context, addr string, m peer.Message) (peer.Message, error)
 
@@ -67,7 +68,7 @@
 	log     logrus.FieldLogger
 
 	flight syncx.SingleFlight
-	slots  chan struct{}
+	gate   gate // of reads at the origin
 
 	mu       sync.Mutex
 	versions map[string]*held // by model
@@ -86,7 +87,7 @@
 	call Caller, log logrus.FieldLogger) *Relay {
 	cfg = cfg.applyDefaults()
 	return &Relay{cfg: cfg, self: self, entries: entries, holders: holders, origin: origin, from: from, call: call, log: log,
-		flight: syncx.NewSingleFlight(), slots: make(chan struct{}, cfg.OriginConns), versions: map[string]*held{}}
+		flight: syncx.NewSingleFlight(), versions: map[string]*held{}}
 }
 
 // PieceKey is what the readers of a piece are chosen by.
@@ -97,109 +98,6 @@
 // ManifestKey is what the readers of a manifest are chosen by.
 func ManifestKey(model string, version int) string { return fmt.Sprintf("%s/%d", model, version) }
 
-// Want holds the pieces of a version in place of older ones. It reads those for
-// which this entry is the reader of its failure domain before an agent asks for
-// them: by then the origin may be away.
-func (r *Relay) Want(ctx context.Context, model string, version, pieces int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if h := r.versions[model]; h != nil && h.version >= version {
-		return
-	}
-	r.versions[model] = &held{version: version, pieces: map[int][]byte{}}
-	go r.prefetch(ctx, model, version, pieces)
-}
-
-func (r *Relay) prefetch(ctx context.Context, model string, version, pieces int) {
-	start := time.Now()
-	r.awaitHolders(ctx, model, version)
-	fetched := 0
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, r.cfg.OriginConns)
-	for i := range pieces {
-		if r.reader(PieceKey(model, version, i), r.self.Domain) != r.self.Addr {
-			continue
-		}
-		fetched++
-		slots <- struct{}{}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			defer func() { <-slots }()
-			if _, err := r.Piece(ctx, &peer.GetPiece{Model: model, Version: version, Index: i}); err != nil {
-				r.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": version, "piece": i}).Warn("Piece not read ahead.")
-			}
-		}()
-	}
-	wg.Wait()
-	r.log.WithFields(logrus.Fields{"model": model, "version": version, "pieces": fetched,
-		"ms": time.Since(start).Milliseconds()}).Info("Own pieces read.")
-}
-
-// awaitHolders waits for agents that have the version staged already, if there
-// is reason to expect any: a version that engines held at their start.
-func (r *Relay) awaitHolders(ctx context.Context, model string, version int) {
-	if version > firstVersion {
-		return
-	}
-	deadline := time.Now().Add(r.cfg.HolderWait)
-	for time.Now().Before(deadline) && len(r.holders(r.self.Domain, model, version)) == 0 {
-		if !loop.Sleep(ctx, holderPoll) {
-			return
-		}
-	}
-}
-
-// firstVersion is the version that engines may hold when the fleet starts.
-const firstVersion = 1
-
-// holderPoll is the time between two looks for holders.
-const holderPoll = 100 * time.Millisecond
-
-// reader returns the entry of a failure domain that reads key, this one
-// included, or "" if the domain has none.
-func (r *Relay) reader(key, domain string) string {
-	var addrs []string
-	if r.self.Domain == domain {
-		addrs = append(addrs, r.self.Addr)
-	}
-	for _, e := range r.entries() {
-		if e.Domain == domain {
-			addrs = append(addrs, e.Addr)
-		}
-	}
-	return membership.First(key, addrs)
-}
-
-// pieceSources returns whom to ask for a piece: an agent nearby that has it
-// staged goes first, since it costs neither the origin nor a link between
-// regions.
-func (r *Relay) pieceSources(key string, q *peer.GetPiece) []string {
-	near := membership.First(key, r.holders(r.self.Domain, q.Model, q.Version))
-	if near == "" || q.Hops > maxHops {
-		return r.upstream(key, q.Hops)
-	}
-	return append([]string{near}, r.upstream(key, q.Hops)...)
-}
-
-// upstream returns whom to ask for key, in order; "" is the origin.
-func (r *Relay) upstream(key string, hops int) []string {
-	o := r.origin()
-	if hops >= maxHops || o == nil {
-		return []string{""}
-	}
-	var out []string
-	if near := r.reader(key, r.self.Domain); near != r.self.Addr {
-		out = append(out, near)
-	}
-	if r.self.Domain != o.Domain {
-		if far := r.reader(key, o.Domain); far != "" {
-			out = append(out, far)
-		}
-	}
-	return append(out, "")
-}
-
 func (r *Relay) held(model string, version int) *held {
 	h := r.versions[model]
 	if h == nil || h.version != version {
@@ -216,6 +114,9 @@
 		return h.manifest, nil
 	}
 	r.mu.Unlock()
+	if q.HeldOnly {
+		return nil, ErrNoSource
+	}
 	key := ManifestKey(q.Model, q.Version)
 	v, err := r.flight.Do(key, func() (any, error) { return r.readManifest(ctx, key, q) })
 	if err != nil {
@@ -226,32 +127,48 @@
 
 func (r *Relay) readManifest(ctx context.Context, key string, q *peer.GetManifest) (*Manifest, error) {
 	var last error
-	for range r.cfg.Tries {
-		for _, addr := range r.upstream(key, q.Hops) {
-			m, err := r.manifestFrom(ctx, addr, q)
+	for try := range r.tries(q.Hops) {
+		if try > 0 && !loop.Sleep(ctx, r.cfg.RetryPause) {
+			break
+		}
+		for _, src := range r.sources(key, q.Hops, try) {
+			m, err := r.manifestFrom(ctx, src, q)
 			if err == nil {
 				r.keepManifest(m)
 				return m, nil
 			}
 			last = err
+			r.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "try": try,
+				"source": src.String()}).Info("Manifest not had from a source.")
 		}
 	}
 	return nil, errors.Wrapf(ErrNoSource, "manifest of %s version %d: %v", q.Model, q.Version, last)
 }
 
-func (r *Relay) manifestFrom(ctx context.Context, addr string, q *peer.GetManifest) (*Manifest, error) {
-	if addr == "" {
+func (r *Relay) manifestFrom(ctx context.Context, src source, q *peer.GetManifest) (*Manifest, error) {
+	if src.isOrigin() {
 		return r.originManifest(ctx, q)
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.PeerTimeout)
 	defer cancel()
-	msg, err := r.call(ctx, addr, &peer.GetManifest{Model: q.Model, Version: q.Version, Hops: q.Hops + 1})
+	msg, err := r.call(ctx, src.addr, &peer.GetManifest{Model: q.Model, Version: q.Version, Hops: q.Hops + 1, HeldOnly: src.heldOnly})
 	if err != nil {
 		return nil, err
 	}
 	return DecodeManifest(q.Model, q.Version, msg)
 }
 
+// Answered reports whether an entry's reply holds what it was asked for.
+func Answered(msg peer.Message) bool {
+	switch m := msg.(type) {
+	case *peer.Manifest:
+		return len(m.Digests) > 0
+	case *peer.Blob:
+		return m.Found
+	}
+	return false
+}
+
 // DecodeManifest turns an entry's reply into a manifest.
 func DecodeManifest(model string, version int, msg peer.Message) (*Manifest, error) {
 	reply, ok := msg.(*peer.Manifest)
@@ -275,6 +192,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.OriginTimeout)
 	defer cancel()
+	if err := r.gate.enter(ctx, r.originConns(o)); err != nil {
+		return nil, err
+	}
+	defer r.gate.leave()
 	return r.from.Manifest(ctx, o.Addr, q.Model, q.Version)
 }
 
@@ -294,6 +215,9 @@
 		return h.pieces[q.Index], nil
 	}
 	r.mu.Unlock()
+	if q.HeldOnly {
+		return nil, ErrNoSource
+	}
 	key := PieceKey(q.Model, q.Version, q.Index)
 	v, err := r.flight.Do(key, func() (any, error) { return r.readPiece(ctx, key, q) })
 	if err != nil {
@@ -304,13 +228,16 @@
 
 func (r *Relay) readPiece(ctx context.Context, key string, q *peer.GetPiece) ([]byte, error) {
 	var last error
-	for range r.cfg.Tries {
+	for try := range r.tries(q.Hops) {
+		if try > 0 && !loop.Sleep(ctx, r.cfg.RetryPause) {
+			break
+		}
 		m, err := r.Manifest(ctx, &peer.GetManifest{Model: q.Model, Version: q.Version})
 		if err != nil {
 			return nil, err
 		}
-		for _, addr := range r.pieceSources(key, q) {
-			data, err := r.pieceFrom(ctx, addr, q)
+		for _, src := range r.pieceSources(key, q, try) {
+			data, err := r.pieceFrom(ctx, src, q)
 			if err == nil {
 				err = m.Verify(q.Index, data)
 				r.verified(q, err == nil)
@@ -321,7 +248,7 @@
 			}
 			last = err
 			r.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "piece": q.Index,
-				"source": cmp.Or(addr, "origin")}).Info("Piece not had.")
+				"try": try, "source": src.String()}).Info("Piece not had from a source.")
 		}
 	}
 	return nil, errors.Wrapf(ErrNoSource, "piece %d of %s version %d: %v", q.Index, q.Model, q.Version, last)
@@ -356,13 +283,14 @@
 	}
 }
 
-func (r *Relay) pieceFrom(ctx context.Context, addr string, q *peer.GetPiece) ([]byte, error) {
-	if addr == "" {
+func (r *Relay) pieceFrom(ctx context.Context, src source, q *peer.GetPiece) ([]byte, error) {
+	if src.isOrigin() {
 		return r.originPiece(ctx, q)
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.PeerTimeout)
 	defer cancel()
-	msg, err := r.call(ctx, addr, &peer.GetPiece{Model: q.Model, Version: q.Version, Index: q.Index, Hops: q.Hops + 1})
+	msg, err := r.call(ctx, src.addr, &peer.GetPiece{Model: q.Model, Version: q.Version, Index: q.Index, Hops: q.Hops + 1,
+		HeldOnly: src.heldOnly})
 	if err != nil {
 		return nil, err
 	}
@@ -378,10 +306,12 @@
 	if o == nil {
 		return nil, ErrNoSource
 	}
-	r.slots <- struct{}{}
-	defer func() { <-r.slots }()
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.OriginTimeout)
 	defer cancel()
+	if err := r.gate.enter(ctx, r.originConns(o)); err != nil {
+		return nil, err
+	}
+	defer r.gate.leave()
 	return r.from.Piece(ctx, o.Addr, q.Model, q.Version, q.Index)
 }
 
--- a/weights/relay_test.go
+++ b/weights/relay_test.go
@@ -86,7 +86,7 @@
 			return out
 		}
 		origin := func() *fleet.Origin { return &fleet.Origin{Addr: "origin", Domain: "a"} }
-		n.relays[addr] = NewRelay(Config{HolderWait: 1}, self, others, n.holders, origin, n.origin, n.call, log)
+		n.relays[addr] = NewRelay(Config{HolderWait: 1, RetryPause: 1}, self, others, n.holders, origin, n.origin, n.call, log)
 	}
 	return n
 }
@@ -190,6 +190,68 @@
 	readAll(t, n.relays["b1"], 2)
 }
 
+// The origin turns callers away when too many are connected. What any entry
+// holds is then had from there, whoever is to read it.
+func TestEntriesThatHoldAVersionMakeUpForTheOrigin(t *testing.T) {
+	n := newNetwork(threeDomains())
+	n.want(2)
+	readAll(t, n.relays["c1"], 2)
+	for _, reader := range []string{"a1", "a2"} {
+		n.relays[reader].versions[testModel] = &held{version: 2, pieces: map[int][]byte{}}
+	}
+	n.origin.down = true
+	for _, addr := range []string{"a1", "b1", "b2"} {
+		_, err := n.relays[addr].Manifest(t.Context(), &peer.GetManifest{Model: testModel, Version: 2})
+		assert.NilError(t, err, addr)
+		readAll(t, n.relays[addr], 2)
+	}
+}
+
+// Entries that ask each other for what they hold do not pass the question on.
+func TestHeldOnlyIsNotPassedOn(t *testing.T) {
+	n := newNetwork(threeDomains())
+	n.want(2)
+	_, err := n.relays["b1"].Piece(t.Context(), &peer.GetPiece{Model: testModel, Version: 2, HeldOnly: true})
+	assert.ErrorIs(t, err, ErrNoSource)
+	_, err = n.relays["b1"].Manifest(t.Context(), &peer.GetManifest{Model: testModel, Version: 2, HeldOnly: true})
+	assert.ErrorIs(t, err, ErrNoSource)
+	assert.Equal(t, len(n.origin.pieces), 0)
+}
+
+// A version that is not new is read when agents ask for it, not ahead.
+func TestHeldVersionIsNotReadAhead(t *testing.T) {
+	n := newNetwork(map[string]string{"a1": "a"})
+	r := n.relays["a1"]
+	assert.Assert(t, r.Hold(testModel, 2))
+	assert.Assert(t, !r.Hold(testModel, 2))
+	r.Want(t.Context(), testModel, 2, testPieces)
+	assert.Equal(t, len(n.origin.pieces), 0)
+	readAll(t, r, 2)
+}
+
+func TestOriginConnectionsAreShared(t *testing.T) {
+	n := newNetwork(threeDomains())
+	r := n.relays["a1"]
+	for _, c := range []struct{ accepted, want int }{{0, 3}, {48, 3}, {20, 1}, {3, 1}} {
+		got := r.originConns(&fleet.Origin{MaxConns: c.accepted})
+		assert.Equal(t, got, c.want, "of %d", c.accepted)
+	}
+}
+
+func TestGate(t *testing.T) {
+	g := &gate{}
+	assert.NilError(t, g.enter(t.Context(), 1))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, g.enter(ctx, 1), context.Canceled)
+	assert.NilError(t, g.enter(ctx, 2), "a higher limit")
+	g.leave()
+	entered := make(chan error)
+	go func() { entered <- g.enter(t.Context(), 1) }()
+	g.leave()
+	assert.NilError(t, <-entered)
+}
+
 func TestNoSourceIsAnError(t *testing.T) {
 	n := newNetwork(threeDomains())
 	n.want(2)
@@ -204,7 +266,8 @@
 	n.want(2)
 	r := n.relays["a1"]
 	for i := range testPieces {
-		assert.DeepEqual(t, r.upstream(PieceKey(testModel, 2, i), maxHops), []string{""})
+		got := r.sources(PieceKey(testModel, 2, i), maxHops, 0)
+		assert.Assert(t, len(got) == 1 && got[0].isOrigin())
 	}
 }
 
