--- a/gateway/control.go
+++ b/gateway/control.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
-	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
 )
@@ -80,15 +78,6 @@
 	instance *fleet.Instance
 }
 
-// assignment is the version that the engines of a service are to serve.
-type assignment struct {
-	model    *fleet.EngineModel
-	version  int
-	since    time.Time
-	order    []string // addresses of engines that change, in turn
-	assigned bool     // the operators named the version
-}
-
 // ControlOptions are what a Control is made of.
 type ControlOptions struct {
 	Config  ControlConfig
@@ -214,68 +203,6 @@
 	}
 }
 
-func (c *Control) want(service string, m *fleet.EngineModel, version int, since time.Time) {
-	if old := c.assignments[service]; old != nil && old.assigned && old.version >= version {
-		return
-	}
-	a := &assignment{model: m, version: version, since: since, assigned: true}
-	key := fmt.Sprintf("%s/%d", m.Model, version)
-	var addrs []string
-	for _, i := range c.list {
-		if i.Service == service && i.Holds(m) > 0 {
-			addrs = append(addrs, i.Addr)
-		}
-	}
-	a.order = membership.Rank(key, addrs, len(addrs))
-	c.setAssignment(service, a)
-}
-
-// assign gives engines of services for which no version was named the newest
-// one that an engine holds.
-func (c *Control) assign(ctx context.Context) {
-	cfg := c.gateway.Config()
-	if cfg == nil {
-		return
-	}
-	for name, s := range cfg.Services {
-		if s.Engine == nil || c.assignments[name] != nil && c.assignments[name].assigned {
-			continue
-		}
-		version := 1
-		for _, i := range c.list {
-			if i.Service == name {
-				version = max(version, i.Holds(s.Engine))
-			}
-		}
-		if old := c.assignments[name]; old == nil || old.version < version {
-			c.relay.Want(ctx, s.Engine.Model, version, s.Engine.Chunks)
-			c.setAssignment(name, &assignment{model: s.Engine, version: version, since: time.Now()})
-		}
-	}
-}
-
-func (c *Control) setAssignment(service string, a *assignment) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.assignments[service] = a
-	close(c.changed)
-	c.changed = make(chan struct{})
-}
-
-// Assignment implements mesh.Listener.
-func (c *Control) Assignment(agent peer.Presence) (*peer.Assignment, <-chan struct{}) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a := c.assignments[agent.Service]
-	if a == nil {
-		return nil, c.changed
-	}
-	out := &peer.Assignment{Model: a.model.Model, Version: a.version, Layers: a.model.Layers, Pieces: a.model.Chunks,
-		AgeMs: time.Since(a.since).Milliseconds(), TimeoutMs: c.cfg.VersionTimeout.Milliseconds(), Turns: len(a.order)}
-	out.Turn = max(slices.Index(a.order, agent.Engine), 0)
-	return out, c.changed
-}
-
 func (c *Control) applyInstances(items []mirror.Item) {
 	list := make([]*fleet.Instance, 0, len(items))
 	next := make(map[string]decodedInstance, len(items))
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -105,6 +105,15 @@
 	AgeMs, TimeoutMs int64
 	// Turn of Turns is the engine's place in the order of the change.
 	Turn, Turns int
+	// Earlier are versions announced before, oldest first: until all engines
+	// serve the newest, these must be served in time too.
+	Earlier []AnnouncedVersion
+}
+
+// AnnouncedVersion is a version that the operators named, and how long ago.
+type AnnouncedVersion struct {
+	Version int
+	AgeMs   int64
 }
 
 // Kind implements Message.
--- /dev/null
+++ b/sidecar/config.go
@@ -0,0 +1,64 @@
+// Package sidecar is the agent on a host where callers' requests go straight
+// to the engine: it stages the weights that the engine is to serve, orders the
+// engine to load them when it is its turn, and tells the entries what the
+// engine serves.
+package sidecar
+
+import (
+	"cmp"
+	"time"
+)
+
+// Config holds the times of a sidecar.
+type Config struct {
+	// Poll is the time between two reads of the engine's report while nothing
+	// is to be done; PollBusy while an order or a change is in progress, and
+	// PollDown while the engine does not answer. Defaults 400 ms, 40 ms and
+	// 100 ms.
+	Poll, PollBusy, PollDown time.Duration
+	// FirstStart is true when the whole fleet starts for the first time: its
+	// engines hold weights already.
+	FirstStart bool
+	// Lead is when the first engine's turn comes after an announcement. It is
+	// what staging takes at the least: two links of 2 s each, overlapping.
+	// Default 2.5 s.
+	Lead time.Duration
+	// MinWindow is the least time over which turns are spread. A newer version
+	// that is announced during a change puts off the first turn, so that engines
+	// change once, but not the last. Default 1.5 s.
+	MinWindow time.Duration
+	// Margin is how long before the end of the time allowed the last turn
+	// comes. Default 1.3 s: entries stop using older versions 0.7 s before
+	// the end.
+	Margin time.Duration
+	// Fetches is how many pieces are fetched at once for an engine that does
+	// not serve yet, and FetchesServing for one that does: live requests share
+	// the link. Defaults 3 and 1.
+	Fetches, FetchesServing int
+	// FetchTimeout bounds one piece. Default 6 s.
+	FetchTimeout time.Duration
+	// CallTimeout bounds a call to the engine. Default 2 s.
+	CallTimeout time.Duration
+	// StallFor is how long a version of which a piece could not be had is put
+	// behind an older one that must be served too. Default 3 s.
+	StallFor time.Duration
+	// VerifyAge is how old the check of staged pieces may be when the load is
+	// ordered, because staged bytes may go bad. Default 1 s.
+	VerifyAge time.Duration
+}
+
+func (c Config) applyDefaults() Config {
+	c.Poll = cmp.Or(c.Poll, 400*time.Millisecond)
+	c.PollBusy = cmp.Or(c.PollBusy, 40*time.Millisecond)
+	c.PollDown = cmp.Or(c.PollDown, 100*time.Millisecond)
+	c.Lead = cmp.Or(c.Lead, 2500*time.Millisecond)
+	c.MinWindow = cmp.Or(c.MinWindow, 1500*time.Millisecond)
+	c.Margin = cmp.Or(c.Margin, 1300*time.Millisecond)
+	c.Fetches = cmp.Or(c.Fetches, 3)
+	c.FetchesServing = cmp.Or(c.FetchesServing, 1)
+	c.FetchTimeout = cmp.Or(c.FetchTimeout, 6*time.Second)
+	c.CallTimeout = cmp.Or(c.CallTimeout, 2*time.Second)
+	c.StallFor = cmp.Or(c.StallFor, 3*time.Second)
+	c.VerifyAge = cmp.Or(c.VerifyAge, time.Second)
+	return c
+}
--- a/sidecar/plan_test.go
+++ b/sidecar/plan_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
@@ -19,45 +20,112 @@
 	return Report{Models: []fleet.ModelVersion{{Model: "m", Version: version, Layers: 16}}}
 }
 
+// ordered is what an agent knows after an assignment, and after one of an
+// earlier version if earlier is not zero; each version is announced a second
+// after the one before.
+func ordered(a peer.Assignment, earlier int) order {
+	o := order{Assignment: a}
+	if earlier > 0 {
+		o.add(wanted{earlier, start})
+		o.add(wanted{a.Version, start.Add(time.Second)})
+		return o
+	}
+	o.add(wanted{a.Version, start})
+	return o
+}
+
 func TestPlan(t *testing.T) {
 	cfg := Config{}.applyDefaults()
 	busy := serving(1)
 	busy.Busy = true
+	whole := func(version int) holdings { return holdings{staged: progress{version, true, 1}} }
+	last := 8*time.Second - cfg.Margin
 	for _, c := range []struct {
 		name   string
 		report Report
-		a      peer.Assignment
-		staged bool
+		o      order
+		h      holdings
 		after  time.Duration
 		want   Step
 	}{
-		{"nothing assigned", Report{}, peer.Assignment{}, false, 0, Rest},
-		{"served already", serving(2), assignment(2, 0, 3), false, 0, Rest},
-		{"newer than assigned", serving(3), assignment(2, 0, 3), false, 0, Rest},
-		{"order in progress", busy, assignment(2, 0, 3), true, 0, Watch},
-		{"pieces missing", serving(1), assignment(2, 0, 3), false, 0, Stage},
-		{"some layers only", Report{Models: []fleet.ModelVersion{{Model: "m", Version: 2, Layers: 8}}}, assignment(2, 0, 3), true, 0, Load},
-		{"empty engine does not wait", Report{}, assignment(2, 2, 3), true, 0, Load},
-		{"first turn not come", serving(1), assignment(2, 0, 3), true, cfg.Lead - 1, Await},
-		{"first turn", serving(1), assignment(2, 0, 3), true, cfg.Lead, Load},
-		{"last turn not come", serving(1), assignment(2, 2, 3), true, cfg.Lead, Await},
-		{"last turn", serving(1), assignment(2, 2, 3), true, 8*time.Second - cfg.Margin, Load},
+		{"nothing assigned", Report{}, order{}, holdings{}, 0, Step{}},
+		{"served already", serving(2), ordered(assignment(2, 0, 3), 0), holdings{}, 0, Step{}},
+		{"newer than assigned", serving(3), ordered(assignment(2, 0, 3), 0), holdings{}, 0, Step{}},
+		{"order in progress", busy, ordered(assignment(2, 0, 3), 0), whole(2), 0, Step{Action: Watch}},
+		{"pieces missing", serving(1), ordered(assignment(2, 0, 3), 0), holdings{}, 0, Step{Stage, 2}},
+		{"some layers only", Report{Models: []fleet.ModelVersion{{Model: "m", Version: 2, Layers: 8}}}, ordered(assignment(2, 0, 3), 0), whole(2), 0, Step{Load, 2}},
+		{"empty engine does not wait", Report{}, ordered(assignment(2, 2, 3), 0), whole(2), 0, Step{Load, 2}},
+		{"first turn not come", serving(1), ordered(assignment(2, 0, 3), 0), whole(2), cfg.Lead - 1, Step{Await, 2}},
+		{"first turn", serving(1), ordered(assignment(2, 0, 3), 0), whole(2), cfg.Lead, Step{Load, 2}},
+		{"last turn not come", serving(1), ordered(assignment(2, 2, 3), 0), whole(2), cfg.Lead, Step{Await, 2}},
+		{"last turn", serving(1), ordered(assignment(2, 2, 3), 0), whole(2), last, Step{Load, 2}},
+
+		{"newer in place of one just begun", serving(1), ordered(assignment(3, 0, 3), 2), holdings{staged: progress{2, false, 0.2}}, time.Second, Step{Stage, 3}},
+		{"one staged for the most part is finished", serving(1), ordered(assignment(3, 0, 3), 2), holdings{staged: progress{2, false, 0.8}}, time.Second, Step{Stage, 2}},
+		{"newer is fetched while the older waits", serving(1), ordered(assignment(3, 2, 3), 2), whole(2), 2 * time.Second, Step{Fetch, 3}},
+		{"newer whole in time", serving(1), ordered(assignment(3, 2, 3), 2),
+			holdings{staged: progress{2, true, 1}, fetched: progress{3, true, 1}}, 2 * time.Second, Step{Stage, 3}},
+		{"newer cannot be had in time", serving(1), ordered(assignment(3, 2, 3), 2),
+			holdings{staged: progress{2, true, 1}, fetched: progress{3, false, 0.9}}, last, Step{Load, 2}},
+		{"the older is served, the newer is next", serving(2), ordered(assignment(3, 2, 3), 2),
+			holdings{staged: progress{2, true, 1}}, last, Step{Stage, 3}},
+		{"empty engine takes what it can have", Report{}, ordered(assignment(3, 2, 3), 2), whole(2), 0, Step{Load, 2}},
+		{"newer stalls, the older is staged", serving(1), ordered(assignment(3, 2, 3), 2), holdings{stalled: 3}, 0, Step{Stage, 2}},
+		{"newer stalls, there is no older", serving(1), ordered(assignment(3, 2, 3), 0), holdings{stalled: 3}, 0, Step{Stage, 3}},
 	} {
-		got := cfg.Plan(start.Add(c.after), c.report, c.a, start, c.staged)
+		got := cfg.Plan(start.Add(c.after), c.report, c.o, c.h)
 		assert.Equal(t, got, c.want, c.name)
 	}
 }
 
 func TestTurnsAreSpreadOverTheTimeAllowed(t *testing.T) {
 	cfg := Config{}.applyDefaults()
+	at := func(a peer.Assignment, earlier int) time.Duration {
+		o := ordered(a, earlier)
+		return cfg.turn(o, o.versions).Sub(start)
+	}
 	last := time.Duration(0)
 	for turn := range 12 {
-		at := cfg.turnAt(assignment(2, turn, 12))
+		at := at(assignment(2, turn, 12), 0)
 		assert.Assert(t, at > last || turn == 0)
 		last = at
 	}
 	assert.Equal(t, last, 8*time.Second-cfg.Margin)
 	short := assignment(2, 1, 2)
 	short.TimeoutMs = 1000
-	assert.Equal(t, cfg.turnAt(short), time.Duration(0), "no time for turns")
+	assert.Equal(t, at(short, 0), time.Duration(0), "no time for turns")
+	assert.Equal(t, at(assignment(3, 0, 12), 2), time.Second+cfg.Lead, "from when the newest can be staged")
+	assert.Equal(t, at(assignment(3, 11, 12), 2), 8*time.Second-cfg.Margin, "until the oldest must be served")
+}
+
+// A newer version must not push a turn beyond the time of the older one.
+func TestLateNewerVersionLeavesTimeForTurns(t *testing.T) {
+	cfg := Config{}.applyDefaults()
+	o := order{Assignment: assignment(3, 0, 12)}
+	o.add(wanted{2, start})
+	o.add(wanted{3, start.Add(6 * time.Second)})
+	end := 8*time.Second - cfg.Margin
+	assert.Equal(t, cfg.turn(o, o.versions).Sub(start), end-cfg.MinWindow)
+}
+
+func TestAssignmentsOfAllEntriesAreMerged(t *testing.T) {
+	one := assignment(2, 1, 3)
+	one.AgeMs = 500
+	o := order{}.merge(start, one)
+	two := assignment(3, 2, 3)
+	two.Earlier = []peer.AnnouncedVersion{{Version: 2, AgeMs: 900}}
+	o = o.merge(start, two)
+	assert.Equal(t, o.Version, 3)
+	o = o.merge(start, one)
+	assert.Equal(t, o.Version, 3, "an older assignment does not undo a newer one")
+	assert.DeepEqual(t, o.pending(1), []wanted{{2, start.Add(-900 * time.Millisecond)}, {3, start}}, cmp.AllowUnexported(wanted{}))
+	assert.Equal(t, len(o.pending(2)), 1)
+	assert.Equal(t, len(o.pending(3)), 0)
+	other := assignment(1, 0, 0)
+	other.Model = "other"
+	assert.Equal(t, len(o.merge(start, other).versions), 1, "another model starts anew")
+	for v := range 10 {
+		o = o.merge(start, assignment(v, 0, 0))
+	}
+	assert.Equal(t, len(o.versions), wantedKept)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -28,17 +28,20 @@
 	stats      *Stats
 	log        logrus.FieldLogger
 
-	stage   *stage
+	stage   *stage // what lies at the engine
+	ahead   *stage // what is kept in memory of a newer version
 	said    peer.EngineState
 	up      bool // the engine answered the last report
 	asked   bool // a report was asked for before
 	reached bool // the engine has answered a report
 	step    Step
 
-	mu         sync.Mutex
-	assignment peer.Assignment
-	announced  time.Time
-	wake       chan struct{}
+	stalled      int // version of which a piece could not be had
+	stalledUntil time.Time
+
+	mu    sync.Mutex
+	order order
+	wake  chan struct{}
 }
 
 // New returns a sidecar of the engine at addr. say tells the entries.
@@ -48,34 +51,26 @@
 		wake: make(chan struct{}, 1)}
 }
 
-// Assign takes an entry's assignment. All entries send theirs; the highest
-// version counts, and of the same version the earliest announcement.
+// Assign takes an entry's assignment.
 func (s *Sidecar) Assign(now time.Time, a peer.Assignment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	announced := now.Add(-time.Duration(a.AgeMs) * time.Millisecond)
-	switch {
-	case a.Model == s.assignment.Model && a.Version < s.assignment.Version:
-		return
-	case a.Model == s.assignment.Model && a.Version == s.assignment.Version:
-		if s.announced.Before(announced) {
-			announced = s.announced
-		}
-	default:
+	before := s.order
+	s.order = before.merge(now, a)
+	if s.order.Version != before.Version || s.order.Model != before.Model {
 		s.log.WithFields(logrus.Fields{"model": a.Model, "version": a.Version, "age_ms": a.AgeMs, "turn": a.Turn,
-			"turns": a.Turns}).Info("Version assigned.")
+			"turns": a.Turns, "earlier": len(a.Earlier)}).Info("Version assigned.")
 	}
-	s.assignment, s.announced = a, announced
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (s *Sidecar) assigned() (peer.Assignment, time.Time) {
+func (s *Sidecar) assigned() order {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.assignment, s.announced
+	return s.order
 }
 
 // Run works until ctx ends.
@@ -103,37 +98,63 @@
 		s.up, s.reached = true, true
 		s.log.WithField("engine", s.engineAddr).Info("Engine reached.")
 	}
-	a, announced := s.assigned()
-	if a.Model == "" {
+	o := s.assigned()
+	if o.Model == "" {
 		return s.cfg.Poll
 	}
-	s.tell(a, r.serves(a.Model, a.Layers), r.Busy)
-	step := s.cfg.Plan(time.Now(), r, a, announced, s.stage.is(a) && s.stage.whole())
+	serves := r.serves(o.Model, o.Layers)
+	s.tell(o.Model, serves, r.Busy)
+	step := s.cfg.Plan(time.Now(), r, o, s.holdings(time.Now()))
 	if step != s.step {
-		s.log.WithFields(logrus.Fields{"step": step.String(), "from": s.step.String(), "model": a.Model, "version": a.Version,
-			"serves": r.serves(a.Model, a.Layers), "running": r.Running}).Info("Next step.")
+		s.log.WithFields(logrus.Fields{"step": step.Action.String(), "from": s.step.Action.String(), "model": o.Model,
+			"version": step.Version, "assigned": o.Version, "serves": serves, "running": r.Running}).Info("Next step.")
 		s.step = step
 	}
-	switch step {
+	return s.do(ctx, step, o, r)
+}
+
+// holdings sums up what the agent has.
+func (s *Sidecar) holdings(now time.Time) holdings {
+	h := holdings{staged: s.stage.stagedProgress(), fetched: s.ahead.fetchedProgress()}
+	if now.Before(s.stalledUntil) {
+		h.stalled = s.stalled
+	}
+	return h
+}
+
+// do takes one step and returns the pause after it.
+func (s *Sidecar) do(ctx context.Context, step Step, o order, r Report) time.Duration {
+	switch step.Action {
 	case Watch, Await:
 		return s.cfg.PollBusy
 	case Stage:
-		return s.stageAll(ctx, a, r)
+		return s.stageAll(ctx, o, step.Version, r)
+	case Fetch:
+		return s.fetchNewer(ctx, o, step.Version, r)
 	case Load:
-		return s.load(ctx, a, r)
+		return s.load(ctx, o, step.Version, r)
 	}
-	s.stage = nil // loaded; the pieces take memory
+	s.stage, s.ahead = nil, nil // loaded; the pieces take memory
 	return s.cfg.Poll
 }
 
+// fetchNewer fetches a newer version than the one that waits for its turn.
+func (s *Sidecar) fetchNewer(ctx context.Context, o order, version int, r Report) time.Duration {
+	until := s.cfg.turn(o, o.pending(r.serves(o.Model, o.Layers)))
+	if err := s.fetchAhead(ctx, o, version, until); err != nil {
+		s.log.WithError(err).WithField("version", version).Info("Newer version not fetched yet.")
+	}
+	return s.cfg.PollBusy
+}
+
 // awaitEngine fetches pieces while a new engine is still starting; they are
 // staged as soon as it answers.
 func (s *Sidecar) awaitEngine(ctx context.Context) time.Duration {
-	a, _ := s.assigned()
-	if s.reached || s.cfg.FirstStart || a.Model == "" {
+	o := s.assigned()
+	if s.reached || s.cfg.FirstStart || o.Model == "" {
 		return s.cfg.PollDown
 	}
-	if !s.stage.is(a) && s.begin(ctx, a) != nil {
+	if !s.stage.is(o.Model, o.Version) && s.begin(ctx, o.Model, o.Version) != nil {
 		return s.cfg.PollDown // asked for again at the next turn
 	}
 	// Staging itself fails until the engine answers; what was fetched stays.
@@ -155,56 +176,63 @@
 	if s.reached {
 		s.stage = nil // what lies there is checked again
 	}
-	if a, _ := s.assigned(); a.Model != "" {
-		s.tell(a, 0, false)
+	if o := s.assigned(); o.Model != "" {
+		s.tell(o.Model, 0, false)
 	}
 }
 
 // tell says what the engine serves, if that has changed.
-func (s *Sidecar) tell(a peer.Assignment, version int, loading bool) {
-	state := peer.EngineState{Addr: s.engineAddr, Model: a.Model, Version: version, Loading: loading}
+func (s *Sidecar) tell(model string, version int, loading bool) {
+	state := peer.EngineState{Addr: s.engineAddr, Model: model, Version: version, Loading: loading}
 	if state == s.said {
 		return
 	}
 	s.said = state
-	s.log.WithFields(logrus.Fields{"model": a.Model, "version": version, "loading": loading}).Info("Engine state.")
+	s.log.WithFields(logrus.Fields{"model": model, "version": version, "loading": loading}).Info("Engine state.")
 	s.say(state)
 }
 
-func (s *Sidecar) stageAll(ctx context.Context, a peer.Assignment, r Report) time.Duration {
-	if !s.stage.is(a) {
-		if err := s.begin(ctx, a); err != nil {
-			s.log.WithError(err).Warn("Staging could not begin.")
+func (s *Sidecar) stageAll(ctx context.Context, o order, version int, r Report) time.Duration {
+	if !s.stage.is(o.Model, version) {
+		if err := s.begin(ctx, o.Model, version); err != nil {
+			s.log.WithError(err).WithField("version", version).Warn("Staging could not begin.")
+			s.stall(version)
 			return s.cfg.Poll
 		}
 	}
 	parallel := s.cfg.Fetches
-	if r.serves(a.Model, a.Layers) > 0 {
+	if r.serves(o.Model, o.Layers) > 0 {
 		parallel = s.cfg.FetchesServing
 	}
 	if err := s.fetchMissing(ctx, parallel); err != nil {
-		s.log.WithError(err).WithField("missing", s.stage.missing).Warn("Staging is not complete.")
+		s.log.WithError(err).WithFields(logrus.Fields{"version": version, "missing": s.stage.missing}).Warn("Staging is not complete.")
+		s.stall(version)
 		return s.cfg.PollBusy
 	}
 	if s.stage.whole() {
 		took := time.Since(s.stage.started).Milliseconds()
 		s.stats.stageTime.Update(took)
-		s.log.WithFields(logrus.Fields{"model": a.Model, "version": a.Version, "pieces": len(s.stage.staged),
+		s.log.WithFields(logrus.Fields{"model": o.Model, "version": version, "pieces": len(s.stage.staged),
 			"ms": took}).Info("Staged.")
 	}
 	return 0
 }
 
+// stall puts a version behind an older one for a while.
+func (s *Sidecar) stall(version int) {
+	s.stalled, s.stalledUntil = version, time.Now().Add(s.cfg.StallFor)
+}
+
 // load checks the staged pieces once more and orders the engine to load them.
-func (s *Sidecar) load(ctx context.Context, a peer.Assignment, r Report) time.Duration {
+func (s *Sidecar) load(ctx context.Context, o order, version int, r Report) time.Duration {
 	if !s.verify(ctx, s.cfg.VerifyAge) {
 		return 0 // the next step stages what is bad
 	}
-	s.tell(a, r.serves(a.Model, a.Layers), true)
+	s.tell(o.Model, r.serves(o.Model, o.Layers), true)
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
-	fields := logrus.Fields{"model": a.Model, "version": a.Version, "running": r.Running}
-	if err := s.engine.Start(ctx, s.engineAddr, a.Model, a.Version); err != nil {
+	fields := logrus.Fields{"model": o.Model, "version": version, "running": r.Running}
+	if err := s.engine.Start(ctx, s.engineAddr, o.Model, version); err != nil {
 		s.stats.ordersFailed.Inc(1)
 		s.log.WithFields(fields).WithError(err).Warn("Load order failed.")
 		return s.cfg.PollBusy
@@ -213,17 +241,3 @@
 	s.log.WithFields(fields).Info("Load ordered.")
 	return s.cfg.PollBusy
 }
-
-// ServePiece hands a piece that lies at the engine to an entry, which checks it.
-func (s *Sidecar) ServePiece(ctx context.Context, st *peer.Stream, first peer.Message) {
-	q, ok := first.(*peer.GetPiece)
-	if !ok {
-		return
-	}
-	data, err := s.engine.StagedPiece(ctx, s.engineAddr, q.Model, q.Index)
-	if err != nil {
-		s.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "piece": q.Index}).Info("Piece not handed out.")
-	}
-	// The asker notices a reply that does not arrive by its own timeout.
-	_ = st.SendLast(ctx, &peer.Blob{Found: err == nil, Data: data})
-}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -92,6 +92,7 @@
 	mu      sync.Mutex
 	delay   time.Duration
 	fetched int
+	lacks   int // a version of which only the first piece can be had
 }
 
 func (s *fakeSource) Manifest(_ context.Context, model string, version int) (*weights.Manifest, error) {
@@ -106,6 +107,9 @@
 	time.Sleep(s.delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if m.Version == s.lacks && index > 0 {
+		return nil, weights.ErrNoSource
+	}
 	s.fetched++
 	return []byte(content(m.Version, index)), nil
 }
@@ -230,3 +234,53 @@
 		assert.Equal(t, e.orders, 1)
 	})
 }
+
+// The origin goes away just after a newer version was announced. The one before
+// is served in time, and the newer one when it can be had.
+func TestOlderVersionIsServedInTimeIfTheNewerCannotBeHad(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, serves: 1}
+	source := &fakeSource{delay: 250 * time.Millisecond, lacks: 3}
+	run(t, Config{}, e, source, func(s *Sidecar, said func() peer.EngineState) {
+		s.Assign(time.Now(), assignment(2, 1, 2))
+		time.Sleep(1600 * time.Millisecond)
+		s.Assign(time.Now(), assignment(3, 1, 2))
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, said().Version, 2, "within 8 s of its announcement")
+		source.mu.Lock()
+		source.lacks = 0
+		source.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, said().Version, 3)
+		assert.Assert(t, !e.spoilt)
+		assert.Equal(t, e.orders, 2)
+	})
+}
+
+// An engine that has not begun to stage the newer version takes the one before
+// if the newer cannot be had.
+func TestStalledVersionGivesWayToTheOneBefore(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}}
+	run(t, Config{}, e, &fakeSource{lacks: 3}, func(s *Sidecar, said func() peer.EngineState) {
+		a := assignment(3, 0, 0)
+		a.Earlier = []peer.AnnouncedVersion{{Version: 2, AgeMs: 2000}}
+		s.Assign(time.Now(), a)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, said().Version, 2)
+		assert.Assert(t, !e.spoilt)
+	})
+}
+
+// A newer version that can be had in time is loaded in place of the older one,
+// which is staged already.
+func TestNewerVersionFetchedAheadIsLoadedAlone(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, serves: 1}
+	run(t, Config{}, e, &fakeSource{delay: 200 * time.Millisecond}, func(s *Sidecar, said func() peer.EngineState) {
+		s.Assign(time.Now(), assignment(2, 1, 2))
+		time.Sleep(1400 * time.Millisecond)
+		s.Assign(time.Now(), assignment(3, 1, 2))
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, said().Version, 3)
+		assert.Equal(t, e.orders, 1)
+		assert.Assert(t, !e.spoilt)
+	})
+}
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -6,50 +6,85 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/weights"
 )
 
-// stage is what is known of the pieces that lie at the engine.
+// Source hands out manifests and verified pieces.
+type Source interface {
+	Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error)
+	Piece(ctx context.Context, m *weights.Manifest, index int) ([]byte, error)
+}
+
+// stage is what is known of the pieces of a version: those that lie at the
+// engine and those in the agent's memory.
 type stage struct {
 	model    string
 	version  int
 	manifest *weights.Manifest
-	staged   []bool
+	staged   []bool      // at the engine
 	pieces   [][]byte    // fetched and not staged yet
 	checked  []time.Time // when each piece was last known to be sound
-	missing  int
+	missing  int         // at the engine
 	started  time.Time
 }
 
-func (s *stage) whole() bool { return s != nil && s.manifest != nil && s.missing == 0 }
+func newStage(m *weights.Manifest) *stage {
+	n := len(m.Digests)
+	return &stage{model: m.Model, version: m.Version, manifest: m, staged: make([]bool, n), pieces: make([][]byte, n),
+		checked: make([]time.Time, n), missing: n, started: time.Now()}
+}
 
-func (s *stage) is(a peer.Assignment) bool {
-	return s != nil && s.model == a.Model && s.version == a.Version
+func (s *stage) whole() bool { return s != nil && s.missing == 0 }
+
+func (s *stage) is(model string, version int) bool {
+	return s != nil && s.model == model && s.version == version
 }
 
-// Source hands out manifests and verified pieces.
-type Source interface {
-	Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error)
-	Piece(ctx context.Context, m *weights.Manifest, index int) ([]byte, error)
+// stagedProgress is how much lies at the engine.
+func (s *stage) stagedProgress() progress {
+	if s == nil || len(s.staged) == 0 {
+		return progress{}
+	}
+	return progress{version: s.version, whole: s.whole(), share: 1 - float64(s.missing)/float64(len(s.staged))}
 }
 
-// begin reads the manifest and finds out which pieces lie at the engine
-// already: they survive a crash of the engine and restarts of the agent.
-func (s *Sidecar) begin(ctx context.Context, a peer.Assignment) error {
-	st := &stage{model: a.Model, version: a.Version, started: time.Now()}
+// fetchedProgress is how much lies in the agent's memory.
+func (s *stage) fetchedProgress() progress {
+	if s == nil || len(s.pieces) == 0 {
+		return progress{}
+	}
+	n := 0
+	for _, p := range s.pieces {
+		if p != nil {
+			n++
+		}
+	}
+	return progress{version: s.version, whole: n == len(s.pieces), share: float64(n) / float64(len(s.pieces))}
+}
+
+// manifest reads the manifest of a version.
+func (s *Sidecar) manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.FetchTimeout)
 	defer cancel()
-	m, err := s.source.Manifest(ctx, a.Model, a.Version)
+	m, err := s.source.Manifest(ctx, model, version)
+	return m, errors.Wrap(err, "sidecar: manifest")
+}
+
+// begin makes the stage that of a version. Pieces that were fetched ahead are
+// used; what lies at the engine already is found out: staged pieces survive a
+// crash of the engine and restarts of the agent.
+func (s *Sidecar) begin(ctx context.Context, model string, version int) error {
+	if s.ahead.is(model, version) {
+		s.stage, s.ahead = s.ahead, nil
+		return nil
+	}
+	m, err := s.manifest(ctx, model, version)
 	if err != nil {
-		return errors.Wrap(err, "sidecar: manifest")
-	}
-	st.manifest = m
-	st.staged = make([]bool, len(m.Digests))
-	st.pieces = make([][]byte, len(m.Digests))
-	st.checked = make([]time.Time, len(m.Digests))
-	st.missing = len(m.Digests)
-	s.stage = st
+		return err
+	}
+	s.stage = newStage(m)
 	// The first piece tells whether the rest is worth reading.
 	if s.check(ctx, 0) {
 		s.verify(ctx, 0)
@@ -59,6 +94,8 @@
 
 // check reads one staged piece back and notes whether it is whole.
 func (s *Sidecar) check(ctx context.Context, index int) bool {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
 	data, err := s.engine.StagedPiece(ctx, s.engineAddr, s.stage.model, index)
 	ok := err == nil && s.stage.manifest.Verify(index, data) == nil
 	s.mark(index, ok)
@@ -94,17 +131,19 @@
 	return bad == 0
 }
 
-// fetchMissing fetches and stages the pieces that are missing.
+// fetchMissing fetches and stages the pieces that are missing, until a newer
+// version is announced.
 func (s *Sidecar) fetchMissing(ctx context.Context, parallel int) error {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var firstErr error
+	announced := s.assigned().Version
 	slots := make(chan struct{}, parallel)
 	for i, ok := range s.stage.staged {
 		if ok {
 			continue
 		}
-		if s.superseded() || ctx.Err() != nil {
+		if s.assigned().Version != announced || ctx.Err() != nil {
 			break
 		}
 		slots <- struct{}{}
@@ -126,27 +165,71 @@
 	return firstErr
 }
 
-// superseded reports whether a newer version was assigned meanwhile.
-func (s *Sidecar) superseded() bool {
-	a, _ := s.assigned()
-	return !s.stage.is(a)
-}
-
+// fetch fetches one piece, unless that was done before, and stages it.
 func (s *Sidecar) fetch(ctx context.Context, index int) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.FetchTimeout)
 	defer cancel()
-	data := s.stage.pieces[index]
-	if data == nil {
-		var err error
-		if data, err = s.source.Piece(ctx, s.stage.manifest, index); err != nil {
+	if s.stage.pieces[index] == nil {
+		if err := s.keep(ctx, s.stage, index); err != nil {
 			return err
 		}
-		s.stage.pieces[index] = data
-		s.stats.fetched.Inc(1)
 	}
-	if err := s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, data); err != nil {
+	if err := s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, s.stage.pieces[index]); err != nil {
 		return err
 	}
 	s.stage.pieces[index] = nil // it lies at the engine; memory is paid for
 	return nil
 }
+
+// keep fetches one piece into memory.
+func (s *Sidecar) keep(ctx context.Context, st *stage, index int) error {
+	data, err := s.source.Piece(ctx, st.manifest, index)
+	if err != nil {
+		return err
+	}
+	st.pieces[index] = data
+	s.stats.fetched.Inc(1)
+	return nil
+}
+
+// fetchAhead keeps pieces of the newest version in memory while an older one
+// lies staged, until it is the engine's turn to load that.
+func (s *Sidecar) fetchAhead(ctx context.Context, o order, version int, until time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if !s.ahead.is(o.Model, version) {
+		m, err := s.manifest(ctx, o.Model, version)
+		if err != nil {
+			return err
+		}
+		s.ahead = newStage(m)
+	}
+	for i, data := range s.ahead.pieces {
+		if data != nil {
+			continue
+		}
+		if s.assigned().Version != version {
+			return nil
+		}
+		if err := s.keep(ctx, s.ahead, i); err != nil {
+			return err
+		}
+	}
+	s.log.WithFields(logrus.Fields{"model": o.Model, "version": version, "pieces": len(s.ahead.pieces),
+		"ms": time.Since(s.ahead.started).Milliseconds()}).Info("Fetched ahead.")
+	return nil
+}
+
+// ServePiece hands a piece that lies at the engine to an entry, which checks it.
+func (s *Sidecar) ServePiece(ctx context.Context, st *peer.Stream, first peer.Message) {
+	q, ok := first.(*peer.GetPiece)
+	if !ok {
+		return
+	}
+	data, err := s.engine.StagedPiece(ctx, s.engineAddr, q.Model, q.Index)
+	if err != nil {
+		s.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "piece": q.Index}).Info("Piece not handed out.")
+	}
+	// The asker notices a reply that does not arrive by its own timeout.
+	_ = st.SendLast(ctx, &peer.Blob{Found: err == nil, Data: data})
+}
--- a/weights/prefetch.go
+++ b/weights/prefetch.go
@@ -10,8 +10,7 @@
 	"github.com/springgate/springgate/peer"
 )
 
-// Want holds the pieces of a version in place of older ones. It reads those for
-// which this entry is the reader of its failure domain before an agent asks for
+// Want holds the pieces of a version. It reads those for which this entry is the reader of its failure domain before an agent asks for
 // them: by then the origin may be away.
 func (r *Relay) Want(ctx context.Context, model string, version, pieces int) {
 	if r.Hold(model, version) {
@@ -19,45 +18,96 @@
 	}
 }
 
-// Hold holds the pieces of a version in place of older ones as agents ask for
-// them. That is enough for a version that was announced before this process
-// started: most engines have it staged, and reading it ahead would only keep
-// the origin's link from the manifest, without which they cannot go on. It
-// reports whether the version is new here.
+// Hold holds the pieces of a version as agents ask for them. That is enough for
+// a version that was announced before this process started: most engines have it
+// staged, and reading it ahead would only keep the origin's link from the
+// manifest, without which they cannot go on. It reports whether the version is
+// new here.
 func (r *Relay) Hold(model string, version int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if h := r.versions[model]; h != nil && h.version >= version {
+	now := time.Now()
+	before := r.versions[model]
+	if len(before) > 0 && before[0].version >= version {
 		return false
 	}
-	r.versions[model] = &held{version: version, pieces: map[int][]byte{}}
+	next := []*held{{version: version, since: now, pieces: map[int][]byte{}}}
+	if len(before) > 0 && now.Sub(before[0].since) < r.cfg.Overlap {
+		next = append(next, before[0])
+	}
+	r.versions[model] = next
 	return true
 }
 
+// prefetch reads the pieces of which this entry is the reader until it has all
+// of them, or the version is no longer held.
 func (r *Relay) prefetch(ctx context.Context, model string, version, pieces int) {
 	start := time.Now()
 	r.awaitHolders(ctx, model, version)
-	fetched := 0
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, r.cfg.OriginConns)
-	for i := range pieces {
-		if r.reader(PieceKey(model, version, i), r.self.Domain) != r.self.Addr {
+	for {
+		missing := r.ownMissing(model, version, pieces)
+		if len(missing) == 0 {
+			break
+		}
+		err := r.readAhead(ctx, model, version, missing)
+		if err == nil {
 			continue
 		}
-		fetched++
+		r.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": version, "missing": len(missing),
+			"ms": time.Since(start).Milliseconds()}).Warn("Pieces not read ahead.")
+		if !loop.Sleep(ctx, r.cfg.AheadPause) {
+			return
+		}
+	}
+	r.log.WithFields(logrus.Fields{"model": model, "version": version,
+		"ms": time.Since(start).Milliseconds()}).Info("Own pieces read.")
+}
+
+// ownMissing returns the pieces of which this entry is the reader and that it
+// does not hold; none if the version is no longer held.
+func (r *Relay) ownMissing(model string, version, pieces int) []int {
+	var own []int
+	for i := range pieces {
+		if r.reader(PieceKey(model, version, i), r.self.Domain) == r.self.Addr {
+			own = append(own, i)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.held(model, version)
+	if h == nil {
+		return nil
+	}
+	var out []int
+	for _, i := range own {
+		if h.pieces[i] == nil {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// readAhead reads pieces, several at once, and returns an error if any failed.
+func (r *Relay) readAhead(ctx context.Context, model string, version int, pieces []int) error {
+	var wg sync.WaitGroup
+	errs := make([]error, len(pieces))
+	slots := make(chan struct{}, r.cfg.OriginConns)
+	for k, i := range pieces {
 		slots <- struct{}{}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			defer func() { <-slots }()
-			if _, err := r.Piece(ctx, &peer.GetPiece{Model: model, Version: version, Index: i}); err != nil {
-				r.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": version, "piece": i}).Warn("Piece not read ahead.")
-			}
+			_, errs[k] = r.Piece(ctx, &peer.GetPiece{Model: model, Version: version, Index: i})
 		}()
 	}
 	wg.Wait()
-	r.log.WithFields(logrus.Fields{"model": model, "version": version, "pieces": fetched,
-		"ms": time.Since(start).Milliseconds()}).Info("Own pieces read.")
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // awaitHolders waits for agents that have the version staged already, if there
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -34,9 +34,16 @@
 	// Tries is how often the sources are gone through. Default 4; 2 for what
 	// another entry asks for, which has tries of its own.
 	Tries int
-	// RetryPause is the pause between two tries. Sources that refuse at once
-	// are not asked in a tight loop. Default 50 ms.
+	// RetryPause is the pause after the first try; it doubles with each. Sources
+	// that refuse at once are not asked in a tight loop. Default 50 ms.
 	RetryPause time.Duration
+	// AheadPause is the pause before pieces that could not be read ahead are
+	// tried again; the origin may be away for seconds. Default 200 ms.
+	AheadPause time.Duration
+	// Overlap is how long the version before the newest is still handed out:
+	// until the newest can be had whole, engines may have to change to it.
+	// Default 10 s, somewhat more than a change of version takes.
+	Overlap time.Duration
 }
 
 func (c Config) applyDefaults() Config {
@@ -46,6 +53,8 @@
 	c.HolderWait = cmp.Or(c.HolderWait, 4*time.Second)
 	c.Tries = cmp.Or(c.Tries, 4)
 	c.RetryPause = cmp.Or(c.RetryPause, 50*time.Millisecond)
+	c.AheadPause = cmp.Or(c.AheadPause, 200*time.Millisecond)
+	c.Overlap = cmp.Or(c.Overlap, 10*time.Second)
 	return c
 }
 
@@ -55,8 +64,8 @@
 // Holders returns the agents of a failure domain that have a version staged.
 type Holders func(domain, model string, version int) []string
 
-// Relay holds the pieces of the newest version of each model in an entry and
-// serves them to agents and other entries.
+// Relay holds the pieces of the newest version of each model in an entry, for a
+// while also of the one before, and serves them to agents and other entries.
 type Relay struct {
 	cfg     Config
 	self    peer.Presence
@@ -71,12 +80,13 @@
 	gate   gate // of reads at the origin
 
 	mu       sync.Mutex
-	versions map[string]*held // by model
+	versions map[string][]*held // by model, newest first
 }
 
 // held is what a relay has of one version.
 type held struct {
 	version  int
+	since    time.Time
 	manifest *Manifest
 	pieces   map[int][]byte
 	fails    int // pieces that did not match in a row
@@ -87,7 +97,7 @@
 	call Caller, log logrus.FieldLogger) *Relay {
 	cfg = cfg.applyDefaults()
 	return &Relay{cfg: cfg, self: self, entries: entries, holders: holders, origin: origin, from: from, call: call, log: log,
-		flight: syncx.NewSingleFlight(), versions: map[string]*held{}}
+		flight: syncx.NewSingleFlight(), versions: map[string][]*held{}}
 }
 
 // PieceKey is what the readers of a piece are chosen by.
@@ -99,11 +109,12 @@
 func ManifestKey(model string, version int) string { return fmt.Sprintf("%s/%d", model, version) }
 
 func (r *Relay) held(model string, version int) *held {
-	h := r.versions[model]
-	if h == nil || h.version != version {
-		return nil
+	for _, h := range r.versions[model] {
+		if h.version == version {
+			return h
+		}
 	}
-	return h
+	return nil
 }
 
 // Manifest returns the manifest of a version.
@@ -128,7 +139,7 @@
 func (r *Relay) readManifest(ctx context.Context, key string, q *peer.GetManifest) (*Manifest, error) {
 	var last error
 	for try := range r.tries(q.Hops) {
-		if try > 0 && !loop.Sleep(ctx, r.cfg.RetryPause) {
+		if try > 0 && !loop.Sleep(ctx, r.cfg.RetryPause<<(try-1)) {
 			break
 		}
 		for _, src := range r.sources(key, q.Hops, try) {
@@ -139,7 +150,7 @@
 			}
 			last = err
 			r.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "try": try,
-				"source": src.String()}).Info("Manifest not had from a source.")
+				"source": src.String()}).Debug("Manifest not had from a source.")
 		}
 	}
 	return nil, errors.Wrapf(ErrNoSource, "manifest of %s version %d: %v", q.Model, q.Version, last)
@@ -229,7 +240,7 @@
 func (r *Relay) readPiece(ctx context.Context, key string, q *peer.GetPiece) ([]byte, error) {
 	var last error
 	for try := range r.tries(q.Hops) {
-		if try > 0 && !loop.Sleep(ctx, r.cfg.RetryPause) {
+		if try > 0 && !loop.Sleep(ctx, r.cfg.RetryPause<<(try-1)) {
 			break
 		}
 		m, err := r.Manifest(ctx, &peer.GetManifest{Model: q.Model, Version: q.Version})
@@ -248,7 +259,7 @@
 			}
 			last = err
 			r.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "piece": q.Index,
-				"try": try, "source": src.String()}).Info("Piece not had from a source.")
+				"try": try, "source": src.String()}).Debug("Piece not had from a source.")
 		}
 	}
 	return nil, errors.Wrapf(ErrNoSource, "piece %d of %s version %d: %v", q.Index, q.Model, q.Version, last)
--- a/weights/relay_test.go
+++ b/weights/relay_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -123,7 +125,7 @@
 // want makes all relays hold a version, without reading ahead.
 func (n *network) want(version int) {
 	for _, r := range n.relays {
-		r.versions[testModel] = &held{version: version, pieces: map[int][]byte{}}
+		r.Hold(testModel, version)
 	}
 }
 
@@ -197,7 +199,7 @@
 	n.want(2)
 	readAll(t, n.relays["c1"], 2)
 	for _, reader := range []string{"a1", "a2"} {
-		n.relays[reader].versions[testModel] = &held{version: 2, pieces: map[int][]byte{}}
+		n.relays[reader].versions[testModel] = []*held{{version: 2, pieces: map[int][]byte{}}}
 	}
 	n.origin.down = true
 	for _, addr := range []string{"a1", "b1", "b2"} {
@@ -229,6 +231,40 @@
 	readAll(t, r, 2)
 }
 
+// Until a newer version can be had whole, engines may have to change to the one
+// before; it is handed out meanwhile.
+func TestVersionBeforeTheNewestIsHandedOut(t *testing.T) {
+	n := newNetwork(threeDomains())
+	n.want(2)
+	readAll(t, n.relays["b1"], 2)
+	n.want(3)
+	n.origin.down = true
+	readAll(t, n.relays["b1"], 2)
+	_, err := n.relays["b1"].Piece(t.Context(), &peer.GetPiece{Model: testModel, Version: 3})
+	assert.ErrorIs(t, err, ErrNoSource)
+	r := n.relays["b1"]
+	r.versions[testModel][0].since = time.Time{}
+	n.want(4)
+	assert.Assert(t, r.held(testModel, 4) != nil && r.held(testModel, 3) == nil && r.held(testModel, 2) == nil)
+}
+
+// The origin may go away in the middle; reading ahead goes on when it is back.
+func TestReadingAheadOutlivesTheOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(map[string]string{"a1": "a"})
+		n.origin.down = true
+		r := n.relays["a1"]
+		r.Want(t.Context(), testModel, 2, testPieces)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(r.ownMissing(testModel, 2, testPieces)), testPieces)
+		n.origin.mu.Lock()
+		n.origin.down = false
+		n.origin.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(r.ownMissing(testModel, 2, testPieces)), 0)
+	})
+}
+
 func TestOriginConnectionsAreShared(t *testing.T) {
 	n := newNetwork(threeDomains())
 	r := n.relays["a1"]
@@ -276,5 +312,5 @@
 	r := n.relays["a1"]
 	n.want(3)
 	r.Want(t.Context(), testModel, 2, testPieces)
-	assert.Equal(t, r.versions[testModel].version, 3)
+	assert.Equal(t, r.versions[testModel][0].version, 3)
 }
