--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -59,10 +59,9 @@
 	stalled int      // version of which a piece could not be had lately; 0 is none
 }
 
-// worthFinishing is the share of a version's pieces from which on its staging
-// is finished although a newer version was announced: until that is whole, it is
-// what the engine can load in time.
-const worthFinishing = 0.5
+// mostly is the share of a version's pieces from which on a piece that cannot be
+// had is waited for: the rest comes sooner than all of another version.
+const mostly = 0.5
 
 // Plan decides the next step.
 func (c Config) Plan(now time.Time, r Report, o order, h holdings) Step {
@@ -100,18 +99,21 @@
 }
 
 // olderGoal returns the version before the newest that is to be staged or
-// loaded first, or zero: one that is staged for the most part, or, while the
-// newest cannot be had, the one before it.
+// loaded first, or zero. One whose staging has begun is finished: the entries
+// have its pieces, while the newest still has to come from the origin, which may
+// go away. One change of version too many costs less than none in time.
+// Otherwise it is the one before the newest while that cannot be had.
 func olderGoal(pending []wanted, h holdings) int {
+	newest := pending[len(pending)-1].version
 	older := pending[:len(pending)-1]
 	if len(older) == 0 {
 		return 0
 	}
-	staged := slices.ContainsFunc(older, func(w wanted) bool { return w.version == h.staged.version })
-	if staged && h.staged.share >= worthFinishing {
+	begun := slices.ContainsFunc(older, func(w wanted) bool { return w.version == h.staged.version })
+	if begun && h.staged.share > 0 && h.stalled != h.staged.version {
 		return h.staged.version
 	}
-	if h.stalled == pending[len(pending)-1].version {
+	if h.stalled == newest && !(h.staged.version == newest && h.staged.share >= mostly) {
 		return older[len(older)-1].version
 	}
 	return 0
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -200,11 +200,7 @@
 			return s.cfg.Poll
 		}
 	}
-	parallel := s.cfg.Fetches
-	if r.serves(o.Model, o.Layers) > 0 {
-		parallel = s.cfg.FetchesServing
-	}
-	if err := s.fetchMissing(ctx, parallel); err != nil {
+	if err := s.fetchMissing(ctx, s.parallel(o, r)); err != nil {
 		s.log.WithError(err).WithFields(logrus.Fields{"version": version, "missing": s.stage.missing}).Warn("Staging is not complete.")
 		s.stall(version)
 		return s.cfg.PollBusy
@@ -213,11 +209,25 @@
 		took := time.Since(s.stage.started).Milliseconds()
 		s.stats.stageTime.Update(took)
 		s.log.WithFields(logrus.Fields{"model": o.Model, "version": version, "pieces": len(s.stage.staged),
-			"ms": took}).Info("Staged.")
+			"ms": took, "fetch_ms": s.stage.spent.fetching.Load() / int64(time.Millisecond),
+			"put_ms": s.stage.spent.staging.Load() / int64(time.Millisecond)}).Info("Staged.")
 	}
 	return 0
 }
 
+// parallel returns how many pieces are fetched at once. An engine whose version
+// is overdue gets no requests, so its link is free.
+func (s *Sidecar) parallel(o order, r Report) int {
+	serving := r.serves(o.Model, o.Layers)
+	timeout := time.Duration(o.TimeoutMs) * time.Millisecond
+	pending := o.pending(serving)
+	overdue := len(pending) > 0 && timeout > 0 && time.Since(pending[0].announced) > timeout-s.cfg.Margin
+	if serving == 0 || overdue {
+		return s.cfg.Fetches
+	}
+	return s.cfg.FetchesServing
+}
+
 // stall puts a version behind an older one for a while.
 func (s *Sidecar) stall(version int) {
 	s.stalled, s.stalledUntil = version, time.Now().Add(s.cfg.StallFor)
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,8 +29,12 @@
 	checked  []time.Time // when each piece was last known to be sound
 	missing  int         // at the engine
 	started  time.Time
+	spent    spent
 }
 
+// spent is the time that all pieces together took.
+type spent struct{ fetching, staging atomic.Int64 } // ns
+
 func newStage(m *weights.Manifest) *stage {
 	n := len(m.Digests)
 	return &stage{model: m.Model, version: m.Version, manifest: m, staged: make([]bool, n), pieces: make([][]byte, n),
@@ -174,19 +179,23 @@
 			return err
 		}
 	}
+	began := time.Now()
 	if err := s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, s.stage.pieces[index]); err != nil {
 		return err
 	}
+	s.stage.spent.staging.Add(int64(time.Since(began)))
 	s.stage.pieces[index] = nil // it lies at the engine; memory is paid for
 	return nil
 }
 
 // keep fetches one piece into memory.
 func (s *Sidecar) keep(ctx context.Context, st *stage, index int) error {
+	began := time.Now()
 	data, err := s.source.Piece(ctx, st.manifest, index)
 	if err != nil {
 		return err
 	}
+	st.spent.fetching.Add(int64(time.Since(began)))
 	st.pieces[index] = data
 	s.stats.fetched.Inc(1)
 	return nil
