--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -23,10 +23,6 @@
 	// what staging takes at the least: two links of 2 s each, overlapping.
 	// Default 2.5 s.
 	Lead time.Duration
-	// MinWindow is the least time over which turns are spread. A newer version
-	// that is announced during a change puts off the first turn, so that engines
-	// change once, but not the last. Default 1.5 s.
-	MinWindow time.Duration
 	// Margin is how long before the end of the time allowed the last turn
 	// comes. Default 1.3 s: entries stop using older versions 0.7 s before
 	// the end.
@@ -52,7 +48,6 @@
 	c.PollBusy = cmp.Or(c.PollBusy, 40*time.Millisecond)
 	c.PollDown = cmp.Or(c.PollDown, 100*time.Millisecond)
 	c.Lead = cmp.Or(c.Lead, 2500*time.Millisecond)
-	c.MinWindow = cmp.Or(c.MinWindow, 1500*time.Millisecond)
 	c.Margin = cmp.Or(c.Margin, 1300*time.Millisecond)
 	c.Fetches = cmp.Or(c.Fetches, 3)
 	c.FetchesServing = cmp.Or(c.FetchesServing, 1)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -158,7 +158,7 @@
 		return s.cfg.PollDown // asked for again at the next turn
 	}
 	// Staging itself fails until the engine answers; what was fetched stays.
-	_ = s.fetchMissing(ctx, s.cfg.Fetches)
+	_ = s.fetchMissing(ctx, func() int { return s.cfg.Fetches })
 	return s.cfg.PollDown
 }
 
@@ -200,7 +200,7 @@
 			return s.cfg.Poll
 		}
 	}
-	if err := s.fetchMissing(ctx, s.parallel(o, r)); err != nil {
+	if err := s.fetchMissing(ctx, func() int { return s.parallel(o, r) }); err != nil {
 		s.log.WithError(err).WithFields(logrus.Fields{"version": version, "missing": s.stage.missing}).Warn("Staging is not complete.")
 		s.stall(version)
 		return s.cfg.PollBusy
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -137,18 +137,20 @@
 }
 
 // fetchMissing fetches and stages the pieces that are missing, until a newer
-// version is announced.
-func (s *Sidecar) fetchMissing(ctx context.Context, parallel int) error {
+// version is announced or more pieces may be fetched at once than parallel says
+// now.
+func (s *Sidecar) fetchMissing(ctx context.Context, parallel func() int) error {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var firstErr error
 	announced := s.assigned().Version
-	slots := make(chan struct{}, parallel)
+	atOnce := parallel()
+	slots := make(chan struct{}, atOnce)
 	for i, ok := range s.stage.staged {
 		if ok {
 			continue
 		}
-		if s.assigned().Version != announced || ctx.Err() != nil {
+		if s.assigned().Version != announced || parallel() > atOnce || ctx.Err() != nil {
 			break
 		}
 		slots <- struct{}{}
--- a/sidecar/wanted.go
+++ b/sidecar/wanted.go
@@ -64,25 +64,16 @@
 }
 
 // turn returns when the engine may load. The turns of all engines are spread
-// evenly, so that as few as possible are out of service at once: from when the
-// newest version can be staged, until the oldest must be served.
+// evenly over the time that the oldest pending version is allowed, so that as few
+// as possible are out of service at once.
 func (c Config) turn(o order, pending []wanted) time.Time {
-	first, newest := pending[0].announced, pending[len(pending)-1].announced
-	timeout := time.Duration(o.TimeoutMs) * time.Millisecond
-	alone := o.Turns <= 1
-	if timeout <= c.Lead+c.Margin || alone && len(pending) == 1 {
+	first := pending[0].announced
+	window := time.Duration(o.TimeoutMs)*time.Millisecond - c.Lead - c.Margin
+	switch {
+	case window <= 0 || o.Turns <= 1 && len(pending) == 1:
 		return first
+	case o.Turns <= 1:
+		return first.Add(c.Lead) // the newer version may be whole by then
 	}
-	end := first.Add(timeout - c.Margin)
-	start := newest.Add(c.Lead)
-	if latest := end.Add(-c.MinWindow); start.After(latest) {
-		start = latest
-	}
-	if earliest := first.Add(c.Lead); start.Before(earliest) {
-		start = earliest
-	}
-	if alone {
-		return start // a newer version may still come in time
-	}
-	return start.Add(end.Sub(start) * time.Duration(o.Turn) / time.Duration(o.Turns-1))
+	return first.Add(c.Lead + window*time.Duration(o.Turn)/time.Duration(o.Turns-1))
 }
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -196,6 +196,9 @@
 	return m, nil
 }
 
+// manifestRank puts a manifest before all pieces: nothing can be checked without.
+const manifestRank = -1
+
 func (r *Relay) originManifest(ctx context.Context, q *peer.GetManifest) (*Manifest, error) {
 	o := r.origin()
 	if o == nil {
@@ -203,7 +206,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.OriginTimeout)
 	defer cancel()
-	if err := r.gate.enter(ctx, r.originConns(o)); err != nil {
+	if err := r.gate.enter(ctx, r.originConns(o), manifestRank); err != nil {
 		return nil, err
 	}
 	defer r.gate.leave()
@@ -319,7 +322,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.OriginTimeout)
 	defer cancel()
-	if err := r.gate.enter(ctx, r.originConns(o)); err != nil {
+	if err := r.gate.enter(ctx, r.originConns(o), q.Index); err != nil {
 		return nil, err
 	}
 	defer r.gate.leave()
