--- a/command/gateway.go
+++ b/command/gateway.go
@@ -94,7 +94,7 @@
 	e.follower = mirror.NewFollower(mirror.Config{}, table, e.source(store), e.otherSource(store), telemetry.Part(p.log, "mirror"))
 	e.relay = weights.NewRelay(weights.Config{}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
 		telemetry.Part(p.log, "weights"))
-	e.control = gateway.NewControl(gateway.ControlOptions{Config: gateway.ControlConfig{VersionTimeout: s.VersionTimeout()},
+	e.control = gateway.NewControl(gateway.ControlOptions{Addr: p.self.Addr, Config: gateway.ControlConfig{VersionTimeout: s.VersionTimeout()},
 		Gateway: e.gateway, Book: e.book, Decoder: platform.Decoder{}, Table: table,
 		Outage: e.follower.Outage, Roster: gateway.Roster{Hold: rosterHold, CatchUp: rosterCatchUp}, Relay: e.relay,
 		Log: telemetry.Part(p.log, "control")})
--- a/gateway/assign.go
+++ b/gateway/assign.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/peer"
@@ -18,6 +19,7 @@
 	since    time.Time
 	order    []string // addresses of engines that change, in turn
 	assigned bool     // the operators named the version
+	withheld bool     // its pieces cannot be read
 	before   *assignment
 }
 
@@ -99,6 +101,24 @@
 	c.changed = make(chan struct{})
 }
 
+// updateWithheld tells the agents when pieces of a version cannot be read, and
+// when they can be again.
+func (c *Control) updateWithheld() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, a := range c.assignments {
+		failing := c.relay.Failing(a.model.Model, a.version)
+		if failing == a.withheld {
+			continue
+		}
+		a.withheld = failing
+		c.log.WithFields(logrus.Fields{"service": service, "model": a.model.Model, "version": a.version,
+			"withheld": failing}).Info("Agents told whether the version can be read.")
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+}
+
 // Assignment implements mesh.Listener.
 func (c *Control) Assignment(agent peer.Presence) (*peer.Assignment, <-chan struct{}) {
 	c.mu.Lock()
@@ -107,7 +127,7 @@
 	if a == nil {
 		return nil, c.changed
 	}
-	out := &peer.Assignment{Model: a.model.Model, Version: a.version, Layers: a.model.Layers, Pieces: a.model.Chunks,
+	out := &peer.Assignment{Entry: c.addr, Withheld: a.withheld, Model: a.model.Model, Version: a.version, Layers: a.model.Layers, Pieces: a.model.Chunks,
 		AgeMs: time.Since(a.since).Milliseconds(), TimeoutMs: c.cfg.VersionTimeout.Milliseconds(), Turns: len(a.order)}
 	out.Earlier = a.earlier(time.Now(), c.cfg.VersionTimeout)
 	out.Turn = max(slices.Index(a.order, agent.Engine), 0)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -39,12 +39,15 @@
 	// Hold reads those of a version that is not new as agents ask for them. It
 	// reports whether the version was not held before.
 	Hold(model string, version int) bool
+	// Failing reports whether pieces of a version could not be read lately.
+	Failing(model string, version int) bool
 }
 
 // Control owns what an entry believes of the fleet. Its goroutine follows the
 // copies of the store and hands the results to the gateway and its book.
 type Control struct {
 	cfg     ControlConfig
+	addr    string // of this entry, for its peers
 	gateway *Gateway
 	book    *dispatch.Book
 	decoder Decoder
@@ -81,6 +84,7 @@
 // ControlOptions are what a Control is made of.
 type ControlOptions struct {
 	Config  ControlConfig
+	Addr    string
 	Gateway *Gateway
 	Book    *dispatch.Book
 	Decoder Decoder
@@ -94,7 +98,7 @@
 // NewControl returns a control that is not running.
 func NewControl(o ControlOptions) *Control {
 	o.Config.Tick = cmp.Or(o.Config.Tick, 200*time.Millisecond)
-	return &Control{cfg: o.Config, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, table: o.Table,
+	return &Control{cfg: o.Config, addr: o.Addr, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]int64{}, assignments: map[string]*assignment{},
 		holders: map[string]holder{},
@@ -116,6 +120,7 @@
 			case <-changed:
 				break wait
 			case <-ticker.C:
+				c.updateWithheld()
 				if c.roster.Pending() {
 					break wait
 				}
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -96,6 +96,7 @@
 
 // Assignment tells an agent what the engine beside it is to serve.
 type Assignment struct {
+	Entry   string // address of the entry that says so
 	Model   string
 	Version int
 	Layers  int
@@ -105,6 +106,8 @@
 	AgeMs, TimeoutMs int64
 	// Turn of Turns is the engine's place in the order of the change.
 	Turn, Turns int
+	// Withheld is true while the entry fails to read pieces of the version.
+	Withheld bool
 	// Earlier are versions announced before, oldest first: until all engines
 	// serve the newest, these must be served in time too.
 	Earlier []AnnouncedVersion
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -31,6 +31,10 @@
 	// not serve yet, and FetchesServing for one that does: live requests share
 	// the link. Defaults 3 and 1.
 	Fetches, FetchesServing int
+	// FetchRound is how long pieces of a newer version are fetched before the
+	// next step is decided anew: the engine's turn to load the older one may have
+	// come. Default 250 ms, a few pieces.
+	FetchRound time.Duration
 	// FetchTimeout bounds one piece. Default 6 s.
 	FetchTimeout time.Duration
 	// CallTimeout bounds a call to the engine. Default 2 s.
@@ -51,6 +55,7 @@
 	c.Margin = cmp.Or(c.Margin, 1300*time.Millisecond)
 	c.Fetches = cmp.Or(c.Fetches, 3)
 	c.FetchesServing = cmp.Or(c.FetchesServing, 1)
+	c.FetchRound = cmp.Or(c.FetchRound, 250*time.Millisecond)
 	c.FetchTimeout = cmp.Or(c.FetchTimeout, 6*time.Second)
 	c.CallTimeout = cmp.Or(c.CallTimeout, 2*time.Second)
 	c.StallFor = cmp.Or(c.StallFor, 3*time.Second)
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"slices"
 	"time"
 
 	"github.com/springgate/springgate/fleet"
@@ -59,8 +58,8 @@
 	stalled int      // version of which a piece could not be had lately; 0 is none
 }
 
-// mostly is the share of a version's pieces from which on a piece that cannot be
-// had is waited for: the rest comes sooner than all of another version.
+// mostly is the share of a version's pieces from which on the rest is waited
+// for: it comes sooner than all of another version.
 const mostly = 0.5
 
 // Plan decides the next step.
@@ -73,48 +72,68 @@
 	case r.Busy:
 		return Step{Action: Watch}
 	}
-	mayLoad := serving == 0 || !now.Before(c.turn(o, pending))
-	newest := pending[len(pending)-1].version
-	if h.staged.version == newest && h.staged.whole {
-		return loadOr(mayLoad, newest, Step{Await, newest})
+	newest := pending[len(pending)-1]
+	if h.staged.version == newest.version && h.staged.whole {
+		if serving == 0 || !now.Before(c.turnsOf(o, pending, newest).at(o.Turn, o.Turns)) {
+			return Step{Load, newest.version}
+		}
+		return Step{Await, newest.version}
 	}
-	if h.fetched.version == newest && h.fetched.whole {
-		return Step{Stage, newest}
+	if len(pending) == 1 || h.fetched.version == newest.version && h.fetched.whole {
+		return Step{Stage, newest.version}
+	}
+	return c.planTwo(now, serving, pending, o, h)
+}
+
+// planTwo decides while a version is announced before the engine has changed to
+// the one before. Changing once is better than twice, so the newest goes first.
+// But it still has to come from the origin, which may go away: while it cannot be
+// had, the engine changes to the older one in time. What is staged of that stays
+// where it is until the newest is whole in the agent's memory.
+func (c Config) planTwo(now time.Time, serving int, pending []wanted, o order, h holdings) Step {
+	newest := pending[len(pending)-1]
+	older := olderGoal(pending[:len(pending)-1], h)
+	withheld := o.withheld() || h.stalled == newest.version
+	staged := progress{}
+	if h.staged.version == older.version {
+		staged = h.staged
 	}
-	older := olderGoal(pending, h)
 	switch {
-	case older == 0:
-		return Step{Stage, newest}
-	case h.staged.version == older && h.staged.whole:
-		return loadOr(mayLoad, older, Step{Fetch, newest})
+	case staged.whole && (serving == 0 || !now.Before(c.loadOlderAt(o, pending, older, withheld, h))):
+		return Step{Load, older.version}
+	case staged.whole:
+		return Step{Fetch, newest.version}
+	case h.staged.version == newest.version && h.staged.share >= mostly:
+		return Step{Stage, newest.version}
+	case withheld, serving == 0 && staged.share >= mostly:
+		return Step{Stage, older.version}
+	case staged.share > 0:
+		return Step{Fetch, newest.version}
 	}
-	return Step{Stage, older}
+	return Step{Stage, newest.version}
 }
 
-func loadOr(mayLoad bool, version int, otherwise Step) Step {
-	if mayLoad {
-		return Step{Load, version}
+// loadOlderAt returns when the engine loads an older version that is staged
+// whole: at its turn while the newest cannot be had; else when it would be late,
+// if the newest is not near its end.
+func (c Config) loadOlderAt(o order, pending []wanted, older wanted, withheld bool, h holdings) time.Time {
+	t := c.turnsOf(o, pending, older)
+	switch {
+	case withheld:
+		return t.at(o.Turn, o.Turns)
+	case h.fetched.share >= mostly:
+		return t.end.Add(c.Margin)
 	}
-	return otherwise
+	return t.end
 }
 
-// olderGoal returns the version before the newest that is to be staged or
-// loaded first, or zero. One whose staging has begun is finished: the entries
-// have its pieces, while the newest still has to come from the origin, which may
-// go away. One change of version too many costs less than none in time.
-// Otherwise it is the one before the newest while that cannot be had.
-func olderGoal(pending []wanted, h holdings) int {
-	newest := pending[len(pending)-1].version
-	older := pending[:len(pending)-1]
-	if len(older) == 0 {
-		return 0
-	}
-	begun := slices.ContainsFunc(older, func(w wanted) bool { return w.version == h.staged.version })
-	if begun && h.staged.share > 0 && h.stalled != h.staged.version {
-		return h.staged.version
-	}
-	if h.stalled == newest && !(h.staged.version == newest && h.staged.share >= mostly) {
-		return older[len(older)-1].version
+// olderGoal returns the version before the newest that may be loaded first: the
+// one that is staged, or else the last.
+func olderGoal(older []wanted, h holdings) wanted {
+	for _, w := range older {
+		if w.version == h.staged.version {
+			return w
+		}
 	}
-	return 0
+	return older[len(older)-1]
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/peer"
 )
@@ -130,7 +131,7 @@
 	case Stage:
 		return s.stageAll(ctx, o, step.Version, r)
 	case Fetch:
-		return s.fetchNewer(ctx, o, step.Version, r)
+		return s.fetchNewer(ctx, o, step.Version)
 	case Load:
 		return s.load(ctx, o, step.Version, r)
 	}
@@ -139,11 +140,13 @@
 }
 
 // fetchNewer fetches a newer version than the one that waits for its turn.
-func (s *Sidecar) fetchNewer(ctx context.Context, o order, version int, r Report) time.Duration {
-	until := s.cfg.turn(o, o.pending(r.serves(o.Model, o.Layers)))
-	if err := s.fetchAhead(ctx, o, version, until); err != nil {
-		s.log.WithError(err).WithField("version", version).Info("Newer version not fetched yet.")
+func (s *Sidecar) fetchNewer(ctx context.Context, o order, version int) time.Duration {
+	err := s.fetchAhead(ctx, o, version)
+	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+		return 0
 	}
+	s.log.WithError(err).WithField("version", version).Info("Newer version not fetched yet.")
+	s.stall(version)
 	return s.cfg.PollBusy
 }
 
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -204,9 +204,9 @@
 }
 
 // fetchAhead keeps pieces of the newest version in memory while an older one
-// lies staged, until it is the engine's turn to load that.
-func (s *Sidecar) fetchAhead(ctx context.Context, o order, version int, until time.Time) error {
-	ctx, cancel := context.WithDeadline(ctx, until)
+// lies staged. It stops after a while, so that the next step is decided anew.
+func (s *Sidecar) fetchAhead(ctx context.Context, o order, version int) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.FetchRound)
 	defer cancel()
 	if !s.ahead.is(o.Model, version) {
 		m, err := s.manifest(ctx, o.Model, version)
@@ -219,9 +219,6 @@
 		if data != nil {
 			continue
 		}
-		if s.assigned().Version != version {
-			return nil
-		}
 		if err := s.keep(ctx, s.ahead, i); err != nil {
 			return err
 		}
--- a/sidecar/wanted.go
+++ b/sidecar/wanted.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,18 +23,25 @@
 // versions announced before it that may not be served yet.
 type order struct {
 	peer.Assignment
-	versions []wanted // oldest first; the last is the assignment's
+	versions []wanted        // oldest first; the last is the assignment's
+	failing  map[string]bool // entries that fail to read the newest version
 }
 
 // merge takes an entry's assignment. All entries send theirs; the highest
 // version counts, and of the same version the earliest announcement.
 func (o order) merge(now time.Time, a peer.Assignment) order {
-	out := order{Assignment: a}
+	out := order{Assignment: a, failing: map[string]bool{}}
 	if o.Model == a.Model {
 		out.versions = slices.Clone(o.versions)
 		if o.Version > a.Version {
 			out.Assignment = o.Assignment
 		}
+		if o.Version >= a.Version {
+			out.failing = maps.Clone(o.failing)
+		}
+	}
+	if a.Version == out.Version {
+		out.failing[a.Entry] = a.Withheld
 	}
 	for _, v := range append(a.Earlier, peer.AnnouncedVersion{Version: a.Version, AgeMs: a.AgeMs}) {
 		out.add(wanted{v.Version, now.Add(-time.Duration(v.AgeMs) * time.Millisecond)})
@@ -41,6 +49,16 @@
 	return out
 }
 
+// withheld reports whether an entry fails to read the newest version.
+func (o order) withheld() bool {
+	for _, failing := range o.failing {
+		if failing {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *order) add(w wanted) {
 	i, found := slices.BinarySearchFunc(o.versions, w.version, func(x wanted, v int) int { return cmp.Compare(x.version, v) })
 	if found {
@@ -63,17 +81,31 @@
 	return nil
 }
 
-// turn returns when the engine may load. The turns of all engines are spread
-// evenly over the time that the oldest pending version is allowed, so that as few
-// as possible are out of service at once.
-func (c Config) turn(o order, pending []wanted) time.Time {
+// turns are the times between which all engines change to one version, spread
+// evenly so that as few as possible are out of service at once.
+type turns struct {
+	start, end time.Time
+}
+
+// turnsOf returns the turns for a pending version: from when it can be staged
+// until the oldest pending version must be served.
+func (c Config) turnsOf(o order, pending []wanted, version wanted) turns {
 	first := pending[0].announced
 	window := time.Duration(o.TimeoutMs)*time.Millisecond - c.Lead - c.Margin
-	switch {
-	case window <= 0 || o.Turns <= 1 && len(pending) == 1:
-		return first
-	case o.Turns <= 1:
-		return first.Add(c.Lead) // the newer version may be whole by then
+	if window <= 0 || o.Turns <= 1 && len(pending) == 1 {
+		return turns{first, first}
+	}
+	t := turns{version.announced.Add(c.Lead), first.Add(c.Lead + window)}
+	if t.start.After(t.end) {
+		t.start = t.end
+	}
+	return t
+}
+
+// at returns when the engine's own turn comes.
+func (t turns) at(turn, of int) time.Time {
+	if of <= 1 {
+		return t.start
 	}
-	return first.Add(c.Lead + window*time.Duration(o.Turn)/time.Duration(o.Turns-1))
+	return t.start.Add(t.end.Sub(t.start) * time.Duration(turn) / time.Duration(of-1))
 }
--- a/weights/prefetch.go
+++ b/weights/prefetch.go
@@ -99,6 +99,7 @@
 			defer wg.Done()
 			defer func() { <-slots }()
 			_, errs[k] = r.Piece(ctx, &peer.GetPiece{Model: model, Version: version, Index: i})
+			r.setFailing(model, version, errs[k] != nil)
 		}()
 	}
 	wg.Wait()
@@ -110,6 +111,22 @@
 	return nil
 }
 
+func (r *Relay) setFailing(model string, version int, failing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h := r.held(model, version); h != nil {
+		h.failing = failing
+	}
+}
+
+// Failing reports whether pieces of a version could not be read ahead lately.
+func (r *Relay) Failing(model string, version int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.held(model, version)
+	return h != nil && h.failing
+}
+
 // awaitHolders waits for agents that have the version staged already, if there
 // is reason to expect any: a version that engines held at their start.
 func (r *Relay) awaitHolders(ctx context.Context, model string, version int) {
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -89,7 +89,8 @@
 	since    time.Time
 	manifest *Manifest
 	pieces   map[int][]byte
-	fails    int // pieces that did not match in a row
+	fails    int  // pieces that did not match in a row
+	failing  bool // the last piece that was read ahead could not be had
 }
 
 // NewRelay returns an empty relay.
