--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -29,12 +29,14 @@
 	Margin time.Duration
 	// Fetches is how many pieces are fetched at once for an engine that does
 	// not serve yet, and FetchesServing for one that does: live requests share
-	// the link. Defaults 3 and 1.
+	// the link. One at a time leaves the link idle between two pieces. Defaults 3
+	// and 2.
 	Fetches, FetchesServing int
-	// FetchRound is how long pieces of a newer version are fetched before the
-	// next step is decided anew: the engine's turn to load the older one may have
-	// come. Default 250 ms, a few pieces.
-	FetchRound time.Duration
+	// FetchRound is how long pieces of a newer version are begun before the next
+	// step is decided anew: the engine's turn to load the older one may have come.
+	// FetchWait bounds the wait for those that were begun. Defaults 250 ms, a few
+	// pieces, and 1 s.
+	FetchRound, FetchWait time.Duration
 	// FetchTimeout bounds one piece. Default 6 s.
 	FetchTimeout time.Duration
 	// CallTimeout bounds a call to the engine. Default 2 s.
@@ -54,7 +56,8 @@
 	c.Lead = cmp.Or(c.Lead, 2500*time.Millisecond)
 	c.Margin = cmp.Or(c.Margin, 1300*time.Millisecond)
 	c.Fetches = cmp.Or(c.Fetches, 3)
-	c.FetchesServing = cmp.Or(c.FetchesServing, 1)
+	c.FetchesServing = cmp.Or(c.FetchesServing, 2)
+	c.FetchWait = cmp.Or(c.FetchWait, time.Second)
 	c.FetchRound = cmp.Or(c.FetchRound, 250*time.Millisecond)
 	c.FetchTimeout = cmp.Or(c.FetchTimeout, 6*time.Second)
 	c.CallTimeout = cmp.Or(c.CallTimeout, 2*time.Second)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -131,7 +131,7 @@
 	case Stage:
 		return s.stageAll(ctx, o, step.Version, r)
 	case Fetch:
-		return s.fetchNewer(ctx, o, step.Version)
+		return s.fetchNewer(ctx, o, step.Version, r)
 	case Load:
 		return s.load(ctx, o, step.Version, r)
 	}
@@ -140,8 +140,8 @@
 }
 
 // fetchNewer fetches a newer version than the one that waits for its turn.
-func (s *Sidecar) fetchNewer(ctx context.Context, o order, version int) time.Duration {
-	err := s.fetchAhead(ctx, o, version)
+func (s *Sidecar) fetchNewer(ctx context.Context, o order, version int, r Report) time.Duration {
+	err := s.fetchAhead(ctx, o, version, s.parallel(o, r))
 	if err == nil || errors.Is(err, context.DeadlineExceeded) {
 		return 0
 	}
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -137,32 +137,43 @@
 }
 
 // fetchMissing fetches and stages the pieces that are missing, until a newer
-// version is announced or more pieces may be fetched at once than parallel says
-// now.
+// version is announced or more pieces may be fetched at once than when it began.
 func (s *Sidecar) fetchMissing(ctx context.Context, parallel func() int) error {
+	var missing []int
+	for i, ok := range s.stage.staged {
+		if !ok {
+			missing = append(missing, i)
+		}
+	}
+	announced, atOnce := s.assigned().Version, parallel()
+	goOn := func() bool { return s.assigned().Version == announced && parallel() <= atOnce }
+	return each(ctx, missing, atOnce, goOn, func(i int) (func(), error) {
+		err := s.fetch(ctx, i)
+		return func() { s.mark(i, true) }, err
+	})
+}
+
+// each does something for all indexes, some at once, while goOn allows. Of the
+// results, done is called for one at a time. It returns the first error.
+func each(ctx context.Context, indexes []int, atOnce int, goOn func() bool, do func(i int) (done func(), err error)) error {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var firstErr error
-	announced := s.assigned().Version
-	atOnce := parallel()
 	slots := make(chan struct{}, atOnce)
-	for i, ok := range s.stage.staged {
-		if ok {
-			continue
-		}
-		if s.assigned().Version != announced || parallel() > atOnce || ctx.Err() != nil {
+	for _, i := range indexes {
+		slots <- struct{}{}
+		if !goOn() || ctx.Err() != nil {
 			break
 		}
-		slots <- struct{}{}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			defer func() { <-slots }()
-			err := s.fetch(ctx, i)
+			done, err := do(i)
 			mu.Lock()
 			defer mu.Unlock()
 			if err == nil {
-				s.mark(i, true)
+				done()
 			} else if firstErr == nil {
 				firstErr = err
 			}
@@ -204,9 +215,10 @@
 }
 
 // fetchAhead keeps pieces of the newest version in memory while an older one
-// lies staged. It stops after a while, so that the next step is decided anew.
-func (s *Sidecar) fetchAhead(ctx context.Context, o order, version int) error {
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.FetchRound)
+// lies staged. After a while it begins no more of them, so that the next step is
+// decided anew.
+func (s *Sidecar) fetchAhead(ctx context.Context, o order, version, atOnce int) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.FetchWait)
 	defer cancel()
 	if !s.ahead.is(o.Model, version) {
 		m, err := s.manifest(ctx, o.Model, version)
@@ -215,17 +227,22 @@
 		}
 		s.ahead = newStage(m)
 	}
-	for i, data := range s.ahead.pieces {
-		if data != nil {
-			continue
-		}
-		if err := s.keep(ctx, s.ahead, i); err != nil {
-			return err
+	st := s.ahead
+	var missing []int
+	for i, data := range st.pieces {
+		if data == nil {
+			missing = append(missing, i)
 		}
 	}
-	s.log.WithFields(logrus.Fields{"model": o.Model, "version": version, "pieces": len(s.ahead.pieces),
-		"ms": time.Since(s.ahead.started).Milliseconds()}).Info("Fetched ahead.")
-	return nil
+	until := time.Now().Add(s.cfg.FetchRound)
+	err := each(ctx, missing, atOnce, func() bool { return time.Now().Before(until) }, func(i int) (func(), error) {
+		return func() {}, s.keep(ctx, st, i)
+	})
+	if st.fetchedProgress().whole {
+		s.log.WithFields(logrus.Fields{"model": o.Model, "version": version, "pieces": len(st.pieces),
+			"ms": time.Since(st.started).Milliseconds()}).Info("Fetched ahead.")
+	}
+	return err
 }
 
 // ServePiece hands a piece that lies at the engine to an entry, which checks it.
