--- a/command/platform.go
+++ b/command/platform.go
@@ -88,7 +88,8 @@
 	}
 	debug.SetGCPercent(garbagePercent)
 	p := &onPlatform{settings: s, log: log, logWriter: out, metrics: metrics.NewRegistry(), meter: &peer.Meter{}}
-	p.self = peer.Presence{Host: s.Host, Role: role, Domain: s.Domain, Incarnation: uint64(time.Now().UnixNano())}
+	p.self = peer.Presence{Host: s.Host, Role: role, Domain: s.Domain, Incarnation: uint64(time.Now().UnixNano()),
+		LinkMbps: s.Limits.LinkMbps}
 	if role == roleEntry {
 		p.self.Addr = s.PeerAddr()
 	} else {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -307,15 +307,24 @@
 
 // Nearest returns up to n live entries that this process should ask for key, in
 // order: those of the own failure domain by rendezvous hashing, then others.
+// Entries with slow links are left out.
 func (m *Mesh) Nearest(key string, n int) []string {
-	var near, far []string
+	var near, far []peer.Presence
 	for _, p := range m.Entries() {
 		if p.Domain == m.self.Domain {
-			near = append(near, p.Addr)
+			near = append(near, p)
 		} else {
-			far = append(far, p.Addr)
+			far = append(far, p)
 		}
 	}
-	near = membership.Rank(key, near, n)
-	return append(near, membership.Rank(key, far, n-len(near))...)
+	out := membership.Rank(key, addrsOf(peer.Fast(near)), n)
+	return append(out, membership.Rank(key, addrsOf(peer.Fast(far)), n-len(out))...)
+}
+
+func addrsOf(list []peer.Presence) []string {
+	out := make([]string, len(list))
+	for i, p := range list {
+		out[i] = p.Addr
+	}
+	return out
 }
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -52,11 +52,33 @@
 	Incarnation uint64
 	Revision    int64 // how far its copy of the store reaches
 	Leaving     bool
+	// LinkMbps is the rate of the host's link; 0 if not known.
+	LinkMbps float64
 }
 
 // Kind implements Message.
 func (*Presence) Kind() Kind { return kindPresence }
 
+// fastShare is the part of the fastest link's rate from which on a host carries
+// bulk traffic.
+const fastShare = 0.5
+
+// Fast returns the hosts that should carry bulk traffic: those whose links are
+// not much slower than the fastest. The others need theirs for live requests.
+func Fast(list []Presence) []Presence {
+	most := 0.0
+	for _, p := range list {
+		most = max(most, p.LinkMbps)
+	}
+	var out []Presence
+	for _, p := range list {
+		if p.LinkMbps >= fastShare*most {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // Presences answers a Presence with the entries that the peer knows.
 type Presences struct{ Entries []Presence }
 
--- a/weights/relay_test.go
+++ b/weights/relay_test.go
@@ -153,6 +153,22 @@
 	}
 }
 
+// Entries with slow links need them for live requests.
+func TestSlowLinksCarryNoPieces(t *testing.T) {
+	n := newNetwork(threeDomains())
+	r := n.relays["a1"]
+	r.self.LinkMbps = 40
+	r.entries = func() []peer.Presence {
+		return []peer.Presence{{Addr: "a2", Domain: "a", LinkMbps: 200}, {Addr: "b1", Domain: "b", LinkMbps: 40}, {Addr: "b2", Domain: "b", LinkMbps: 30}}
+	}
+	seen := map[string]bool{}
+	for i := range testPieces {
+		assert.Equal(t, r.reader(PieceKey(testModel, 2, i), "a"), "a2")
+		seen[r.reader(PieceKey(testModel, 2, i), "b")] = true
+	}
+	assert.Equal(t, len(seen), 2, "both carry, neither is much slower")
+}
+
 func TestSpoiltPieceIsReadAgain(t *testing.T) {
 	n := newNetwork(threeDomains())
 	n.want(2)
--- a/weights/sources.go
+++ b/weights/sources.go
@@ -45,17 +45,21 @@
 }
 
 // reader returns the entry of a failure domain that reads key, this one
-// included, or "" if the domain has none.
+// included, or "" if the domain has none. Entries with slow links read nothing.
 func (r *Relay) reader(key, domain string) string {
-	var addrs []string
+	var list []peer.Presence
 	if r.self.Domain == domain {
-		addrs = append(addrs, r.self.Addr)
+		list = append(list, r.self)
 	}
 	for _, e := range r.entries() {
 		if e.Domain == domain {
-			addrs = append(addrs, e.Addr)
+			list = append(list, e)
 		}
 	}
+	var addrs []string
+	for _, e := range peer.Fast(list) {
+		addrs = append(addrs, e.Addr)
+	}
 	return membership.First(key, addrs)
 }
 
