Soak: the real programs as processes under faults; stand-ins of the platform at the wire

Change: platform/fake has the store, engines, plain targets and the origin at the wire, with faults; soak/ starts springgate gateway and springgate-agent sidecar as processes, puts loopback proxies before the store and the targets, signals, kills and restarts processes and judges what callers and targets saw.

--- a/sidecar/plan_test.go
+++ b/sidecar/plan_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
@@ -129,7 +128,9 @@
 	assert.Equal(t, o.Version, 3)
 	o = o.merge(start, one)
 	assert.Equal(t, o.Version, 3, "an older assignment does not undo a newer one")
-	assert.DeepEqual(t, o.pending(1), []wanted{{2, start.Add(-900 * time.Millisecond)}, {3, start}}, cmp.AllowUnexported(wanted{}))
+	assert.Equal(t, len(o.pending(1)), 2)
+	assert.Equal(t, o.pending(1)[0], wanted{2, start.Add(-900 * time.Millisecond)})
+	assert.Equal(t, o.pending(1)[1], wanted{3, start})
 	assert.Equal(t, len(o.pending(2)), 1)
 	assert.Equal(t, len(o.pending(3)), 0)
 	two.Entry, two.Withheld = "a", true
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,137 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/springgate/springgate/platform/fake"
+)
+
+// Shape of the faults.
+const (
+	// meanPause is the mean time between two faults. They last longer, so some
+	// overlap.
+	meanPause = 500 * time.Millisecond
+	// aftermath is how long a fault may still show after its end: streams and
+	// connections that it broke are noticed by timeouts.
+	aftermath = 4 * time.Second
+)
+
+// fault is one kind of fault. Its func returns when the fault is over.
+type fault struct {
+	name string
+	do   func(f *Fleet, rng *rand.Rand, d time.Duration)
+}
+
+var faults = []fault{
+	{"entry killed", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.restart(pick(rng, f.entries), d, true) }},
+	{"entry stopped", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.restart(pick(rng, f.entries), d, false) }},
+	{"entry paused", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.pause(pick(rng, f.entries), d) }},
+	{"agent killed", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.restart(pick(rng, f.agents), d, true) }},
+	{"agent stopped", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.restart(pick(rng, f.agents), d, false) }},
+	{"agent paused", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.pause(pick(rng, f.agents), d) }},
+	{"settings changed", func(f *Fleet, rng *rand.Rand, _ time.Duration) {
+		if err := pick(rng, f.entries).Hup(); err != nil {
+			f.cfg.Logf("settings not written: %v", err)
+		}
+	}},
+	{"link to the store", func(f *Fleet, rng *rand.Rand, d time.Duration) { breakLink(pick(rng, f.links), rng, d) }},
+	{"link to a target", func(f *Fleet, rng *rand.Rand, d time.Duration) {
+		f.troubleTargets(d + aftermath)
+		breakLink(pick(rng, f.ways), rng, d)
+	}},
+	{"store", func(f *Fleet, rng *rand.Rand, d time.Duration) {
+		f.store.SetMode([]fake.StoreMode{fake.StoreBusy, fake.StoreReset, fake.StoreSlow}[rng.IntN(3)])
+		time.Sleep(d)
+		f.store.SetMode(fake.StoreWorks)
+	}},
+	{"store's history", func(f *Fleet, _ *rand.Rand, _ time.Duration) { f.store.Forget() }},
+	{"target's answers", func(f *Fleet, rng *rand.Rand, d time.Duration) {
+		f.troubleTargets(d + aftermath)
+		t := pick(rng, append(f.plains, f.engines...))
+		flag := pick(rng, []interface{ Store(bool) }{&t.Faults.Truncate, &t.Faults.Extra, &t.Faults.Full, &t.Faults.Fail})
+		flag.Store(true)
+		time.Sleep(d)
+		flag.Store(false)
+	}},
+	{"target restarted", func(f *Fleet, rng *rand.Rand, _ time.Duration) {
+		f.troubleTargets(aftermath)
+		pick(rng, append(f.plains, f.engines...)).Restart()
+	}},
+	{"origin away", func(f *Fleet, _ *rand.Rand, d time.Duration) {
+		f.origin.Down.Store(true)
+		time.Sleep(d)
+		f.origin.Down.Store(false)
+	}},
+	{"origin corrupt", func(f *Fleet, _ *rand.Rand, d time.Duration) {
+		f.origin.Corrupt.Store(3)
+		time.Sleep(d)
+		f.origin.Corrupt.Store(0)
+	}},
+	{"configuration", func(f *Fleet, _ *rand.Rand, _ time.Duration) { f.nextConfig() }},
+	{"version", func(f *Fleet, _ *rand.Rand, _ time.Duration) { f.nextVersion() }},
+}
+
+func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
+
+// breakThings injects faults, in series and overlapping, for the run's duration
+// and returns how many of each there were. All are over when it returns.
+func (f *Fleet) breakThings(ctx context.Context) map[string]int {
+	count := map[string]int{}
+	busy := map[string]*sync.Mutex{} // a kind of fault waits for the last of its kind
+	for _, x := range faults {
+		busy[x.name] = &sync.Mutex{}
+	}
+	var running sync.WaitGroup
+	for end := time.Now().Add(f.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		x := faults[f.rng.IntN(len(faults))]
+		rng := rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64()))
+		d := 200*time.Millisecond + time.Duration(f.rng.Int64N(int64(1500*time.Millisecond)))
+		count[x.name]++
+		f.cfg.Logf("%s for %v", x.name, d.Round(time.Millisecond))
+		running.Go(func() {
+			busy[x.name].Lock()
+			defer busy[x.name].Unlock()
+			x.do(f, rng, d)
+		})
+		time.Sleep(time.Duration(f.rng.ExpFloat64() * float64(meanPause)))
+	}
+	running.Wait()
+	return count
+}
+
+// restart ends a process, by its own orderly stop or at once, and starts it
+// again.
+func (f *Fleet) restart(p *Process, after time.Duration, kill bool) {
+	if kill {
+		p.Trouble(after + aftermath)
+		p.Kill()
+	} else {
+		p.Signal(syscall.SIGTERM)
+		if !p.Wait(graceS * time.Second) {
+			p.Trouble(aftermath)
+			p.Kill()
+		}
+	}
+	time.Sleep(after / 4)
+	if err := p.Start(); err != nil {
+		f.cfg.Logf("%s not started: %v", p.node.Name, err)
+	}
+}
+
+func (f *Fleet) pause(p *Process, d time.Duration) {
+	p.Trouble(d + aftermath)
+	p.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.Signal(syscall.SIGCONT)
+}
+
+// breakLink makes a link misbehave in one of the ways.
+func breakLink(l *Link, rng *rand.Rand, d time.Duration) {
+	l.SetMode(LinkMode(1 + rng.IntN(linkModes-1)))
+	time.Sleep(d)
+	l.SetMode(LinkWorks)
+}
--- /dev/null
+++ b/soak/fleet.go
@@ -0,0 +1,315 @@
+// Package soak runs the real programs as processes of their own on loopback
+// against stand-ins of the platform, injects faults from outside and checks the
+// promises of the system from what callers and targets see.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/springgate/springgate/platform/fake"
+)
+
+// Config describes a run.
+type Config struct {
+	Seed     uint64
+	Duration time.Duration
+	// Entries and Engines are how many of each are run; an agent runs beside each
+	// engine. Plains is how many plain targets there are.
+	Entries, Engines, Plains int
+	// Bin is the folder of the programs, Dir where settings and logs go.
+	Bin, Dir string
+	Logf     func(format string, args ...any)
+}
+
+// Names of the fleet.
+const (
+	hostName      = "soak.example"
+	model         = "model-a"
+	pieces        = 8
+	engineService = "chat"
+	plainService  = "plain"
+	graceS        = 6
+)
+
+var domains = []string{"north", "south", "west"}
+
+// Fleet is everything that a run starts.
+type Fleet struct {
+	cfg     Config
+	rng     *rand.Rand
+	store   *fake.Store
+	origin  *fake.Origin
+	runs    *fake.Runs
+	entries []*Process
+	agents  []*Process
+	engines []*fake.Target
+	plains  []*fake.Target
+	links   []*Link // before the store, one for each entry
+	ways    []*Link // before the targets
+	record  record
+
+	config  atomic.Int64 // newest configuration
+	version atomic.Int64 // newest version of the model
+
+	mu       sync.Mutex
+	troubled time.Time // until when a target or a way to it misbehaves
+}
+
+func rotatingKey(n int) string { return fmt.Sprintf("key-%d", n) }
+
+// freeAddr returns an address of loopback that nothing listens on.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// newFleet starts the stand-ins and the programs.
+func newFleet(cfg Config) (*Fleet, error) {
+	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), runs: fake.NewRuns()}
+	var err error
+	if f.store, err = fake.NewStore(); err != nil {
+		return nil, err
+	}
+	if f.origin, err = fake.NewOrigin(model, pieces); err != nil {
+		return nil, err
+	}
+	f.version.Store(1)
+	f.nextConfig()
+	if err := f.startTargets(); err != nil {
+		return nil, err
+	}
+	return f, f.startProcesses()
+}
+
+func (f *Fleet) startTargets() error {
+	for i := range f.cfg.Engines + f.cfg.Plains {
+		var way *Link
+		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)]}
+		if i < f.cfg.Engines {
+			cfg.Service, cfg.Model, cfg.Holds = engineService, model, 1
+		}
+		var linkErr error
+		cfg.Listed = func(own string) string {
+			if way, linkErr = NewLink(own); linkErr != nil {
+				return own
+			}
+			return way.Addr()
+		}
+		t, err := fake.NewTarget(cfg, f.store, f.runs, f.origin)
+		if err != nil {
+			return err
+		}
+		if linkErr != nil {
+			return linkErr
+		}
+		f.ways = append(f.ways, way)
+		if i < f.cfg.Engines {
+			f.engines = append(f.engines, t)
+		} else {
+			f.plains = append(f.plains, t)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startProcesses() error {
+	var seeds []string
+	var nodes []fake.Node
+	for i := range f.cfg.Entries {
+		n := fake.Node{Name: fmt.Sprintf("entry-%d", i), Domain: domains[i%len(domains)], Serves: []string{"front", "control"},
+			GraceS: graceS, FirstStart: true}
+		link, err := NewLink(f.store.Addr())
+		if err != nil {
+			return err
+		}
+		f.links = append(f.links, link)
+		n.Store = link.Addr()
+		for _, addr := range []*string{&n.Callers, &n.Ready, &n.Peers} {
+			if *addr, err = freeAddr(); err != nil {
+				return err
+			}
+		}
+		if len(seeds) < 3 {
+			seeds = append(seeds, n.Peers)
+		}
+		nodes = append(nodes, n)
+	}
+	for i, e := range f.engines {
+		n := fake.Node{Name: fmt.Sprintf("agent-%d", i), Domain: domains[i%len(domains)], Serves: []string{"side"},
+			Engine: e.Addr(), Service: engineService, Store: f.store.Addr(), GraceS: graceS, FirstStart: true}
+		var err error
+		if n.Peers, err = freeAddr(); err != nil {
+			return err
+		}
+		nodes = append(nodes, n)
+	}
+	for _, n := range nodes {
+		n.Seeds = seeds
+		if err := f.startProcess(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startProcess(n fake.Node) error {
+	var p *Process
+	if n.Engine == "" {
+		p = NewProcess(n, f.cfg.Dir, filepath.Join(f.cfg.Bin, "springgate"), "gateway")
+		f.entries = append(f.entries, p)
+	} else {
+		p = NewProcess(n, f.cfg.Dir, filepath.Join(f.cfg.Bin, "springgate-agent"), "sidecar")
+		f.agents = append(f.agents, p)
+	}
+	return p.Start()
+}
+
+// close ends all processes by their ids, and the stand-ins.
+func (f *Fleet) close() {
+	for _, p := range append(f.entries, f.agents...) {
+		p.Kill()
+	}
+	for _, l := range append(f.links, f.ways...) {
+		l.Close()
+	}
+	for _, t := range append(f.engines, f.plains...) {
+		t.Close()
+	}
+	f.store.Close()
+	f.origin.Close()
+}
+
+// nextConfig publishes a configuration that allows the next rotating key only.
+func (f *Fleet) nextConfig() {
+	n := int(f.config.Add(1))
+	route := func(k kind, service string) fake.Route {
+		return fake.Route{Name: k.name, Host: hostName, Prefix: k.path, Kind: k.name, Service: service, TimeoutMs: 3000,
+			TargetLatencyMs: 500, GapTargetMs: 400, Attempts: 2, ResumeStreams: k.name == fake.KindStreaming}
+	}
+	f.store.Put(fake.KeyConfig, fake.Config{Version: n,
+		Routes: []fake.Route{route(kinds[0], plainService), route(kinds[1], plainService), route(kinds[2], engineService)},
+		Services: []fake.Service{{Name: plainService, MaxConnections: 200}, {Name: "origin", MaxConnections: 48, Origin: f.origin.Addr(), Zone: domains[0]},
+			{Name: engineService, MaxConnections: 200, Engine: &fake.Engine{Slots: 16, Stride: 5, StepMs: 1, ReadPerS: 100000,
+				Models: []fake.EngineModel{{Name: model, WarmS: 0.1}}, Usual: map[string]int{"prompt": 100, "answer": 20}, Layers: 4, Chunks: pieces, ChunkBytes: 4096}}},
+		Limits:  map[string]int{"HeaderBytes": 8192, "BodyBytes": 1 << 20, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 30000},
+		Tenants: []fake.Team{{Name: "lasting", ApiKeys: []string{lastingKey}}, {Name: "rotating", ApiKeys: []string{rotatingKey(n)}}}})
+}
+
+// nextVersion names a new version of the model.
+func (f *Fleet) nextVersion() {
+	f.store.Put(fake.KeyVersion(model), fake.Version{Model: model, Version: int(f.version.Add(1))})
+}
+
+// troubleTargets notes that a target or a way to it misbehaves for a time.
+func (f *Fleet) troubleTargets(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if until := time.Now().Add(d); until.After(f.troubled) {
+		f.troubled = until
+	}
+}
+
+func (f *Fleet) targetsTroubledSince(t time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.troubled.After(t)
+}
+
+// Result is what a run found.
+type Result struct {
+	Violations []Violation
+	Mixed      int64 // loads of weights that were not whole
+	Unserved   []string
+	Attempts   int
+	Served     int
+	Faults     map[string]int
+}
+
+// Run runs the fleet under faults and judges it.
+func Run(ctx context.Context, cfg Config) (*Result, error) {
+	f, err := newFleet(cfg)
+	if f != nil {
+		defer f.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if missing := f.awaitService(ctx); len(missing) > 0 {
+		return nil, fmt.Errorf("soak: not serving after the start: %v", missing)
+	}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	var load sync.WaitGroup
+	for i, e := range f.entries {
+		for k := range callersPerEntry {
+			c := newCaller(f, e, fmt.Sprintf("s%d-%d-%d", cfg.Seed, i, k), rand.New(rand.NewPCG(cfg.Seed, uint64(100+i*callersPerEntry+k))))
+			load.Go(func() { c.run(loadCtx) })
+		}
+	}
+	faults := f.breakThings(ctx)
+	unserved := f.awaitService(ctx)
+	stopLoad()
+	load.Wait()
+	r := &Result{Unserved: unserved, Faults: faults}
+	for _, e := range f.engines {
+		r.Mixed += e.Mixed()
+	}
+	attempts := f.record.attempts()
+	r.Violations = Judge(attempts, f.runs.All())
+	r.Attempts = len(attempts)
+	for _, a := range attempts {
+		if a.Status == 200 && !a.Cut {
+			r.Served++
+		}
+	}
+	return r, nil
+}
+
+// recoverWithin bounds how long the fleet may take until it serves again.
+const recoverWithin = 30 * time.Second
+
+// awaitService waits until each entry serves each kind of request and each
+// engine has the newest version; it returns what is missing at the end.
+func (f *Fleet) awaitService(ctx context.Context) []string {
+	ctx, cancel := context.WithTimeout(ctx, recoverWithin)
+	defer cancel()
+	for round := 0; ; round++ {
+		missing := f.missing(ctx, round)
+		if len(missing) == 0 || ctx.Err() != nil {
+			return missing
+		}
+		select {
+		case <-time.After(200 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Fleet) missing(ctx context.Context, round int) []string {
+	var out []string
+	for i, e := range f.entries {
+		c := newCaller(f, e, fmt.Sprintf("probe%d-%d-%d", f.record.order.Load(), i, round), f.rng)
+		for _, k := range kinds {
+			if a := c.call(ctx, k, 0); a.Status != 200 || a.Cut {
+				out = append(out, fmt.Sprintf("%s at %s: status %d", k.name, e.node.Name, a.Status))
+			}
+		}
+		c.client.CloseIdleConnections()
+	}
+	for _, e := range f.engines {
+		if v := int64(e.Version()); v != f.version.Load() {
+			out = append(out, fmt.Sprintf("engine %s has version %d", e.Addr(), v))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+)
+
+// Attempt is one request of a caller and what the caller saw.
+type Attempt struct {
+	ID          string
+	Kind        string // of the route
+	Repeatable  bool   // it may run more than once
+	Incarnation string // of the entry that it was sent to
+	Key         int    // number of the rotating key that it bore; 0 for a lasting one
+	Began, End  int64  // order of events at the callers, not a clock
+	Status      int    // 0 if no answer came
+	Fault       string // what was wrong with the answer
+	Cut         bool   // the answer ended early, and showed it
+	Calm        bool   // nothing but an orderly stop happened to its entry
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Promise string
+	Attempt Attempt
+	Runs    []string
+}
+
+// String describes the violation.
+func (v Violation) String() string {
+	a := v.Attempt
+	return fmt.Sprintf("%s: request %s (%s) at %s, status %d, ran at %v; %s", v.Promise, a.ID, a.Kind, a.Incarnation, a.Status, v.Runs, a.Fault)
+}
+
+// Promises that are checked.
+const (
+	PromiseOnce    = "what is not repeatable runs once"
+	PromiseNotRun  = "a refusal that says so has not run"
+	PromiseWhole   = "an answer is whole and the caller's own"
+	PromiseAllowed = "what is allowed is not denied"
+	PromiseDrain   = "an orderly stop cuts no request"
+	PromiseForward = "a configuration never goes back"
+)
+
+// Judge compares what callers saw with what targets ran.
+func Judge(attempts []Attempt, runs map[string][]string) []Violation {
+	var out []Violation
+	add := func(promise string, a Attempt) { out = append(out, Violation{promise, a, runs[a.ID]}) }
+	for _, a := range attempts {
+		ran := len(runs[a.ID])
+		switch {
+		case ran > 1 && !a.Repeatable:
+			add(PromiseOnce, a)
+		case saysNotRun(a.Status) && ran > 0:
+			add(PromiseNotRun, a)
+		case a.Fault != "":
+			add(PromiseWhole, a)
+		case a.Key == 0 && denied(a.Status):
+			add(PromiseAllowed, a)
+		case a.Calm && ran > 0 && (a.Status == 0 || a.Cut):
+			add(PromiseDrain, a)
+		}
+	}
+	for _, a := range wentBack(attempts) {
+		add(PromiseForward, a)
+	}
+	return out
+}
+
+// saysNotRun reports whether a status promises that the request has not run.
+func saysNotRun(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
+func denied(status int) bool {
+	return status == http.StatusUnauthorized || status == http.StatusForbidden || status == http.StatusNotFound
+}
+
+// wentBack returns the attempts that an entry let in with a key of an older
+// configuration, although the same incarnation had let in one of a newer before
+// they were sent. Each configuration allows just one of the rotating keys.
+func wentBack(attempts []Attempt) []Attempt {
+	byEntry := map[string][]Attempt{}
+	for _, a := range attempts {
+		if a.Key > 0 && a.Status == http.StatusOK {
+			byEntry[a.Incarnation] = append(byEntry[a.Incarnation], a)
+		}
+	}
+	var out []Attempt
+	for _, list := range byEntry {
+		slices.SortFunc(list, func(x, y Attempt) int { return int(x.End - y.End) })
+		for i, newer := range list {
+			for _, a := range list[i+1:] {
+				if a.Began > newer.End && a.Key < newer.Key {
+					out = append(out, a)
+				}
+			}
+		}
+	}
+	return out
+}
