Silence of a target is shared between entries; a replaced incarnation is dropped

A silent target was left only after three failures, and drew all requests when it was tried again, since it had no load. Change: accounts of loads tell which targets are silent; one that another entry finds silent is the last resort for 1.2 s unless it was heard since, then one request at a time tries it. Leaving a target for its silence ejects it at once. Of two entries at one address only the newer counts. dispatch/book.go is split: loads and versions have files of their own. Tests: TestSilenceIsShared, TestSilentTargetIsTriedByOneRequest, TestOwnEvidenceGoesBeforeSuspicion, TestNewerIncarnationReplacesTheOlder.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -87,26 +87,6 @@
 	Load     Load // at the target before the request
 }
 
-// wanted is a version of a model that the operators want served.
-type wanted struct {
-	version int
-	since   time.Time
-}
-
-// wantedVersions are those of one model, oldest first. Each has its own time:
-// a newer one does not put the duty to leave an older one off.
-type wantedVersions []wanted
-
-// due returns the newest version that must be served by now, or zero.
-func (w wantedVersions) due(now time.Time, timeout time.Duration) int {
-	for i := len(w) - 1; i >= 0; i-- {
-		if now.Sub(w[i].since) >= timeout {
-			return w[i].version
-		}
-	}
-	return 0
-}
-
 // Book holds the targets of all services. Its methods may be called
 // concurrently.
 type Book struct {
@@ -156,21 +136,6 @@
 	b.wake()
 }
 
-// versionsKept bounds the versions that are remembered; those before are due.
-const versionsKept = 8
-
-// SetVersion names the version of a model that is wanted since a time.
-func (b *Book) SetVersion(v fleet.VersionTarget, since time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w := b.versions[v.Model]
-	if len(w) > 0 && v.Version <= w[len(w)-1].version {
-		return
-	}
-	w = append(w, wanted{v.Version, since})
-	b.versions[v.Model] = w[max(len(w)-versionsKept, 0):]
-}
-
 // SetState takes what the agent beside an engine says.
 func (b *Book) SetState(addr string, s EngineState) {
 	b.mu.Lock()
@@ -186,54 +151,6 @@
 	delete(b.states, addr)
 }
 
-// SetLoads replaces what another entry has in flight. An empty map forgets it.
-func (b *Book) SetLoads(from string, loads map[string]Load) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, t := range b.byID {
-		t.setOther(from, loads[id])
-	}
-	b.wake()
-}
-
-// ChangeLoads replaces what another entry has in flight at some targets.
-func (b *Book) ChangeLoads(from string, loads map[string]Load) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, l := range loads {
-		if t := b.byID[id]; t != nil {
-			t.setOther(from, l)
-		}
-	}
-	b.wake()
-}
-
-func (t *Target) setOther(from string, l Load) {
-	old := t.others[from]
-	if l == old {
-		return
-	}
-	if l == (Load{}) {
-		delete(t.others, from)
-	} else {
-		t.others[from] = l
-	}
-	t.load = Load{t.load.Requests + l.Requests - old.Requests, t.load.Unread + l.Unread - old.Unread}
-}
-
-// OwnLoads returns what this entry has in flight.
-func (b *Book) OwnLoads() map[string]Load {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := map[string]Load{}
-	for id, t := range b.byID {
-		if t.own != (Load{}) {
-			out[id] = t.own
-		}
-	}
-	return out
-}
-
 // Changed returns a channel that is closed when a target may have become free.
 func (b *Book) Changed() <-chan struct{} {
 	b.mu.Lock()
@@ -268,7 +185,7 @@
 		if t.Domain != d.Domain {
 			c.cost += b.cfg.RemoteCost
 		}
-		if t.Doubtful || t.health.ejected(now) || t.health.silent(now) {
+		if t.lastResort(now) {
 			spare.improve(c)
 		} else {
 			best.improve(c)
@@ -287,6 +204,14 @@
 	return best.Choice, Chosen
 }
 
+// lastResort reports whether the target gets requests only if no other can. One
+// that was silent is tried by a single request of all entries: it has no load, so
+// that it would draw more than all others.
+func (t *Target) lastResort(now time.Time) bool {
+	h := &t.health
+	return t.Doubtful || h.ejected(now) || h.silent(now) || h.suspected(now) || h.unproven() && t.load.Requests > 0
+}
+
 // candidate is a choice and its cost.
 type candidate struct {
 	Choice
@@ -393,7 +318,7 @@
 func (b *Book) Heard(now time.Time, t *Target, first int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t.health.waitingSince = now
+	t.health.heard(now)
 	l := Load{Unread: -first}
 	t.own, t.load = t.own.add(l), t.load.add(l)
 }
@@ -420,11 +345,16 @@
 	case !r.Silent:
 		t.health.waitingSince = now
 	}
+	if r.Latency > 0 {
+		t.health.heardAt = now
+	}
 	switch {
 	case r.Gone:
 		t.gone = true
 	case r.Down:
 		t.health.eject(now)
+	case r.Failed && r.Silent:
+		t.health.leftSilent(now)
 	default:
 		t.health.observe(now, !r.Failed)
 	}
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -164,6 +164,47 @@
 	assert.Assert(t, !b.Silent(later, first.Target))
 }
 
+// What one entry finds silent, the others need not find out by losing requests.
+func TestSilenceIsShared(t *testing.T) {
+	a := book(engineModel(), Config{}, engine(1, 1), engine(2, 1))
+	c, _ := a.Pick(start, testService, demand(), []string{"i-2"})
+	left := start.Add(700 * time.Millisecond)
+	assert.DeepEqual(t, a.SilentTargets(left), []string{"i-1"})
+	a.Finish(left, c.Target, Result{Unread: 1000, Failed: true, Silent: true})
+	assert.DeepEqual(t, a.SilentTargets(left.Add(100*time.Millisecond)), []string{"i-1"}) // told for a while after it was left
+	assert.Equal(t, len(a.SilentTargets(left.Add(silentSaid))), 0)
+
+	b := book(engineModel(), Config{}, engine(1, 1), engine(2, 1))
+	b.SetLoads("x", map[string]Load{"i-2": {Requests: 8, Unread: 2000}})
+	assert.Assert(t, b.Suspect(left, "i-1"))
+	assert.Assert(t, !b.Suspect(left, "i-1"), "no news")
+	assert.Equal(t, picked(b, left), "i-2", "though it has more load")
+}
+
+// A target that was silent has no load and would draw more requests than all
+// others: one tries it.
+func TestSilentTargetIsTriedByOneRequest(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1), engine(2, 1))
+	b.SetLoads("x", map[string]Load{"i-2": {Requests: 8, Unread: 2000}})
+	b.Suspect(start, "i-1")
+	now := start.Add(suspectFor)
+	c, _ := b.Pick(now, testService, demand(), nil)
+	assert.Equal(t, c.Target.ID, "i-1")
+	assert.Equal(t, picked(b, now), "i-2", "one is enough")
+	b.Heard(now.Add(50*time.Millisecond), c.Target, 1000)
+	assert.Equal(t, picked(b, now.Add(60*time.Millisecond)), "i-1")
+}
+
+// An entry that hears a target believes its own ears.
+func TestOwnEvidenceGoesBeforeSuspicion(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1), engine(2, 1))
+	c, _ := b.Pick(start, testService, demand(), []string{"i-2"})
+	b.SetLoads("x", map[string]Load{"i-2": {Requests: 8, Unread: 2000}})
+	b.Suspect(start, "i-1")
+	b.Heard(start.Add(10*time.Millisecond), c.Target, 1000)
+	assert.Equal(t, picked(b, start.Add(20*time.Millisecond)), "i-1")
+}
+
 func TestDoubtfulTargetIsTheLastResort(t *testing.T) {
 	doubtful := plain(1)
 	doubtful.Doubtful = true
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -19,6 +19,12 @@
 	// sends at least one event each pass, and passes stay under the longest
 	// pause that callers accept, 400 ms.
 	silentAfter = 600 * time.Millisecond
+	// silentSaid is how long an entry tells the others of a target that it left
+	// because it was silent: a few accounts of loads.
+	silentSaid = 500 * time.Millisecond
+	// suspectFor is how long a target is left that was silent for another entry.
+	// Then one request at a time tries it until it has answered.
+	suspectFor = 1200 * time.Millisecond
 	// latencyWeight is the weight of the newest latency in its mean.
 	latencyWeight = 0.1
 )
@@ -30,6 +36,9 @@
 	ejectedUntil time.Time
 	ejectedAt    time.Time
 	waitingSince time.Time // since when it has work and has sent nothing; zero if idle
+	heardAt      time.Time // when it last sent something to this entry
+	silentAt     time.Time // when it was last left for its silence
+	suspectedAt  time.Time // when another entry last found it silent
 	latency      time.Duration
 }
 
@@ -60,6 +69,32 @@
 
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
+// heard notes that the target sent something.
+func (h *health) heard(now time.Time) { h.waitingSince, h.heardAt = now, now }
+
+// leftSilent notes that the target was left because it sent nothing. There is no
+// use in trying it until as many requests have been lost as for a failure rate.
+func (h *health) leftSilent(now time.Time) {
+	h.silentAt = now
+	h.eject(now)
+}
+
+// saysSilent reports whether other entries are to be told of its silence.
+func (h *health) saysSilent(now time.Time) bool {
+	return h.silent(now) || h.heardAt.Before(h.silentAt) && now.Sub(h.silentAt) < silentSaid
+}
+
+// suspected reports whether the target was silent for another entry, and this
+// one has not heard it since.
+func (h *health) suspected(now time.Time) bool {
+	return h.heardAt.Before(h.suspectedAt) && now.Sub(h.suspectedAt) < suspectFor
+}
+
+// unproven reports whether the target was silent and has not been heard since.
+func (h *health) unproven() bool {
+	return h.heardAt.Before(h.suspectedAt) || h.heardAt.Before(h.silentAt)
+}
+
 func (h *health) silent(now time.Time) bool {
 	return !h.waitingSince.IsZero() && now.Sub(h.waitingSince) > silentAfter
 }
--- /dev/null
+++ b/dispatch/loads.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// SetLoads replaces what another entry has in flight. An empty map forgets it.
+func (b *Book) SetLoads(from string, loads map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, t := range b.byID {
+		t.setOther(from, loads[id])
+	}
+	b.wake()
+}
+
+// ChangeLoads replaces what another entry has in flight at some targets.
+func (b *Book) ChangeLoads(from string, loads map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, l := range loads {
+		if t := b.byID[id]; t != nil {
+			t.setOther(from, l)
+		}
+	}
+	b.wake()
+}
+
+func (t *Target) setOther(from string, l Load) {
+	old := t.others[from]
+	if l == old {
+		return
+	}
+	if l == (Load{}) {
+		delete(t.others, from)
+	} else {
+		t.others[from] = l
+	}
+	t.load = Load{t.load.Requests + l.Requests - old.Requests, t.load.Unread + l.Unread - old.Unread}
+}
+
+// OwnLoads returns what this entry has in flight.
+func (b *Book) OwnLoads() map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]Load{}
+	for id, t := range b.byID {
+		if t.own != (Load{}) {
+			out[id] = t.own
+		}
+	}
+	return out
+}
+
+// SilentTargets returns the targets whose silence other entries are to be told
+// of, in order.
+func (b *Book) SilentTargets(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for id, t := range b.byID {
+		if t.health.saysSilent(now) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Suspect notes that another entry finds a target silent. It reports whether
+// that is news.
+func (b *Book) Suspect(now time.Time, instance string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.byID[instance]
+	if t == nil {
+		return false
+	}
+	news := !t.health.suspected(now)
+	t.health.suspectedAt = now
+	return news
+}
--- /dev/null
+++ b/dispatch/versions.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+)
+
+// wanted is a version of a model that the operators want served.
+type wanted struct {
+	version int
+	since   time.Time
+}
+
+// wantedVersions are those of one model, oldest first. Each has its own time:
+// a newer one does not put the duty to leave an older one off.
+type wantedVersions []wanted
+
+// due returns the newest version that must be served by now, or zero.
+func (w wantedVersions) due(now time.Time, timeout time.Duration) int {
+	for i := len(w) - 1; i >= 0; i-- {
+		if now.Sub(w[i].since) >= timeout {
+			return w[i].version
+		}
+	}
+	return 0
+}
+
+// versionsKept bounds the versions that are remembered; those before are due.
+const versionsKept = 8
+
+// SetVersion names the version of a model that is wanted since a time.
+func (b *Book) SetVersion(v fleet.VersionTarget, since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.versions[v.Model]
+	if len(w) > 0 && v.Version <= w[len(w)-1].version {
+		return
+	}
+	w = append(w, wanted{v.Version, since})
+	b.versions[v.Model] = w[max(len(w)-versionsKept, 0):]
+}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -14,6 +14,7 @@
 	Addr     string
 	Domain   string
 	Slots    int
+	Revision int64 // of its entry in the list
 	Draining bool
 	Doubtful bool // its entry vanished from the list a moment ago
 	Models   []ModelVersion
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -258,6 +258,9 @@
 	loads := make(map[string]dispatch.Load, len(l.Targets))
 	for _, t := range l.Targets {
 		loads[t.Instance] = dispatch.Load{Requests: t.Requests, Unread: t.Unread}
+		if t.Silent && c.book.Suspect(time.Now(), t.Instance) {
+			c.log.WithFields(logrus.Fields{"target": t.Instance, "peer": from}).Info("Target silent for another entry.")
+		}
 	}
 	if l.Full {
 		c.book.SetLoads(from, loads)
@@ -309,9 +312,16 @@
 // OwnLoads returns what this entry has in flight, for the other entries.
 func (c *Control) OwnLoads() []peer.TargetLoad {
 	own := c.book.OwnLoads()
-	out := make([]peer.TargetLoad, 0, len(own))
+	silent := c.book.SilentTargets(time.Now())
+	out := make([]peer.TargetLoad, 0, len(own)+len(silent))
 	for id, l := range own {
-		out = append(out, peer.TargetLoad{Instance: id, Requests: l.Requests, Unread: l.Unread})
+		_, found := slices.BinarySearch(silent, id)
+		out = append(out, peer.TargetLoad{Instance: id, Requests: l.Requests, Unread: l.Unread, Silent: found})
+	}
+	for _, id := range silent {
+		if _, listed := own[id]; !listed {
+			out = append(out, peer.TargetLoad{Instance: id, Silent: true})
+		}
 	}
 	slices.SortFunc(out, func(a, b peer.TargetLoad) int { return cmp.Compare(a.Instance, b.Instance) })
 	return out
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -49,6 +49,25 @@
 		out = append(out, &kept)
 	}
 	r.known, r.vanished = listed, vanished
+	return newestAtEachAddr(out)
+}
+
+// newestAtEachAddr drops incarnations that another one at the same address has
+// replaced. Their entries stay in the list until they lapse, seconds after all
+// hosts lost power, and nothing that they say is true any more.
+func newestAtEachAddr(list []*fleet.Instance) []*fleet.Instance {
+	newest := make(map[string]*fleet.Instance, len(list))
+	for _, i := range list {
+		if n := newest[i.Addr]; n == nil || i.Revision > n.Revision {
+			newest[i.Addr] = i
+		}
+	}
+	out := make([]*fleet.Instance, 0, len(newest))
+	for _, i := range list {
+		if newest[i.Addr] == i {
+			out = append(out, i)
+		}
+	}
 	return out
 }
 
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -15,7 +15,7 @@
 func listed(ids ...string) []*fleet.Instance {
 	var out []*fleet.Instance
 	for _, id := range ids {
-		out = append(out, &fleet.Instance{ID: id})
+		out = append(out, &fleet.Instance{ID: id, Addr: id})
 	}
 	return out
 }
@@ -29,6 +29,19 @@
 	return out
 }
 
+// The entries of a crashed incarnation stay in the list for seconds.
+func TestNewerIncarnationReplacesTheOlder(t *testing.T) {
+	r := Roster{Hold: time.Second}
+	old := &fleet.Instance{ID: "old", Addr: "x", Revision: 7}
+	got := r.Update(start, []*fleet.Instance{old, {ID: "other", Addr: "y", Revision: 3}}, false, time.Time{})
+	assert.DeepEqual(t, state(got), map[string]bool{"old": false, "other": false})
+	next := &fleet.Instance{ID: "new", Addr: "x", Revision: 9}
+	got = r.Update(start, []*fleet.Instance{old, next}, false, time.Time{})
+	assert.DeepEqual(t, state(got), map[string]bool{"new": false, "other": true})
+	got = r.Update(start, []*fleet.Instance{next}, false, time.Time{})
+	assert.DeepEqual(t, state(got), map[string]bool{"new": false, "other": true}) // nor is it held
+}
+
 func TestVanishedInstanceIsHeldForAMoment(t *testing.T) {
 	r := Roster{Hold: time.Second, CatchUp: 3 * time.Second}
 	r.Update(start, listed("a", "b"), false, time.Time{})
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -106,7 +106,7 @@
 	}
 	// The incarnation may have changed between the look and the connection.
 	same := a.Incarnation == c.entry.Incarnation()
-	a.Calm = same && !c.entry.TroubledSince(began) && !c.fleet.targetsTroubledSince(began)
+	a.Calm = same && !c.entry.TroubledSince(began) && !c.fleet.troubledSince(a.ID, began)
 	if !same {
 		a.Key = -1
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,8 +41,9 @@
 	}},
 	{"link to the store", func(f *Fleet, rng *rand.Rand, d time.Duration) { breakLink(pick(rng, f.links), rng, d) }},
 	{"link to a target", func(f *Fleet, rng *rand.Rand, d time.Duration) {
-		f.troubleTargets(d + aftermath)
-		breakLink(pick(rng, f.ways), rng, d)
+		i := rng.IntN(len(f.ways))
+		f.troubleTarget(f.targets()[i], d+aftermath)
+		breakLink(f.ways[i], rng, d)
 	}},
 	{"store", func(f *Fleet, rng *rand.Rand, d time.Duration) {
 		f.store.SetMode([]fake.StoreMode{fake.StoreBusy, fake.StoreReset, fake.StoreSlow}[rng.IntN(3)])
@@ -50,16 +52,22 @@
 	}},
 	{"store's history", func(f *Fleet, _ *rand.Rand, _ time.Duration) { f.store.Forget() }},
 	{"target's answers", func(f *Fleet, rng *rand.Rand, d time.Duration) {
-		f.troubleTargets(d + aftermath)
-		t := pick(rng, append(f.plains, f.engines...))
-		flag := pick(rng, []interface{ Store(bool) }{&t.Faults.Truncate, &t.Faults.Extra, &t.Faults.Full, &t.Faults.Fail})
-		flag.Store(true)
+		var flags []*atomic.Bool
+		for _, t := range f.targets() {
+			if rng.IntN(2) == 0 {
+				continue
+			}
+			f.troubleTarget(t, d+aftermath)
+			flags = append(flags, pick(rng, []*atomic.Bool{&t.Faults.Truncate, &t.Faults.Extra, &t.Faults.Full, &t.Faults.Fail}))
+		}
+		setAll(flags, true)
 		time.Sleep(d)
-		flag.Store(false)
+		setAll(flags, false)
 	}},
 	{"target restarted", func(f *Fleet, rng *rand.Rand, _ time.Duration) {
-		f.troubleTargets(aftermath)
-		pick(rng, append(f.plains, f.engines...)).Restart()
+		t := pick(rng, f.targets())
+		f.troubleTarget(t, aftermath)
+		t.Restart()
 	}},
 	{"origin away", func(f *Fleet, _ *rand.Rand, d time.Duration) {
 		f.origin.Down.Store(true)
@@ -75,6 +83,12 @@
 	{"version", func(f *Fleet, _ *rand.Rand, _ time.Duration) { f.nextVersion() }},
 }
 
+func setAll(flags []*atomic.Bool, on bool) {
+	for _, x := range flags {
+		x.Store(on)
+	}
+}
+
 func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
 
 // breakThings injects faults, in series and overlapping, for the run's duration
@@ -111,7 +125,7 @@
 		p.Kill()
 	} else {
 		p.Signal(syscall.SIGTERM)
-		if !p.Wait(graceS * time.Second) {
+		if !p.Wait(grace) {
 			p.Trouble(aftermath)
 			p.Kill()
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +36,7 @@
 	pieces        = 8
 	engineService = "chat"
 	plainService  = "plain"
-	graceS        = 6
+	grace         = 6 * time.Second
 )
 
 var domains = []string{"north", "south", "west"}
@@ -59,7 +60,7 @@
 	version atomic.Int64 // newest version of the model
 
 	mu       sync.Mutex
-	troubled time.Time // until when a target or a way to it misbehaves
+	troubled map[*fake.Target]time.Time // until when it, or the way to it, misbehaves
 }
 
 func rotatingKey(n int) string { return fmt.Sprintf("key-%d", n) }
@@ -76,7 +77,8 @@
 
 // newFleet starts the stand-ins and the programs.
 func newFleet(cfg Config) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), runs: fake.NewRuns()}
+	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), runs: fake.NewRuns(),
+		troubled: map[*fake.Target]time.Time{}}
 	var err error
 	if f.store, err = fake.NewStore(); err != nil {
 		return nil, err
@@ -128,7 +130,7 @@
 	var nodes []fake.Node
 	for i := range f.cfg.Entries {
 		n := fake.Node{Name: fmt.Sprintf("entry-%d", i), Domain: domains[i%len(domains)], Serves: []string{"front", "control"},
-			GraceS: graceS, FirstStart: true}
+			Grace: grace, FirstStart: true}
 		link, err := NewLink(f.store.Addr())
 		if err != nil {
 			return err
@@ -147,7 +149,7 @@
 	}
 	for i, e := range f.engines {
 		n := fake.Node{Name: fmt.Sprintf("agent-%d", i), Domain: domains[i%len(domains)], Serves: []string{"side"},
-			Engine: e.Addr(), Service: engineService, Store: f.store.Addr(), GraceS: graceS, FirstStart: true}
+			Engine: e.Addr(), Service: engineService, Store: f.store.Addr(), Grace: grace, FirstStart: true}
 		var err error
 		if n.Peers, err = freeAddr(); err != nil {
 			return err
@@ -211,19 +213,31 @@
 	f.store.Put(fake.KeyVersion(model), fake.Version{Model: model, Version: int(f.version.Add(1))})
 }
 
-// troubleTargets notes that a target or a way to it misbehaves for a time.
-func (f *Fleet) troubleTargets(d time.Duration) {
+// targets returns all targets, in the order of the ways to them.
+func (f *Fleet) targets() []*fake.Target { return append(slices.Clone(f.engines), f.plains...) }
+
+// troubleTarget notes that a target or the way to it misbehaves for a time.
+func (f *Fleet) troubleTarget(t *fake.Target, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if until := time.Now().Add(d); until.After(f.troubled) {
-		f.troubled = until
+	if until := time.Now().Add(d); until.After(f.troubled[t]) {
+		f.troubled[t] = until
 	}
 }
 
-func (f *Fleet) targetsTroubledSince(t time.Time) bool {
+// troubledSince reports whether one of the targets that ran a request
+// misbehaved at a time or later.
+func (f *Fleet) troubledSince(id string, since time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.troubled.After(t)
+	for _, instance := range f.runs.Of(id) {
+		for t, until := range f.troubled {
+			if t.Owns(instance) && until.After(since) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Result is what a run found.
