Targets that other entries hear are not silent

Change: accounts also tell which targets were heard lately; those are neither suspected nor left for one silence. Test: TestTargetThatOthersHearIsNotSilent.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -62,6 +62,7 @@
 	model  *fleet.EngineModel
 	own    Load
 	others map[string]Load // by entry
+	heard  map[string]bool // entries that hear it now
 	load   Load            // own and others
 	health health
 	gone   bool
@@ -119,7 +120,7 @@
 	for _, i := range instances {
 		t := b.byID[i.ID]
 		if t == nil {
-			t = &Target{others: map[string]Load{}}
+			t = &Target{others: map[string]Load{}, heard: map[string]bool{}}
 		}
 		t.Instance = *i
 		if s := services[i.Service]; s != nil {
@@ -209,7 +210,13 @@
 // that it would draw more than all others.
 func (t *Target) lastResort(now time.Time) bool {
 	h := &t.health
-	return t.Doubtful || h.ejected(now) || h.silent(now) || h.suspected(now) || h.unproven() && t.load.Requests > 0
+	if t.Doubtful || h.ejected(now) || h.silent(now) {
+		return true
+	}
+	if len(t.heard) > 0 {
+		return false
+	}
+	return h.suspected(now) || h.unproven() && t.load.Requests > 0
 }
 
 // candidate is a choice and its cost.
@@ -353,7 +360,7 @@
 		t.gone = true
 	case r.Down:
 		t.health.eject(now)
-	case r.Failed && r.Silent:
+	case r.Failed && r.Silent && len(t.heard) == 0:
 		t.health.leftSilent(now)
 	default:
 		t.health.observe(now, !r.Failed)
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -181,6 +181,30 @@
 	assert.Equal(t, picked(b, left), "i-2", "though it has more load")
 }
 
+// Answers that get lost one by one are no silence: others hear the target.
+func TestTargetThatOthersHearIsNotSilent(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1), engine(2, 1))
+	c, _ := b.Pick(start, testService, demand(), []string{"i-2"})
+	b.SetLoads("x", map[string]Load{"i-1": {Requests: 1}, "i-2": {Requests: 8, Unread: 2000}})
+	b.SetHeard("x", "i-1", true)
+	later := start.Add(700 * time.Millisecond)
+	assert.Equal(t, len(b.SilentTargets(later)), 0)
+	b.Finish(later, c.Target, Result{Unread: 1000, Failed: true, Silent: true})
+	b.Suspect(later, "i-1")
+	assert.Equal(t, picked(b, later), "i-1")
+	b.SetLoads("x", nil)
+	assert.Equal(t, len(b.byID["i-1"].heard), 0, "an entry that is gone vouches for nothing")
+}
+
+func TestHeardTargets(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1), engine(2, 1))
+	c, _ := b.Pick(start, testService, demand(), nil)
+	assert.Equal(t, len(b.HeardTargets(start)), 0)
+	b.Heard(start, c.Target, 1000)
+	assert.Assert(t, b.HeardTargets(start.Add(heardFor - 1))[c.Target.ID])
+	assert.Equal(t, len(b.HeardTargets(start.Add(heardFor))), 0)
+}
+
 // A target that was silent has no load and would draw more requests than all
 // others: one tries it.
 func TestSilentTargetIsTriedByOneRequest(t *testing.T) {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -22,6 +22,9 @@
 	// silentSaid is how long an entry tells the others of a target that it left
 	// because it was silent: a few accounts of loads.
 	silentSaid = 500 * time.Millisecond
+	// heardFor is how long ago an entry must have heard a target to vouch for it.
+	// Streams send an event each 50 to 100 ms, and a pass takes up to 400 ms.
+	heardFor = 400 * time.Millisecond
 	// suspectFor is how long a target is left that was silent for another entry.
 	// Then one request at a time tries it until it has answered.
 	suspectFor = 1200 * time.Millisecond
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -11,6 +11,9 @@
 	defer b.mu.Unlock()
 	for id, t := range b.byID {
 		t.setOther(from, loads[id])
+		if loads[id].Requests == 0 {
+			delete(t.heard, from)
+		}
 	}
 	b.wake()
 }
@@ -60,7 +63,7 @@
 	defer b.mu.Unlock()
 	var out []string
 	for id, t := range b.byID {
-		if t.health.saysSilent(now) {
+		if len(t.heard) == 0 && t.health.saysSilent(now) {
 			out = append(out, id)
 		}
 	}
@@ -68,6 +71,35 @@
 	return out
 }
 
+// HeardTargets returns the targets with work of this entry that sent something
+// lately.
+func (b *Book) HeardTargets(now time.Time) map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]bool{}
+	for id, t := range b.byID {
+		if t.own.Requests > 0 && now.Sub(t.health.heardAt) < heardFor {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// SetHeard notes whether another entry hears a target. A single answer that got
+// lost makes a target silent for one entry only.
+func (b *Book) SetHeard(from, instance string, heard bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.byID[instance]
+	switch {
+	case t == nil:
+	case heard:
+		t.heard[from] = true
+	default:
+		delete(t.heard, from)
+	}
+}
+
 // Suspect notes that another entry finds a target silent. It reports whether
 // that is news.
 func (b *Book) Suspect(now time.Time, instance string) bool {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -258,6 +258,7 @@
 	loads := make(map[string]dispatch.Load, len(l.Targets))
 	for _, t := range l.Targets {
 		loads[t.Instance] = dispatch.Load{Requests: t.Requests, Unread: t.Unread}
+		c.book.SetHeard(from, t.Instance, t.Heard)
 		if t.Silent && c.book.Suspect(time.Now(), t.Instance) {
 			c.log.WithFields(logrus.Fields{"target": t.Instance, "peer": from}).Info("Target silent for another entry.")
 		}
@@ -312,11 +313,11 @@
 // OwnLoads returns what this entry has in flight, for the other entries.
 func (c *Control) OwnLoads() []peer.TargetLoad {
 	own := c.book.OwnLoads()
-	silent := c.book.SilentTargets(time.Now())
+	silent, heard := c.book.SilentTargets(time.Now()), c.book.HeardTargets(time.Now())
 	out := make([]peer.TargetLoad, 0, len(own)+len(silent))
 	for id, l := range own {
 		_, found := slices.BinarySearch(silent, id)
-		out = append(out, peer.TargetLoad{Instance: id, Requests: l.Requests, Unread: l.Unread, Silent: found})
+		out = append(out, peer.TargetLoad{Instance: id, Requests: l.Requests, Unread: l.Unread, Silent: found, Heard: heard[id]})
 	}
 	for _, id := range silent {
 		if _, listed := own[id]; !listed {
