--- a/command/platform.go
+++ b/command/platform.go
@@ -31,7 +31,7 @@
 	// and the program itself.
 	memoryShare = 0.6
 	// garbagePercent keeps the heap small: memory is paid for at its peak.
-	garbagePercent = 60
+	garbagePercent = 30
 	// logFlush bounds the wait for the last log lines at the end.
 	logFlush = 500 * time.Millisecond
 	// rosterHold is how long a target that vanished from the list is kept. It
