peer: messages of requests, control, presence and weights have files of their own

Cause: peer/message.go had 426 lines of unlike messages and peer/mirror.go those of the mesh and of weights. Change: moved, nothing else.

--- /dev/null
+++ b/peer/presence.go
@@ -0,0 +1,129 @@
+package peer
+
+// Presence is what a process says about itself when it opens a link, and at
+// intervals.
+type Presence struct {
+	Host        string
+	Role        string
+	Domain      string
+	Addr        string // of its peer listener; empty if it has none
+	Service     string // of the engine beside an agent
+	Engine      string // address of the engine beside an agent
+	Pieces      string // address where an agent hands out staged pieces
+	Incarnation uint64
+	Revision    int64 // how far its copy of the store reaches
+	Leaving     bool
+	// LinkMbps is the rate of the host's link; 0 if not known.
+	LinkMbps float64
+}
+
+// Kind implements Message.
+func (*Presence) Kind() Kind { return kindPresence }
+
+// fastShare is the part of the fastest link's rate from which on a host carries
+// bulk traffic.
+const fastShare = 0.5
+
+// Fast returns the hosts that should carry bulk traffic: those whose links are
+// not much slower than the fastest. The others need theirs for live requests.
+func Fast(list []Presence) []Presence {
+	most := 0.0
+	for _, p := range list {
+		most = max(most, p.LinkMbps)
+	}
+	var out []Presence
+	for _, p := range list {
+		if p.LinkMbps >= fastShare*most {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Presences answers a Presence with the entries that the peer knows.
+type Presences struct{ Entries []Presence }
+
+// Kind implements Message.
+func (*Presences) Kind() Kind { return kindPresences }
+
+// Loads tells what an entry has in flight at targets, on the stream that it
+// opened with its Presence.
+type Loads struct {
+	Full     bool  // all targets; otherwise those that changed
+	Leaving  bool  // the entry is leaving
+	Revision int64 // how far its copy of the store reaches
+	Targets  []TargetLoad
+}
+
+// Kind implements Message.
+func (*Loads) Kind() Kind { return kindLoads }
+
+// TargetLoad is one entry's share of the load of one target; zero if it has
+// nothing there any more.
+type TargetLoad struct {
+	Instance string
+	Requests int // sent and not answered in full
+	Unread   int // prompt tokens of requests without a first event
+	// Silent is true if the target has work of the entry and sends nothing; Heard
+	// if it sent something lately.
+	Silent, Heard bool
+}
+
+// EngineState is what the agent beside an engine says about it.
+type EngineState struct {
+	Addr    string // address that the engine serves on
+	Model   string
+	Version int  // served whole; 0 is none
+	Loading bool // an order is in progress: new requests would wait
+}
+
+// Kind implements Message.
+func (*EngineState) Kind() Kind { return kindEngineState }
+
+// Assignment tells an agent what the engine beside it is to serve.
+type Assignment struct {
+	Entry   string // address of the entry that says so
+	Model   string
+	Version int
+	Layers  int
+	Pieces  int
+	// AgeMs is how long ago the version was announced, as far as the entry
+	// knows; TimeoutMs is the time in which all engines must serve it.
+	AgeMs, TimeoutMs int64
+	// Turn of Turns is the engine's place in the order of the change.
+	Turn, Turns int
+	// Withheld is true while the entry fails to read pieces of the version.
+	Withheld bool
+	// Earlier are versions announced before, oldest first: until all engines
+	// serve the newest, these must be served in time too.
+	Earlier []AnnouncedVersion
+}
+
+// AnnouncedVersion is a version that the operators named, and how long ago.
+type AnnouncedVersion struct {
+	Version int
+	AgeMs   int64
+}
+
+// Kind implements Message.
+func (*Assignment) Kind() Kind { return kindAssignment }
+
+// Reserve asks the home entry of a target whether one more request may go
+// there now.
+type Reserve struct {
+	From        string // address of the entry that asks
+	Instance    string
+	Prompt      int // tokens
+	ObjectiveMs int64
+	MaxGapMs    int64
+	Late        bool
+}
+
+// Kind implements Message.
+func (*Reserve) Kind() Kind { return kindReserve }
+
+// ReserveReply answers a Reserve.
+type ReserveReply struct{ Granted bool }
+
+// Kind implements Message.
+func (*ReserveReply) Kind() Kind { return kindReserveReply }
