Log lines of failures are dropped last

Cause: at its bound the log writer dropped whatever came, so the line that says why a request failed could be missing while those of answered ones were there. Change: a quarter of the lines that may wait is kept for warnings and errors. Test: TestFailuresAreLoggedFirst.

--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -14,6 +15,10 @@
 	asyncLines = 2048
 	asyncPause = 100 * time.Millisecond
 	asyncBatch = 64 << 10
+	// asyncReserve is how many of the lines that may wait are kept for warnings
+	// and errors: a request that failed is asked about, one that was answered is
+	// not.
+	asyncReserve = asyncLines / 4
 )
 
 // AsyncWriter passes log lines on without ever blocking the caller. Lines that
@@ -32,6 +37,10 @@
 
 // Write implements io.Writer.
 func (a *AsyncWriter) Write(p []byte) (int, error) {
+	if len(a.lines) >= asyncLines-asyncReserve && isInfo(p) {
+		a.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), p...):
 	default:
@@ -40,6 +49,19 @@
 	return len(p), nil
 }
 
+// infoLevels are how a line of level info or debug begins or names its level in
+// the formats of NewLogger.
+var infoLevels = [][]byte{[]byte(`"level":"info"`), []byte(`"level":"debug"`), []byte("level=info"), []byte("level=debug")}
+
+func isInfo(line []byte) bool {
+	for _, l := range infoLevels {
+		if bytes.Contains(line, l) {
+			return true
+		}
+	}
+	return false
+}
+
 // Dropped returns how many lines were dropped.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
--- a/telemetry/async_test.go
+++ b/telemetry/async_test.go
@@ -47,3 +47,19 @@
 		close(a.lines)
 	})
 }
+
+// When lines must be dropped, those of requests that were answered go first.
+func TestFailuresAreLoggedFirst(t *testing.T) {
+	a := &AsyncWriter{lines: make(chan []byte, asyncLines)} // nobody reads
+	for range 2 * asyncLines {
+		_, err := a.Write([]byte(`{"level":"info","msg":"Answered."}`))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(a.lines), asyncLines-asyncReserve)
+	for range asyncReserve {
+		_, err := a.Write([]byte(`{"level":"warning","msg":"Not answered."}`))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(a.lines), asyncLines)
+	assert.Equal(t, a.Dropped(), int64(asyncLines+asyncReserve))
+}
