--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -204,8 +204,8 @@
 		Services: []fake.Service{{Name: plainService, MaxConnections: 200}, {Name: "origin", MaxConnections: 48, Origin: f.origin.Addr(), Zone: domains[0]},
 			{Name: engineService, MaxConnections: 200, Engine: &fake.Engine{Slots: 16, Stride: 5, StepMs: 1, ReadPerS: 100000,
 				Models: []fake.EngineModel{{Name: model, WarmS: 0.1}}, Usual: map[string]int{"prompt": 100, "answer": 20}, Layers: 4, Chunks: pieces, ChunkBytes: 4096}}},
-		Limits:  map[string]int{"HeaderBytes": 8192, "BodyBytes": 1 << 20, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 30000},
-		Tenants: []fake.Team{{Name: "lasting", ApiKeys: []string{lastingKey}}, {Name: "rotating", ApiKeys: []string{rotatingKey(n)}}}})
+		Limits: map[string]int{"HeaderBytes": 8192, "BodyBytes": 1 << 20, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 30000},
+		Teams:  []fake.Team{{Name: "lasting", ApiKeys: []string{lastingKey}}, {Name: "rotating", ApiKeys: []string{rotatingKey(n)}}}})
 }
 
 // nextVersion names a new version of the model.
--- a/weights/prefetch.go
+++ b/weights/prefetch.go
@@ -10,8 +10,9 @@
 	"github.com/springgate/springgate/peer"
 )
 
-// Want holds the pieces of a version. It reads those for which this entry is the reader of its failure domain before an agent asks for
-// them: by then the origin may be away.
+// Want holds the pieces of a version. It reads those for which this entry is the
+// reader of its failure domain before an agent asks for them: by then the origin
+// may be away.
 func (r *Relay) Want(ctx context.Context, model string, version, pieces int) {
 	if r.Hold(model, version) {
 		go r.prefetch(ctx, model, version, pieces)
