Followers of the store are not sent back to read all when many targets register

A table keeps 128 changes for its followers; hundreds of engines change between two watches, so each follower was behind all of them and read the whole copy, about 1 MB, from one of three readers, again and again. Change: 4,096 changes and 1 MiB are kept, trimmed by halves. Tests: TestBurstOfChangesKeepsFollowersFollowing ("history compacted" on the code before), TestHistoryIsBoundedInBytes.

--- a/mirror/table.go
+++ b/mirror/table.go
@@ -56,9 +56,15 @@
 // Paid is a Source that may cost something each time it is called.
 type Paid interface{ Paid() bool }
 
-// historyLength is how many changes a table keeps for peers that follow it. A
-// change has a few hundred bytes, but a configuration tens of thousands.
-const historyLength = 128
+// Bounds of the changes that a table keeps for peers that follow it. A follower
+// that is further behind reads the whole copy, about 1 MB at 3,000 targets, and
+// when those register at once all followers are: a few hundred changes come
+// between two watches. A change has a few hundred bytes, a configuration tens of
+// thousands.
+const (
+	historyLength = 4096
+	historyBytes  = 1 << 20
+)
 
 // Table is the copy of one prefix. Its methods may be called concurrently.
 type Table struct {
@@ -67,6 +73,7 @@
 	mu        sync.Mutex
 	items     map[string]Item
 	history   []Event
+	size      int   // of the history in bytes
 	start     int64 // history is complete after this revision
 	revision  int64
 	first     int64     // revision of the first read
@@ -140,7 +147,7 @@
 	}
 	// Keys that came and went since the last read were not seen here, so a
 	// peer that is behind must read all too.
-	t.start, t.history = b.Revision, nil
+	t.start, t.history, t.size = b.Revision, nil, 0
 	t.advance(now, b, changed)
 }
 
@@ -158,13 +165,31 @@
 		t.items[e.Key] = e.Item
 	}
 	t.history = append(t.history, e)
-	if over := len(t.history) - historyLength; over > 0 {
-		t.start = max(t.start, t.history[over-1].Revision)
-		t.history = append([]Event(nil), t.history[over:]...)
-	}
+	t.size += e.size()
+	t.trim()
 	return true
 }
 
+// eventOverhead is what an event takes beside its key and value, in bytes.
+const eventOverhead = 64
+
+func (e Event) size() int { return len(e.Key) + len(e.Value) + eventOverhead }
+
+// trim drops the oldest half of a history that is over its bounds, so that it is
+// not copied at each change.
+func (t *Table) trim() {
+	if len(t.history) < 2 || len(t.history) <= historyLength && t.size <= historyBytes {
+		return
+	}
+	keep := t.history[len(t.history)/2:]
+	t.start = max(t.start, t.history[len(t.history)/2-1].Revision)
+	t.history = append([]Event(nil), keep...)
+	t.size = 0
+	for _, e := range t.history {
+		t.size += e.size()
+	}
+}
+
 func (t *Table) advance(now time.Time, b Batch, changed bool) {
 	moved := b.Revision > t.revision
 	t.revision = max(t.revision, b.Revision)
--- a/mirror/table_test.go
+++ b/mirror/table_test.go
@@ -78,6 +78,37 @@
 	assert.Equal(t, len(b.Events), 1)
 }
 
+// When a thousand targets register at once, a follower that was a moment behind
+// gets their changes, not the whole copy.
+func TestBurstOfChangesKeepsFollowersFollowing(t *testing.T) {
+	table := NewTable("")
+	table.Replace(start, Batch{Revision: 1})
+	for r := int64(2); r < 1002; r++ {
+		e := set(fmt.Sprintf("servers/%d", r), r)
+		e.Value = make([]byte, 300)
+		table.Apply(start, Batch{Events: []Event{e}, Revision: r})
+	}
+	b, err := table.Watch(t.Context(), 1, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Events), 1000)
+}
+
+// Configurations are large; a few of them must not fill the memory, and the
+// newest is kept however large it is.
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	table := NewTable("")
+	table.Replace(start, Batch{Revision: 1})
+	for r := int64(2); r < 12; r++ {
+		e := set("config", r)
+		e.Value = make([]byte, historyBytes)
+		table.Apply(start, Batch{Events: []Event{e}, Revision: r})
+		assert.Assert(t, table.size <= 2*historyBytes)
+	}
+	b, err := table.Watch(t.Context(), 10, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Events), 1)
+}
+
 // scripted is a source whose answers are given by a function.
 type scripted struct {
 	name  string
