Soak: ports are handed out once, processes that end are started again and counted

A free port that the kernel named was let go before the program bound it; one was named twice, one went to a connection in between. Change: ports below the kernel's range, each once; a process that ends by itself is started again, as the platform does, and the test fails if one did.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -65,14 +66,29 @@
 
 func rotatingKey(n int) string { return fmt.Sprintf("key-%d", n) }
 
-// freeAddr returns an address of loopback that nothing listens on.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports of the programs lie below those that the kernel gives to connections, so
+// that none is taken between the choice and the start.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// ports hands out addresses of loopback that nothing listens on, each once.
+type ports struct{ next int }
+
+// newPorts begins at a place of its own for each test process.
+func newPorts() *ports { return &ports{next: os.Getpid() * 397 % portCount} }
+
+func (p *ports) addr() (string, error) {
+	for range portCount {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+p.next)
+		p.next = (p.next + 1) % portCount
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", fmt.Errorf("soak: no free port from %d on", firstPort)
 }
 
 // newFleet starts the stand-ins and the programs.
@@ -128,6 +144,7 @@
 func (f *Fleet) startProcesses() error {
 	var seeds []string
 	var nodes []fake.Node
+	free := newPorts()
 	for i := range f.cfg.Entries {
 		n := fake.Node{Name: fmt.Sprintf("entry-%d", i), Domain: domains[i%len(domains)], Serves: []string{"front", "control"},
 			Grace: grace, FirstStart: true}
@@ -138,7 +155,7 @@
 		f.links = append(f.links, link)
 		n.Store = link.Addr()
 		for _, addr := range []*string{&n.Callers, &n.Ready, &n.Peers} {
-			if *addr, err = freeAddr(); err != nil {
+			if *addr, err = free.addr(); err != nil {
 				return err
 			}
 		}
@@ -151,7 +168,7 @@
 		n := fake.Node{Name: fmt.Sprintf("agent-%d", i), Domain: domains[i%len(domains)], Serves: []string{"side"},
 			Engine: e.Addr(), Service: engineService, Store: f.store.Addr(), Grace: grace, FirstStart: true}
 		var err error
-		if n.Peers, err = freeAddr(); err != nil {
+		if n.Peers, err = free.addr(); err != nil {
 			return err
 		}
 		nodes = append(nodes, n)
@@ -248,6 +265,7 @@
 	Attempts   int
 	Served     int
 	Faults     map[string]int
+	OwnExits   int // processes that ended by themselves, and were started again
 }
 
 // Run runs the fleet under faults and judges it.
@@ -278,6 +296,9 @@
 	for _, e := range f.engines {
 		r.Mixed += e.Mixed()
 	}
+	for _, p := range slices.Concat(f.entries, f.agents) {
+		r.OwnExits += p.OwnExits()
+	}
 	attempts := f.record.attempts()
 	r.Violations = Judge(attempts, f.runs.All())
 	r.Attempts = len(attempts)
--- a/soak/process.go
+++ b/soak/process.go
@@ -23,6 +23,8 @@
 	cmd      *exec.Cmd
 	exited   chan struct{} // closed when cmd has ended
 	starts   int
+	ending   bool // its end is wanted
+	ownExits int
 	troubled time.Time // until when the process, or its links, misbehave
 }
 
@@ -40,6 +42,7 @@
 		return err
 	}
 	p.starts++
+	p.ending = false
 	out, err := os.OpenFile(filepath.Join(p.dir, p.node.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -57,10 +60,38 @@
 	go func() {
 		_ = cmd.Wait() // how it ended is seen by its callers
 		close(exited)
+		p.ended()
 	}()
 	return nil
 }
 
+// restartDelay is how long after its end the platform starts a process again.
+const restartDelay = 200 * time.Millisecond
+
+// ended starts a process again that ended by itself, as the platform does.
+func (p *Process) ended() {
+	p.mu.Lock()
+	again := !p.ending
+	if again {
+		p.ownExits++
+	}
+	p.mu.Unlock()
+	if !again {
+		return
+	}
+	time.Sleep(restartDelay)
+	if err := p.Start(); err != nil {
+		return // the fleet is seen not to serve
+	}
+}
+
+// OwnExits returns how often the process ended by itself.
+func (p *Process) OwnExits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ownExits
+}
+
 func (p *Process) settingsPath() string { return filepath.Join(p.dir, p.node.Name+".toml") }
 
 func (p *Process) writeSettings() error {
@@ -71,6 +102,7 @@
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = p.cmd.Process.Signal(s) // it may have ended
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,7 @@
 		for _, v := range r.Violations {
 			t.Errorf("seed %d: %v", seed, v)
 		}
+		assert.Equal(t, r.OwnExits, 0, "seed %d: processes that ended by themselves", seed)
 		assert.Equal(t, r.Mixed, int64(0), "seed %d: weights that were not whole", seed)
 		assert.Equal(t, len(r.Unserved), 0, "seed %d: %v", seed, r.Unserved)
 		assert.Assert(t, r.Served > 0)
