Soak: one end and start of a process at a time

A process that was stopped and killed at the same moment was started twice on the same ports; the second copy ended at once, and was started again. Change: a process is held while it is ended and started again.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -120,6 +120,8 @@
 // restart ends a process, by its own orderly stop or at once, and starts it
 // again.
 func (f *Fleet) restart(p *Process, after time.Duration, kill bool) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
 	if kill {
 		p.Trouble(after + aftermath)
 		p.Kill()
--- a/soak/process.go
+++ b/soak/process.go
@@ -19,6 +19,8 @@
 	dir  string
 	args []string
 
+	restarting sync.Mutex // held while it is ended and started again
+
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{} // closed when cmd has ended
@@ -59,8 +61,11 @@
 	p.cmd, p.exited = cmd, exited
 	go func() {
 		_ = cmd.Wait() // how it ended is seen by its callers
-		close(exited)
-		p.ended()
+		again := p.ended()
+		close(exited) // who waits may start it again from here on
+		if again {
+			p.startAgain()
+		}
 	}()
 	return nil
 }
@@ -68,17 +73,19 @@
 // restartDelay is how long after its end the platform starts a process again.
 const restartDelay = 200 * time.Millisecond
 
-// ended starts a process again that ended by itself, as the platform does.
-func (p *Process) ended() {
+// ended notes that the process has ended and reports whether it did by itself.
+func (p *Process) ended() bool {
 	p.mu.Lock()
-	again := !p.ending
-	if again {
-		p.ownExits++
-	}
-	p.mu.Unlock()
-	if !again {
-		return
+	defer p.mu.Unlock()
+	if p.ending {
+		return false
 	}
+	p.ownExits++
+	return true
+}
+
+// startAgain starts a process that ended by itself, as the platform does.
+func (p *Process) startAgain() {
 	time.Sleep(restartDelay)
 	if err := p.Start(); err != nil {
 		return // the fleet is seen not to serve
