Overdue callers go last only while fresh ones are refused

Change: the terms are strict for a second after this entry refused a fresh request; otherwise overdue callers accept the common wait.

The test of overdue callers is extended by both states.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -55,13 +55,15 @@
 // service that can be in time accept the same wait, whatever their objective and
 // size: if each tested its own objective, the load would settle where the
 // loosest just fits, and shut out the others.
-func (b *Book) admission(t *Target, demands *demands, d Demand) Admission {
+func (b *Book) admission(now time.Time, t *Target, demands *demands, d Demand) Admission {
 	a := Admission{MaxWait: b.commonWait(t, demands, d), MaxGap: time.Duration(b.cfg.AdmitGap * float64(d.MaxGap))}
 	switch d.Standing {
 	case Overdue:
-		a.MaxWait = time.Duration(overdueWait * float64(a.MaxWait))
-		slots := t.slots()
-		a.MaxLoad = max(slots-(slots+overdueReserve-1)/overdueReserve, 1)
+		if demands.overloaded(now) {
+			a.MaxWait = time.Duration(overdueWait * float64(a.MaxWait))
+			slots := t.slots()
+			a.MaxLoad = max(slots-(slots+overdueReserve-1)/overdueReserve, 1)
+		}
 	case Resumed:
 		a.MaxWait = max(a.MaxWait, d.Objective)
 	}
@@ -115,6 +117,17 @@
 	at    time.Time
 	seen  []objectiveShare
 	total float64
+	// refusedAt is when a fresh request was last refused for want of a target
+	// in time.
+	refusedAt time.Time
+}
+
+// overloadMemory is how long a service counts as overloaded after it refused a
+// fresh request: about as long as an engine works on one.
+const overloadMemory = time.Second
+
+func (s *demands) overloaded(now time.Time) bool {
+	return s != nil && now.Sub(s.refusedAt) < overloadMemory
 }
 
 // objectiveShare are the requests with one objective; counts decay.
@@ -160,10 +173,25 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.demandsOf(now, service).observe(now, d.Objective, d.Prompt)
+}
+
+// Refused notes that a request was turned away because no target could serve it
+// in time.
+func (b *Book) Refused(now time.Time, service string, d Demand) {
+	if d.Standing != Fresh {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.demandsOf(now, service).refusedAt = now
+}
+
+func (b *Book) demandsOf(now time.Time, service string) *demands {
 	s := b.demands[service]
 	if s == nil {
 		s = &demands{at: now}
 		b.demands[service] = s
 	}
-	s.observe(now, d.Objective, d.Prompt)
+	return s
 }
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -195,7 +195,7 @@
 	if best.Target == nil {
 		return Choice{}, NoTarget
 	}
-	best.Admission = b.admission(best.Target, b.demands[service], d)
+	best.Admission = b.admission(now, best.Target, b.demands[service], d)
 	if !best.Admission.admits(best.Load, best.Forecast) {
 		return best.Choice, Saturated
 	}
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -130,6 +130,7 @@
 		s.pass(e)
 		return
 	}
+	s.book.Refused(s.now, testService, j.demand)
 	if j.returns < s.retries {
 		j.returns++
 		j.demand.Standing = Overdue
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -134,6 +134,9 @@
 		case <-patience.C:
 			x.waited += time.Since(began)
 			x.logUnplaced(verdict, choice)
+			if verdict == dispatch.Saturated {
+				x.g.book.Refused(time.Now(), x.service, d)
+			}
 			return choice, reasonOf(verdict)
 		case <-ctx.Done():
 			x.waited += time.Since(began)
