--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -154,15 +154,17 @@
 // retryAfter is when a refused caller should come back.
 func (x *exchange) retryAfter() time.Duration {
 	left := time.Until(x.deadline)
-	if x.deadline.IsZero() || left <= 0 {
+	if x.deadline.IsZero() { // it was refused before its route was known
+		left = x.call.Remaining
+	}
+	if left <= 0 {
 		return retryAfterUnknown
 	}
 	part := x.g.cfg.RetryAfter * (1 - x.g.cfg.RetrySpread*rand.Float64())
 	return time.Duration(part * float64(left))
 }
 
-// retryAfterUnknown is said where it is not known how long the caller waits,
-// because no configuration is in force yet: entries get theirs within a second.
+// retryAfterUnknown is said where it is not known how long the caller waits.
 const retryAfterUnknown = time.Second
 
 // logEnd writes the line that says how a request ended.
