All kinds of a service wait equally long at the entry

Cause: a fresh request could wait for a tenth of its own objective, so those with a loose one won the places that others had left.

Ruled out: the home's grants (they test the same terms); the common wait itself (targets had one to two waiting requests at each refusal, of either kind).

Change: the wait is a tenth of the tightest objective that the service's callers have.

The test fails on the code before (150 ms instead of 25).

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -155,6 +155,18 @@
 	s.seen[i].prompts += float64(prompt)
 }
 
+// tightest returns the smallest objective with a share that counts, or other if
+// none has.
+func (s *demands) tightest(other time.Duration) time.Duration {
+	least := other
+	for _, o := range s.seen {
+		if o.count >= demandShare*s.total {
+			least = min(least, o.objective)
+		}
+	}
+	return least
+}
+
 func (s *demands) decay(now time.Time) {
 	factor := math.Exp2(-now.Sub(s.at).Seconds() / demandHalfLife.Seconds())
 	s.at = now
@@ -166,14 +178,16 @@
 	s.seen = slices.DeleteFunc(s.seen, func(o objectiveShare) bool { return o.count < demandShare })
 }
 
-// Arrived notes a new request for a service before a target is chosen.
-func (b *Book) Arrived(now time.Time, service string, d Demand) {
-	if d.Standing != Fresh {
-		return
-	}
+// Arrived notes a new request for a service before a target is chosen. It returns
+// the tightest objective that the service's callers have.
+func (b *Book) Arrived(now time.Time, service string, d Demand) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.demandsOf(now, service).observe(now, d.Objective, d.Prompt)
+	s := b.demandsOf(now, service)
+	if d.Standing == Fresh {
+		s.observe(now, d.Objective, d.Prompt)
+	}
+	return s.tightest(d.Objective)
 }
 
 // Refused notes that a request was turned away because no target could serve it
--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -40,6 +40,14 @@
 	assert.Equal(t, verdict(b, asked(loose, Fresh)), Chosen)
 }
 
+func TestAllKindsWaitEquallyLongAtTheEntry(t *testing.T) {
+	b := book(engineModel(), Config{}, engine(1, 1))
+	assert.Equal(t, b.Arrived(start, testService, asked(loose, Fresh)), loose)
+	assert.Equal(t, b.Arrived(start, testService, asked(tight, Fresh)), tight)
+	assert.Equal(t, b.Arrived(start, testService, asked(loose, Fresh)), tight)
+	assert.Equal(t, b.Arrived(start, "other", asked(loose, Overdue)), loose)
+}
+
 func TestLargePromptsAcceptTheSameWait(t *testing.T) {
 	b := book(engineModel(), Config{}, engine(1, 1))
 	b.SetLoads("other", map[string]Load{"i-1": {Requests: 15}})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,10 +65,12 @@
 type Config struct {
 	Domain string // failure domain of this entry
 
-	// Patience is the part of the objective that a fresh request may wait for a
-	// target: enough to bridge a moment without one, and little enough that a
-	// caller who is refused has lost nothing. On twelve overloaded days 0.1 and
-	// 0.2 served equally many in time. Default 0.1.
+	// Patience is the part of the service's tightest objective that a fresh
+	// request may wait for a target: enough to bridge a moment without one, and
+	// little enough that a caller who is refused has lost nothing. All wait
+	// equally long, since those who wait longer win the places that others
+	// leave. On twelve overloaded days 0.1 and 0.2 served equally many in time.
+	// Default 0.1.
 	Patience float64
 	// RetryPatience is how long a request that failed at one target may wait
 	// for another. Default 250 ms.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -408,6 +408,14 @@
 	assert.Assert(t, !r.returning("a", 0), "not said")
 }
 
+// A request that may wait longer than others wins the places that these leave.
+func TestPatienceIsThatOfTheTightestObjective(t *testing.T) {
+	g := &Gateway{cfg: Config{}.applyDefaults()}
+	x := &exchange{g: g, route: &fleet.Route{Objective: 1500 * time.Millisecond}, tightest: 250 * time.Millisecond, start: time.Now(),
+		deadline: time.Now().Add(time.Minute)}
+	assert.Assert(t, x.patience() <= 25*time.Millisecond)
+}
+
 func TestEventReader(t *testing.T) {
 	read := func(s string) (ids []string, err error) {
 		e := eventReader{bufio.NewReaderSize(strings.NewReader(s), 16)}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -113,7 +113,7 @@
 	d := x.demand()
 	began := time.Now()
 	if x.sends == 0 {
-		x.g.book.Arrived(began, x.service, d)
+		x.tightest = x.g.book.Arrived(began, x.service, d)
 	}
 	patience := time.NewTimer(x.patience())
 	defer patience.Stop()
@@ -181,7 +181,7 @@
 	if x.returning {
 		return 0
 	}
-	limit := time.Duration(x.g.cfg.Patience * float64(x.route.Objective))
+	limit := time.Duration(x.g.cfg.Patience * float64(x.tightest))
 	return max(min(limit-time.Since(x.start), time.Until(x.deadline)), 0)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -39,7 +39,8 @@
 	events    int
 	started   bool // the head of the answer is passed on
 	waited    time.Duration
-	returning bool // the caller was refused before
+	tightest  time.Duration // objective of the service's callers
+	returning bool          // the caller was refused before
 	firstAt   time.Duration
 	maxGap    time.Duration   // longest pause between events
 	target    string          // of the last send
