Mechanisms can be switched off one at a time

A mechanism that is switched off is skipped where it decides.

Tests: TestParse, TestEachMechanismHasItsOwnName, TestList.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -8,6 +8,7 @@
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/gateway"
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mesh"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
@@ -53,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	e := newEntryProcess(p)
+	e := newEntryProcess(p, f.off)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	peers, err := peer.Listen(p.self.Addr, p.hello(), e.servePeer, p.meter)
@@ -77,24 +78,24 @@
 	return nil
 }
 
-func newEntryProcess(p *onPlatform) *entryProcess {
+func newEntryProcess(p *onPlatform, off mechanism.Off) *entryProcess {
 	s := p.settings
 	e := &entryProcess{onPlatform: p}
 	p.pool = peer.NewPool(p.hello(), e.servePeer, p.meter)
 	store := platform.NewStore(s.Store.Addr)
 	table := mirror.NewTable(platform.PrefixAll)
-	e.book = dispatch.NewBook(dispatch.Config{VersionTimeout: s.VersionTimeout()}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	e.book = dispatch.NewBook(dispatch.Config{Off: off, VersionTimeout: s.VersionTimeout()}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.conns = targetconn.NewPool(targetconn.Config{})
 	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e,
 		Table: table, Log: telemetry.Part(p.log, "mesh")})
-	e.homes = mesh.NewReserver(e.mesh, e.book)
-	e.gateway = gateway.New(gateway.Config{Domain: s.Domain, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
+	e.homes = mesh.NewReserver(e.mesh, e.book, off)
+	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.book, e.conns, e.homes,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = mirror.NewFollower(mirror.Config{}, table, e.source(store), e.otherSource(store), telemetry.Part(p.log, "mirror"))
-	e.relay = weights.NewRelay(weights.Config{}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
+	e.relay = weights.NewRelay(weights.Config{Off: off}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
 		telemetry.Part(p.log, "weights"))
-	e.control = gateway.NewControl(gateway.ControlOptions{Addr: p.self.Addr, Config: gateway.ControlConfig{VersionTimeout: s.VersionTimeout()},
+	e.control = gateway.NewControl(gateway.ControlOptions{Addr: p.self.Addr, Config: gateway.ControlConfig{Off: off, VersionTimeout: s.VersionTimeout()},
 		Gateway: e.gateway, Book: e.book, Decoder: platform.Decoder{}, Table: table,
 		Outage: e.follower.Outage, Roster: gateway.Roster{Hold: rosterHold, CatchUp: rosterCatchUp}, Relay: e.relay,
 		Log: telemetry.Part(p.log, "control")})
--- a/command/platform.go
+++ b/command/platform.go
@@ -11,6 +11,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/operator"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/platform"
@@ -62,10 +63,15 @@
 type platformFlags struct {
 	logLevel string
 	admin    string
+	off      mechanism.Off
 }
 
 func (f *platformFlags) add(s *settings.Set) {
 	s.Choice(&f.logLevel, "log-level", "least severe level that is logged", "info", "debug", "info", "warning", "error")
+	s.List("without", "mechanisms that are switched off, to measure what they are worth", mechanism.Names(), func(v string) (err error) {
+		f.off, err = mechanism.Parse(v)
+		return err
+	})
 	s.Address(&f.admin, "admin-listen", "address of /healthz, /readyz and /metrics", "", false)
 }
 
--- a/command/sidecar.go
+++ b/command/sidecar.go
@@ -101,7 +101,7 @@
 	var agent *sidecar.Sidecar
 	network := mesh.New(mesh.Options{Self: p.self, Seeds: p.settings.Seeds, Pool: p.pool, Log: telemetry.Part(p.log, "mesh"),
 		Assigned: func(a peer.Assignment) { agent.Assign(time.Now(), a) }})
-	agent = sidecar.New(sidecar.Config{FirstStart: p.settings.FirstStart}, platform.NewEngines(), p.settings.EngineAddr, entrySource{network, p.call},
+	agent = sidecar.New(sidecar.Config{Off: f.off, FirstStart: p.settings.FirstStart}, platform.NewEngines(), p.settings.EngineAddr, entrySource{network, p.call},
 		network.Say, sidecar.NewStats(p.metrics), telemetry.Part(p.log, "sidecar"))
 	peers, err := peer.Listen(p.self.Pieces, p.hello(), agent.ServePiece, p.meter)
 	if err != nil {
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/springgate/springgate/mechanism"
 )
 
 // Standing says what a request can still become, which decides who goes first
@@ -81,7 +83,7 @@
 // commonWait is the longest wait at t with which a mean request of each objective
 // that the service's callers have is in time.
 func (b *Book) commonWait(t *Target, demands *demands, d Demand) time.Duration {
-	if demands == nil || len(demands.seen) == 0 {
+	if b.cfg.Off.Has(mechanism.CommonWait) || demands == nil || len(demands.seen) == 0 {
 		return b.slack(t, d.Objective, d.Prompt)
 	}
 	least := time.Duration(math.MaxInt64)
@@ -187,6 +189,9 @@
 	if d.Standing == Fresh {
 		s.observe(now, d.Objective, d.Prompt)
 	}
+	if b.cfg.Off.Has(mechanism.CommonWait) {
+		return d.Objective
+	}
 	return s.tightest(d.Objective)
 }
 
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -8,10 +8,13 @@
 	"time"
 
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mechanism"
 )
 
 // Config holds the constants of the choice.
 type Config struct {
+	// Off are mechanisms that are switched off.
+	Off mechanism.Off
 	// Admit is the part of the tightest objective of a service that the
 	// forecast of a mean request may take. The rest covers the way to the
 	// caller and what the forecast does not see. Default 0.75.
@@ -180,7 +183,7 @@
 		}
 		c := candidate{Choice: Choice{Target: t, Forecast: b.forecast(t, d), Load: t.load}}
 		c.cost = c.Forecast.FirstEvent
-		if t.Domain != d.Domain {
+		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
 		}
 		if t.lastResort(now) {
@@ -354,7 +357,7 @@
 		t.health.eject(now)
 	case r.Failed && r.Silent && len(t.heard) == 0:
 		t.health.leftSilent(now)
-	default:
+	case !b.cfg.Off.Has(mechanism.Ejection):
 		t.health.observe(now, !r.Failed)
 	}
 	if r.Latency > 0 && t.model == nil {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
 )
@@ -28,6 +29,8 @@
 	// Tick is the time between two looks at what changes with time only.
 	// Default 200 ms.
 	Tick time.Duration
+	// Off are mechanisms that are switched off.
+	Off mechanism.Off
 	// VersionTimeout is the time in which a new version must be everywhere.
 	VersionTimeout time.Duration
 }
@@ -256,13 +259,17 @@
 // Loads implements mesh.Listener.
 func (c *Control) Loads(from string, l *peer.Loads) {
 	loads := make(map[string]dispatch.Load, len(l.Targets))
+	silence := !c.cfg.Off.Has(mechanism.SharedSilence)
 	for _, t := range l.Targets {
 		loads[t.Instance] = dispatch.Load{Requests: t.Requests, Unread: t.Unread}
-		c.book.SetHeard(from, t.Instance, t.Heard)
-		if t.Silent && c.book.Suspect(time.Now(), t.Instance) {
+		c.book.SetHeard(from, t.Instance, t.Heard && silence)
+		if silence && t.Silent && c.book.Suspect(time.Now(), t.Instance) {
 			c.log.WithFields(logrus.Fields{"target": t.Instance, "peer": from}).Info("Target silent for another entry.")
 		}
 	}
+	if c.cfg.Off.Has(mechanism.SharedLoads) {
+		return
+	}
 	if l.Full {
 		c.book.SetLoads(from, loads)
 	} else {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/routing"
 	"github.com/springgate/springgate/targetconn"
 )
@@ -63,7 +64,8 @@
 
 // Config holds the limits of a Gateway.
 type Config struct {
-	Domain string // failure domain of this entry
+	Off    mechanism.Off // mechanisms that are switched off
+	Domain string        // failure domain of this entry
 
 	// Patience is the part of the service's tightest objective that a fresh
 	// request may wait for a target: enough to bridge a moment without one, and
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/targetconn"
 )
 
@@ -89,7 +90,7 @@
 	if ctx.Err() != nil || time.Until(x.deadline) < x.g.cfg.MinLeft {
 		return ReasonTimeout
 	}
-	if res.ran && !x.route.Idempotent() {
+	if res.ran && (!x.route.Idempotent() || x.started && x.g.cfg.Off.Has(mechanism.Resume)) {
 		return res.reason
 	}
 	if !res.sent {
@@ -151,7 +152,7 @@
 	switch {
 	case x.started:
 		d.Standing = dispatch.Resumed
-	case x.returning:
+	case x.returning && !x.g.cfg.Off.Has(mechanism.OverdueLast):
 		d.Standing = dispatch.Overdue
 	}
 	return d
@@ -181,6 +182,9 @@
 	if x.returning {
 		return 0
 	}
+	if x.g.cfg.Off.Has(mechanism.Patience) {
+		return 0
+	}
 	limit := time.Duration(x.g.cfg.Patience * float64(x.tightest))
 	return max(min(limit-time.Since(x.start), time.Until(x.deadline)), 0)
 }
@@ -232,7 +236,7 @@
 
 func (a *attempt) do(r *targetconn.Request) result {
 	var watchdog *time.Timer
-	if a.x.route.Idempotent() {
+	if a.x.route.Idempotent() && !a.x.g.cfg.Off.Has(mechanism.LateFirstEvent) {
 		// Only then another target may be tried.
 		watchdog = time.AfterFunc(a.x.g.cfg.FirstEventTimeout, func() { a.late(watchdog) })
 		defer watchdog.Stop()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mechanism"
 )
 
 // exchange is one request of a caller on its way.
@@ -158,7 +159,7 @@
 	if x.deadline.IsZero() { // it was refused before its route was known
 		left = x.call.Remaining
 	}
-	if left <= 0 {
+	if left <= 0 || x.g.cfg.Off.Has(mechanism.RetryAfter) {
 		return retryAfterUnknown
 	}
 	part := x.g.cfg.RetryAfter * (1 - x.g.cfg.RetrySpread*rand.Float64())
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -58,7 +58,7 @@
 		o.Listener, o.Table = n, n.table
 	}
 	n.mesh = New(o)
-	n.homes = NewReserver(n.mesh, n.book)
+	n.homes = NewReserver(n.mesh, n.book, 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	var loads func() []peer.TargetLoad
 	if !agent {
--- a/mesh/reserve.go
+++ b/mesh/reserve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/peer"
 )
@@ -18,21 +19,22 @@
 	// timeout bounds the question. The way to another region and back takes
 	// 6 ms; a home that is slower is not waited for.
 	timeout time.Duration
+	off     bool // no home is asked
 }
 
 // reserveTimeout is four times the longest way there and back.
 const reserveTimeout = 25 * time.Millisecond
 
 // NewReserver returns a reserver that answers for this entry's book.
-func NewReserver(m *Mesh, b *dispatch.Book) *Reserver {
-	return &Reserver{mesh: m, book: b, timeout: reserveTimeout}
+func NewReserver(m *Mesh, b *dispatch.Book, off mechanism.Off) *Reserver {
+	return &Reserver{mesh: m, book: b, timeout: reserveTimeout, off: off.Has(mechanism.Homes)}
 }
 
 // Reserve implements gateway.Reserver.
 func (r *Reserver) Reserve(ctx context.Context, c dispatch.Choice, prompt int) bool {
 	t := c.Target
 	home := r.mesh.home(t.ID, t.Domain)
-	if home == r.mesh.self.Addr {
+	if r.off || home == r.mesh.self.Addr {
 		return true // the own book has decided
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -124,6 +124,12 @@
 	})
 }
 
+// List adds names that are separated by commas. parse returns an error if one is
+// not allowed.
+func (s *Set) List(name, usage string, allowed []string, parse func(string) error) {
+	s.add(name, usage, "none or some of "+strings.Join(allowed, ","), "", parse)
+}
+
 // Address adds a listen address.
 func (s *Set) Address(p *string, name, usage, def string, required bool) {
 	want := "host:port"
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -65,6 +65,23 @@
 	}
 }
 
+func TestList(t *testing.T) {
+	var got string
+	s := &Set{}
+	s.List("without", "switched off", []string{"a", "b"}, func(v string) error {
+		got = v
+		return check(v != "c")
+	})
+	run := func(v string) error {
+		c := &cli.Command{Name: "x", Flags: s.Flags(), Action: func(_ context.Context, c *cli.Command) error { return s.Load(c) }}
+		c.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+		return c.Run(context.Background(), []string{"x", "--without", v})
+	}
+	assert.NilError(t, run("a,b"))
+	assert.Equal(t, got, "a,b")
+	assert.ErrorContains(t, run("c"), "none or some of a,b")
+}
+
 func TestBytes(t *testing.T) {
 	for s, want := range map[string]int64{"5": 5, "5B": 5, "2KiB": 2048, "3MiB": 3 << 20, "1GiB": 1 << 30} {
 		n, err := parseBytes(s)
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -7,10 +7,14 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/springgate/springgate/mechanism"
 )
 
 // Config holds the times of a sidecar.
 type Config struct {
+	// Off are mechanisms that are switched off.
+	Off mechanism.Off
 	// Poll is the time between two reads of the engine's report while nothing
 	// is to be done; PollBusy while an order or a change is in progress, and
 	// PollDown while the engine does not answer. Defaults 400 ms, 40 ms and
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mechanism"
 )
 
 // Report is an engine's account of itself.
@@ -79,7 +80,7 @@
 		}
 		return Step{Await, newest.version}
 	}
-	if len(pending) == 1 || h.fetched.version == newest.version && h.fetched.whole {
+	if len(pending) == 1 || c.Off.Has(mechanism.OlderVersion) || h.fetched.version == newest.version && h.fetched.whole {
 		return Step{Stage, newest.version}
 	}
 	return c.planTwo(now, serving, pending, o, h)
--- a/sidecar/wanted.go
+++ b/sidecar/wanted.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/peer"
 )
 
@@ -92,7 +93,7 @@
 func (c Config) turnsOf(o order, pending []wanted, version wanted) turns {
 	first := pending[0].announced
 	window := time.Duration(o.TimeoutMs)*time.Millisecond - c.Lead - c.Margin
-	if window <= 0 || o.Turns <= 1 && len(pending) == 1 {
+	if c.Off.Has(mechanism.Turns) || window <= 0 || o.Turns <= 1 && len(pending) == 1 {
 		return turns{first, first}
 	}
 	t := turns{version.announced.Add(c.Lead), first.Add(c.Lead + window)}
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -12,12 +12,15 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/loop"
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/peer"
 	"github.com/zeromicro/go-zero/core/syncx"
 )
 
 // Config holds the limits of a Relay.
 type Config struct {
+	// Off are mechanisms that are switched off.
+	Off mechanism.Off
 	// OriginTimeout bounds one read at the origin. Its link sends a whole
 	// version in about 2 s, and all readers share it. Default 4 s.
 	OriginTimeout time.Duration
--- a/weights/sources.go
+++ b/weights/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/peer"
 )
@@ -69,7 +70,7 @@
 func (r *Relay) pieceSources(key string, q *peer.GetPiece, try int) []source {
 	out := r.sources(key, q.Hops, try)
 	near := membership.First(key, r.holders(r.self.Domain, q.Model, q.Version))
-	if near == "" || q.Hops > maxHops {
+	if near == "" || q.Hops > maxHops || r.cfg.Off.Has(mechanism.NearRelay) {
 		return out
 	}
 	return append([]source{{addr: near}}, out...)
