--- /dev/null
+++ b/dispatch/pick.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/springgate/springgate/mechanism"
+)
+
+// Verdict says why no target was chosen.
+type Verdict uint8
+
+// Verdicts of a choice.
+const (
+	Chosen    Verdict = iota
+	Saturated         // all that could serve are too loaded for the objective
+	NoTarget          // none could serve now
+)
+
+// String returns the name of the verdict.
+func (v Verdict) String() string { return [...]string{"chosen", "saturated", "no_target"}[v] }
+
+// Choice is the target that a request goes to.
+type Choice struct {
+	Target    *Target
+	Forecast  Forecast
+	Admission Admission
+	Load      Load // at the target before the request
+}
+
+// Pick chooses a target of service and counts the request there; Finish must
+// follow. Instances in avoid are left out.
+func (b *Book) Pick(now time.Time, service string, d Demand, avoid []string) (Choice, Verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	targets := b.services[service]
+	n := len(targets)
+	if n == 0 {
+		return Choice{}, NoTarget
+	}
+	var best, spare candidate
+	start := b.rng.IntN(n)
+	for k := range min(n, b.cfg.Sample) {
+		t := targets[(start+k)%n]
+		if !b.usable(now, t) || slices.Contains(avoid, t.ID) {
+			continue
+		}
+		c := candidate{Choice: Choice{Target: t, Forecast: b.forecast(t, d), Load: t.load}}
+		c.cost = c.Forecast.FirstEvent
+		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
+			c.cost += b.cfg.RemoteCost
+		}
+		if t.lastResort(now) {
+			spare.improve(c)
+		} else {
+			best.improve(c)
+		}
+	}
+	if best.Target == nil {
+		best = spare
+	}
+	if best.Target == nil {
+		return Choice{}, NoTarget
+	}
+	best.Admission = b.admission(now, best.Target, b.demands[service], d)
+	if !best.Admission.admits(best.Load, best.Forecast) {
+		return best.Choice, Saturated
+	}
+	b.start(now, best.Target, d)
+	return best.Choice, Chosen
+}
+
+// lastResort reports whether the target gets requests only if no other can. One
+// that was silent is tried by a single request of all entries: it has no load, so
+// that it would draw more than all others.
+func (t *Target) lastResort(now time.Time) bool {
+	h := &t.health
+	if t.Doubtful || h.ejected(now) || h.silent(now) {
+		return true
+	}
+	if len(t.heard) > 0 {
+		return false
+	}
+	return h.suspected(now) || h.unproven() && t.load.Requests > 0
+}
+
+// candidate is a choice and its cost.
+type candidate struct {
+	Choice
+	cost time.Duration
+}
+
+func (c *candidate) improve(o candidate) {
+	if c.Target == nil || o.cost < c.cost {
+		*c = o
+	}
+}
+
+// usable reports whether a target may get requests: an engine must hold all
+// layers of a version whose time is not over.
+func (b *Book) usable(now time.Time, t *Target) bool {
+	if t.Draining || t.gone {
+		return false
+	}
+	if t.model == nil {
+		return true
+	}
+	holds := t.Holds(t.model)
+	if s, said := b.states[t.Addr]; said {
+		if s.Loading {
+			return false
+		}
+		holds = s.Version
+	}
+	if holds == 0 {
+		return false
+	}
+	if b.cfg.VersionTimeout == 0 {
+		return true
+	}
+	due := b.versions[t.model.Model].due(now, b.cfg.VersionTimeout-b.cfg.VersionMargin)
+	return holds >= due
+}
+
+func (b *Book) forecast(t *Target, d Demand) Forecast {
+	if t.model != nil {
+		return forecastEngine(t.model, t.load, d)
+	}
+	return forecastPlain(t.Slots, b.plainLatency(t), t.load)
+}
+
+func (b *Book) plainLatency(t *Target) time.Duration {
+	return cmp.Or(t.health.latency, b.cfg.PlainLatency)
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mechanism"
+	"github.com/springgate/springgate/targetconn"
+)
+
+// attempt is one send.
+type attempt struct {
+	x      *exchange
+	choice dispatch.Choice
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	began  time.Time
+	unread int // prompt tokens that the target has not read yet
+	events int
+	lastAt time.Time // when the last event came
+}
+
+// Causes of an attempt's end by our own clock.
+var (
+	errFirstEventLate = errors.New("gateway: first event is late")
+	errStalled        = errors.New("gateway: stream stalled")
+)
+
+func (a *attempt) do(r *targetconn.Request) result {
+	var watchdog *time.Timer
+	if a.x.route.Idempotent() && !a.x.g.cfg.Off.Has(mechanism.LateFirstEvent) {
+		// Only then another target may be tried.
+		watchdog = time.AfterFunc(a.x.g.cfg.FirstEventTimeout, func() { a.late(watchdog) })
+		defer watchdog.Stop()
+	}
+	resp, err := a.x.g.pool.Do(a.ctx, a.choice.Target.Addr, r, a.idOf)
+	if err != nil {
+		return a.failed(err)
+	}
+	defer resp.Close()
+	info := a.x.g.dialect.DecodeAnswer(resp.StatusCode, resp.Header)
+	if info.NotRun {
+		return notRun(info)
+	}
+	if !info.Signed || resp.Header.Get("Content-Encoding") != "" {
+		return result{reason: ReasonGarbled, ran: true, sent: true}
+	}
+	if a.x.route.Kind == fleet.Streaming && resp.StatusCode == http.StatusOK {
+		return a.stream(resp, watchdog)
+	}
+	return a.plain(resp, watchdog)
+}
+
+// lateRecheck is the time between two looks at a late target.
+const lateRecheck = 100 * time.Millisecond
+
+// late decides about a request whose target is late. One that still sends events
+// of other streams is loaded, and sending the request elsewhere would only add
+// load; one that is silent is left. It runs on the timer's goroutine.
+func (a *attempt) late(watchdog *time.Timer) {
+	x := a.x
+	now := time.Now()
+	limit := x.g.cfg.FirstEventLimit
+	if x.route.Kind != fleet.Streaming {
+		limit = a.plainLimit()
+	}
+	if now.Sub(a.began) < limit && !x.g.book.Silent(now, a.choice.Target) {
+		watchdog.Reset(lateRecheck)
+		return
+	}
+	a.cancel(errFirstEventLate)
+}
+
+func (a *attempt) idOf(h http.Header) string { return a.x.g.dialect.DecodeAnswer(0, h).ID }
+
+func notRun(info AnswerInfo) result {
+	if info.OtherInstance {
+		return result{reason: ReasonOtherInstance, sent: true}
+	}
+	return result{reason: ReasonTargetRefused, sent: true}
+}
+
+// failed turns an error of an exchange into a result.
+func (a *attempt) failed(err error) result {
+	switch {
+	case errors.Is(err, targetconn.ErrDial):
+		return result{reason: ReasonDialFailed}
+	case errors.Is(context.Cause(a.ctx), errFirstEventLate):
+		return result{reason: ReasonSlowStart, ran: true, sent: true, silent: true}
+	case errors.Is(context.Cause(a.ctx), errStalled):
+		return result{reason: ReasonStalled, ran: true, sent: true, silent: true}
+	case a.ctx.Err() != nil:
+		return result{reason: ReasonTimeout, ran: true, sent: true, silent: true}
+	case errors.Is(err, targetconn.ErrGarbled):
+		return result{reason: ReasonGarbled, ran: true, sent: true}
+	}
+	return result{reason: ReasonConnLost, ran: true, sent: true}
+}
+
+// plainLimit is how long an answer that is no stream may take before another
+// target is asked.
+func (a *attempt) plainLimit() time.Duration {
+	return max(a.choice.Forecast.FirstEvent, a.x.route.Objective) + a.x.g.cfg.FirstEventTimeout
+}
+
+// finish tells the book how the attempt ended.
+func (a *attempt) finish(res result) {
+	r := dispatch.Result{Unread: a.unread, Latency: time.Since(a.began)}
+	switch res.reason {
+	case ReasonNone, ReasonTimeout, ReasonCallerGone:
+	case ReasonTargetRefused:
+		r.Latency = 0
+	case ReasonOtherInstance:
+		r.Gone = true
+	case ReasonDialFailed:
+		r.Down = true
+	default:
+		r.Failed = true
+	}
+	if res.reason != ReasonNone {
+		r.Latency = 0
+	}
+	r.Silent = res.silent
+	a.x.g.book.Finish(time.Now(), a.choice.Target, r)
+}
--- /dev/null
+++ b/gateway/place.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/mechanism"
+)
+
+// place waits until a target can serve the request in time.
+func (x *exchange) place(ctx context.Context) (dispatch.Choice, Reason) {
+	d := x.demand()
+	began := time.Now()
+	if x.sends == 0 {
+		x.tightest = x.g.book.Arrived(began, x.service, d)
+	}
+	patience := time.NewTimer(x.patience())
+	defer patience.Stop()
+	for {
+		changed := x.g.book.Changed()
+		choice, verdict := x.g.book.Pick(time.Now(), x.service, d, x.avoid)
+		if verdict == dispatch.Chosen && !x.g.homes.Reserve(ctx, choice, d.Prompt) {
+			x.g.book.Cancel(choice.Target, d)
+			x.denied++
+			verdict = dispatch.Saturated
+		}
+		if verdict == dispatch.Chosen {
+			x.waited += time.Since(began)
+			return choice, ReasonNone
+		}
+		select {
+		case <-changed:
+		case <-patience.C:
+			x.waited += time.Since(began)
+			x.logUnplaced(verdict, choice)
+			if verdict == dispatch.Saturated {
+				x.g.book.Refused(time.Now(), x.service, d)
+			}
+			return choice, reasonOf(verdict)
+		case <-ctx.Done():
+			x.waited += time.Since(began)
+			return choice, ReasonTimeout
+		}
+	}
+}
+
+// demand is what the request asks of a target now.
+func (x *exchange) demand() dispatch.Demand {
+	d := dispatch.Demand{Prompt: x.call.Prompt, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain}
+	switch {
+	case x.started:
+		d.Standing = dispatch.Resumed
+	case x.returning && !x.g.cfg.Off.Has(mechanism.OverdueLast):
+		d.Standing = dispatch.Overdue
+	}
+	return d
+}
+
+func reasonOf(v dispatch.Verdict) Reason {
+	if v == dispatch.Saturated {
+		return ReasonSaturated
+	}
+	return ReasonNoTarget
+}
+
+func (x *exchange) logUnplaced(v dispatch.Verdict, c dispatch.Choice) {
+	f := logrus.Fields{"request": x.call.ID, "service": x.service, "verdict": v.String(), "avoid": len(x.avoid)}
+	if c.Target != nil {
+		f["target"], f["load"], f["unread"] = c.Target.ID, c.Load.Requests, c.Load.Unread
+		f["forecast_ms"] = c.Forecast.FirstEvent.Milliseconds()
+	}
+	x.g.log.WithFields(f).Info("No target in time.")
+}
+
+// patience is how long the request may wait for a target now.
+func (x *exchange) patience() time.Duration {
+	if x.sends > 0 {
+		return min(x.g.cfg.RetryPatience, time.Until(x.deadline))
+	}
+	if x.returning {
+		return 0
+	}
+	if x.g.cfg.Off.Has(mechanism.Patience) {
+		return 0
+	}
+	limit := time.Duration(x.g.cfg.Patience * float64(x.tightest))
+	return max(min(limit-time.Since(x.start), time.Until(x.deadline)), 0)
+}
