A prompt that takes long to read is let in when no other is being read

Change: the bound on pauses counts only where unread prompts wait already.

Test: TestPromptThatTakesLongToReadIsNotShutOut, saturated before.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -35,9 +35,12 @@
 // request. One that would begin at once may take any fresh one: refusing it helps
 // nobody.
 func (a Admission) admits(l Load, f Forecast) bool {
-	if a.MaxLoad > 0 && l.Requests >= a.MaxLoad || a.MaxGap > 0 && f.Gap > a.MaxGap {
+	if a.MaxLoad > 0 && l.Requests >= a.MaxLoad {
 		return false
 	}
+	if a.MaxGap > 0 && f.Gap > a.MaxGap && l.Unread > 0 {
+		return false // alone, a prompt must be read at some time
+	}
 	return f.Wait <= max(a.MaxWait, f.Turn)
 }
 
--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -57,6 +57,20 @@
 	assert.Equal(t, verdict(b, large), Chosen)
 }
 
+// A prompt whose reading alone makes the others pause for too long is let in when
+// no other is being read; else it would be refused for ever.
+func TestPromptThatTakesLongToReadIsNotShutOut(t *testing.T) {
+	m := engineModel()
+	m.PrefillRate /= 20
+	b := book(m, Config{}, engine(1, 1))
+	d := asked(4*time.Second, Fresh)
+	assert.Equal(t, verdict(b, d), Chosen)
+	b.SetLoads("other", map[string]Load{"i-1": {Requests: 3, Unread: 500}})
+	assert.Equal(t, verdict(b, d), Saturated)
+	b.SetLoads("other", map[string]Load{"i-1": {Requests: 3}})
+	assert.Equal(t, verdict(b, d), Chosen)
+}
+
 func TestOverdueCallersGetWhatFreshOnesLeave(t *testing.T) {
 	b := book(engineModel(), Config{}, engine(1, 1))
 	b.Arrived(start, testService, demand())
