Timeouts of targets follow what is forecast of them

Cause: a target with work counted as silent after 600 ms, a first event as late after 2.2 s, a stream as stalled after 900 ms, whatever its engine's pass, its unread prompts or its usual latency. An engine that reads 955 tokens a second is silent for 1.05 s while it reads 1,000; it would have been left and reported to the other entries, and its requests sent once more.

Change: the constants are the least values. Above, silence is three passes with all unread prompts or three usual latencies, a first event may take four times its forecast and a pause three times.

Tests: TestSlowTargetsAreNotSilentTooSoon fails before; TestTimeoutsFollowTheForecast states both ends.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -150,7 +150,7 @@
 func (b *Book) Silent(now time.Time, t *Target) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return t.health.silent(now)
+	return t.health.silent(now, t.silenceLimit())
 }
 
 // Heard notes that a target sent something. first is the prompt whose first
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -142,6 +142,25 @@
 }
 
 // Requests that are given up at a dead target do not make it look alive.
+// An engine that reads slowly sends nothing for as long as it reads.
+func TestSlowTargetsAreNotSilentTooSoon(t *testing.T) {
+	m := engineModel()
+	m.PrefillRate /= 20
+	slow := book(m, Config{}, engine(1, 1))
+	c, v := slow.Pick(start, testService, demand(), nil)
+	assert.Equal(t, v, Chosen)
+	assert.Assert(t, !slow.Silent(start.Add(1500*time.Millisecond), c.Target), "1,000 tokens are read in 1.05 s")
+	assert.Assert(t, slow.Silent(start.Add(4*time.Second), c.Target))
+	p := book(nil, Config{}, plain(1))
+	for range 2 {
+		c, _ = p.Pick(start, testService, demand(), nil)
+		p.Finish(start, c.Target, Result{Latency: 500 * time.Millisecond})
+	}
+	c, _ = p.Pick(start, testService, demand(), nil)
+	assert.Assert(t, !p.Silent(start.Add(time.Second), c.Target))
+	assert.Assert(t, p.Silent(start.Add(2*time.Second), c.Target))
+}
+
 func TestGivingUpDoesNotEndTheSilence(t *testing.T) {
 	b := book(engineModel(), Config{}, engine(1, 1))
 	first, _ := b.Pick(start, testService, demand(), nil)
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -15,10 +15,13 @@
 	ejectBase   = 800 * time.Millisecond
 	ejectMax    = 6 * time.Second
 	ejectMemory = 15 * time.Second
-	// silentAfter is how long a target with work may send nothing. An engine
-	// sends at least one event each pass, and passes stay under the longest
-	// pause that callers accept, 400 ms.
+	// silentAfter is the least time after which a target with work that sends
+	// nothing counts as silent: a lost packet is sent again within 400 ms.
 	silentAfter = 600 * time.Millisecond
+	// silentFactor is how many times longer than expected a target may send
+	// nothing: an engine a pass with all prompts that it has to read, a plain
+	// target its usual latency.
+	silentFactor = 3
 	// silentSaid is how long an entry tells the others of a target that it left
 	// because it was silent: a few accounts of loads.
 	silentSaid = 500 * time.Millisecond
@@ -83,8 +86,8 @@
 }
 
 // saysSilent reports whether other entries are to be told of its silence.
-func (h *health) saysSilent(now time.Time) bool {
-	return h.silent(now) || h.heardAt.Before(h.silentAt) && now.Sub(h.silentAt) < silentSaid
+func (h *health) saysSilent(now time.Time, limit time.Duration) bool {
+	return h.silent(now, limit) || h.heardAt.Before(h.silentAt) && now.Sub(h.silentAt) < silentSaid
 }
 
 // suspected reports whether the target was silent for another entry, and this
@@ -98,8 +101,17 @@
 	return h.heardAt.Before(h.suspectedAt) || h.heardAt.Before(h.silentAt)
 }
 
-func (h *health) silent(now time.Time) bool {
-	return !h.waitingSince.IsZero() && now.Sub(h.waitingSince) > silentAfter
+func (h *health) silent(now time.Time, limit time.Duration) bool {
+	return !h.waitingSince.IsZero() && now.Sub(h.waitingSince) > limit
+}
+
+// silenceLimit is how long the target may send nothing while it has work.
+func (t *Target) silenceLimit() time.Duration {
+	expected := t.health.latency
+	if t.model != nil {
+		expected = passTime(t.model, t.model.Slots) + readTime(t.model, t.load.Unread)
+	}
+	return max(silentAfter, silentFactor*expected)
 }
 
 func (h *health) measured(latency time.Duration) {
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -63,7 +63,7 @@
 	defer b.mu.Unlock()
 	var out []string
 	for id, t := range b.byID {
-		if len(t.heard) == 0 && t.health.saysSilent(now) {
+		if len(t.heard) == 0 && t.health.saysSilent(now, t.silenceLimit()) {
 			out = append(out, id)
 		}
 	}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -76,7 +76,7 @@
 // that it would draw more than all others.
 func (t *Target) lastResort(now time.Time) bool {
 	h := &t.health
-	if t.Doubtful || h.ejected(now) || h.silent(now) {
+	if t.Doubtful || h.ejected(now) || h.silent(now, t.silenceLimit()) {
 		return true
 	}
 	if len(t.heard) > 0 {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -64,11 +64,7 @@
 func (a *attempt) late(watchdog *time.Timer) {
 	x := a.x
 	now := time.Now()
-	limit := x.g.cfg.FirstEventLimit
-	if x.route.Kind != fleet.Streaming {
-		limit = a.plainLimit()
-	}
-	if now.Sub(a.began) < limit && !x.g.book.Silent(now, a.choice.Target) {
+	if now.Sub(a.began) < a.firstEventLimit() && !x.g.book.Silent(now, a.choice.Target) {
 		watchdog.Reset(lateRecheck)
 		return
 	}
@@ -101,6 +97,19 @@
 	return result{reason: ReasonConnLost, ran: true, sent: true}
 }
 
+// firstEventFactor is how many times longer than forecast the first event of a
+// busy target may take; the largest error seen at full engines was 3 times.
+const firstEventFactor = 4
+
+// firstEventLimit is how long a target that sends events of other streams, or
+// answers other requests, may take before another is asked.
+func (a *attempt) firstEventLimit() time.Duration {
+	if a.x.route.Kind != fleet.Streaming {
+		return a.plainLimit()
+	}
+	return max(a.x.g.cfg.FirstEventLimit, firstEventFactor*a.choice.Forecast.FirstEvent)
+}
+
 // plainLimit is how long an answer that is no stream may take before another
 // target is asked.
 func (a *attempt) plainLimit() time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,15 +77,15 @@
 	// RetryPatience is how long a request that failed at one target may wait
 	// for another. Default 250 ms.
 	RetryPatience time.Duration
-	// FirstEventLimit is how long a first event may take at a target that
-	// sends events of other streams. Default 2.2 s.
+	// FirstEventLimit is how long a first event may take at the least at a
+	// target that sends events of other streams. Default 2.2 s.
 	FirstEventLimit time.Duration
 	// FirstEventTimeout is how long a first event may take at a target that is
 	// silent, before another is tried. Default 600 ms.
 	FirstEventTimeout time.Duration
 	// StallTimeout is how long a stream may pause before it is resumed
-	// elsewhere, at the least. An engine's pass takes up to 400 ms. Default
-	// 900 ms.
+	// elsewhere, at the least; twice the longest pause on time and
+	// stallFactor forecast pauses are the other bounds. Default 900 ms.
 	StallTimeout time.Duration
 	// AnswerMemory bounds how much of a plain answer is held until it is
 	// known to be whole, in bytes. Default 256 KiB.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,7 +65,7 @@
 		}
 		a.heard()
 		if watchdog != nil {
-			watchdog.Reset(max(x.g.cfg.StallTimeout, 2*x.route.MaxGap))
+			watchdog.Reset(a.stallTimeout())
 		}
 		if !x.started {
 			copyHeader(x.w.Header(), resp.Header)
@@ -86,6 +86,14 @@
 	}
 }
 
+// stallFactor is how many times longer than forecast a stream may pause.
+const stallFactor = 3
+
+// stallTimeout is how long the stream may pause before it is resumed elsewhere.
+func (a *attempt) stallTimeout() time.Duration {
+	return max(a.x.g.cfg.StallTimeout, 2*a.x.route.MaxGap, stallFactor*a.choice.Forecast.Gap)
+}
+
 // streamEnd ends the answer. A stream without any event is passed on too.
 func (a *attempt) streamEnd(resp *targetconn.Response) result {
 	if !a.x.started {
