--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -47,9 +47,9 @@
 // overdueReserve is one slot in so many that overdue requests leave free, and
 // overdueWait the part of the common wait that they accept. A slot that a late
 // answer holds for a second is missing for fresh requests. In the simulation of
-// TestServiceIsBackAfterABurst, at 1.2 times what the fleet can do, the share in
-// time is 0.75 with this reserve, 0.71 without it, and 0.61 if overdue requests
-// are treated as fresh ones.
+// overload_test.go with 72 requests/s at 6 engines, which serve 0.9 of that, and a
+// burst of 3 s, over 29 seeds, the share in time is 0.75 with the reserve, 0.71
+// without, and 0.61 if overdue requests are treated as fresh ones.
 const (
 	overdueReserve = 8
 	overdueWait    = 0.5
