A refusal's line says on what terms the target was too loaded

Cause: with one wait for all kinds the line's forecast and the route's objective no longer explain a refusal.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -23,6 +23,9 @@
 	Resumed
 )
 
+// String returns the name of the standing.
+func (s Standing) String() string { return [...]string{"fresh", "overdue", "resumed"}[s] }
+
 // Admission is the decision of a service on one request: what it accepts at a
 // target. An asker states it to the target's home, so that both decide alike.
 type Admission struct {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -34,7 +34,7 @@
 		case <-changed:
 		case <-patience.C:
 			x.waited += time.Since(began)
-			x.logUnplaced(verdict, choice)
+			x.logUnplaced(verdict, choice, d)
 			if verdict == dispatch.Saturated {
 				x.g.book.Refused(time.Now(), x.service, d)
 			}
@@ -65,11 +65,13 @@
 	return ReasonNoTarget
 }
 
-func (x *exchange) logUnplaced(v dispatch.Verdict, c dispatch.Choice) {
-	f := logrus.Fields{"request": x.call.ID, "service": x.service, "verdict": v.String(), "avoid": len(x.avoid)}
+func (x *exchange) logUnplaced(v dispatch.Verdict, c dispatch.Choice, d dispatch.Demand) {
+	f := logrus.Fields{"request": x.call.ID, "service": x.service, "verdict": v.String(), "avoid": len(x.avoid),
+		"standing": d.Standing.String()}
 	if c.Target != nil {
 		f["target"], f["load"], f["unread"] = c.Target.ID, c.Load.Requests, c.Load.Unread
-		f["forecast_ms"] = c.Forecast.FirstEvent.Milliseconds()
+		f["forecast_ms"], f["forecast_wait_ms"] = c.Forecast.FirstEvent.Milliseconds(), c.Forecast.Wait.Milliseconds()
+		f["max_wait_ms"], f["max_load"] = c.Admission.MaxWait.Milliseconds(), c.Admission.MaxLoad
 	}
 	x.g.log.WithFields(f).Info("No target in time.")
 }
