A request goes to a remote target that has room if the near one is full

Change: the target of the least forecast is tested too.

Test: TestRemoteTargetIsTakenIfTheNearOneIsFull, saturated before.

--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -71,6 +71,16 @@
 	assert.Equal(t, verdict(b, d), Chosen)
 }
 
+// A near target costs less, but one that is full is no reason to refuse while a
+// remote one has room.
+func TestRemoteTargetIsTakenIfTheNearOneIsFull(t *testing.T) {
+	near, remote := engine(1, 1), engine(2, 1)
+	remote.Domain = "b"
+	b := book(engineModel(), Config{RemoteCost: time.Second}, near, remote)
+	b.SetLoads("other", map[string]Load{"i-1": {Requests: 20}})
+	assert.Equal(t, picked(b, start), "i-2")
+}
+
 func TestOverdueCallersGetWhatFreshOnesLeave(t *testing.T) {
 	b := book(engineModel(), Config{}, engine(1, 1))
 	b.Arrived(start, testService, demand())
--- a/dispatch/demands.go
+++ b/dispatch/demands.go
@@ -14,6 +14,8 @@
 	// demandShare is the part of a service's requests from which an objective
 	// counts. Below it, few callers would set the pace of all.
 	demandShare = 0.05
+	// demandForgotten is the decayed count below which an objective is dropped.
+	demandForgotten = 0.05
 )
 
 // demands are the objectives that a service's fresh requests had lately.
@@ -79,5 +81,5 @@
 		s.seen[i].count *= factor
 		s.seen[i].prompts *= factor
 	}
-	s.seen = slices.DeleteFunc(s.seen, func(o objectiveShare) bool { return o.count < demandShare })
+	s.seen = slices.DeleteFunc(s.seen, func(o objectiveShare) bool { return o.count < demandForgotten })
 }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -39,7 +39,7 @@
 	if n == 0 {
 		return Choice{}, NoTarget
 	}
-	var best, spare candidate
+	var best, lightest, spare candidate
 	start := b.rng.IntN(n)
 	for k := range min(n, b.cfg.Sample) {
 		t := targets[(start+k)%n]
@@ -55,20 +55,25 @@
 			spare.improve(c)
 		} else {
 			best.improve(c)
+			c.cost = c.Forecast.FirstEvent
+			lightest.improve(c)
 		}
 	}
 	if best.Target == nil {
-		best = spare
+		best, lightest = spare, spare
 	}
 	if best.Target == nil {
 		return Choice{}, NoTarget
 	}
-	best.Admission = b.admission(now, best.Target, b.demands[service], d)
-	if !best.Admission.admits(best.Load, best.Forecast) {
-		return best.Choice, Saturated
+	for _, c := range [...]candidate{best, lightest} {
+		c.Admission = b.admission(now, c.Target, b.demands[service], d)
+		best = c
+		if c.Admission.admits(c.Load, c.Forecast) {
+			b.start(now, c.Target, d)
+			return c.Choice, Chosen
+		}
 	}
-	b.start(now, best.Target, d)
-	return best.Choice, Chosen
+	return best.Choice, Saturated
 }
 
 // lastResort reports whether the target gets requests only if no other can. One
