Agents take a version's seen announcement before a guessed one

Cause: an entry that starts while the store is away takes the first version that it reads to be 8 s old.

Test: TestGuessedAgeGivesWayToASeenOne fails if guessed versions stay pending.

--- a/gateway/assign.go
+++ b/gateway/assign.go
@@ -19,6 +19,7 @@
 	since    time.Time
 	order    []string // addresses of engines that change, in turn
 	assigned bool     // the operators named the version
+	guessed  bool     // this process started after that; since is the latest it can have been
 	withheld bool     // its pieces cannot be read
 	before   *assignment
 }
@@ -29,7 +30,7 @@
 	var out []peer.AnnouncedVersion
 	for b := a.before; b != nil && b.assigned && len(out) < earlierKept; b = b.before {
 		if age := now.Sub(b.since); age < 2*timeout {
-			out = append(out, peer.AnnouncedVersion{Version: b.version, AgeMs: age.Milliseconds()})
+			out = append(out, peer.AnnouncedVersion{Version: b.version, AgeMs: age.Milliseconds(), Guessed: b.guessed})
 		}
 	}
 	slices.Reverse(out)
@@ -53,11 +54,11 @@
 // earlierKept bounds the versions that an agent is told of beside the newest.
 const earlierKept = 2
 
-func (c *Control) want(service string, m *fleet.EngineModel, version int, since time.Time) {
+func (c *Control) want(service string, m *fleet.EngineModel, version int, since time.Time, announced bool) {
 	if old := c.assignments[service]; old != nil && old.assigned && old.version >= version {
 		return
 	}
-	a := &assignment{model: m, version: version, since: since, assigned: true, before: c.assignments[service].recent()}
+	a := &assignment{model: m, version: version, since: since, assigned: true, guessed: !announced, before: c.assignments[service].recent()}
 	key := fmt.Sprintf("%s/%d", m.Model, version)
 	var addrs []string
 	for _, i := range c.list {
@@ -128,7 +129,7 @@
 		return nil, c.changed
 	}
 	out := &peer.Assignment{Entry: c.addr, Withheld: a.withheld, Model: a.model.Model, Version: a.version, Layers: a.model.Layers, Pieces: a.model.Chunks,
-		AgeMs: time.Since(a.since).Milliseconds(), TimeoutMs: c.cfg.VersionTimeout.Milliseconds(), Turns: len(a.order)}
+		AgeMs: time.Since(a.since).Milliseconds(), Guessed: a.guessed, TimeoutMs: c.cfg.VersionTimeout.Milliseconds(), Turns: len(a.order)}
 	out.Earlier = a.earlier(time.Now(), c.cfg.VersionTimeout)
 	out.Turn = max(slices.Index(a.order, agent.Engine), 0)
 	return out, c.changed
--- a/gateway/assign_test.go
+++ b/gateway/assign_test.go
@@ -43,7 +43,7 @@
 		c := assigning(&fakeRelay{})
 		c.setAssignment("svc", &assignment{model: assignModel, version: 1, since: time.Now()})
 		for v := 2; v <= 5; v++ {
-			c.want("svc", assignModel, v, time.Now())
+			c.want("svc", assignModel, v, time.Now(), true)
 			time.Sleep(2 * time.Second)
 		}
 		got, _ := c.Assignment(assignAgent)
@@ -60,8 +60,8 @@
 func TestVersionNamedAgainChangesNothing(t *testing.T) {
 	c := assigning(&fakeRelay{})
 	now := time.Now()
-	c.want("svc", assignModel, 3, now)
-	c.want("svc", assignModel, 2, now)
+	c.want("svc", assignModel, 3, now, true)
+	c.want("svc", assignModel, 2, now, true)
 	got, _ := c.Assignment(assignAgent)
 	assert.Equal(t, got.Version, 3)
 	assert.Equal(t, len(got.Earlier), 0)
@@ -71,7 +71,7 @@
 func TestAgentsAreToldOfAWithheldVersion(t *testing.T) {
 	relay := &fakeRelay{}
 	c := assigning(relay)
-	c.want("svc", assignModel, 2, time.Now())
+	c.want("svc", assignModel, 2, time.Now(), true)
 	for _, fails := range []int{2, 0} {
 		_, changed := c.Assignment(assignAgent)
 		relay.fails = fails
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -192,7 +192,7 @@
 	c.hold(ctx, v, announced)
 	for name, s := range cfg.Services {
 		if s.Engine != nil && s.Engine.Model == v.Model {
-			c.want(name, s.Engine, v.Version, since)
+			c.want(name, s.Engine, v.Version, since, announced)
 		}
 	}
 }
--- a/sidecar/plan_test.go
+++ b/sidecar/plan_test.go
@@ -25,11 +25,11 @@
 func ordered(a peer.Assignment, earlier int) order {
 	o := order{Assignment: a}
 	if earlier > 0 {
-		o.add(wanted{earlier, start})
-		o.add(wanted{a.Version, start.Add(time.Second)})
+		o.add(wanted{version: earlier, announced: start})
+		o.add(wanted{version: a.Version, announced: start.Add(time.Second)})
 		return o
 	}
-	o.add(wanted{a.Version, start})
+	o.add(wanted{version: a.Version, announced: start})
 	return o
 }
 
@@ -94,6 +94,28 @@
 	}
 }
 
+// A version that only an entry knows which started after it was named does not
+// hurry the engines, if the announcement of a newer one was seen: it was named
+// while the store was away.
+func TestGuessedAgeGivesWayToASeenOne(t *testing.T) {
+	guess := assignment(2, 0, 0)
+	guess.AgeMs, guess.Guessed = 8000, true
+	seen := assignment(3, 19, 20)
+	o := order{}.merge(start, guess)
+	cfg := Config{}.applyDefaults()
+	assert.Equal(t, cfg.Plan(start, serving(1), o, holdings{}), Step{Stage, 2}, "nobody knows better")
+	o = o.merge(start, seen)
+	pending := o.pending(1)
+	assert.Equal(t, len(pending), 1)
+	assert.Equal(t, cfg.turnsOf(o, pending, pending[0]).at(19, 20), start.Add(8*time.Second-cfg.Margin))
+	known := assignment(2, 0, 20)
+	known.AgeMs = 3000
+	o = o.merge(start, known)
+	assert.Equal(t, o.pending(1)[0], wanted{version: 2, announced: start.Add(-3 * time.Second)}, "another entry saw it")
+	o = o.merge(start, guess)
+	assert.Equal(t, o.pending(1)[0].announced, start.Add(-3*time.Second))
+}
+
 func TestTurnsAreSpreadOverTheTimeAllowed(t *testing.T) {
 	cfg := Config{}.applyDefaults()
 	at := func(a peer.Assignment, earlier, k int) time.Duration {
@@ -129,8 +151,8 @@
 	o = o.merge(start, one)
 	assert.Equal(t, o.Version, 3, "an older assignment does not undo a newer one")
 	assert.Equal(t, len(o.pending(1)), 2)
-	assert.Equal(t, o.pending(1)[0], wanted{2, start.Add(-900 * time.Millisecond)})
-	assert.Equal(t, o.pending(1)[1], wanted{3, start})
+	assert.Equal(t, o.pending(1)[0], wanted{version: 2, announced: start.Add(-900 * time.Millisecond)})
+	assert.Equal(t, o.pending(1)[1], wanted{version: 3, announced: start})
 	assert.Equal(t, len(o.pending(2)), 1)
 	assert.Equal(t, len(o.pending(3)), 0)
 	two.Entry, two.Withheld = "a", true
--- a/sidecar/wanted.go
+++ b/sidecar/wanted.go
@@ -18,6 +18,17 @@
 type wanted struct {
 	version   int
 	announced time.Time
+	// guessed says that no entry saw the announcement: those that know the
+	// version started after it, and take its time to be over.
+	guessed bool
+}
+
+// tellsMore reports whether w tells more of a version's announcement than old.
+func (w wanted) tellsMore(old wanted) bool {
+	if w.guessed != old.guessed {
+		return old.guessed
+	}
+	return w.announced.Before(old.announced)
 }
 
 // order is what the entries told the agent: the newest assignment, and the
@@ -44,8 +55,8 @@
 	if a.Version == out.Version {
 		out.failing[a.Entry] = a.Withheld
 	}
-	for _, v := range append(a.Earlier, peer.AnnouncedVersion{Version: a.Version, AgeMs: a.AgeMs}) {
-		out.add(wanted{v.Version, now.Add(-time.Duration(v.AgeMs) * time.Millisecond)})
+	for _, v := range append(a.Earlier, peer.AnnouncedVersion{Version: a.Version, AgeMs: a.AgeMs, Guessed: a.Guessed}) {
+		out.add(wanted{v.Version, now.Add(-time.Duration(v.AgeMs) * time.Millisecond), v.Guessed})
 	}
 	return out
 }
@@ -63,7 +74,7 @@
 func (o *order) add(w wanted) {
 	i, found := slices.BinarySearchFunc(o.versions, w.version, func(x wanted, v int) int { return cmp.Compare(x.version, v) })
 	if found {
-		if w.announced.Before(o.versions[i].announced) {
+		if w.tellsMore(o.versions[i]) {
 			o.versions[i] = w
 		}
 		return
@@ -72,14 +83,23 @@
 	o.versions = o.versions[max(len(o.versions)-wantedKept, 0):]
 }
 
-// pending returns the versions beyond the one that is served, oldest first.
+// pending returns the versions beyond the one that is served, oldest first. One
+// whose announcement no entry saw is left out if they saw that of a newer one: it
+// was named while the store was away, and its time is not over. An entry that
+// guesses so uses no engine with an older version, so that none is served too long.
 func (o order) pending(serving int) []wanted {
+	var out []wanted
 	for i, w := range o.versions {
-		if w.version > serving {
-			return o.versions[i:]
+		if w.version > serving && !(w.guessed && o.seenAfter(i)) {
+			out = append(out, w)
 		}
 	}
-	return nil
+	return out
+}
+
+// seenAfter reports whether the announcement of a version after the i-th was seen.
+func (o order) seenAfter(i int) bool {
+	return slices.ContainsFunc(o.versions[i+1:], func(w wanted) bool { return !w.guessed })
 }
 
 // turns are the times between which all engines change to one version, spread
