--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -51,7 +51,7 @@
 // overdueWait the part of the common wait that they accept. A slot that a late
 // answer holds for a second is missing for fresh requests. In the simulation of
 // overload_test.go with 72 requests/s at 6 engines, which serve 0.9 of that, and a
-// burst of 3 s, over 29 seeds, the share in time is 0.75 with the reserve, 0.71
+// burst to twice that for 3 s, 29 seeds, 0.75 are in time with the reserve, 0.71
 // without, and 0.61 if overdue requests are treated as fresh ones.
 const (
 	overdueReserve = 8
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -16,7 +16,7 @@
 	ejectMax    = 6 * time.Second
 	ejectMemory = 15 * time.Second
 	// silentAfter is the least time after which a target with work that sends
-	// nothing counts as silent: a lost packet is sent again within 400 ms.
+	// nothing counts as silent: time for a lost packet to be sent again.
 	silentAfter = 600 * time.Millisecond
 	// silentFactor is how many times longer than expected a target may send
 	// nothing: an engine a pass with all prompts that it has to read, a plain
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,7 @@
 	// request may wait for a target: enough to bridge a moment without one, and
 	// little enough that a caller who is refused has lost nothing. All wait
 	// equally long, since those who wait longer win the places that others
-	// leave. On twelve overloaded days 0.1 and 0.2 served equally many in time.
+	// leave. On 14 overloaded days 0.1 and 0.2 served equally many in time.
 	// Default 0.1.
 	Patience float64
 	// RetryPatience is how long a request that failed at one target may wait
@@ -94,7 +94,7 @@
 	// should come back, the longest that callers heed: most bursts, changes of
 	// version and restarts are over by then. RetrySpread is the part by which
 	// that varies, so that those who are refused together do not come back
-	// together. Against 1 to 2 s of 6 s, 0.006 more worth on twelve overloaded
+	// together. Against 1 to 2 s of 6 s, 0.006 more worth on 14 overloaded
 	// days. Defaults 1/3 and 0.2.
 	RetryAfter, RetrySpread float64
 	// RetryRatio is how many retries each request pays for, and RetryBurst
