The sources of an entry's copy are chosen in package mesh

The choice between the store and other entries lay in the gateway command, where no test reaches it without a process. Mesh.Follow now makes it, and a pool of connections may be given another network than TCP.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -82,7 +82,6 @@
 	s := p.settings
 	e := &entryProcess{onPlatform: p}
 	p.pool = peer.NewPool(p.hello(), e.servePeer, p.meter)
-	store := platform.NewStore(s.Store.Addr)
 	table := mirror.NewTable(platform.PrefixAll)
 	e.book = dispatch.NewBook(dispatch.Config{Off: off, VersionTimeout: s.VersionTimeout()}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.conns = targetconn.NewPool(targetconn.Config{})
@@ -92,7 +91,7 @@
 	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.book, e.conns, e.homes,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
-	e.follower = mirror.NewFollower(mirror.Config{}, table, e.source(store), e.otherSource(store), telemetry.Part(p.log, "mirror"))
+	e.follower = e.mesh.Follow(mirror.Config{}, platform.NewStore(s.Store.Addr), telemetry.Part(p.log, "mirror"))
 	e.relay = weights.NewRelay(weights.Config{Off: off}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
 		telemetry.Part(p.log, "weights"))
 	e.control = gateway.NewControl(gateway.ControlOptions{Addr: p.self.Addr, Config: gateway.ControlConfig{Off: off, VersionTimeout: s.VersionTimeout()},
@@ -104,27 +103,6 @@
 	return e
 }
 
-// source returns what the entry follows: the store, if it is one of its readers,
-// and one of them otherwise.
-func (e *entryProcess) source(store mirror.Source) func() mirror.Source {
-	return func() mirror.Source {
-		if reader := e.mesh.Reader(); reader != nil {
-			return reader
-		}
-		return store
-	}
-}
-
-// otherSource returns what the entry follows when that fails.
-func (e *entryProcess) otherSource(store mirror.Source) func() mirror.Source {
-	return func() mirror.Source {
-		if e.mesh.Reader() != nil {
-			return store
-		}
-		return e.mesh.Source()
-	}
-}
-
 func (e *entryProcess) start(ctx context.Context) {
 	go e.follower.Run(ctx)
 	go e.control.Run(ctx)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -37,11 +37,20 @@
 	conn *Conn
 }
 
+// Dial opens a connection to a process's peer listener.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+// dialTCP gives up after dialTimeout and notices a silent peer.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	return httpclient.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
+}
+
 // Pool keeps one connection for each address and class.
 type Pool struct {
-	self    Hello
-	handler Handler
-	meter   *Meter
+	self     Hello
+	handler  Handler
+	meter    *Meter
+	dialAddr Dial
 
 	mu    sync.Mutex
 	slots map[poolKey]*slot
@@ -50,7 +59,12 @@
 // NewPool returns a pool whose connections say self, serve streams by h and
 // are counted by meter.
 func NewPool(self Hello, h Handler, meter *Meter) *Pool {
-	return &Pool{self: self, handler: h, meter: meter, slots: map[poolKey]*slot{}}
+	return NewPoolOver(dialTCP, self, h, meter)
+}
+
+// NewPoolOver is NewPool over another network than TCP.
+func NewPoolOver(d Dial, self Hello, h Handler, meter *Meter) *Pool {
+	return &Pool{self: self, handler: h, meter: meter, dialAddr: d, slots: map[poolKey]*slot{}}
 }
 
 // Meter returns the counters of the pool.
@@ -89,7 +103,7 @@
 func (p *Pool) dial(ctx context.Context, addr string, class Class) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	nc, err := httpclient.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
+	nc, err := p.dialAddr(ctx, addr)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
