An entry judges its copy by its age, and reads the store when that grows

Cause: whom an entry followed was decided by who lives and answers. Readers that had lost the store kept their part and followed their own followers; the age of an answer was that from before its wait, so a circle looked fresh; and the one loop of the follower noticed it only between two watches.

Change: - One quantity decides, the age of the own copy. Accounts between entries carry when the teller itself last saw the store, with its revision; a receiver whose copy reaches that revision had all that the store had then. Only what was seen first-hand is told: times that are passed on gain the time on the way in each round of a circle. A watch ends when another source is to be followed.

NewFollower has other arguments; the tests of package mirror are called accordingly, with the same assertions.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -86,7 +86,7 @@
 	e.book = dispatch.NewBook(dispatch.Config{Off: off, VersionTimeout: s.VersionTimeout()}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.conns = targetconn.NewPool(targetconn.Config{})
 	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e,
-		Table: table, Log: telemetry.Part(p.log, "mesh")})
+		Table: table, Log: telemetry.Part(p.log, "mesh"), Metrics: p.metrics})
 	e.homes = mesh.NewReserver(e.mesh, e.book, off)
 	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.book, e.conns, e.homes,
--- a/mesh/account.go
+++ b/mesh/account.go
@@ -13,8 +13,17 @@
 	said      map[string]peer.TargetLoad
 	fullAt    time.Time
 	saidAt    time.Time
+
+	failing     bool      // what was said of the store
+	storeAt     time.Time // likewise
+	storeSaidAt time.Time // when that was said
 }
 
+// storeNewsEvery is the least time between two accounts that are sent because
+// the store was seen again. A watch that ends once a second is told of at once;
+// in a burst of changes, one ends each 200 ms.
+const storeNewsEvery = 400 * time.Millisecond
+
 func newAccount(heartbeat time.Duration) *account {
 	return &account{heartbeat: heartbeat, said: map[string]peer.TargetLoad{}}
 }
@@ -24,6 +33,18 @@
 	return now.Sub(a.saidAt) >= interval
 }
 
+// urgent reports whether an account must be told whatever the load: the store was
+// seen, at a moment, or whether calls to it fail has changed. It takes that for
+// told.
+func (a *account) urgent(now, storeAt time.Time, failing bool) bool {
+	seen := storeAt.After(a.storeAt) && now.Sub(a.storeSaidAt) >= storeNewsEvery
+	if !seen && failing == a.failing {
+		return false
+	}
+	a.failing, a.storeAt, a.storeSaidAt = failing, storeAt, now
+	return true
+}
+
 // next returns the message for the current loads, or nil if there is nothing to
 // tell.
 func (a *account) next(now time.Time, current []peer.TargetLoad) *peer.Loads {
--- a/mesh/follow_test.go
+++ b/mesh/follow_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
@@ -29,6 +30,7 @@
 	refused fault = "refused" // calls that wait are answered, others fail at once
 	reset   fault = "reset"   // all calls fail at once, also those that wait
 	killed  fault = "killed"  // the entry dies
+	frozen  fault = "frozen"  // the entry stops, its connections stay open
 )
 
 var errFault = errors.New("store does not answer")
@@ -140,9 +142,46 @@
 	pool     *peer.Pool
 	stop     context.CancelFunc
 
-	mu    sync.Mutex
-	down  bool
-	conns []*peer.Conn // that others opened
+	mu     sync.Mutex
+	down   bool
+	conns  []*peer.Conn  // that others opened
+	frozen chan struct{} // closed when the entry is frozen
+}
+
+// gate is one end of a connection; it passes nothing on while its entry is
+// frozen.
+type gate struct {
+	net.Conn
+	frozen <-chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newGate(c net.Conn, e *entry) *gate {
+	return &gate{Conn: c, frozen: e.frozen, closed: make(chan struct{})}
+}
+
+func (g *gate) pass() {
+	select {
+	case <-g.frozen:
+		<-g.closed
+	default:
+	}
+}
+
+func (g *gate) Read(b []byte) (int, error) {
+	g.pass()
+	return g.Conn.Read(b)
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	g.pass()
+	return g.Conn.Write(b)
+}
+
+func (g *gate) Close() error {
+	g.once.Do(func() { close(g.closed) })
+	return g.Conn.Close()
 }
 
 // Loads, Lost, EngineState and Assignment implement Listener.
@@ -156,7 +195,7 @@
 	f := &entries{t: t, store: mirror.NewTable("")}
 	f.store.Replace(time.Now(), mirror.Batch{Revision: 1})
 	for i := range n {
-		f.all = append(f.all, &entry{fleet: f, addr: fmt.Sprintf("10.1.0.%d:8723", i+1)})
+		f.all = append(f.all, &entry{fleet: f, addr: fmt.Sprintf("10.1.0.%d:8723", i+1), frozen: make(chan struct{})})
 	}
 	for _, e := range f.all {
 		e.start()
@@ -170,7 +209,7 @@
 	e.table = mirror.NewTable("")
 	e.view = &storeView{store: e.fleet.store, changed: make(chan struct{})}
 	hello := peer.Hello{Host: "host of " + e.addr}
-	e.pool = peer.NewPoolOver(e.fleet.dial, hello, e.serve, &peer.Meter{})
+	e.pool = peer.NewPoolOver(e.dial, hello, e.serve, &peer.Meter{})
 	e.mesh = New(Options{Self: peer.Presence{Host: hello.Host, Domain: "a", Addr: e.addr, Incarnation: 1},
 		Seeds: []string{e.fleet.all[0].addr}, Pool: e.pool, Listener: e, Table: e.table, Log: log})
 	e.follower = e.mesh.Follow(mirror.Config{}, e.view, log)
@@ -191,11 +230,15 @@
 
 // suffer lets a fault happen to an entry.
 func (e *entry) suffer(f fault) {
-	if f == killed {
+	switch f {
+	case killed:
 		e.kill()
-		return
+	case frozen:
+		close(e.frozen)
+		e.view.set(silent)
+	default:
+		e.view.set(f)
 	}
-	e.view.set(f)
 }
 
 // kill ends an entry and its connections.
@@ -210,10 +253,9 @@
 	}
 }
 
-// dial connects to an entry.
-func (f *entries) dial(_ context.Context, addr string) (net.Conn, error) {
-	i := slices.IndexFunc(f.all, func(e *entry) bool { return e.addr == addr })
-	to := f.all[i]
+// dial connects to another entry.
+func (e *entry) dial(_ context.Context, addr string) (net.Conn, error) {
+	to := e.fleet.all[slices.IndexFunc(e.fleet.all, func(e *entry) bool { return e.addr == addr })]
 	to.mu.Lock()
 	defer to.mu.Unlock()
 	if to.down {
@@ -221,7 +263,7 @@
 	}
 	near, far := net.Pipe()
 	go func() {
-		c, err := peer.NewConn(far, peer.Hello{Host: addr}, false, to.serve, &peer.Meter{})
+		c, err := peer.NewConn(newGate(far, to), peer.Hello{Host: addr}, false, to.serve, &peer.Meter{})
 		if err != nil {
 			return
 		}
@@ -229,7 +271,7 @@
 		defer to.mu.Unlock()
 		to.conns = append(to.conns, c)
 	}()
-	return near, nil
+	return newGate(near, e), nil
 }
 
 // stop ends all entries.
@@ -239,6 +281,12 @@
 	}
 }
 
+// sawAnOutage reports whether the entry holds, or held, the store for away.
+func (e *entry) sawAnOutage() bool {
+	down, ended := e.follower.Outage()
+	return down || !ended.IsZero()
+}
+
 // change writes to the store and returns its new revision.
 func (f *entries) change() int64 {
 	r := f.store.Revision() + 1
@@ -280,13 +328,17 @@
 	return slices.DeleteFunc(slices.Clone(f.all), func(e *entry) bool { return slices.Contains(list, e) })
 }
 
-// fleetSize is how many entries the tests run: three readers and enough others.
-const fleetSize = 10
+// fleetSize is how many entries the tests run: the readers, as many that are next
+// and two more.
+const fleetSize = 2*readerCount + 2
 
 // mostLag is how late an entry that reaches the store may learn of a change: a
 // configuration must be in force, and a target left, within 2 s.
 const mostLag = 1700 * time.Millisecond
 
+// nextChange is the time from one change to the next.
+const nextChange = 2300 * time.Millisecond
+
 // Users saw targets that had said that they leave get requests 3 s later, and
 // configurations in force that had been replaced as long before. The entries
 // that did this reached the store all the time; the three that watch it for all
@@ -302,7 +354,7 @@
 // answer gave its age as it was when the question came, a second less with each
 // round.
 func TestChangesArriveWhenAllReadersLoseTheStore(t *testing.T) {
-	for _, f := range []fault{silent, refused, reset, killed} {
+	for _, f := range []fault{silent, refused, reset, killed, frozen} {
 		for phase := 0 * time.Millisecond; phase < time.Second; phase += 250 * time.Millisecond {
 			t.Run(fmt.Sprint(f, " after ", phase), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
@@ -313,11 +365,14 @@
 					for _, e := range lost {
 						e.suffer(f)
 					}
-					for n := range 6 {
-						for addr, late := range lag(all.without(lost), all.change(), 2*mostLag) {
+					for n := range 4 {
+						for addr, late := range lag(all.without(lost), all.change(), nextChange) {
 							assert.Check(t, late <= mostLag, "change %d: %s learnt of it after %v", n, addr, late)
 						}
 					}
+					for _, e := range all.without(lost) {
+						assert.Check(t, !e.sawAnOutage(), "the copy of %s was confirmed all along", e.addr)
+					}
 				})
 			})
 		}
@@ -338,10 +393,13 @@
 					e.view.set(f)
 				}
 				for range 3 {
-					for addr, late := range lag(lost, all.change(), 2*mostLag) {
+					for addr, late := range lag(lost, all.change(), nextChange) {
 						assert.Check(t, late <= mostLag, "%s learnt of it after %v", addr, late)
 					}
 				}
+				for _, e := range all.all {
+					assert.Check(t, !e.sawAnOutage(), "the copy of %s was confirmed all along", e.addr)
+				}
 				for _, e := range lost {
 					e.view.set(works)
 				}
@@ -354,6 +412,31 @@
 	}
 }
 
+// The entries that would be readers next are cut off too, as in the loss of a
+// failure domain.
+func TestChangesArriveWhenTheNextReadersLoseTheStoreToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startEntries(t, fleetSize)
+		defer all.stop()
+		time.Sleep(5 * time.Second)
+		var addrs []string
+		for _, e := range all.all {
+			addrs = append(addrs, e.addr)
+		}
+		addrs = membership.Rank(readerKey, addrs, ranksFirst)
+		for _, e := range all.all {
+			if slices.Contains(addrs, e.addr) {
+				e.suffer(silent)
+			}
+		}
+		for n := range 4 {
+			for addr, late := range lag(all.all, all.change(), nextChange) {
+				assert.Check(t, late <= mostLag, "change %d: %s learnt of it after %v", n, addr, late)
+			}
+		}
+	})
+}
+
 // Entries that all have lost the store and follow each other do not take each
 // other's copies for fresh.
 func TestEntriesWithoutTheStoreDoNotConfirmEachOther(t *testing.T) {
@@ -373,3 +456,70 @@
 		}
 	})
 }
+
+// callsOf counts the calls that all entries began after since.
+func (f *entries) callsOf(since time.Time) int {
+	n := 0
+	for _, e := range f.all {
+		n += e.view.since(since)
+	}
+	return n
+}
+
+// On a calm day, three entries call the store once a second, and each copy is
+// known to be no older than one watch and the account of it.
+func TestCalmFleetCallsTheStoreThreeTimesASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startEntries(t, fleetSize)
+		defer all.stop()
+		time.Sleep(5 * time.Second)
+		begin := time.Now()
+		oldest := time.Duration(0)
+		for time.Since(begin) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+			for _, e := range all.all {
+				b, err := e.table.Range(time.Now())
+				assert.NilError(t, err)
+				oldest = max(oldest, b.Age)
+			}
+		}
+		calls := all.callsOf(begin)
+		assert.Check(t, calls >= 170 && calls <= 183, "%d calls in a minute", calls)
+		assert.Check(t, oldest <= 1100*time.Millisecond, "a copy was %v old", oldest)
+	})
+}
+
+// An outage of the store costs calls that fail: at most one a second by each
+// entry. All entries know of it, so that targets whose entries lapsed meanwhile
+// are held, and all have the store's changes soon after it.
+func TestOutageOfTheStore(t *testing.T) {
+	for _, f := range []fault{silent, refused} {
+		t.Run(string(f), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := startEntries(t, fleetSize)
+				defer all.stop()
+				time.Sleep(5 * time.Second)
+				for _, e := range all.all {
+					e.view.set(f)
+				}
+				begin, outage := time.Now(), 20*time.Second
+				time.Sleep(outage)
+				calls := all.callsOf(begin)
+				t.Log("calls", calls)
+				assert.Check(t, calls <= fleetSize*int(outage/time.Second), "%d calls", calls)
+				for _, e := range all.all {
+					down, _ := e.follower.Outage()
+					assert.Check(t, down, "%s does not know of the outage", e.addr)
+					e.view.set(works)
+				}
+				for addr, late := range lag(all.all, all.change(), nextChange) {
+					assert.Check(t, late <= mostLag, "%s learnt of it after %v", addr, late)
+				}
+				for _, e := range all.all {
+					down, ended := e.follower.Outage()
+					assert.Check(t, !down && time.Since(ended) < outage, "%s does not know that the outage is over", e.addr)
+				}
+			})
+		})
+	}
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -101,7 +101,7 @@
 		select {
 		case <-l.wake:
 			for _, msg := range l.take() {
-				if s.Send(ctx, msg) != nil {
+				if s.Send(ctx, l.mesh.stamped(msg)) != nil {
 					return true
 				}
 			}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -31,6 +31,10 @@
 	// peer's before it is read from there. A watch at the store is quicker
 	// unless it is cut. Default 300 ms.
 	BehindAfter time.Duration
+	// UnconfirmedAfter is the age of the own copy from which on BehindAfter is
+	// not waited for: a watch at the store ends each 1 s, and 1.2 s after the
+	// last one in a burst. Default 1.2 s.
+	UnconfirmedAfter time.Duration
 	// RetryAfter is the pause before a link that broke is opened again; it
 	// doubles up to MaxRetryAfter while the entry cannot be reached. When all
 	// processes start at once, agents are up some 100 ms before the entries.
@@ -48,6 +52,7 @@
 	c.Heartbeat = cmp.Or(c.Heartbeat, 500*time.Millisecond)
 	c.ExpireAfter = cmp.Or(c.ExpireAfter, 1600*time.Millisecond)
 	c.BehindAfter = cmp.Or(c.BehindAfter, 300*time.Millisecond)
+	c.UnconfirmedAfter = cmp.Or(c.UnconfirmedAfter, 1200*time.Millisecond)
 	c.RetryAfter = cmp.Or(c.RetryAfter, 50*time.Millisecond)
 	c.DialTimeout = cmp.Or(c.DialTimeout, 250*time.Millisecond)
 	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, 400*time.Millisecond)
@@ -63,6 +68,9 @@
 type member struct {
 	peer.Presence
 	heardAt time.Time // zero if only told of
+	// storeAt is when it saw by its own call that the store had nothing beyond
+	// its Revision; zero if it has not.
+	storeAt time.Time
 }
 
 // Members is the set of entries that one process knows. It is pure.
@@ -100,7 +108,11 @@
 		return false
 	}
 	isNew := old == nil || !m.live(now, old) || old.Incarnation != p.Incarnation
-	m.byAddr[p.Addr] = &member{Presence: p, heardAt: now}
+	x := &member{Presence: p, heardAt: now}
+	if p.Store.Known {
+		x.storeAt = now.Add(-time.Duration(p.Store.AgeMs) * time.Millisecond)
+	}
+	m.byAddr[p.Addr] = x
 	return isNew && !p.Leaving
 }
 
@@ -147,3 +159,15 @@
 	}
 	return addr, ok
 }
+
+// Confirmed returns when an entry last saw that the store had nothing beyond
+// revision; zero if none tells so. What entries heard from others does not
+// count: in a circle, the time on the way would make it newer with each round.
+func (m *Members) Confirmed(revision int64) (at time.Time) {
+	for _, x := range m.byAddr {
+		if x.Revision <= revision && x.storeAt.After(at) {
+			at = x.storeAt
+		}
+	}
+	return at
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
@@ -33,6 +34,9 @@
 	listener Listener
 	assigned func(peer.Assignment)
 	table    *mirror.Table // nil at agents
+	metrics  metrics.Registry
+	moves    metrics.Counter // changes of the source of the own copy
+	store    *mirror.Contact // set by Follow
 
 	mu          sync.Mutex
 	members     *Members
@@ -43,6 +47,9 @@
 	said        *peer.EngineState // an agent's newest word, for links that open later
 	behindSince time.Time
 	catchingUp  bool
+	role        role
+	moved       chan struct{} // closed when role changes its source
+	movedAt     time.Time     // of the last line about that
 }
 
 // Options are what a Mesh is made of.
@@ -55,14 +62,19 @@
 	Assigned func(peer.Assignment) // at agents
 	Table    *mirror.Table         // own copy of the store; nil at agents
 	Log      logrus.FieldLogger
+	Metrics  metrics.Registry // nil for none
 }
 
 // New returns a mesh that is not running.
 func New(o Options) *Mesh {
 	cfg := o.Config.applyDefaults()
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
 	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, table: o.Table,
+		metrics: o.Metrics, moves: metrics.NewRegisteredCounter("mesh.source_changes", o.Metrics),
 		members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
-		changed: make(chan struct{})}
+		changed: make(chan struct{}), moved: make(chan struct{})}
 }
 
 // Leave tells the others that this process is leaving.
@@ -83,11 +95,39 @@
 	p := m.self
 	p.Leaving = m.leaving
 	if m.table != nil {
-		p.Revision = m.table.Revision()
+		p.Revision, p.Store = m.storeContact(time.Now())
 	}
 	return p
 }
 
+// storeContact returns the revision of the own copy, and what the own calls to
+// the store say of it.
+func (m *Mesh) storeContact(now time.Time) (int64, peer.StoreContact) {
+	at, revision := m.table.Read()
+	c := peer.StoreContact{Known: !at.IsZero(), Failing: m.failing()}
+	if c.Known {
+		c.AgeMs = milliseconds(now.Sub(at))
+	}
+	return revision, c
+}
+
+// milliseconds rounds up, so that no age grows less on its way.
+func milliseconds(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
+}
+
+// stamped returns an account with the state of the store as it is when the
+// account leaves; it may have waited for the link.
+func (m *Mesh) stamped(msg peer.Message) peer.Message {
+	loads, ok := msg.(*peer.Loads)
+	if !ok {
+		return msg
+	}
+	out := *loads
+	out.Revision, out.Store = m.storeContact(time.Now())
+	return &out
+}
+
 // Run keeps links to all entries and refreshes the members until ctx ends.
 // loads returns what this process has in flight; nil at agents.
 func (m *Mesh) Run(ctx context.Context, loads func() []peer.TargetLoad) {
@@ -97,10 +137,8 @@
 	for {
 		now := time.Now()
 		m.refresh(ctx, now)
-		if loads != nil && account.due(now, m.cfg.accountInterval(len(m.Entries()))) {
-			if msg := account.next(now, loads()); msg != nil {
-				m.tellLoads(msg)
-			}
+		if loads != nil {
+			m.tellLoads(now, account, loads)
 		}
 		select {
 		case <-ticker.C:
@@ -123,6 +161,8 @@
 	}
 	m.setLive(m.members.Live(now))
 	if m.table != nil {
+		m.table.Confirm(m.members.Confirmed(m.table.Revision()))
+		m.choose(now)
 		m.compare(ctx, now)
 	}
 }
@@ -160,13 +200,23 @@
 	if m.behindSince.IsZero() {
 		m.behindSince = now
 	}
-	if now.Sub(m.behindSince) < m.cfg.BehindAfter || m.catchingUp {
+	if now.Sub(m.behindSince) < m.patienceBehind(now) || m.catchingUp {
 		return
 	}
 	m.catchingUp = true
 	go m.catchUp(ctx, addr)
 }
 
+// patienceBehind is how long the own copy may be behind. No watch is to be waited
+// for when nobody has confirmed the copy for longer than one takes; an entry
+// without a copy reads it from its source.
+func (m *Mesh) patienceBehind(now time.Time) time.Duration {
+	if at := m.table.ContactAt(); !at.IsZero() && now.Sub(at) > m.cfg.UnconfirmedAfter {
+		return 0
+	}
+	return m.cfg.BehindAfter
+}
+
 func (m *Mesh) catchUp(ctx context.Context, addr string) {
 	before := m.table.Revision()
 	err := mirror.CatchUp(ctx, &peerSource{mesh: m, addr: addr}, m.table)
@@ -202,11 +252,23 @@
 	return false
 }
 
-// tellLoads hands an account to all links.
-func (m *Mesh) tellLoads(msg *peer.Loads) {
+// tellLoads hands an account to all links, if one is due or the store has news.
+func (m *Mesh) tellLoads(now time.Time, a *account, loads func() []peer.TargetLoad) {
+	storeAt, _ := m.table.Read()
+	urgent := a.urgent(now, storeAt, m.failing())
+	if !urgent && !a.due(now, m.cfg.accountInterval(len(m.Entries()))) {
+		return
+	}
+	msg := a.next(now, loads())
+	if msg == nil && urgent {
+		msg = &peer.Loads{}
+	}
+	if msg == nil {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	msg.Leaving, msg.Revision = m.leaving, m.table.Revision()
+	msg.Leaving = m.leaving
 	for _, l := range m.links {
 		l.offer(msg)
 	}
@@ -268,7 +330,7 @@
 		switch v := msg.(type) {
 		case *peer.Loads:
 			from := *first
-			from.Leaving, from.Revision = v.Leaving, v.Revision
+			from.Leaving, from.Revision, from.Store = v.Leaving, v.Revision, v.Store
 			m.heard(from)
 			m.listener.Loads(from.Addr, v)
 		case *peer.EngineState:
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
 )
@@ -17,37 +15,6 @@
 	addr string
 }
 
-// readerCount is how many entries watch the store itself; the others follow
-// these. Three stand in most failure domains, and one that the store turns away
-// is noticed by the others' revisions.
-const readerCount = 3
-
-// readerKey is what the readers are chosen by.
-const readerKey = "store readers"
-
-// Reader returns the reader of the store that this entry follows, or nil if it
-// is one itself. All entries that know the same members choose the same.
-func (m *Mesh) Reader() mirror.Source {
-	addrs := []string{m.self.Addr}
-	for _, p := range m.Entries() {
-		addrs = append(addrs, p.Addr)
-	}
-	readers := membership.Rank(readerKey, addrs, readerCount)
-	if slices.Contains(readers, m.self.Addr) {
-		return nil
-	}
-	return &peerSource{mesh: m, addr: membership.First(m.self.Host, readers)}
-}
-
-// Source returns the copy of a live entry, or nil if there is none.
-func (m *Mesh) Source() mirror.Source {
-	nearest := m.Nearest(m.self.Host, 1)
-	if len(nearest) == 0 {
-		return nil
-	}
-	return &peerSource{mesh: m, addr: nearest[0]}
-}
-
 // Name implements mirror.Source.
 func (s *peerSource) Name() string { return "peer " + s.addr }
 
@@ -62,7 +29,11 @@
 }
 
 func (s *peerSource) read(ctx context.Context, q *peer.MirrorRead) (mirror.Batch, error) {
+	begun := time.Now()
 	msg, err := s.mesh.pool.Call(ctx, s.addr, peer.Control, q)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return mirror.Batch{}, ctx.Err() // called off, which says nothing of the peer
+	}
 	if err != nil {
 		s.mesh.lost(s.addr)
 		return mirror.Batch{}, errors.Wrap(mirror.ErrUnavailable, err.Error())
@@ -74,7 +45,10 @@
 	if reply.Status == peer.MirrorCompacted {
 		return mirror.Batch{}, mirror.ErrCompacted
 	}
-	b := mirror.Batch{Revision: reply.Revision, Age: time.Duration(reply.AgeMs) * time.Millisecond}
+	// The answer has grown older on its way, by no more than all the time that
+	// the peer did not hold the question.
+	way := time.Since(begun) - time.Duration(reply.HeldMs)*time.Millisecond
+	b := mirror.Batch{Revision: reply.Revision, Age: time.Duration(reply.AgeMs)*time.Millisecond + max(0, way)}
 	for _, e := range reply.Events {
 		b.Events = append(b.Events, mirror.Event{Deleted: e.Deleted,
 			Item: mirror.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}})
@@ -92,6 +66,7 @@
 func (m *Mesh) readMirror(ctx context.Context, q *peer.MirrorRead) *peer.MirrorBatch {
 	var b mirror.Batch
 	var err error
+	begun := time.Now()
 	if q.All {
 		b, err = m.table.Range(time.Now())
 	} else {
@@ -103,7 +78,7 @@
 	case err != nil:
 		return &peer.MirrorBatch{Status: peer.MirrorEmpty}
 	}
-	out := &peer.MirrorBatch{Revision: b.Revision, AgeMs: b.Age.Milliseconds()}
+	out := &peer.MirrorBatch{Revision: b.Revision, AgeMs: milliseconds(b.Age), HeldMs: time.Since(begun).Milliseconds()}
 	for _, e := range b.Events {
 		out.Events = append(out.Events, peer.MirrorEvent{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
--- /dev/null
+++ b/mirror/contact.go
@@ -0,0 +1,123 @@
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// overdueAfter is how late the answer to a watch may be before the store counts
+// as not reached: longer than an answer of a store that is slow takes (0.4 s).
+const overdueAfter = 500 * time.Millisecond
+
+// Contact is the store as this process reaches it: a Source that knows whether
+// its calls fail. Its methods may be called concurrently.
+type Contact struct {
+	store Source
+	log   logrus.FieldLogger
+
+	mu       sync.Mutex
+	called   time.Time // when the last call began
+	worked   time.Time // when the last one that worked began
+	failures int       // since the last call that worked
+	failed   time.Time // when the first of these was noticed
+}
+
+// NewContact returns the contact to a store that was not called yet.
+func NewContact(store Source, log logrus.FieldLogger) *Contact {
+	return &Contact{store: store, log: log}
+}
+
+// Name implements Source.
+func (c *Contact) Name() string { return c.store.Name() }
+
+// Paid implements Paid.
+func (c *Contact) Paid() bool {
+	p, ok := c.store.(Paid)
+	return ok && p.Paid()
+}
+
+// Failing reports whether the last call failed, or waits for longer than it
+// should.
+func (c *Contact) Failing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failures > 0
+}
+
+// last returns when the last call began and how many have failed since one
+// worked.
+func (c *Contact) last() (called time.Time, failures int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.called, c.failures
+}
+
+// Range implements Source. Pages are read one after the other, so the copy is as
+// old as the first.
+func (c *Contact) Range(ctx context.Context, prefix string) (Batch, error) {
+	begun := c.begin()
+	b, err := c.store.Range(ctx, prefix)
+	c.end(ctx, begun, err)
+	b.FirstHand, b.Age = true, time.Since(begun)
+	return b, err
+}
+
+// Watch implements Source. An answer without changes was made when the wait was
+// over, or later; one with changes when the last of them came.
+func (c *Contact) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error) {
+	begun := c.begin()
+	overdue := time.AfterFunc(wait+overdueAfter, func() { c.fail(begun, errors.New("mirror: watch is overdue")) })
+	b, err := c.store.Watch(ctx, prefix, after, wait)
+	overdue.Stop()
+	c.end(ctx, begun, err)
+	b.FirstHand = true
+	if len(b.Events) == 0 {
+		b.Age = max(0, time.Since(begun)-wait)
+	}
+	return b, err
+}
+
+func (c *Contact) begin() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.called = time.Now()
+	return c.called
+}
+
+// end notes the result of a call; one that was called off says nothing.
+func (c *Contact) end(ctx context.Context, begun time.Time, err error) {
+	switch {
+	case err == nil || errors.Is(err, ErrCompacted):
+		c.work(begun)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		c.fail(begun, err)
+	}
+}
+
+// fail notes that a call failed, unless a later one worked.
+func (c *Contact) fail(begun time.Time, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if begun.Before(c.worked) {
+		return
+	}
+	c.failures++
+	if c.failures == 1 {
+		c.failed = time.Now()
+		c.log.WithError(err).Warn("Store not reached.")
+	}
+}
+
+func (c *Contact) work(begun time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.worked = later(c.worked, begun)
+	if c.failures > 0 {
+		c.log.WithFields(logrus.Fields{"failures": c.failures, "ms": time.Since(c.failed).Milliseconds()}).Info("Store reached.")
+	}
+	c.failures = 0
+}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,40 +22,65 @@
 	// bursts. A change after a quiet time is seen at once. Default 200 ms, a tenth
 	// of the time in which a configuration must be in force.
 	Interval time.Duration
-	// PeerWait is how long a watch at a peer waits. It bounds how long the
-	// store is not tried again. Default 1 s.
-	PeerWait time.Duration
-	// MaxAge is how long ago a peer that is followed may have heard the store.
-	// A peer that watches hears it each Wait. Default 1.8 s.
-	MaxAge time.Duration
 	// Timeout bounds a read that does not wait, and how late a watch may be.
 	// Default 1 s.
 	Timeout time.Duration
 	// Backoff is the pause after a failure with no other source; it doubles
 	// up to MaxBackoff. Defaults 50 ms and 1 s.
 	Backoff, MaxBackoff time.Duration
+	// StaleAfter is how old the copy may grow before the store is read whatever
+	// is followed. A watch at the store tells of it each Wait, at the latest
+	// Wait and Interval after the last; a change must be known within 2 s, of
+	// which the rest is for ReadTimeout and the way. Default 1.3 s.
+	StaleAfter time.Duration
+	// ReadTimeout bounds such a read; a slow store answers in 0.4 s. Default
+	// 500 ms.
+	ReadTimeout time.Duration
+	// MaxReadPause is the longest pause between two such reads that fail; it
+	// begins with Backoff. In an outage all processes make them, and the first
+	// that works tells the others. Default 2 s.
+	MaxReadPause time.Duration
+	// ProbeEvery is the time between two calls by which a process that does not
+	// reach the store, but whose copy others confirm, finds out that it does
+	// again. Each is paid for and none is urgent. Default 4 s.
+	ProbeEvery time.Duration
 }
 
 func (c Config) applyDefaults() Config {
 	c.Wait = cmp.Or(c.Wait, time.Second)
 	c.Interval = cmp.Or(c.Interval, 200*time.Millisecond)
-	c.PeerWait = cmp.Or(c.PeerWait, time.Second)
-	c.MaxAge = cmp.Or(c.MaxAge, 1800*time.Millisecond)
 	c.Timeout = cmp.Or(c.Timeout, time.Second)
 	c.Backoff = cmp.Or(c.Backoff, 50*time.Millisecond)
 	c.MaxBackoff = cmp.Or(c.MaxBackoff, time.Second)
+	c.StaleAfter = cmp.Or(c.StaleAfter, 1300*time.Millisecond)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, 500*time.Millisecond)
+	c.MaxReadPause = cmp.Or(c.MaxReadPause, 2*time.Second)
+	c.ProbeEvery = cmp.Or(c.ProbeEvery, 4*time.Second)
 	return c
 }
 
-// Follower keeps a Table up to date.
+// Route says whom to follow: a peer, or the store itself if that is nil. It is
+// asked before each call.
+type Route interface {
+	// Source returns what to follow now, and a channel that is closed when that
+	// changes.
+	Source() (Source, <-chan struct{})
+	// Patience is how much longer than others this process waits before it
+	// reads the store because its copy is old.
+	Patience() time.Duration
+}
+
+// Follower keeps a Table up to date. It follows what its Route says and, beside
+// that, reads the store when the copy has grown old: a source that answers may
+// have lost the store itself, and a call may hang.
 type Follower struct {
 	cfg   Config
 	table *Table
-	// primary is the source that is followed while it works; fallback returns
-	// another one, or nil.
-	primary  func() Source
-	fallback func() Source
-	log      logrus.FieldLogger
+	store *Contact
+	route Route
+	log   logrus.FieldLogger
+	stats *Stats
+	made  time.Time
 
 	failures int
 	watched  time.Time // when the last watch began
@@ -64,65 +88,51 @@
 	outage   outage
 }
 
-// outage is when neither the store nor a peer could be followed.
-type outage struct {
-	mu    sync.Mutex
-	since time.Time // zero if there is none
-	ended time.Time // of the last one
+// Options are what a Follower is made of.
+type Options struct {
+	Config Config
+	Table  *Table
+	Store  *Contact
+	Route  Route
+	Log    logrus.FieldLogger
+	Stats  *Stats
 }
 
-// outageAfter is how long all sources must fail to count as an outage: longer
-// than one refused call and its repetition.
-const outageAfter = 500 * time.Millisecond
-
-func (o *outage) failed(now time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.since.IsZero() {
-		o.since = now
-	}
+// NewFollower returns a follower that is not running.
+func NewFollower(o Options) *Follower {
+	f := &Follower{cfg: o.Config.applyDefaults(), table: o.Table, store: o.Store, route: o.Route, log: o.Log, stats: o.Stats,
+		made: time.Now()}
+	f.stats.age(func() int64 { return f.age(time.Now()).Milliseconds() })
+	return f
 }
 
-func (o *outage) worked(now time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if !o.since.IsZero() && now.Sub(o.since) > outageAfter {
-		o.ended = now
-	}
-	o.since = time.Time{}
+// age is how long ago the store was last known to agree with the copy, or how
+// long this has waited for a first one.
+func (f *Follower) age(now time.Time) time.Duration {
+	return now.Sub(later(f.made, f.table.ContactAt()))
 }
 
-// Outage reports whether all sources fail now, and when that last ended.
-func (f *Follower) Outage() (down bool, ended time.Time) {
-	f.outage.mu.Lock()
-	defer f.outage.mu.Unlock()
-	return !f.outage.since.IsZero(), f.outage.ended
-}
-
-// NewFollower returns a follower of table. Sources are asked for before each
-// call, so they may change at any time.
-func NewFollower(cfg Config, table *Table, primary, fallback func() Source, log logrus.FieldLogger) *Follower {
-	return &Follower{cfg: cfg.applyDefaults(), table: table, primary: primary, fallback: fallback, log: log}
-}
+// freeMoves is how many sources in a row may fail before the next one is tried
+// only after a pause: the store and one reader.
+const freeMoves = 2
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	go f.guard(ctx)
 	for ctx.Err() == nil {
-		src := f.primary()
-		if src != nil && f.follow(ctx, src, f.cfg.Wait) == nil {
+		src, moved := f.source()
+		err := f.follow(ctx, src, moved)
+		if err == nil {
 			f.regained(src)
-			f.outage.worked(time.Now())
 			continue
 		}
-		if ctx.Err() != nil {
-			return
+		if errors.Is(err, ErrMoved) {
+			continue
 		}
 		f.failures++
-		if other := f.fallback(); other != nil && f.follow(ctx, other, f.cfg.PeerWait) == nil {
-			f.outage.worked(time.Now())
+		if next, _ := f.source(); f.failures <= freeMoves && next.Name() != src.Name() {
 			continue
 		}
-		f.outage.failed(time.Now())
 		pause := min(f.cfg.Backoff<<min(f.failures, 6), f.cfg.MaxBackoff)
 		if !loop.Sleep(ctx, pause/2+rand.N(pause/2)) {
 			return
@@ -130,6 +140,14 @@
 	}
 }
 
+func (f *Follower) source() (Source, <-chan struct{}) {
+	src, moved := f.route.Source()
+	if src == nil {
+		return f.store, moved
+	}
+	return src, moved
+}
+
 func (f *Follower) regained(src Source) {
 	if f.lost {
 		f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix, "revision": f.table.Revision(),
@@ -138,23 +156,36 @@
 	f.lost, f.failures = false, 0
 }
 
-// follow makes one call at src and applies its result.
-func (f *Follower) follow(ctx context.Context, src Source, wait time.Duration) error {
-	err := f.step(ctx, src, wait)
+// follow makes one call at src and applies its result. The call ends with
+// ErrMoved when moved is closed.
+func (f *Follower) follow(ctx context.Context, src Source, moved <-chan struct{}) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-moved:
+			cancel(ErrMoved)
+		case <-ctx.Done():
+		}
+	}()
+	err := f.step(ctx, src)
 	if errors.Is(err, ErrCompacted) {
 		f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix,
 			"revision": f.table.Revision()}).Info("History is gone, reading all again.")
 		err = f.readAll(ctx, src)
 	}
+	if err != nil && errors.Is(context.Cause(ctx), ErrMoved) {
+		return ErrMoved
+	}
 	if err != nil && ctx.Err() == nil && !f.lost {
 		f.lost = true
 		f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix, "revision": f.table.Revision(),
-			"error": err.Error()}).Warn("Source lost.")
+			"age_ms": f.age(time.Now()).Milliseconds(), "error": err.Error()}).Warn("Source lost.")
 	}
 	return err
 }
 
-func (f *Follower) step(ctx context.Context, src Source, wait time.Duration) error {
+func (f *Follower) step(ctx context.Context, src Source) error {
 	after := f.table.Revision()
 	if after == 0 {
 		return f.readAll(ctx, src)
@@ -163,16 +194,13 @@
 		return ctx.Err()
 	}
 	f.watched = time.Now()
-	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Timeout)
 	defer cancel()
-	b, err := src.Watch(ctx, f.table.prefix, after, wait)
+	b, err := src.Watch(ctx, f.table.prefix, after, f.cfg.Wait)
 	if err != nil {
 		return err
 	}
 	f.table.Apply(time.Now(), b)
-	if b.Age > f.cfg.MaxAge {
-		return ErrStale
-	}
 	return nil
 }
 
--- /dev/null
+++ b/mirror/guard_test.go
@@ -0,0 +1,170 @@
+package mirror
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// storeAt returns a source that answers at once, with a change up to revision.
+func storeAt(revision *atomic.Int64) *scripted {
+	return &scripted{name: "store", all: func() (Batch, error) { return Batch{Revision: revision.Load()}, nil },
+		watch: func(after int64) (Batch, error) {
+			if r := revision.Load(); after < r {
+				return Batch{Events: []Event{set("a", r)}, Revision: r}, nil
+			}
+			return Batch{Revision: after}, nil
+		}}
+}
+
+// A peer that does not answer does not keep a process from the store.
+func TestOldCopyIsReadFromTheStoreWhileAPeerHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var revision atomic.Int64
+		revision.Store(7)
+		table := NewTable("")
+		f := newFollower(table, NewContact(storeAt(&revision), quiet()), func() Source { return &hanging{} })
+		go f.Run(ctx)
+		time.Sleep(1400 * time.Millisecond)
+		assert.Equal(t, table.Revision(), int64(7))
+		assert.Equal(t, f.stats.reads.Count(), int64(1))
+		revision.Store(8)
+		time.Sleep(1400 * time.Millisecond)
+		assert.Equal(t, table.Revision(), int64(8))
+		down, ended := f.Outage()
+		assert.Assert(t, !down && ended.IsZero())
+	})
+}
+
+// A process that does not reach the store, but whose copy others confirm, calls
+// it now and then and holds it for present.
+func TestConfirmedCopyCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var calls atomic.Int64
+		store := &scripted{name: "store", watch: func(int64) (Batch, error) {
+			calls.Add(1)
+			return Batch{}, errors.New("refused")
+		}}
+		peer := &scripted{name: "peer", all: func() (Batch, error) { return Batch{Revision: 1}, nil },
+			watch: func(after int64) (Batch, error) { return Batch{Revision: after}, nil }}
+		contact := NewContact(store, quiet())
+		_, err := contact.Watch(ctx, "", 1, 0)
+		assert.ErrorContains(t, err, "refused")
+		f := newFollower(NewTable(""), contact, func() Source { return peer })
+		go f.Run(ctx)
+		time.Sleep(time.Minute)
+		assert.Assert(t, calls.Load() >= 14 && calls.Load() <= 16, "%d calls", calls.Load())
+		down, ended := f.Outage()
+		assert.Assert(t, !down && ended.IsZero())
+	})
+}
+
+// A call that fails after a later one worked says nothing of the store now.
+func TestContactIsJudgedByItsNewestCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var revision atomic.Int64
+		store := storeAt(&revision)
+		works := store.watch
+		var first atomic.Bool
+		first.Store(true)
+		answer := make(chan struct{})
+		store.watch = func(after int64) (Batch, error) {
+			if !first.Swap(false) {
+				return works(after)
+			}
+			<-answer
+			return Batch{}, errors.New("lost")
+		}
+		c := NewContact(store, quiet())
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.Watch(t.Context(), "", 1, time.Second)
+			done <- err
+		}()
+		time.Sleep(time.Second + overdueAfter - time.Millisecond)
+		assert.Assert(t, !c.Failing(), "a slow store is not lost")
+		time.Sleep(2 * time.Millisecond)
+		assert.Assert(t, c.Failing(), "the watch is overdue")
+		b, err := c.Watch(t.Context(), "", 1, 0)
+		assert.NilError(t, err)
+		assert.Assert(t, b.FirstHand && !c.Failing())
+		close(answer)
+		assert.ErrorContains(t, <-done, "lost")
+		assert.Assert(t, !c.Failing())
+	})
+}
+
+// A call that was called off says nothing of the store.
+func TestContactIgnoresWhatWasCalledOff(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	c := NewContact(&hanging{}, quiet())
+	_, err := c.Watch(ctx, "", 1, time.Second)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Assert(t, !c.Failing())
+}
+
+// Another source is followed at once, and the old one is not held for lost.
+func TestFollowerMovesDuringAWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var revision atomic.Int64
+		revision.Store(1)
+		store := NewContact(storeAt(&revision), quiet())
+		table := NewTable("")
+		r := &movable{first: &hanging{}, moved: make(chan struct{})}
+		f := NewFollower(Options{Table: table, Store: store, Route: r, Log: quiet(), Stats: newFollower(table, store, nil).stats})
+		go f.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		revision.Store(2)
+		close(r.moved)
+		synctest.Wait()
+		assert.Equal(t, table.Revision(), int64(2))
+		assert.Assert(t, !f.lost)
+	})
+}
+
+// movable is a Route from a source to the store.
+type movable struct {
+	first Source
+	moved chan struct{}
+}
+
+func (m *movable) Source() (Source, <-chan struct{}) {
+	select {
+	case <-m.moved:
+		return nil, nil
+	default:
+		return m.first, m.moved
+	}
+}
+
+func (*movable) Patience() time.Duration { return 0 }
+
+// The age of a peer's answer is that at its end, and what others confirm counts.
+func TestAgeIsTakenAfterTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := NewTable("")
+		table.Replace(time.Now(), Batch{Revision: 5, FirstHand: true})
+		read := time.Now()
+		b, err := table.Watch(t.Context(), 5, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, b.Age, time.Second)
+		table.Confirm(time.Now())
+		b, err = table.Watch(t.Context(), 5, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, b.Age, time.Duration(0))
+		at, revision := table.Read()
+		assert.Assert(t, at.Equal(read) && revision == 5, "what others saw was not read here")
+	})
+}
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -18,8 +18,9 @@
 	ErrCompacted = errors.New("mirror: history compacted")
 	// ErrUnavailable says that a source answered but cannot serve.
 	ErrUnavailable = errors.New("mirror: source unavailable")
-	// ErrStale says that a peer has not heard the store for too long itself.
-	ErrStale = errors.New("mirror: source is stale")
+	// ErrMoved says that a watch was called off because another source is to be
+	// followed.
+	ErrMoved = errors.New("mirror: another source is followed")
 )
 
 // Item is one key of the store.
@@ -40,7 +41,9 @@
 type Batch struct {
 	Events   []Event
 	Revision int64         // continue from here
-	Age      time.Duration // how long ago the source last heard the store
+	Age      time.Duration // how long ago the store was known to agree with the source, at most
+	// FirstHand says that this process read it from the store itself.
+	FirstHand bool
 }
 
 // Source is the store or a peer's copy of it.
@@ -78,6 +81,7 @@
 	revision  int64
 	first     int64     // revision of the first read
 	contactAt time.Time // when the store was last known to agree
+	readAt    time.Time // when it was, by this process's own reads
 	changed   chan struct{}
 }
 
@@ -193,8 +197,10 @@
 func (t *Table) advance(now time.Time, b Batch, changed bool) {
 	moved := b.Revision > t.revision
 	t.revision = max(t.revision, b.Revision)
-	if at := now.Add(-b.Age); at.After(t.contactAt) {
-		t.contactAt = at
+	at := now.Add(-b.Age)
+	t.contactAt = later(t.contactAt, at)
+	if b.FirstHand {
+		t.readAt = later(t.readAt, at)
 	}
 	if changed || moved {
 		close(t.changed)
@@ -202,6 +208,37 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// ContactAt returns when the store was last known to agree with the copy; zero
+// before the first read.
+func (t *Table) ContactAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.contactAt
+}
+
+// Read returns when this process's own reads last found that the store agrees
+// with the copy, and the copy's revision: what the store had then lies within it.
+func (t *Table) Read() (at time.Time, revision int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.readAt, t.revision
+}
+
+// Confirm notes that the store had nothing beyond the copy at a moment, as
+// another process found.
+func (t *Table) Confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.contactAt = later(t.contactAt, at)
+}
+
 // Range returns the whole copy for a peer.
 func (t *Table) Range(now time.Time) (Batch, error) {
 	t.mu.Lock()
@@ -229,7 +266,10 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return b, nil
+			// The age as it is now: the one from before the wait would make the
+			// copy younger with each peer that passes it on.
+			b, _, err = t.since(time.Now(), after)
+			return b, err
 		case <-ctx.Done():
 			return b, ctx.Err()
 		}
--- a/mirror/table_test.go
+++ b/mirror/table_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 )
@@ -138,6 +139,23 @@
 	return l
 }
 
+// routeFunc is a Route that never moves; nil is the store.
+type routeFunc func() Source
+
+func (r routeFunc) Source() (Source, <-chan struct{}) {
+	if r == nil {
+		return nil, nil
+	}
+	return r(), nil
+}
+
+func (routeFunc) Patience() time.Duration { return 0 }
+
+// newFollower returns a follower of table with the default times.
+func newFollower(table *Table, store *Contact, route routeFunc) *Follower {
+	return NewFollower(Options{Table: table, Store: store, Route: route, Log: quiet(), Stats: NewStats(metrics.NewRegistry())})
+}
+
 // The store loses its history: the follower reads all again and does not go
 // back.
 func TestFollowerReadsAgainAfterCompaction(t *testing.T) {
@@ -159,7 +177,7 @@
 			return Batch{Revision: after}, nil
 		}
 		table := NewTable("")
-		f := NewFollower(Config{}, table, func() Source { return src }, func() Source { return nil }, quiet())
+		f := newFollower(table, NewContact(src, quiet()), nil)
 		go f.Run(ctx)
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, contents(table), map[string]string{"a": "9"})
@@ -193,7 +211,13 @@
 		peer := &scripted{name: "peer", all: func() (Batch, error) { return Batch{Events: []Event{set("a", 3)}, Revision: 3}, nil }}
 		peer.watch = func(after int64) (Batch, error) { return Batch{Revision: max(after, 3)}, nil }
 		table := NewTable("")
-		f := NewFollower(Config{}, table, func() Source { return store }, func() Source { return peer }, quiet())
+		contact := NewContact(store, quiet())
+		f := newFollower(table, contact, func() Source {
+			if contact.Failing() {
+				return peer
+			}
+			return nil
+		})
 		go f.Run(ctx)
 		time.Sleep(time.Second / 2)
 		assert.DeepEqual(t, contents(table), map[string]string{"a": "3"})
@@ -218,7 +242,7 @@
 			}
 			return Batch{Revision: after}, nil
 		}
-		f := NewFollower(Config{}, NewTable(""), func() Source { return src }, func() Source { return nil }, quiet())
+		f := newFollower(NewTable(""), NewContact(src, quiet()), nil)
 		go f.Run(ctx)
 		time.Sleep(3 * time.Second)
 		isDown, ended := f.Outage()
@@ -241,7 +265,7 @@
 		defer cancel()
 		src := &hanging{}
 		table := NewTable("")
-		f := NewFollower(Config{}, table, func() Source { return src }, func() Source { return nil }, quiet())
+		f := newFollower(table, NewContact(src, quiet()), nil)
 		go f.Run(ctx)
 		time.Sleep(4 * time.Second)
 		assert.Assert(t, src.calls.Load() >= 2)
@@ -276,7 +300,7 @@
 			return Batch{Revision: after}, nil
 		}
 		table := NewTable("")
-		f := NewFollower(Config{}, table, func() Source { return peer }, func() Source { return store }, quiet())
+		f := newFollower(table, NewContact(store, quiet()), func() Source { return peer })
 		go f.Run(ctx)
 		time.Sleep(4 * time.Second)
 		assert.DeepEqual(t, contents(table), map[string]string{"a": "7"})
@@ -303,9 +327,7 @@
 func TestBurstOfChangesCostsFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		src := &paidSource{}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		f := NewFollower(Config{}, NewTable(""), func() Source { return src }, func() Source { return nil }, log)
+		f := newFollower(NewTable(""), NewContact(src, quiet()), nil)
 		ctx, cancel := context.WithTimeout(t.Context(), 1900*time.Millisecond)
 		defer cancel()
 		f.Run(ctx)
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -33,7 +33,8 @@
 	Status   MirrorStatus
 	Events   []MirrorEvent
 	Revision int64
-	AgeMs    int64 // since the peer last heard the store
+	AgeMs    int64 // since the store was known to agree with the copy, at most
+	HeldMs   int64 // how long the peer held the question, at most that
 }
 
 // Kind implements Message.
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -15,6 +15,17 @@
 	Leaving     bool
 	// LinkMbps is the rate of the host's link; 0 if not known.
 	LinkMbps float64
+	Store    StoreContact
+}
+
+// StoreContact is what an entry says of its own calls to the store.
+type StoreContact struct {
+	// Known is true if one has worked. AgeMs is then how long ago the store was
+	// seen, at most; it had nothing beyond the Revision that the entry tells with
+	// this.
+	Known   bool
+	AgeMs   int64
+	Failing bool // the newest call failed or is overdue
 }
 
 // Kind implements Message.
@@ -52,6 +63,7 @@
 	Full     bool  // all targets; otherwise those that changed
 	Leaving  bool  // the entry is leaving
 	Revision int64 // how far its copy of the store reaches
+	Store    StoreContact
 	Targets  []TargetLoad
 }
 
