Processes that lost the store call it at one pace

MaxReadPause is gone; both wait for MaxBackoff (2 s) since the last call of either, and a pause ends when there is another source, or when the store is reached again.

Sleeps and watches of no length need no timer.

--- a/loop/time.go
+++ b/loop/time.go
@@ -7,6 +7,9 @@
 
 // Sleep waits for d. It reports false if ctx ended first.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/mirror/contact.go
+++ b/mirror/contact.go
@@ -24,11 +24,12 @@
 	worked   time.Time // when the last one that worked began
 	failures int       // since the last call that worked
 	failed   time.Time // when the first of these was noticed
+	again    chan struct{}
 }
 
 // NewContact returns the contact to a store that was not called yet.
 func NewContact(store Source, log logrus.FieldLogger) *Contact {
-	return &Contact{store: store, log: log}
+	return &Contact{store: store, log: log, again: make(chan struct{})}
 }
 
 // Name implements Source.
@@ -56,6 +57,13 @@
 	return c.called, c.failures
 }
 
+// reached returns a channel that is closed when a call works after others failed.
+func (c *Contact) reached() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.again
+}
+
 // Range implements Source. Pages are read one after the other, so the copy is as
 // old as the first.
 func (c *Contact) Range(ctx context.Context, prefix string) (Batch, error) {
@@ -118,6 +126,8 @@
 	c.worked = later(c.worked, begun)
 	if c.failures > 0 {
 		c.log.WithFields(logrus.Fields{"failures": c.failures, "ms": time.Since(c.failed).Milliseconds()}).Info("Store reached.")
+		close(c.again)
+		c.again = make(chan struct{})
 	}
 	c.failures = 0
 }
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -26,7 +26,8 @@
 	// Default 1 s.
 	Timeout time.Duration
 	// Backoff is the pause after a failure with no other source; it doubles
-	// up to MaxBackoff. Defaults 50 ms and 1 s.
+	// up to MaxBackoff. In an outage of the store all processes call it so often,
+	// and the first whose call works tells the others. Defaults 50 ms and 2 s.
 	Backoff, MaxBackoff time.Duration
 	// StaleAfter is how old the copy may grow before the store is read whatever
 	// is followed. A watch at the store tells of it each Wait, at the latest
@@ -36,10 +37,6 @@
 	// ReadTimeout bounds such a read; a slow store answers in 0.4 s. Default
 	// 500 ms.
 	ReadTimeout time.Duration
-	// MaxReadPause is the longest pause between two such reads that fail; it
-	// begins with Backoff. In an outage all processes make them, and the first
-	// that works tells the others. Default 2 s.
-	MaxReadPause time.Duration
 	// ProbeEvery is the time between two calls by which a process that does not
 	// reach the store, but whose copy others confirm, finds out that it does
 	// again. Each is paid for and none is urgent. Default 4 s.
@@ -51,10 +48,9 @@
 	c.Interval = cmp.Or(c.Interval, 200*time.Millisecond)
 	c.Timeout = cmp.Or(c.Timeout, time.Second)
 	c.Backoff = cmp.Or(c.Backoff, 50*time.Millisecond)
-	c.MaxBackoff = cmp.Or(c.MaxBackoff, time.Second)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, 2*time.Second)
 	c.StaleAfter = cmp.Or(c.StaleAfter, 1300*time.Millisecond)
 	c.ReadTimeout = cmp.Or(c.ReadTimeout, 500*time.Millisecond)
-	c.MaxReadPause = cmp.Or(c.MaxReadPause, 2*time.Second)
 	c.ProbeEvery = cmp.Or(c.ProbeEvery, 4*time.Second)
 	return c
 }
@@ -133,16 +129,48 @@
 		if next, _ := f.source(); f.failures <= freeMoves && next.Name() != src.Name() {
 			continue
 		}
-		pause := min(f.cfg.Backoff<<min(f.failures, 6), f.cfg.MaxBackoff)
-		if !loop.Sleep(ctx, pause/2+rand.N(pause/2)) {
+		f.rest(ctx, src, moved)
+	}
+}
+
+// rest waits after a failure of src, at most until there is something else to
+// follow or the store is reached again. Calls of the store by the guard count as
+// tries.
+func (f *Follower) rest(ctx context.Context, src Source, moved <-chan struct{}) {
+	begun, pause := time.Now(), f.pause(f.failures, rand.Float64())
+	for {
+		if called, _ := f.store.last(); src == Source(f.store) {
+			begun = later(begun, called)
+		}
+		wait := pause - time.Since(begun)
+		if wait <= 0 {
 			return
 		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+			continue
+		case <-moved:
+		case <-f.store.reached():
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		return
 	}
 }
 
+// pause returns how long to wait after so many failures in a row. spread, from 0
+// to 1, keeps processes that failed together from calling together.
+func (f *Follower) pause(failures int, spread float64) time.Duration {
+	most := min(f.cfg.Backoff<<min(failures, 6), f.cfg.MaxBackoff)
+	return time.Duration((1 + spread) / 2 * float64(most))
+}
+
+// source returns what to follow now. A peer may have no copy yet, so who has none
+// itself tries the store in turn with it.
 func (f *Follower) source() (Source, <-chan struct{}) {
 	src, moved := f.route.Source()
-	if src == nil {
+	if src == nil || f.table.Revision() == 0 && f.failures%2 == 1 {
 		return f.store, moved
 	}
 	return src, moved
--- a/mirror/guard.go
+++ b/mirror/guard.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/loop"
 )
 
 // guardTick is the time between two looks at the age of the copy: a small part
@@ -17,20 +18,13 @@
 // guard reads the store when the copy is old, whatever is followed and however
 // long that takes to answer.
 func (f *Follower) guard(ctx context.Context) {
-	ticker := time.NewTicker(guardTick)
-	defer ticker.Stop()
 	spread := rand.Float64()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	for loop.Sleep(ctx, guardTick) {
 		f.Outage()
 		now := time.Now()
 		stale := f.age(now) > f.cfg.StaleAfter+f.route.Patience()
 		called, failures := f.store.last()
-		if !stale && failures == 0 || now.Sub(called) < f.pause(failures, stale, spread) {
+		if !stale && failures == 0 || now.Sub(called) < f.readPause(failures, stale, spread) {
 			continue
 		}
 		f.readStore(ctx, stale)
@@ -38,18 +32,16 @@
 	}
 }
 
-// pause is how long the guard does not call the store after the last call: calls
-// are paid for, also those that fail. spread, from 0 to 1, keeps processes that
-// failed together from calling together.
-func (f *Follower) pause(failures int, stale bool, spread float64) time.Duration {
+// readPause is how long the guard does not call the store after the last call:
+// calls are paid for, also those that fail.
+func (f *Follower) readPause(failures int, stale bool, spread float64) time.Duration {
 	switch {
 	case failures == 0:
 		return 0
 	case !stale:
 		return f.cfg.ProbeEvery
 	}
-	most := min(f.cfg.Backoff<<min(failures, 6), f.cfg.MaxReadPause)
-	return time.Duration((1 + spread) / 2 * float64(most))
+	return f.pause(failures, spread)
 }
 
 // readStore reads what the store has beyond the copy, without waiting.
--- a/mirror/guard_test.go
+++ b/mirror/guard_test.go
@@ -43,6 +43,25 @@
 	})
 }
 
+// Processes that start together may follow one that has no copy yet.
+func TestFirstCopyIsReadFromTheStoreIfThePeerHasNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var revision atomic.Int64
+		revision.Store(7)
+		none := func() (Batch, error) { return Batch{}, ErrUnavailable }
+		peer := &scripted{name: "peer", all: none, watch: func(int64) (Batch, error) { return none() }}
+		table := NewTable("")
+		f := newFollower(table, NewContact(storeAt(&revision), quiet()), func() Source { return peer })
+		go f.Run(ctx)
+		synctest.Wait()
+		assert.Equal(t, table.Revision(), int64(7))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // A process that does not reach the store, but whose copy others confirm, calls
 // it now and then and holds it for present.
 func TestConfirmedCopyCostsFewCalls(t *testing.T) {
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -256,6 +256,10 @@
 // Watch waits for changes after a revision for a peer. It returns an empty
 // batch when wait or ctx ends first.
 func (t *Table) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+	if wait <= 0 {
+		b, _, err := t.since(time.Now(), after)
+		return b, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
