Sidecar: reproduce a load order that takes effect late

Cause: a load order that gets no answer within the call's timeout is treated as one that was not carried out. The agent then stages a newer version over what that order refers to; the engine takes the order seconds later and loads what lies there by then under the older number, or goes back to it.

Ruled out for the observed cases: pieces that went bad after their check (the check was under a second old and found nothing), and puts that landed late (none was without an answer before the order).

Change: the fake engine takes orders late and answers none of these; the test has eight cases (newer version meanwhile, after it, empty engine, several in a row, restarts of the agent and of the engine).

--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -33,6 +33,7 @@
 	orders  int
 	reads   int
 	loading time.Time
+	late    []time.Duration // how late the next orders take effect; these get no answer
 }
 
 func (e *fakeEngine) Report(context.Context, string) (Report, error) {
@@ -68,9 +69,33 @@
 	return []byte(e.staged[index]), nil
 }
 
-func (e *fakeEngine) Start(_ context.Context, _, _ string, version int) error {
+func (e *fakeEngine) Start(ctx context.Context, _, _ string, version int) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if len(e.late) == 0 {
+		return e.take(version)
+	}
+	late := e.late[0]
+	e.late = e.late[1:]
+	time.AfterFunc(late, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = e.take(version) // nobody hears of it
+	})
+	e.mu.Unlock()
+	<-ctx.Done()
+	e.mu.Lock()
+	return ctx.Err()
+}
+
+// take lets an order take effect on what is staged now.
+func (e *fakeEngine) take(version int) error {
+	switch {
+	case e.down || time.Now().Before(e.loading):
+		return errors.New("refused")
+	case e.serves == version:
+		return nil
+	}
 	e.orders++
 	for i := range pieces {
 		e.spoilt = e.spoilt || e.staged[i] != content(version, i)
@@ -80,6 +105,13 @@
 	return nil
 }
 
+// restart makes the engine forget all but what is staged.
+func (e *fakeEngine) restart() {
+	e.set(func() { e.down, e.serves, e.loading = true, 0, time.Time{} })
+	time.Sleep(300 * time.Millisecond)
+	e.set(func() { e.down = false })
+}
+
 // set changes the engine between steps.
 func (e *fakeEngine) set(f func()) {
 	e.mu.Lock()
@@ -114,31 +146,40 @@
 	return []byte(content(m.Version, index)), nil
 }
 
+// begin starts a sidecar inside a bubble; end stops it.
+func begin(t *testing.T, cfg Config, e *fakeEngine, source *fakeSource) (s *Sidecar, said func() peer.EngineState, end func()) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var mu sync.Mutex
+	var last peer.EngineState
+	s = New(cfg, e, "engine", source, func(st peer.EngineState) {
+		mu.Lock()
+		defer mu.Unlock()
+		last = st
+	}, NewStats(metrics.NewRegistry()), log)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Run(ctx)
+	}()
+	said = func() peer.EngineState {
+		mu.Lock()
+		defer mu.Unlock()
+		return last
+	}
+	return s, said, func() {
+		cancel()
+		<-done
+	}
+}
+
 // run starts a sidecar in a bubble of its own time.
 func run(t *testing.T, cfg Config, e *fakeEngine, source *fakeSource, f func(s *Sidecar, said func() peer.EngineState)) {
 	synctest.Test(t, func(t *testing.T) {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		var mu sync.Mutex
-		var last peer.EngineState
-		s := New(cfg, e, "engine", source, func(st peer.EngineState) {
-			mu.Lock()
-			defer mu.Unlock()
-			last = st
-		}, NewStats(metrics.NewRegistry()), log)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			s.Run(ctx)
-		}()
-		f(s, func() peer.EngineState {
-			mu.Lock()
-			defer mu.Unlock()
-			return last
-		})
-		cancel()
-		<-done
+		s, said, end := begin(t, cfg, e, source)
+		f(s, said)
+		end()
 	})
 }
 
@@ -284,3 +325,69 @@
 		assert.Assert(t, !e.spoilt)
 	})
 }
+
+// What callers saw: tokens of version 3 that were made with other weights, some
+// seconds after version 4 was named. What happened, in this order: version 3 was
+// staged and checked; the order to load it got no answer; the agent gave it up
+// and put the pieces of version 4 over those of 3; the engine took the first order
+// then and loaded what was staged by that time under the number 3. Others went
+// back from 4 to 3 by the same order. The cause: an order without an answer was
+// held to be one that was not carried out, and what it refers to, the staged
+// pieces, was changed while it could still take effect.
+//
+// What proved it: the engine's own numbering of orders puts the unanswered order
+// of 3 after the puts of 4, which came 2 to 12 s after it was sent, and no other
+// order of 3 was sent in that time; the staged pieces were checked less than a
+// second before the order, and no put failed.
+func TestLateOrderLoadsOnlyWhatIsWhole(t *testing.T) {
+	seconds := func(s ...float64) (out []time.Duration) {
+		for _, x := range s {
+			out = append(out, time.Duration(x*float64(time.Second)))
+		}
+		return out
+	}
+	both := func() peer.Assignment {
+		a := assignment(3, 0, 1)
+		a.Earlier = []peer.AnnouncedVersion{{Version: 2, AgeMs: 1500}}
+		return a
+	}
+	for _, c := range []struct {
+		name    string
+		late    []time.Duration
+		serves  int  // before
+		anew    bool // the agent is started anew before version 3 is assigned
+		restart bool // the engine is
+	}{
+		{"while a newer version is staged", seconds(2.9), 1, false, false},
+		{"after a newer version was loaded", seconds(9), 1, false, false},
+		{"at an engine that serves nothing", seconds(6), 0, false, false},
+		{"several without an answer", seconds(11, 7, 5, 4, 12, 8), 1, false, false},
+		{"agent started anew while it stages", seconds(2.5), 1, true, false},
+		{"agent started anew and done", seconds(8), 1, true, false},
+		{"engine started anew", seconds(6), 1, false, true},
+		{"engine started anew, several without an answer", seconds(9, 7, 5), 1, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &fakeEngine{staged: map[int]string{}, serves: c.serves, late: c.late}
+				source := &fakeSource{delay: 200 * time.Millisecond}
+				s, said, end := begin(t, Config{}, e, source)
+				s.Assign(time.Now(), assignment(2, 0, 1))
+				time.Sleep(1200 * time.Millisecond)
+				if c.anew {
+					end()
+					s, said, end = begin(t, Config{}, e, source)
+				}
+				if c.restart {
+					e.restart()
+				}
+				s.Assign(time.Now(), both())
+				time.Sleep(30 * time.Second)
+				end()
+				assert.Assert(t, !e.spoilt, "loaded what was not whole")
+				assert.Equal(t, e.serves, 3)
+				assert.Equal(t, said().Version, 3)
+			})
+		})
+	}
+}
