Sidecar: orders with a precondition and a token; one in doubt is repeated

Cause: a load order without an answer was treated as not carried out, and the stage was given to a newer version while that order could still take effect. Orders carried neither the precondition nor the fencing token that engines offer.

Ruled out as a way to shut older orders out: an order that is refused (400, 409), whose token does not count.

Change: each order carries the Sequence of the report that it was decided on and a rising token. An order without an answer, after 0.5 s, is in doubt: until the report or an answer settles it, the stage stays that version's, the order is repeated with pauses of 0.1 to 1 s, and newer versions are kept in memory. A new agent shuts out the orders of the one before with an order of what the engine serves, checked by one with a lower token that must be refused; at an engine that serves nothing it loads what is staged whole first. Pieces whose put got no answer, and all while an order is in doubt, are read back before each order.

--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -45,6 +45,18 @@
 	FetchTimeout time.Duration
 	// CallTimeout bounds a call to the engine. Default 2 s.
 	CallTimeout time.Duration
+	// OrderTimeout is how long an order's answer is waited for. Engines answer
+	// within some ms; an order without an answer holds up newer versions, so it is
+	// to be repeated soon. Default 500 ms.
+	OrderTimeout time.Duration
+	// RepeatMin is the pause before an order without an answer is repeated; it
+	// doubles up to RepeatMax. What is staged is checked before each repeat, and
+	// pieces that went bad must be noticed within 3 s. Defaults 100 ms and 1 s.
+	RepeatMin, RepeatMax time.Duration
+	// OrderGrace is how long after it was sent an order or a piece without an
+	// answer may still reach the engine, where nothing else tells. The longest
+	// seen were 12 s. Default 15 s.
+	OrderGrace time.Duration
 	// StallFor is how long a version of which a piece could not be had is put
 	// behind an older one that must be served too. Default 3 s.
 	StallFor time.Duration
@@ -65,6 +77,10 @@
 	c.FetchRound = cmp.Or(c.FetchRound, 250*time.Millisecond)
 	c.FetchTimeout = cmp.Or(c.FetchTimeout, 6*time.Second)
 	c.CallTimeout = cmp.Or(c.CallTimeout, 2*time.Second)
+	c.OrderTimeout = cmp.Or(c.OrderTimeout, 500*time.Millisecond)
+	c.RepeatMin = cmp.Or(c.RepeatMin, 100*time.Millisecond)
+	c.RepeatMax = cmp.Or(c.RepeatMax, time.Second)
+	c.OrderGrace = cmp.Or(c.OrderGrace, 15*time.Second)
 	c.StallFor = cmp.Or(c.StallFor, 3*time.Second)
 	c.VerifyAge = cmp.Or(c.VerifyAge, time.Second)
 	return c
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -9,10 +9,13 @@
 
 // Report is an engine's account of itself.
 type Report struct {
-	Models  []fleet.ModelVersion
-	Busy    bool // an order is in progress
-	Running int
-	Waiting int
+	Models []fleet.ModelVersion
+	Busy   bool // an order is in progress
+	// Sequence counts the orders that the engine has begun since its start; an
+	// engine that does not count them reports 0.
+	Sequence int64
+	Running  int
+	Waiting  int
 }
 
 // serves returns the version that the engine holds whole, or zero.
@@ -26,17 +29,19 @@
 
 // Actions of a sidecar.
 const (
-	Rest  Action = iota // nothing to do
-	Watch               // an order is in progress
-	Stage               // pieces are missing at the engine
-	Fetch               // an older version is staged; pieces of a newer one are kept in memory
-	Await               // staged; its turn has not come
-	Load                // staged, and its turn has come
+	Rest    Action = iota // nothing to do
+	Watch                 // an order is in progress
+	Stage                 // pieces are missing at the engine
+	Fetch                 // an older version is staged; pieces of a newer one are kept in memory
+	Await                 // staged; its turn has not come
+	Load                  // staged, and its turn has come
+	Fence                 // an older order is to be shut out before the stage is changed
+	Inspect               // what an agent before has staged is to be found out
 )
 
 // String returns the name of the action.
 func (a Action) String() string {
-	return [...]string{"rest", "watch", "stage", "fetch", "await", "load"}[a]
+	return [...]string{"rest", "watch", "stage", "fetch", "await", "load", "fence", "inspect"}[a]
 }
 
 // Step is an action and the version that it is about; zero for Rest and Watch.
@@ -52,11 +57,15 @@
 	share   float64 // of the pieces
 }
 
+// is reports whether all of a version is there.
+func (p progress) is(version int) bool { return p.version == version && p.whole }
+
 // holdings is what an agent has in all.
 type holdings struct {
 	staged  progress // at the engine
 	fetched progress // in the agent's memory
 	stalled int      // version of which a piece could not be had lately; 0 is none
+	doubt   doubt
 }
 
 // mostly is the share of a version's pieces from which on the rest is waited
@@ -73,14 +82,64 @@
 	case r.Busy:
 		return Step{Action: Watch}
 	}
+	if h.doubt.ours() {
+		return c.planDoubt(now, serving, pending, h)
+	}
+	step := c.planVersions(now, serving, pending, o, h)
+	if h.doubt.earlier() && step.Action == Stage {
+		return planEarlier(now, serving, step, h)
+	}
+	return step
+}
+
+// planDoubt decides while an order may still take effect. It is repeated, since
+// it was due anyway, and the engine begins only one of those with the same
+// precondition. Until then what is staged stays that order's version; newer ones
+// are kept in memory.
+func (c Config) planDoubt(now time.Time, serving int, pending []wanted, h holdings) Step {
+	d, newest := h.doubt, pending[len(pending)-1].version
+	whole := h.staged.is(d.version)
+	due := !now.Before(d.again)
+	switch {
+	case whole && due:
+		return Step{Load, d.version}
+	case !whole && h.stalled != d.version:
+		return Step{Stage, d.version}
+	case !whole && due && serving != 0 && !d.unfenced:
+		return Step{Fence, serving}
+	case d.version != newest && !h.fetched.is(newest):
+		return Step{Fetch, newest}
+	}
+	return Step{Await, d.version}
+}
+
+// planEarlier decides in place of staging while an order of the agent before may
+// still take effect. An engine that serves a version can be made to refuse such
+// orders by one that changes nothing; else what is staged tells what the order
+// was, or it is waited for.
+func planEarlier(now time.Time, serving int, step Step, h holdings) Step {
+	fence, due := serving != 0 && !h.doubt.unfenced, !now.Before(h.doubt.again)
+	switch {
+	case fence && due:
+		return Step{Fence, serving}
+	case !fence && due && !h.doubt.looked:
+		return Step{Inspect, step.Version}
+	case !h.fetched.is(step.Version):
+		return Step{Fetch, step.Version}
+	}
+	return Step{Await, step.Version}
+}
+
+// planVersions decides between the versions that are pending.
+func (c Config) planVersions(now time.Time, serving int, pending []wanted, o order, h holdings) Step {
 	newest := pending[len(pending)-1]
-	if h.staged.version == newest.version && h.staged.whole {
+	if h.staged.is(newest.version) {
 		if serving == 0 || !now.Before(c.turnsOf(o, pending, newest).at(o.Turn, o.Turns)) {
 			return Step{Load, newest.version}
 		}
 		return Step{Await, newest.version}
 	}
-	if len(pending) == 1 || c.Off.Has(mechanism.OlderVersion) || h.fetched.version == newest.version && h.fetched.whole {
+	if len(pending) == 1 || c.Off.Has(mechanism.OlderVersion) || h.fetched.is(newest.version) {
 		return Step{Stage, newest.version}
 	}
 	return c.planTwo(now, serving, pending, o, h)
--- a/sidecar/plan_test.go
+++ b/sidecar/plan_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
@@ -44,6 +45,13 @@
 	busy.Busy = true
 	whole := func(version int) holdings { return holdings{staged: progress{version, true, 1}} }
 	last := 8*time.Second - cfg.Margin
+	inDoubt := func(version int, h holdings) holdings {
+		h.doubt = doubt{open: true, model: "m", version: version, last: start, again: start}
+		return h
+	}
+	before := doubt{open: true, last: start, again: start}
+	unfenced, looked := before, before
+	unfenced.unfenced, looked.looked = true, true
 	for _, c := range []struct {
 		name   string
 		report Report
@@ -88,12 +96,105 @@
 		{"newer withheld, there is no older", serving(1), withheld(ordered(assignment(3, 2, 3), 0)), holdings{}, 0, Step{Stage, 3}},
 		{"newer stalls, the older is staged", serving(1), ordered(assignment(3, 2, 3), 2), holdings{stalled: 3}, 0, Step{Stage, 2}},
 		{"newer stalls near its end", serving(1), ordered(assignment(3, 0, 3), 2), holdings{staged: progress{3, false, 0.9}, stalled: 3}, time.Second, Step{Stage, 3}},
+
+		{"order in doubt, newest version", serving(1), ordered(assignment(2, 0, 3), 0), inDoubt(2, whole(2)), 0, Step{Load, 2}},
+		{"not to be repeated yet", serving(1), ordered(assignment(2, 0, 3), 0), inDoubt(2, whole(2)), -1, Step{Await, 2}},
+		{"older order is repeated", serving(1), ordered(assignment(3, 0, 3), 2), inDoubt(2, whole(2)), 0, Step{Load, 2}},
+		{"even if the newer is whole", serving(1), ordered(assignment(3, 0, 3), 2),
+			inDoubt(2, holdings{staged: progress{2, true, 1}, fetched: progress{3, true, 1}}), 0, Step{Load, 2}},
+		{"newer is kept in memory meanwhile", serving(1), ordered(assignment(3, 0, 3), 2), inDoubt(2, whole(2)), -1, Step{Fetch, 3}},
+		{"newer is whole in memory", serving(1), ordered(assignment(3, 0, 3), 2),
+			inDoubt(2, holdings{staged: progress{2, true, 1}, fetched: progress{3, true, 1}}), -1, Step{Await, 2}},
+		{"spoilt piece of what is in doubt", serving(1), ordered(assignment(3, 0, 3), 2),
+			inDoubt(2, holdings{staged: progress{2, false, 0.9}, fetched: progress{3, true, 1}}), 0, Step{Stage, 2}},
+		{"what was staged is not known any more", serving(1), ordered(assignment(3, 0, 3), 2), inDoubt(2, holdings{}), 0, Step{Stage, 2}},
+		{"spoilt piece cannot be had", serving(1), ordered(assignment(3, 0, 3), 2),
+			inDoubt(2, holdings{staged: progress{2, false, 0.9}, stalled: 2}), 0, Step{Fence, 1}},
+		{"nor shut out at an engine that serves nothing", Report{}, ordered(assignment(3, 0, 3), 2),
+			inDoubt(2, holdings{staged: progress{2, false, 0.9}, stalled: 2}), 0, Step{Fetch, 3}},
+		{"order in doubt in progress", busy, ordered(assignment(3, 0, 3), 2), inDoubt(2, whole(2)), 0, Step{Action: Watch}},
+
+		{"agent before at a serving engine", serving(1), ordered(assignment(2, 0, 3), 0), holdings{doubt: before}, 0, Step{Fence, 1}},
+		{"not shut out yet", serving(1), ordered(assignment(2, 0, 3), 0), holdings{doubt: before}, -1, Step{Fetch, 2}},
+		{"engine heeds no tokens", serving(1), ordered(assignment(2, 0, 3), 0), holdings{doubt: unfenced}, 0, Step{Inspect, 2}},
+		{"agent before at an empty engine", Report{}, ordered(assignment(2, 0, 3), 0), holdings{doubt: before}, 0, Step{Inspect, 2}},
+		{"its pieces are unknown", Report{}, ordered(assignment(2, 0, 3), 0), holdings{doubt: looked}, 0, Step{Fetch, 2}},
+		{"its pieces are unknown, newest in memory", Report{}, ordered(assignment(2, 0, 3), 0),
+			holdings{doubt: looked, fetched: progress{2, true, 1}}, 0, Step{Await, 2}},
+		{"what it staged is the newest", Report{}, ordered(assignment(2, 0, 3), 0), holdings{doubt: before, staged: progress{2, true, 1}}, 0, Step{Load, 2}},
+		{"nothing to do", serving(2), ordered(assignment(2, 0, 3), 0), holdings{doubt: before}, 0, Step{}},
 	} {
 		got := cfg.Plan(start.Add(c.after), c.report, c.o, c.h)
 		assert.Equal(t, got, c.want, c.name)
 	}
 }
 
+func TestDoubtIsSettledByTheReport(t *testing.T) {
+	report := func(sequence int64, serves int) Report {
+		r := serving(serves)
+		r.Sequence = sequence
+		return r
+	}
+	own := doubt{open: true, model: "m", version: 2, sequence: 5, last: start}
+	before := doubt{open: true, sequence: 5, last: start}
+	for _, c := range []struct {
+		d     doubt
+		model string
+		r     Report
+		after time.Duration
+		want  string
+	}{
+		{own, "m", report(5, 1), 0, ""},
+		{own, "m", report(6, 1), 0, "begun"},
+		{own, "m", report(0, 1), 0, "engine_restarted"},
+		{own, "m", report(5, 2), 0, "served"},
+		{own, "other", report(5, 1), 0, "other_model"},
+		{own, "m", report(5, 1), 14 * time.Second, ""},
+		{own, "m", report(5, 1), 15 * time.Second, "expired"},
+		{before, "m", report(5, 2), 0, ""},
+		{before, "m", report(6, 1), 0, "begun"},
+		{before, "m", report(4, 1), 0, "engine_restarted"},
+		{before, "m", report(5, 1), 15 * time.Second, "expired"},
+	} {
+		got := c.d.settled(start.Add(c.after), c.model, c.r, c.r.serves("m", 16), 15*time.Second)
+		assert.Equal(t, got, c.want, "%+v", c)
+	}
+}
+
+// A refusal for the token shuts out the orders of this agent, not those of the
+// agent before, whose tokens may be higher.
+func TestRefusalForTheTokenSettlesOwnOrders(t *testing.T) {
+	own, before := doubt{open: true, version: 2}, doubt{open: true}
+	adopted := doubt{open: true, version: 2, adopted: true}
+	for _, c := range []struct {
+		d    doubt
+		err  error
+		want bool
+	}{
+		{own, errors.Wrap(ErrOrderFenced, "412"), true},
+		{own, ErrOrderStale, false},
+		{adopted, ErrOrderFenced, false},
+		{before, ErrOrderFenced, false},
+		{doubt{}, ErrOrderFenced, false},
+	} {
+		assert.Equal(t, c.d.fencedBy(c.err), c.want, "%+v", c)
+	}
+}
+
+func TestRepeatsArePausedLongerEachTime(t *testing.T) {
+	cfg := Config{}.applyDefaults()
+	var d doubt
+	for i, want := range []time.Duration{100, 200, 400, 800, 1000, 1000} {
+		now := start.Add(time.Duration(i) * time.Minute)
+		d.tried(now, cfg)
+		assert.Equal(t, d.again.Sub(now), want*time.Millisecond)
+	}
+	for range 100 {
+		d.tried(start, cfg)
+	}
+	assert.Equal(t, d.again.Sub(start), time.Second)
+}
+
 // A version that only an entry knows which started after it was named does not
 // hurry the engines, if the announcement of a newer one was seen: it was named
 // while the store was away.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -10,13 +10,17 @@
 	"github.com/springgate/springgate/peer"
 )
 
+// ErrNotStaged is returned by an engine at which a piece does not lie.
+var ErrNotStaged = errors.New("sidecar: piece is not staged")
+
 // Engine is the engine beside the agent.
 type Engine interface {
 	Report(ctx context.Context, addr string) (Report, error)
 	PutPiece(ctx context.Context, addr, model string, index int, data []byte) error
 	StagedPiece(ctx context.Context, addr, model string, index int) ([]byte, error)
-	// Start orders the engine to load what is staged, after what is running.
-	Start(ctx context.Context, addr, model string, version int) error
+	// Start orders the engine to load what is staged, after what is running. The
+	// errors say what is known of the order.
+	Start(ctx context.Context, addr string, o LoadOrder) error
 }
 
 // Sidecar is the agent of one engine. Run owns its state.
@@ -36,6 +40,12 @@
 	asked   bool // a report was asked for before
 	reached bool // the engine has answered a report
 	step    Step
+	doubt   doubt
+	tokens  tokens
+	unsure  unsure
+
+	sequence   int64     // of the last report
+	sentAtZero time.Time // when an order with the precondition 0 got no answer
 
 	stalled      int // version of which a piece could not be had
 	stalledUntil time.Time
@@ -49,7 +59,7 @@
 func New(cfg Config, engine Engine, addr string, source Source, say func(peer.EngineState), stats *Stats,
 	log logrus.FieldLogger) *Sidecar {
 	return &Sidecar{cfg: cfg.applyDefaults(), engine: engine, engineAddr: addr, source: source, say: say, stats: stats, log: log,
-		wake: make(chan struct{}, 1)}
+		doubt: doubt{open: true, last: time.Now()}, wake: make(chan struct{}, 1)}
 }
 
 // Assign takes an entry's assignment.
@@ -95,17 +105,19 @@
 		s.engineLost(err)
 		return s.awaitEngine(ctx)
 	}
+	o, now := s.assigned(), time.Now()
+	s.review(now, o, r)
+	s.revive(now, r)
 	if !s.up {
 		s.up, s.reached = true, true
 		s.log.WithField("engine", s.engineAddr).Info("Engine reached.")
 	}
-	o := s.assigned()
 	if o.Model == "" {
 		return s.cfg.Poll
 	}
 	serves := r.serves(o.Model, o.Layers)
 	s.tell(o.Model, serves, r.Busy)
-	step := s.cfg.Plan(time.Now(), r, o, s.holdings(time.Now()))
+	step := s.cfg.Plan(now, r, o, s.holdings(now))
 	if step != s.step {
 		s.log.WithFields(logrus.Fields{"step": step.Action.String(), "from": s.step.Action.String(), "model": o.Model,
 			"version": step.Version, "assigned": o.Version, "serves": serves, "running": r.Running}).Info("Next step.")
@@ -116,7 +128,7 @@
 
 // holdings sums up what the agent has.
 func (s *Sidecar) holdings(now time.Time) holdings {
-	h := holdings{staged: s.stage.stagedProgress(), fetched: s.ahead.fetchedProgress()}
+	h := holdings{staged: s.stage.stagedProgress(), fetched: s.ahead.fetchedProgress(), doubt: s.doubt}
 	if now.Before(s.stalledUntil) {
 		h.stalled = s.stalled
 	}
@@ -134,6 +146,10 @@
 		return s.fetchNewer(ctx, o, step.Version, r)
 	case Load:
 		return s.load(ctx, o, step.Version, r)
+	case Fence:
+		return s.fence(ctx, o.Model, step.Version, r)
+	case Inspect:
+		return s.inspect(ctx, o, step.Version, r)
 	}
 	s.stage, s.ahead = nil, nil // loaded; the pieces take memory
 	return s.cfg.Poll
@@ -238,19 +254,78 @@
 
 // load checks the staged pieces once more and orders the engine to load them.
 func (s *Sidecar) load(ctx context.Context, o order, version int, r Report) time.Duration {
-	if !s.verify(ctx, s.cfg.VerifyAge) {
+	age := s.cfg.VerifyAge
+	if s.doubt.ours() {
+		age = 0 // it may take effect at any time until the next check
+	}
+	if !s.verify(ctx, age) {
 		return 0 // the next step stages what is bad
 	}
 	s.tell(o.Model, r.serves(o.Model, o.Layers), true)
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
-	defer cancel()
-	fields := logrus.Fields{"model": o.Model, "version": version, "running": r.Running}
-	if err := s.engine.Start(ctx, s.engineAddr, o.Model, version); err != nil {
-		s.stats.ordersFailed.Inc(1)
+	order := s.newOrder(o.Model, version, r)
+	fields := logrus.Fields{"model": o.Model, "version": version, "running": r.Running, "sequence": order.Precondition, "token": order.Token}
+	err := s.start(ctx, order)
+	s.stats.count(err)
+	switch {
+	case err == nil:
+		s.log.WithFields(fields).Info("Load ordered.")
+		if s.doubt.open {
+			s.settle(time.Now(), "answered")
+		}
+	case errors.Is(err, ErrOrderInDoubt):
+		s.doubtful(time.Now(), order, err)
+	default:
 		s.log.WithFields(fields).WithError(err).Warn("Load order failed.")
+		if errors.Is(err, ErrOrderFenced) {
+			s.tokens.lift()
+		}
+		if s.doubt.fencedBy(err) {
+			s.settle(time.Now(), "fenced")
+		}
+	}
+	return s.cfg.PollBusy
+}
+
+// newOrder returns an order that is decided on a report.
+func (s *Sidecar) newOrder(model string, version int, r Report) LoadOrder {
+	return LoadOrder{Model: model, Version: version, Precondition: r.Sequence, Token: s.tokens.next(time.Now())}
+}
+
+// start sends an order.
+func (s *Sidecar) start(ctx context.Context, order LoadOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.OrderTimeout)
+	defer cancel()
+	err := s.engine.Start(ctx, s.engineAddr, order)
+	if errors.Is(err, ErrOrderInDoubt) && order.Precondition == 0 {
+		s.sentAtZero = time.Now()
+	}
+	return err
+}
+
+// fence makes the engine refuse older orders: an order of what it serves changes
+// nothing there, but its token counts. One with a lower token must then be
+// refused, or the engine does not heed tokens.
+func (s *Sidecar) fence(ctx context.Context, model string, serving int, r Report) time.Duration {
+	s.tokens.aheadOf(time.Now())
+	lower := s.newOrder(model, serving, r)
+	err := s.start(ctx, s.newOrder(model, serving, r))
+	if errors.Is(err, ErrOrderFenced) {
+		s.tokens.lift()
 		return s.cfg.PollBusy
 	}
-	s.stats.orders.Inc(1)
-	s.log.WithFields(fields).Info("Load ordered.")
+	if err == nil {
+		err = s.start(ctx, lower)
+		if errors.Is(err, ErrOrderFenced) {
+			s.settle(time.Now(), "fenced")
+			return 0
+		}
+		s.doubt.unfenced = err == nil
+	}
+	s.doubt.putOff(time.Now(), s.cfg)
+	if err != nil && !errors.Is(err, ErrOrderInDoubt) && s.doubt.tries >= earlierTries {
+		s.doubt.unfenced = true
+	}
+	s.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": serving, "tries": s.doubt.tries,
+		"unfenced": s.doubt.unfenced}).Info("Older orders not shut out.")
 	return s.cfg.PollBusy
 }
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -69,6 +69,32 @@
 	return progress{version: s.version, whole: n == len(s.pieces), share: float64(n) / float64(len(s.pieces))}
 }
 
+// errEarlierOrder is returned while the stage must not be changed because of an
+// order of the agent before.
+var errEarlierOrder = errors.New("sidecar: an earlier agent's order may still take effect")
+
+// unsure are the indexes of pieces that were put without an answer, each with the
+// time until which that piece may still come and lie over a newer one.
+type unsure struct {
+	mu    sync.Mutex
+	until map[int]time.Time
+}
+
+func (u *unsure) add(index int, until time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.until == nil {
+		u.until = map[int]time.Time{}
+	}
+	u.until[index] = until
+}
+
+func (u *unsure) has(index int, now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now.Before(u.until[index])
+}
+
 // manifest reads the manifest of a version.
 func (s *Sidecar) manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.FetchTimeout)
@@ -97,6 +123,62 @@
 	return nil
 }
 
+// inspect finds out of which version the pieces are that an agent before has
+// staged at the engine. An order that it gave is of that version, because it let
+// no other be staged while the order was in doubt: so that order is repeated
+// first. If nothing or too little is staged, it gave none.
+func (s *Sidecar) inspect(ctx context.Context, o order, version int, r Report) time.Duration {
+	callCtx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	first, err := s.engine.StagedPiece(callCtx, s.engineAddr, o.Model, 0)
+	switch {
+	case errors.Is(err, ErrNotStaged):
+		s.settle(time.Now(), "nothing_staged")
+		return 0
+	case err != nil:
+		return s.cfg.PollBusy
+	}
+	unread := 0
+	for _, v := range o.candidates(version) {
+		m, err := s.manifest(ctx, o.Model, v)
+		switch {
+		case err != nil:
+			unread = max(unread, v)
+		case m.Verify(0, first) == nil:
+			s.adopt(ctx, o, m, r)
+			return 0
+		}
+	}
+	if unread == version {
+		s.stall(version)
+	}
+	if s.stage.is(o.Model, version) {
+		s.stage, s.ahead = nil, s.stage // pieces that were fetched while the engine started
+	}
+	s.doubt.putOff(time.Now(), s.cfg)
+	s.doubt.looked = unread == 0 || s.doubt.tries >= earlierTries
+	s.log.WithFields(logrus.Fields{"version": version, "unread": unread, "tries": s.doubt.tries}).Warn("Pieces of an unknown version are staged.")
+	return s.cfg.PollBusy
+}
+
+// adopt takes over what an agent before has staged, and its order.
+func (s *Sidecar) adopt(ctx context.Context, o order, m *weights.Manifest, r Report) {
+	if !s.stage.is(m.Model, m.Version) {
+		if s.stage != nil {
+			s.ahead = s.stage // pieces that were fetched while the engine started
+		}
+		s.stage = newStage(m)
+	}
+	s.verify(ctx, 0)
+	if m.Version <= r.serves(o.Model, o.Layers) || s.stage.stagedProgress().share < mostly {
+		s.settle(time.Now(), "not_ordered")
+		return
+	}
+	s.doubt.adopted, s.doubt.model, s.doubt.version, s.doubt.first = true, m.Model, m.Version, time.Now()
+	s.stats.ordersInDoubt.Inc(1)
+	s.log.WithFields(logrus.Fields{"model": m.Model, "version": m.Version, "missing": s.stage.missing}).Info("Staged pieces taken over.")
+}
+
 // check reads one staged piece back and notes whether it is whole.
 func (s *Sidecar) check(ctx context.Context, index int) bool {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
@@ -120,12 +202,12 @@
 	}
 }
 
-// verify reads staged pieces back that were last checked longer than age ago.
-// Bytes may go bad while they lie there.
+// verify reads staged pieces back that were last checked longer than age ago, or
+// over which another may come. Bytes may go bad while they lie there.
 func (s *Sidecar) verify(ctx context.Context, age time.Duration) bool {
 	bad := 0
 	for i, at := range s.stage.checked {
-		if time.Since(at) >= age && !s.check(ctx, i) {
+		if (time.Since(at) >= age || s.unsure.has(i, time.Now())) && !s.check(ctx, i) {
 			bad++
 		}
 	}
@@ -192,8 +274,12 @@
 			return err
 		}
 	}
+	if s.doubt.earlier() {
+		return errEarlierOrder
+	}
 	began := time.Now()
 	if err := s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, s.stage.pieces[index]); err != nil {
+		s.unsure.add(index, time.Now().Add(s.cfg.OrderGrace))
 		return err
 	}
 	s.stage.spent.staging.Add(int64(time.Since(began)))
--- a/sidecar/wanted.go
+++ b/sidecar/wanted.go
@@ -97,6 +97,23 @@
 	return out
 }
 
+// candidates returns the versions that an agent before may have staged: first
+// the one that is to be staged, then the others that are known, newest first, and
+// the one before the newest, which may have been announced long ago.
+func (o order) candidates(first int) []int {
+	out := []int{first}
+	add := func(v int) {
+		if v > 0 && !slices.Contains(out, v) {
+			out = append(out, v)
+		}
+	}
+	for _, w := range slices.Backward(o.versions) {
+		add(w.version)
+	}
+	add(o.Version - 1)
+	return out
+}
+
 // seenAfter reports whether the announcement of a version after the i-th was seen.
 func (o order) seenAfter(i int) bool {
 	return slices.ContainsFunc(o.versions[i+1:], func(w wanted) bool { return !w.guessed })
