The soak brings about late orders, lost readers and leaving targets

Cause: the soak found neither the load of weights of two versions nor configurations in force too late: engines always took orders at once, three entries were all readers of the store, and the judge looked only at whether configurations went back.

The judge knows the times of the store's writes and two more promises: a configuration is in force in time (2 s) at entries in touch with the store, and a target that leaves gets no new request from them.

Tests changed: TestJudge moved to judge_test.go with the same cases; it now compares the whole map, so that a wrong promise or a second one fails as well.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -23,6 +23,7 @@
 	callTimeout     = 10 * time.Second // of a caller that hears nothing
 	thinkTime       = 25 * time.Millisecond
 	lastingKey      = "key-lasting"
+	keysTried       = 4 // newest rotating keys that callers use
 )
 
 // kind is one kind of request.
@@ -73,8 +74,8 @@
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		k, key := kinds[c.rng.IntN(len(kinds))], 0
-		if c.rng.IntN(4) == 0 { // with a key that only one configuration allows
-			k, key = kinds[0], max(int(c.fleet.config.Load())-c.rng.IntN(3), 1)
+		if c.rng.IntN(2) == 0 { // with a key that only one configuration allows
+			k, key = kinds[0], max(int(c.fleet.config.Load())-c.rng.IntN(keysTried), 1)
 		}
 		c.call(ctx, k, key)
 		select {
@@ -89,7 +90,7 @@
 	c.sent++
 	began := time.Now()
 	a := Attempt{ID: fmt.Sprintf("%s-%d", c.name, c.sent), Kind: k.name, Repeatable: k.repeatable, Key: key,
-		Incarnation: c.entry.Incarnation(), Began: c.fleet.record.order.Add(1)}
+		Incarnation: c.entry.Incarnation(), Began: c.fleet.record.order.Add(1), InTouch: c.fleet.inTouch(c.entry)}
 	secret := lastingKey
 	if key > 0 {
 		secret = rotatingKey(key)
@@ -98,17 +99,19 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	r, err := fake.NewRequest(c.entry.node.Callers, hostName, k.path, fake.Call{ID: a.ID, Key: secret, Within: callWithin, Prompt: 100})
+	a.Sent = c.fleet.notes.now()
 	if err == nil {
 		var resp *http.Response
 		if resp, err = c.client.Do(r.WithContext(ctx)); err == nil {
 			c.read(resp, k, &a)
 		}
 	}
+	a.Answered = c.fleet.notes.now()
 	// The incarnation may have changed between the look and the connection.
 	same := a.Incarnation == c.entry.Incarnation()
 	a.Calm = same && !c.entry.TroubledSince(began) && !c.fleet.troubledSince(a.ID, began)
 	if !same {
-		a.Key = -1
+		a.Key, a.InTouch = -1, false
 	}
 	c.fleet.record.add(a)
 	return a
--- /dev/null
+++ b/soak/facts.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Facts are what the store and the targets know. Times are since the start of
+// the run, on the monotonic clock of this process.
+type Facts struct {
+	Runs    map[string][]string      // instances that ran each request
+	Configs map[int]Write            // each configuration, which allows the rotating key of its number only
+	Leaving map[string]time.Duration // when the store had the entry in which an instance leaves
+}
+
+// Write is when a write to the store began and was done.
+type Write struct{ Began, Done time.Duration }
+
+// notes gathers facts.
+type notes struct {
+	start time.Time
+
+	mu      sync.Mutex
+	configs map[int]Write
+	leaving map[string]time.Duration
+}
+
+func newNotes() *notes {
+	return &notes{start: time.Now(), configs: map[int]Write{}, leaving: map[string]time.Duration{}}
+}
+
+// now returns the time since the start of the run.
+func (n *notes) now() time.Duration { return time.Since(n.start) }
+
+// write does a write of a configuration and notes its times.
+func (n *notes) write(config int, do func()) {
+	w := Write{Began: n.now()}
+	do()
+	w.Done = n.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.configs[config] = w
+}
+
+// leaves notes that the store has the entry in which an instance leaves.
+func (n *notes) leaves(instance string) {
+	at := n.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving[instance] = at
+}
+
+// facts returns what was noted, with the runs of requests.
+func (n *notes) facts(runs map[string][]string) Facts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Facts{Runs: runs, Configs: maps.Clone(n.configs), Leaving: maps.Clone(n.leaving)}
+}
+
+// leavingSince returns the first time since when one of the instances that ran a
+// request was leaving.
+func (f Facts) leavingSince(id string) (time.Duration, bool) {
+	var since []time.Duration
+	for _, instance := range f.Runs[id] {
+		if at, ok := f.Leaving[instance]; ok {
+			since = append(since, at)
+		}
+	}
+	if len(since) == 0 {
+		return 0, false
+	}
+	return slices.Min(since), true
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"regexp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +29,7 @@
 	do   func(f *Fleet, rng *rand.Rand, d time.Duration)
 }
 
+// faults last for the time that they are given.
 var faults = []fault{
 	{"entry killed", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.restart(pick(rng, f.entries), d, true) }},
 	{"entry stopped", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.restart(pick(rng, f.entries), d, false) }},
@@ -36,16 +39,18 @@
 	{"agent paused", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.pause(pick(rng, f.agents), d) }},
 	{"settings changed", func(f *Fleet, rng *rand.Rand, _ time.Duration) {
 		if err := pick(rng, f.entries).Hup(); err != nil {
-			f.cfg.Logf("settings not written: %v", err)
+			f.logf("settings not written: %v", err)
 		}
 	}},
-	{"link to the store", func(f *Fleet, rng *rand.Rand, d time.Duration) { breakLink(pick(rng, f.links), rng, d) }},
+	{"link to the store", func(f *Fleet, rng *rand.Rand, d time.Duration) { f.cutEntry(rng.IntN(len(f.links)), anyMode(rng), d) }},
 	{"link to a target", func(f *Fleet, rng *rand.Rand, d time.Duration) {
 		i := rng.IntN(len(f.ways))
 		f.troubleTarget(f.targets()[i], d+aftermath)
-		breakLink(f.ways[i], rng, d)
+		f.ways[i].Break(anyMode(rng), d)
 	}},
 	{"store", func(f *Fleet, rng *rand.Rand, d time.Duration) {
+		f.contact.lose()
+		defer f.contact.regain()
 		f.store.SetMode([]fake.StoreMode{fake.StoreBusy, fake.StoreReset, fake.StoreSlow}[rng.IntN(3)])
 		time.Sleep(d)
 		f.store.SetMode(fake.StoreWorks)
@@ -91,23 +96,54 @@
 
 func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
 
+// chooser draws kinds of fault.
+type chooser struct{ short, long []fault }
+
+// newChooser returns a chooser of the kinds whose name matches; nil matches all.
+func newChooser(only *regexp.Regexp) chooser {
+	matching := func(list []fault) (out []fault) {
+		for _, x := range list {
+			if only == nil || only.MatchString(x.name) {
+				out = append(out, x)
+			}
+		}
+		return out
+	}
+	return chooser{matching(faults), matching(longFaults)}
+}
+
+// draw returns a kind of fault and whether it is a long one. A long one comes
+// twice as often as another, as it may be left out.
+func (c chooser) draw(rng *rand.Rand) (x fault, long bool) {
+	i := rng.IntN(len(c.short) + 2*len(c.long))
+	if i < len(c.short) {
+		return c.short[i], false
+	}
+	return c.long[(i-len(c.short))%len(c.long)], true
+}
+
 // breakThings injects faults, in series and overlapping, for the run's duration
 // and returns how many of each there were. All are over when it returns.
 func (f *Fleet) breakThings(ctx context.Context) map[string]int {
 	count := map[string]int{}
-	busy := map[string]*sync.Mutex{} // a kind of fault waits for the last of its kind
-	for _, x := range faults {
+	busy := map[string]*sync.Mutex{} // a kind of fault waits for the last of its kind, or is left out if it is long
+	choice := newChooser(f.cfg.Only)
+	for _, x := range slices.Concat(choice.short, choice.long) {
 		busy[x.name] = &sync.Mutex{}
 	}
 	var running sync.WaitGroup
 	for end := time.Now().Add(f.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
-		x := faults[f.rng.IntN(len(faults))]
+		x, long := choice.draw(f.rng)
 		rng := rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64()))
 		d := 200*time.Millisecond + time.Duration(f.rng.Int64N(int64(1500*time.Millisecond)))
 		count[x.name]++
-		f.cfg.Logf("%s for %v", x.name, d.Round(time.Millisecond))
+		f.logf("%s for %v", x.name, d.Round(time.Millisecond))
 		running.Go(func() {
-			busy[x.name].Lock()
+			if !long {
+				busy[x.name].Lock()
+			} else if !busy[x.name].TryLock() {
+				return
+			}
 			defer busy[x.name].Unlock()
 			x.do(f, rng, d)
 		})
@@ -122,6 +158,8 @@
 func (f *Fleet) restart(p *Process, after time.Duration, kill bool) {
 	p.restarting.Lock()
 	defer p.restarting.Unlock()
+	p.contact.lose()
+	defer p.contact.regain()
 	if kill {
 		p.Trouble(after + aftermath)
 		p.Kill()
@@ -134,20 +172,15 @@
 	}
 	time.Sleep(after / 4)
 	if err := p.Start(); err != nil {
-		f.cfg.Logf("%s not started: %v", p.node.Name, err)
+		f.logf("%s not started: %v", p.node.Name, err)
 	}
 }
 
 func (f *Fleet) pause(p *Process, d time.Duration) {
 	p.Trouble(d + aftermath)
+	p.contact.lose()
+	defer p.contact.regain()
 	p.Signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	p.Signal(syscall.SIGCONT)
 }
-
-// breakLink makes a link misbehave in one of the ways.
-func breakLink(l *Link, rng *rand.Rand, d time.Duration) {
-	l.SetMode(LinkMode(1 + rng.IntN(linkModes-1)))
-	time.Sleep(d)
-	l.SetMode(LinkWorks)
-}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 // Config describes a run.
 type Config struct {
 	Seed     uint64
+	Only     *regexp.Regexp // kinds of fault, by name; nil is all
 	Duration time.Duration
 	// Entries and Engines are how many of each are run; an agent runs beside each
 	// engine. Plains is how many plain targets there are.
@@ -56,9 +58,12 @@
 	links   []*Link // before the store, one for each entry
 	ways    []*Link // before the targets
 	record  record
+	notes   *notes
+	contact contact // with the store, of all
 
-	config  atomic.Int64 // newest configuration
-	version atomic.Int64 // newest version of the model
+	publishing sync.Mutex   // one configuration or version is written after the other
+	config     atomic.Int64 // newest configuration
+	version    atomic.Int64 // newest version of the model
 
 	mu       sync.Mutex
 	troubled map[*fake.Target]time.Time // until when it, or the way to it, misbehaves
@@ -93,7 +98,7 @@
 
 // newFleet starts the stand-ins and the programs.
 func newFleet(cfg Config) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), runs: fake.NewRuns(),
+	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), runs: fake.NewRuns(), notes: newNotes(),
 		troubled: map[*fake.Target]time.Time{}}
 	var err error
 	if f.store, err = fake.NewStore(); err != nil {
@@ -116,6 +121,8 @@
 		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)]}
 		if i < f.cfg.Engines {
 			cfg.Service, cfg.Model, cfg.Holds = engineService, model, 1
+			cfg.RequireFencing = i%2 == 0
+			cfg.LateFrom, cfg.LateTo = lateFrom, lateTo
 		}
 		var linkErr error
 		cfg.Listed = func(own string) string {
@@ -211,25 +218,42 @@
 
 // nextConfig publishes a configuration that allows the next rotating key only.
 func (f *Fleet) nextConfig() {
-	n := int(f.config.Add(1))
+	f.publishing.Lock()
+	defer f.publishing.Unlock()
+	n := int(f.config.Load()) + 1
 	route := func(k kind, service string) fake.Route {
 		return fake.Route{Name: k.name, Host: hostName, Prefix: k.path, Kind: k.name, Service: service, TimeoutMs: 3000,
 			TargetLatencyMs: 500, GapTargetMs: 400, Attempts: 2, ResumeStreams: k.name == fake.KindStreaming}
 	}
-	f.store.Put(fake.KeyConfig, fake.Config{Version: n,
+	cfg := fake.Config{Version: n,
 		Routes: []fake.Route{route(kinds[0], plainService), route(kinds[1], plainService), route(kinds[2], engineService)},
 		Services: []fake.Service{{Name: plainService, MaxConnections: 200}, {Name: "origin", MaxConnections: 48, Origin: f.origin.Addr(), Zone: domains[0]},
 			{Name: engineService, MaxConnections: 200, Engine: &fake.Engine{Slots: 16, Stride: 5, StepMs: 1, ReadPerS: 100000,
 				Models: []fake.EngineModel{{Name: model, WarmS: 0.1}}, Usual: map[string]int{"prompt": 100, "answer": 20}, Layers: 4, Chunks: pieces, ChunkBytes: 4096}}},
 		Limits: map[string]int{"HeaderBytes": 8192, "BodyBytes": 1 << 20, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 30000},
-		Teams:  []fake.Team{{Name: "lasting", ApiKeys: []string{lastingKey}}, {Name: "rotating", ApiKeys: []string{rotatingKey(n)}}}})
+		Teams:  []fake.Team{{Name: "lasting", ApiKeys: []string{lastingKey}}, {Name: "rotating", ApiKeys: []string{rotatingKey(n)}}}}
+	f.notes.write(n, func() { f.store.Put(fake.KeyConfig, cfg) })
+	f.logf("configuration %d written", n)
+	f.config.Store(int64(n))
 }
 
 // nextVersion names a new version of the model.
 func (f *Fleet) nextVersion() {
-	f.store.Put(fake.KeyVersion(model), fake.Version{Model: model, Version: int(f.version.Add(1))})
+	f.publishing.Lock()
+	defer f.publishing.Unlock()
+	n := int(f.version.Add(1))
+	f.store.Put(fake.KeyVersion(model), fake.Version{Model: model, Version: n})
+	f.logf("version %d written", n)
 }
 
+// logf logs with the time since the start of the run.
+func (f *Fleet) logf(format string, args ...any) {
+	f.cfg.Logf("%7.3f s: %s", f.notes.now().Seconds(), fmt.Sprintf(format, args...))
+}
+
+// inTouch reports whether an entry could reach the store for touchFor.
+func (f *Fleet) inTouch(p *Process) bool { return f.contact.lasts() && p.contact.lasts() }
+
 // targets returns all targets, in the order of the ways to them.
 func (f *Fleet) targets() []*fake.Target { return append(slices.Clone(f.engines), f.plains...) }
 
@@ -260,7 +284,7 @@
 // Result is what a run found.
 type Result struct {
 	Violations []Violation
-	Mixed      int64 // loads of weights that were not whole
+	Mixed      []fake.MixedLoad
 	Unserved   []string
 	Attempts   int
 	Served     int
@@ -294,13 +318,13 @@
 	load.Wait()
 	r := &Result{Unserved: unserved, Faults: faults}
 	for _, e := range f.engines {
-		r.Mixed += e.Mixed()
+		r.Mixed = append(r.Mixed, e.Mixed()...)
 	}
 	for _, p := range slices.Concat(f.entries, f.agents) {
 		r.OwnExits += p.OwnExits()
 	}
 	attempts := f.record.attempts()
-	r.Violations = Judge(attempts, f.runs.All())
+	r.Violations = Judge(attempts, f.notes.facts(f.runs.All()))
 	r.Attempts = len(attempts)
 	for _, a := range attempts {
 		if a.Status == 200 && !a.Cut {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"time"
 )
 
 // Attempt is one request of a caller and what the caller saw.
@@ -18,6 +19,9 @@
 	Fault       string // what was wrong with the answer
 	Cut         bool   // the answer ended early, and showed it
 	Calm        bool   // nothing but an orderly stop happened to its entry
+	InTouch     bool   // its entry could reach the store for touchFor when it was sent
+	// Sent and Answered are since the start of the run.
+	Sent, Answered time.Duration
 }
 
 // Violation is a broken promise.
@@ -30,7 +34,8 @@
 // String describes the violation.
 func (v Violation) String() string {
 	a := v.Attempt
-	return fmt.Sprintf("%s: request %s (%s) at %s, status %d, ran at %v; %s", v.Promise, a.ID, a.Kind, a.Incarnation, a.Status, v.Runs, a.Fault)
+	return fmt.Sprintf("%s: request %s (%s) at %s, key %d, sent %v, answered %v, status %d, ran at %v; %s", v.Promise, a.ID, a.Kind,
+		a.Incarnation, a.Key, a.Sent.Round(time.Millisecond), a.Answered.Round(time.Millisecond), a.Status, v.Runs, a.Fault)
 }
 
 // Promises that are checked.
@@ -41,14 +46,22 @@
 	PromiseAllowed = "what is allowed is not denied"
 	PromiseDrain   = "an orderly stop cuts no request"
 	PromiseForward = "a configuration never goes back"
+	PromiseFresh   = "a configuration is in force in time"
+	PromiseLeaving = "a target that leaves gets no new request"
 )
 
-// Judge compares what callers saw with what targets ran.
-func Judge(attempts []Attempt, runs map[string][]string) []Violation {
+// Judge compares what callers saw with what targets ran and the store said.
+func Judge(attempts []Attempt, facts Facts) []Violation {
 	var out []Violation
-	add := func(promise string, a Attempt) { out = append(out, Violation{promise, a, runs[a.ID]}) }
+	add := func(promise string, a Attempt) { out = append(out, Violation{promise, a, facts.Runs[a.ID]}) }
 	for _, a := range attempts {
-		ran := len(runs[a.ID])
+		ran := len(facts.Runs[a.ID])
+		if facts.outdated(a) {
+			add(PromiseFresh, a)
+		}
+		if facts.toLeaving(a) {
+			add(PromiseLeaving, a)
+		}
 		switch {
 		case ran > 1 && !a.Repeatable:
 			add(PromiseOnce, a)
--- /dev/null
+++ b/soak/judge_test.go
@@ -0,0 +1,114 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// second and ms are times since the start of a run.
+const (
+	second = time.Second
+	ms     = time.Millisecond
+)
+
+// judged maps the ids of attempts that broke a promise to it.
+func judged(t *testing.T, attempts []Attempt, facts Facts) map[string]string {
+	t.Helper()
+	out := map[string]string{}
+	for _, v := range Judge(attempts, facts) {
+		_, twice := out[v.Attempt.ID]
+		assert.Assert(t, !twice, v.Attempt.ID)
+		out[v.Attempt.ID] = v.Promise
+	}
+	return out
+}
+
+// The judge finds each broken promise, and nothing else.
+func TestJudge(t *testing.T) {
+	runs := map[string][]string{"twice": {"a", "b"}, "refused": {"a"}, "cut": {"a"}, "repeated": {"a", "b"}, "fine": {"a"}}
+	attempts := []Attempt{
+		{ID: "twice", Status: 200},
+		{ID: "refused", Status: http.StatusServiceUnavailable, Repeatable: true},
+		{ID: "garbled", Status: 200, Fault: "body of another"},
+		{ID: "denied", Status: http.StatusUnauthorized},
+		{ID: "cut", Calm: true},
+		{ID: "new", Incarnation: "e#1", Key: 3, Status: 200, Began: 1, End: 2},
+		{ID: "old", Incarnation: "e#1", Key: 2, Status: 200, Began: 3, End: 4},
+
+		{ID: "fine", Status: 200},
+		{ID: "repeated", Status: 200, Repeatable: true},
+		{ID: "never sent", Status: 0, Calm: true},
+		{ID: "old key", Key: 1, Status: http.StatusUnauthorized},
+		{ID: "overlapping", Incarnation: "e#1", Key: 2, Status: 200, Began: 1, End: 5},
+		{ID: "other process", Incarnation: "e#2", Key: 1, Status: 200, Began: 6, End: 7},
+		{ID: "honest", Status: http.StatusServiceUnavailable},
+	}
+	assert.DeepEqual(t, judged(t, attempts, Facts{Runs: runs}), map[string]string{"twice": PromiseOnce, "refused": PromiseNotRun,
+		"garbled": PromiseWhole, "denied": PromiseAllowed, "cut": PromiseDrain, "old": PromiseForward})
+}
+
+// A rotating key counts from the bound after the write that adds it until the
+// bound after the one that takes it away, at an entry in touch.
+func TestJudgeFresh(t *testing.T) {
+	const denied = http.StatusUnauthorized
+	facts := Facts{Configs: map[int]Write{1: {0, 1 * ms}, 2: {10 * second, 10*second + 5*ms}, 3: {20 * second, 20*second + 5*ms}}}
+	attempts := []Attempt{
+		{ID: "taken away", Key: 1, Status: 200, InTouch: true, Sent: 12*second + 6*ms},
+		{ID: "taken away long ago", Key: 1, Status: 200, InTouch: true, Sent: 25 * second},
+		{ID: "added", Key: 2, Status: denied, InTouch: true, Sent: 12*second + 6*ms, Answered: 13 * second},
+		{ID: "newest", Key: 3, Status: denied, InTouch: true, Sent: 40 * second, Answered: 41 * second},
+
+		{ID: "taken away just now", Key: 1, Status: 200, InTouch: true, Sent: 12*second + 5*ms},
+		{ID: "taken away, out of touch", Key: 1, Status: 200, Sent: 15 * second},
+		{ID: "taken away, denied", Key: 1, Status: denied, InTouch: true, Sent: 15 * second, Answered: 16 * second},
+		{ID: "added just now", Key: 2, Status: denied, InTouch: true, Sent: 12*second + 5*ms, Answered: 13 * second},
+		{ID: "added, out of touch", Key: 2, Status: denied, Sent: 15 * second, Answered: 16 * second},
+		{ID: "taken away meanwhile", Key: 2, Status: denied, InTouch: true, Sent: 19 * second, Answered: 20*second + 1*ms},
+		{ID: "allowed", Key: 2, Status: 200, InTouch: true, Sent: 15 * second},
+		{ID: "not served", Key: 1, Status: http.StatusServiceUnavailable, InTouch: true, Sent: 15 * second},
+		{ID: "of another incarnation", Key: -1, Status: denied, InTouch: true, Sent: 15 * second},
+		{ID: "not written yet", Key: 4, Status: denied, InTouch: true, Sent: 50 * second, Answered: 51 * second},
+	}
+	assert.DeepEqual(t, judged(t, attempts, facts), map[string]string{"taken away": PromiseFresh, "taken away long ago": PromiseFresh,
+		"added": PromiseFresh, "newest": PromiseFresh})
+}
+
+// A target that leaves gets no request that came later than the bound after its
+// entry, from an entry in touch.
+func TestJudgeLeaving(t *testing.T) {
+	facts := Facts{Leaving: map[string]time.Duration{"gone": 10 * second, "gone later": 20 * second},
+		Runs: map[string][]string{"late": {"gone"}, "second choice": {"stays", "gone"}, "both": {"gone later", "gone"},
+			"in time": {"gone"}, "before": {"gone"}, "cut off": {"gone"}, "other": {"stays"}, "early": {"gone later"}}}
+	attempts := []Attempt{
+		{ID: "late", Status: 200, InTouch: true, Sent: 12*second + 1*ms},
+		{ID: "second choice", Status: 200, Repeatable: true, InTouch: true, Sent: 13 * second},
+		{ID: "both", Status: 200, Repeatable: true, InTouch: true, Sent: 13 * second},
+
+		{ID: "in time", Status: 200, InTouch: true, Sent: 12 * second},
+		{ID: "before", Status: 200, InTouch: true, Sent: 1 * second},
+		{ID: "cut off", Status: 200, Sent: 13 * second},
+		{ID: "other", Status: 200, InTouch: true, Sent: 13 * second},
+		{ID: "early", Status: 200, InTouch: true, Sent: 13 * second},
+		{ID: "never ran", Status: http.StatusServiceUnavailable, InTouch: true, Sent: 13 * second},
+	}
+	assert.DeepEqual(t, judged(t, attempts, facts), map[string]string{"late": PromiseLeaving, "second choice": PromiseLeaving,
+		"both": PromiseLeaving})
+}
+
+// Something is in touch if no fault went on in the time before.
+func TestContact(t *testing.T) {
+	var c contact
+	assert.Assert(t, c.lasts())
+	c.lose()
+	c.lose()
+	c.regain()
+	c.ended = c.ended.Add(-touchFor)
+	assert.Assert(t, !c.lasts(), "another fault goes on")
+	c.regain()
+	assert.Assert(t, !c.lasts(), "just over")
+	c.ended = c.ended.Add(-touchFor)
+	assert.Assert(t, c.lasts())
+}
--- /dev/null
+++ b/soak/long.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Shape of the long faults, which need something else to happen meanwhile.
+const (
+	// cutFrom and cutTo bound how long the entries' links to the store are broken:
+	// longer than a copy that is followed may have been without the store.
+	cutFrom = 2 * time.Second
+	cutTo   = 6 * time.Second
+	// configsEach is the mean time between configurations meanwhile: the bound of one
+	// is over before keysTried others came.
+	configsEach = 1200 * time.Millisecond
+	// leaveFrom and leaveTo bound how long a target serves after it said that it
+	// leaves.
+	leaveFrom = 4 * time.Second
+	leaveTo   = 6 * time.Second
+	// lateFrom and lateTo bound how long after its arrival a late order is taken up.
+	// An agent gives an order up after 2 s; those taken up later matter.
+	lateFrom = 1 * time.Second
+	lateTo   = 4 * time.Second
+	// versionsEach is the mean time between versions while orders are late. Engines
+	// take turns at a version, the first at once and the last after a few seconds.
+	versionsEach = 2 * time.Second
+	lateVersions = 3
+)
+
+// longFaults last for a time of their own.
+var longFaults = []fault{{"links to the store", cutReaders}, {"target leaves", targetLeaves}, {"orders late", ordersLate}}
+
+// between returns a random time.
+func between(rng *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(rng.Int64N(int64(to-from)))
+}
+
+// anyMode returns one of the ways in which a link misbehaves.
+func anyMode(rng *rand.Rand) LinkMode { return LinkMode(1 + rng.IntN(linkModes-1)) }
+
+// cutMode returns one of the ways in which nothing gets through a link and back.
+func cutMode(rng *rand.Rand) LinkMode {
+	return pick(rng, []LinkMode{LinkRefused, LinkReset, LinkSilent, LinkOneWay})
+}
+
+// cutEntry breaks an entry's link to the store.
+func (f *Fleet) cutEntry(i int, m LinkMode, d time.Duration) {
+	f.entries[i].contact.lose()
+	defer f.entries[i].contact.regain()
+	f.links[i].Break(m, d)
+}
+
+// cutReaders cuts some entries, and mostly all but one, off from the store, while
+// configurations change.
+func cutReaders(f *Fleet, rng *rand.Rand, _ time.Duration) {
+	n := len(f.links)
+	if n < 2 {
+		return
+	}
+	size := n - 1
+	if rng.IntN(4) == 0 {
+		size = 1 + rng.IntN(n-1)
+	}
+	d := between(rng, cutFrom, cutTo)
+	var cuts sync.WaitGroup
+	for _, i := range rng.Perm(n)[:size] {
+		m := cutMode(rng)
+		f.logf("%s cut off from the store for %v, mode %d", f.entries[i].node.Name, d.Round(time.Millisecond), m)
+		cuts.Go(func() { f.cutEntry(i, m, d) })
+	}
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(between(rng, configsEach/2, configsEach*3/2))
+		f.nextConfig()
+	}
+	cuts.Wait()
+}
+
+// targetLeaves makes a target say that it leaves, serve on and be replaced.
+func targetLeaves(f *Fleet, rng *rand.Rand, _ time.Duration) {
+	t, d := pick(rng, f.targets()), between(rng, leaveFrom, leaveTo)
+	instance := t.Leave()
+	f.notes.leaves(instance)
+	f.logf("%s leaves for %v", instance, d.Round(time.Millisecond))
+	time.Sleep(d)
+	f.troubleTarget(t, aftermath)
+	t.Replace(instance)
+}
+
+// ordersLate makes engines take up orders late and without an answer, while
+// versions follow each other.
+func ordersLate(f *Fleet, rng *rand.Rand, _ time.Duration) {
+	var flags []*atomic.Bool
+	for _, e := range f.engines {
+		if rng.IntN(2) == 0 {
+			flags = append(flags, &e.Faults.Late)
+		}
+	}
+	setAll(flags, true)
+	for range lateVersions {
+		f.nextVersion()
+		time.Sleep(between(rng, versionsEach/2, versionsEach*3/2))
+	}
+	setAll(flags, false)
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -20,6 +20,7 @@
 	args []string
 
 	restarting sync.Mutex // held while it is ended and started again
+	contact    contact    // with the store
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -86,6 +87,8 @@
 
 // startAgain starts a process that ended by itself, as the platform does.
 func (p *Process) startAgain() {
+	p.contact.lose()
+	defer p.contact.regain()
 	time.Sleep(restartDelay)
 	if err := p.Start(); err != nil {
 		return // the fleet is seen not to serve
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -33,6 +33,8 @@
 	ln net.Listener
 	to string
 
+	broken sync.Mutex // held while Break goes on
+
 	mu    sync.Mutex
 	mode  LinkMode
 	conns map[net.Conn]bool
@@ -74,6 +76,15 @@
 	}
 }
 
+// Break makes the link misbehave for a time, after any other such time.
+func (l *Link) Break(m LinkMode, d time.Duration) {
+	l.broken.Lock()
+	defer l.broken.Unlock()
+	l.SetMode(m)
+	time.Sleep(d)
+	l.SetMode(LinkWorks)
+}
+
 func (l *Link) now() LinkMode {
 	l.mu.Lock()
 	defer l.mu.Unlock()
