Cuts of the store's readers wait for entries in touch and break open links

Entries that one cut had put out of touch were still so at the next, and a refused link let open connections go on, so readers were often not cut off.

--- a/soak/long.go
+++ b/soak/long.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,9 +42,10 @@
 // anyMode returns one of the ways in which a link misbehaves.
 func anyMode(rng *rand.Rand) LinkMode { return LinkMode(1 + rng.IntN(linkModes-1)) }
 
-// cutMode returns one of the ways in which nothing gets through a link and back.
+// cutMode returns one of the ways in which nothing gets through a link and back,
+// also on connections that are open.
 func cutMode(rng *rand.Rand) LinkMode {
-	return pick(rng, []LinkMode{LinkRefused, LinkReset, LinkSilent, LinkOneWay})
+	return pick(rng, []LinkMode{LinkReset, LinkSilent, LinkOneWay})
 }
 
 // cutEntry breaks an entry's link to the store.
@@ -53,6 +55,15 @@
 	f.links[i].Break(m, d)
 }
 
+// awaitTouch waits until all entries are in touch with the store, at most for
+// touchFor. What happens to entries out of touch proves little.
+func (f *Fleet) awaitTouch() {
+	out := func(p *Process) bool { return !f.inTouch(p) }
+	for end := time.Now().Add(touchFor); slices.ContainsFunc(f.entries, out) && time.Now().Before(end); {
+		time.Sleep(heldPoll)
+	}
+}
+
 // cutReaders cuts some entries, and mostly all but one, off from the store, while
 // configurations change.
 func cutReaders(f *Fleet, rng *rand.Rand, _ time.Duration) {
@@ -60,6 +71,7 @@
 	if n < 2 {
 		return
 	}
+	f.awaitTouch()
 	size := n - 1
 	if rng.IntN(4) == 0 {
 		size = 1 + rng.IntN(n-1)
