Sidecar: engines serve on while an order is repeated

Cause: at each repeat of an order in doubt the entries were told that the engine is loading, so it got no requests for half a second; and a new agent needed the answers to two orders in a row to shut out older ones.

Ruled out: the repeats themselves; orders from the same host cost nothing.

Change: entries are told before the first order only; the two steps of shutting out are repeated each by itself.

--- a/sidecar/doubt.go
+++ b/sidecar/doubt.go
@@ -81,6 +81,7 @@
 	again    time.Time // not to be repeated or fenced off sooner
 	adopted  bool      // the agent before gave it, if it was given
 	looked   bool      // what is staged was looked at and is of no known version
+	shut     uint64    // a token below one that the engine took to shut out older orders; 0: none yet
 	unfenced bool      // the engine does not heed fencing tokens
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -261,7 +261,9 @@
 	if !s.verify(ctx, age) {
 		return 0 // the next step stages what is bad
 	}
-	s.tell(o.Model, r.serves(o.Model, o.Layers), true)
+	if !s.doubt.ours() { // an engine whose order is repeated may serve on for long
+		s.tell(o.Model, r.serves(o.Model, o.Layers), true)
+	}
 	order := s.newOrder(o.Model, version, r)
 	fields := logrus.Fields{"model": o.Model, "version": version, "running": r.Running, "sequence": order.Precondition, "token": order.Token}
 	err := s.start(ctx, order)
@@ -306,14 +308,22 @@
 // nothing there, but its token counts. One with a lower token must then be
 // refused, or the engine does not heed tokens.
 func (s *Sidecar) fence(ctx context.Context, model string, serving int, r Report) time.Duration {
-	s.tokens.aheadOf(time.Now())
-	lower := s.newOrder(model, serving, r)
-	err := s.start(ctx, s.newOrder(model, serving, r))
-	if errors.Is(err, ErrOrderFenced) {
-		s.tokens.lift()
-		return s.cfg.PollBusy
+	var err error
+	if s.doubt.shut == 0 {
+		s.tokens.aheadOf(time.Now())
+		lower := s.newOrder(model, serving, r)
+		err = s.start(ctx, s.newOrder(model, serving, r))
+		switch {
+		case err == nil:
+			s.doubt.shut = lower.Token
+		case errors.Is(err, ErrOrderFenced):
+			s.tokens.lift()
+			return s.cfg.PollBusy
+		}
 	}
-	if err == nil {
+	if s.doubt.shut != 0 {
+		lower := s.newOrder(model, serving, r)
+		lower.Token = s.doubt.shut
 		err = s.start(ctx, lower)
 		if errors.Is(err, ErrOrderFenced) {
 			s.settle(time.Now(), "fenced")
