--- a/mesh/follow_test.go
+++ b/mesh/follow_test.go
@@ -328,15 +328,15 @@
 }
 
 // fleetSize is how many entries the tests run: the readers, as many that are next
-// and two more.
-const fleetSize = 2*readerCount + 2
+// and four more.
+const fleetSize = 2*readerCount + 4
 
 // mostLag is how late an entry that reaches the store may learn of a change: a
 // configuration must be in force, and a target left, within 2 s.
 const mostLag = 1700 * time.Millisecond
 
 // nextChange is the time from one change to the next.
-const nextChange = 2300 * time.Millisecond
+const nextChange = 2 * mostLag
 
 // Users saw targets that had said that they leave get requests 3 s later, and
 // configurations in force that had been replaced as long before. The entries
@@ -364,7 +364,7 @@
 					for _, e := range lost {
 						e.suffer(f)
 					}
-					for n := range 4 {
+					for n := range 6 {
 						for addr, late := range lag(all.without(lost), all.change(), nextChange) {
 							assert.Check(t, late <= mostLag, "change %d: %s learnt of it after %v", n, addr, late)
 						}
