--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,7 +24,9 @@
 )
 
 // failedSeeds are seeds that failed once, each with its cause.
-var failedSeeds = []uint64{}
+var failedSeeds = []uint64{
+	814, // weights not whole: pieces of a newer version lay over those of an order without an answer
+}
 
 func TestSoak(t *testing.T) {
 	bin := t.TempDir()
