Mirror: an answer of the store is as old as it may be

Cause: an answer with changes counted as made when it came, also one without a wait, so that a late one made the copy up to its way too fresh. A watch that was overdue and then given up counted as two failures.

Change: an answer with changes is as old as its call. A watch at the store ends when the own reads are as old as one whole watch, so that changes late in a watch leave the copy confirmed in time. A call fails once.

Conclusion: no age is a guess any more.

--- a/mirror/contact.go
+++ b/mirror/contact.go
@@ -67,52 +67,60 @@
 // Range implements Source. Pages are read one after the other, so the copy is as
 // old as the first.
 func (c *Contact) Range(ctx context.Context, prefix string) (Batch, error) {
-	begun := c.begin()
+	call := c.begin()
 	b, err := c.store.Range(ctx, prefix)
-	c.end(ctx, begun, err)
-	b.FirstHand, b.Age = true, time.Since(begun)
+	c.end(ctx, call, err)
+	b.FirstHand, b.Age = true, time.Since(call.begun)
 	return b, err
 }
 
 // Watch implements Source. An answer without changes was made when the wait was
-// over, or later; one with changes when the last of them came.
+// over, or later; one with changes at any time since the call began.
 func (c *Contact) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error) {
-	begun := c.begin()
-	overdue := time.AfterFunc(wait+overdueAfter, func() { c.fail(begun, errors.New("mirror: watch is overdue")) })
+	call := c.begin()
+	overdue := time.AfterFunc(wait+overdueAfter, func() { c.fail(call, errors.New("mirror: watch is overdue")) })
 	b, err := c.store.Watch(ctx, prefix, after, wait)
 	overdue.Stop()
-	c.end(ctx, begun, err)
-	b.FirstHand = true
+	c.end(ctx, call, err)
+	b.FirstHand, b.Age = true, time.Since(call.begun)
 	if len(b.Events) == 0 {
-		b.Age = max(0, time.Since(begun)-wait)
+		b.Age = max(0, b.Age-wait)
 	}
 	return b, err
 }
 
-func (c *Contact) begin() time.Time {
+// storeCall is one call of the store.
+type storeCall struct {
+	begun  time.Time
+	failed bool // it was counted; guarded by Contact.mu
+}
+
+func (c *Contact) begin() *storeCall {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.called = time.Now()
-	return c.called
+	return &storeCall{begun: c.called}
 }
 
 // end notes the result of a call; one that was called off says nothing.
-func (c *Contact) end(ctx context.Context, begun time.Time, err error) {
+func (c *Contact) end(ctx context.Context, call *storeCall, err error) {
 	switch {
 	case err == nil || errors.Is(err, ErrCompacted):
-		c.work(begun)
+		c.work(call.begun)
 	case !errors.Is(ctx.Err(), context.Canceled):
-		c.fail(begun, err)
+		c.fail(call, err)
 	}
 }
 
-// fail notes that a call failed, unless a later one worked.
-func (c *Contact) fail(begun time.Time, err error) {
+// fail notes that a call failed, unless a later one worked. A call that is overdue
+// and then fails counts once.
+func (c *Contact) fail(call *storeCall, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if begun.Before(c.worked) {
+	if call.failed || call.begun.Before(c.worked) {
 		return
 	}
+	call.failed = true
 	c.failures++
 	if c.failures == 1 {
 		c.failed = time.Now()
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -224,7 +224,7 @@
 	f.watched = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Timeout)
 	defer cancel()
-	b, err := src.Watch(ctx, f.table.prefix, after, f.cfg.Wait)
+	b, err := src.Watch(ctx, f.table.prefix, after, f.wait(src, f.watched))
 	if err != nil {
 		return err
 	}
@@ -232,6 +232,17 @@
 	return nil
 }
 
+// wait returns how long a watch that begins now is to wait for changes. One at the
+// store ends when the own reads are as old as a whole watch: an answer with
+// changes that comes late in a watch confirms the copy only as of its begin.
+func (f *Follower) wait(src Source, now time.Time) time.Duration {
+	if src != Source(f.store) {
+		return f.cfg.Wait
+	}
+	readAt, _ := f.table.Read()
+	return max(0, f.cfg.Wait-now.Sub(readAt)).Truncate(time.Millisecond) // as it is sent
+}
+
 func (f *Follower) readAll(ctx context.Context, src Source) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
 	defer cancel()
