Mirror: few calls by a large fleet in an outage

Cause: while nobody reaches the store each entry calls it every 1 to 2 s, and each call is paid for; calls grow with the fleet.

Change: while nobody reaches the store, entries beyond the first 24 in rank call it each 4 s once six calls have failed; accounts of those that reach it again confirm their copies, or tell that they are behind.

TestOutageCostsLargeFleetsFewCalls failed before: none of the 8 made 5 calls or fewer. The packages with the race detector passed. A fleet of 390 was not run.

Conclusion: beyond 24 entries an outage costs each a call in 4 s.

--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -35,6 +35,7 @@
 type role struct {
 	follows  string        // address of the reader that it follows; empty for the store itself
 	patience time.Duration // before it reads the store because its copy is old
+	backup   bool          // others find out that the store answers again
 	why      string        // what it was chosen from
 	from     []voter
 }
@@ -74,6 +75,13 @@
 	return m.role.patience
 }
 
+// Backup implements mirror.Route.
+func (m *Mesh) Backup() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.role.backup
+}
+
 // choose finds this entry's role from what it knows of the others.
 func (m *Mesh) choose(now time.Time) {
 	from := []voter{{m.self.Addr, m.failing()}}
@@ -125,7 +133,8 @@
 		}
 	}
 	r := role{from: from, why: "entries that reach the store"}
-	if len(reaching) == 0 {
+	nobody := len(reaching) == 0
+	if nobody {
 		reaching, r.why = all, "no entry reaches the store"
 	} else if from[0].failing {
 		r.why = "own calls to the store fail"
@@ -139,7 +148,7 @@
 	case rank >= ranksFirst:
 		r.patience = patienceStep
 	case rank < 0:
-		r.patience = 2 * patienceStep
+		r.patience, r.backup = 2*patienceStep, nobody
 	}
 	return r
 }
--- a/mesh/follow_test.go
+++ b/mesh/follow_test.go
@@ -682,6 +682,39 @@
 	}
 }
 
+// In an outage of the store a large fleet's calls hardly grow with its size, and
+// all entries have the store's changes soon after it.
+func TestOutageCostsLargeFleetsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startEntries(t, ranksNext+8)
+		defer all.stop()
+		time.Sleep(5 * time.Second)
+		for _, e := range all.all {
+			e.view.set(refused)
+		}
+		time.Sleep(6 * time.Second)
+		begin, watched := time.Now(), 16*time.Second
+		time.Sleep(watched)
+		few := 0
+		for _, e := range all.all {
+			n := e.view.since(begin)
+			assert.Check(t, n <= int(watched/time.Second)+1, "%s called %d times", e.addr, n)
+			if n <= 5 {
+				few++
+			}
+			e.view.set(works)
+		}
+		assert.Equal(t, few, 8)
+		for addr, late := range lag(all.all, all.change(), nextChange) {
+			assert.Check(t, late <= mostLag, "%s learnt of it after %v", addr, late)
+		}
+		for _, e := range all.all {
+			down, _ := e.follower.Outage()
+			assert.Check(t, !down, "%s does not know that the outage is over", e.addr)
+		}
+	})
+}
+
 // An outage of the store costs calls that fail: at most one a second by each
 // entry. All entries know of it, so that targets whose entries lapsed meanwhile
 // are held, and all have the store's changes soon after it.
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -64,6 +64,10 @@
 	// Patience is how much longer than others this process waits before it
 	// reads the store because its copy is old.
 	Patience() time.Duration
+	// Backup reports whether enough others call the store while it is away, so
+	// that this process, which hears from them when it answers again, need not
+	// call it as often.
+	Backup() bool
 }
 
 // Follower keeps a Table up to date. It follows what its Route says and, beside
--- a/mirror/guard.go
+++ b/mirror/guard.go
@@ -41,9 +41,16 @@
 	case !stale:
 		return f.cfg.ProbeEvery
 	}
+	if f.route.Backup() && failures >= backupAfter {
+		return f.cfg.ProbeEvery
+	}
 	return f.pause(failures, spread)
 }
 
+// backupAfter is how many calls fail in a row before a backup leaves the store to
+// others: about 2 s of pauses, in which those that reach it have told so.
+const backupAfter = 6
+
 // readStore reads what the store has beyond the copy, without waiting.
 func (f *Follower) readStore(ctx context.Context, stale bool) {
 	age := f.age(time.Now())
--- a/mirror/guard_test.go
+++ b/mirror/guard_test.go
@@ -169,6 +169,7 @@
 }
 
 func (*movable) Patience() time.Duration { return 0 }
+func (*movable) Backup() bool            { return false }
 
 // The age of a peer's answer is that at its end, and what others confirm counts.
 func TestAgeIsTakenAfterTheWait(t *testing.T) {
--- a/mirror/table_test.go
+++ b/mirror/table_test.go
@@ -150,6 +150,7 @@
 }
 
 func (routeFunc) Patience() time.Duration { return 0 }
+func (routeFunc) Backup() bool            { return false }
 
 // newFollower returns a follower of table with the default times.
 func newFollower(table *Table, store *Contact, route routeFunc) *Follower {
