Sidecar: only answers settle earlier orders; orders on fresh checks only

Cause: a read of a staged piece that got no answer was taken for a missing piece. A new agent at an engine that serves nothing then held that nothing had been ordered and staged a newer version under an order in flight. One missing piece 0 counted as an empty stage, one spoilt piece 0 as a stage of an unknown version. And the age of the checks was not looked at when the order was sent: an agent frozen in between sent it on checks 8 s old.

Change: findings tell bad from unanswered; the doubt is settled only if too little is staged even with all unanswered pieces counted as sound. The first, middle and last piece are sampled. Candidates' manifests are read at once, bounded together by 2 s.

--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -63,6 +63,13 @@
 	// VerifyAge is how old the check of staged pieces may be when the load is
 	// ordered, because staged bytes may go bad. Default 1 s.
 	VerifyAge time.Duration
+	// OrderAge is how old the oldest check of a staged piece may be at most when
+	// the order is sent: bytes that went bad must be noticed within 3 s, and the
+	// order may take 0.5 s to be given up. Default 0.5 s more than VerifyAge.
+	OrderAge time.Duration
+	// InspectTimeout bounds the reads of all manifests that tell what an agent
+	// before has staged. Default 2 s.
+	InspectTimeout time.Duration
 }
 
 func (c Config) applyDefaults() Config {
@@ -83,5 +90,7 @@
 	c.OrderGrace = cmp.Or(c.OrderGrace, 15*time.Second)
 	c.StallFor = cmp.Or(c.StallFor, 3*time.Second)
 	c.VerifyAge = cmp.Or(c.VerifyAge, time.Second)
+	c.OrderAge = cmp.Or(c.OrderAge, c.VerifyAge+500*time.Millisecond)
+	c.InspectTimeout = cmp.Or(c.InspectTimeout, 2*time.Second)
 	return c
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -258,7 +258,7 @@
 	if s.doubt.ours() {
 		age = 0 // it may take effect at any time until the next check
 	}
-	if !s.verify(ctx, age) {
+	if !s.verifyForOrder(ctx, age) {
 		return 0 // the next step stages what is bad
 	}
 	if !s.doubt.ours() { // an engine whose order is repeated may serve on for long
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -190,7 +190,7 @@
 }
 
 // begin starts a sidecar inside a bubble; end stops it.
-func begin(t *testing.T, cfg Config, e *fakeEngine, source *fakeSource) (s *Sidecar, said func() peer.EngineState, end func()) {
+func begin(t *testing.T, cfg Config, e Engine, source *fakeSource) (s *Sidecar, said func() peer.EngineState, end func()) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	var mu sync.Mutex
@@ -218,7 +218,7 @@
 }
 
 // run starts a sidecar in a bubble of its own time.
-func run(t *testing.T, cfg Config, e *fakeEngine, source *fakeSource, f func(s *Sidecar, said func() peer.EngineState)) {
+func run(t *testing.T, cfg Config, e Engine, source *fakeSource, f func(s *Sidecar, said func() peer.EngineState)) {
 	synctest.Test(t, func(t *testing.T) {
 		s, said, end := begin(t, cfg, e, source)
 		f(s, said)
@@ -381,7 +381,8 @@
 // What proved it: the engine's own numbering of orders puts the unanswered order
 // of 3 after the puts of 4, some seconds after it was sent, and at that time the
 // agent sent no order of 3; the staged pieces were checked less than a
-// second before the order, and no put failed.
+// second before the order; of the puts none was given up for time, and those that
+// failed were refused connections of engines that were down.
 func TestLateOrderLoadsOnlyWhatIsWhole(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,14 @@
 	"github.com/springgate/springgate/weights"
 )
 
+// readsAtOnce is how many staged pieces are read back at once. One at a time may
+// take longer than a check may be old when an order is sent.
+const readsAtOnce = 4
+
+// verifyTries is how often in one turn staged pieces are checked anew because the
+// checks took too long.
+const verifyTries = 3
+
 // Source hands out manifests and verified pieces.
 type Source interface {
 	Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error)
@@ -47,6 +56,9 @@
 	return s != nil && s.model == model && s.version == version
 }
 
+// oldestCheck returns when the piece was checked that was not for the longest time.
+func (s *stage) oldestCheck() time.Time { return slices.MinFunc(s.checked, time.Time.Compare) }
+
 // stagedProgress is how much lies at the engine.
 func (s *stage) stagedProgress() progress {
 	if s == nil || len(s.staged) == 0 {
@@ -117,80 +129,162 @@
 	}
 	s.stage = newStage(m)
 	// The first piece tells whether the rest is worth reading.
-	if s.check(ctx, 0) {
+	began := time.Now()
+	if s.check(ctx, 0) == sound {
+		s.mark(0, true, began)
 		s.verify(ctx, 0)
 	}
 	return nil
 }
 
+// sampled returns the indexes of pieces that tell what is staged, where a version
+// has n pieces: one of them may be missing or spoilt.
+func sampled(n int) []int { return slices.Compact([]int{0, n / 2, max(n-1, 0)}) }
+
+// sample reads some staged pieces. One that is not staged has no entry. It returns
+// an error if a read got no answer, along with the others.
+func (s *Sidecar) sample(ctx context.Context, o order) (map[int][]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	found := map[int][]byte{}
+	indexes := sampled(o.Pieces)
+	always := func() bool { return true }
+	err := each(ctx, indexes, len(indexes), always, func(i int) (func(), error) {
+		data, err := s.engine.StagedPiece(ctx, s.engineAddr, o.Model, i)
+		if errors.Is(err, ErrNotStaged) {
+			return func() {}, nil
+		}
+		return func() { found[i] = data }, err
+	})
+	return found, err
+}
+
+// manifests reads those of several versions at once. A version of which it could
+// not be had has no entry.
+func (s *Sidecar) manifests(ctx context.Context, model string, versions []int) map[int]*weights.Manifest {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.InspectTimeout)
+	defer cancel()
+	found := map[int]*weights.Manifest{}
+	always := func() bool { return true }
+	_ = each(ctx, versions, len(versions), always, func(v int) (func(), error) {
+		m, err := s.manifest(ctx, model, v)
+		return func() { found[v] = m }, err
+	})
+	return found
+}
+
+// matching counts the pieces that are of a manifest's version.
+func matching(m *weights.Manifest, sample map[int][]byte) int {
+	n := 0
+	for i, data := range sample {
+		if i < len(m.Digests) && m.Verify(i, data) == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // inspect finds out of which version the pieces are that an agent before has
 // staged at the engine. An order that it gave is of that version, because it let
 // no other be staged while the order was in doubt: so that order is repeated
-// first. If nothing or too little is staged, it gave none.
+// first. If nothing or too little is staged, it gave none. A read without an
+// answer says nothing and is tried again.
 func (s *Sidecar) inspect(ctx context.Context, o order, version int, r Report) time.Duration {
-	callCtx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
-	defer cancel()
-	first, err := s.engine.StagedPiece(callCtx, s.engineAddr, o.Model, 0)
-	switch {
-	case errors.Is(err, ErrNotStaged):
-		s.settle(time.Now(), "nothing_staged")
-		return 0
-	case err != nil:
+	sample, err := s.sample(ctx, o)
+	if len(sample) == 0 {
+		if err == nil {
+			s.settle(time.Now(), "nothing_staged")
+			return 0
+		}
 		return s.cfg.PollBusy
 	}
-	unread := 0
-	for _, v := range o.candidates(version) {
-		m, err := s.manifest(ctx, o.Model, v)
-		switch {
-		case err != nil:
-			unread = max(unread, v)
-		case m.Verify(0, first) == nil:
-			s.adopt(ctx, o, m, r)
-			return 0
+	candidates := o.candidates(version)
+	manifests := s.manifests(ctx, o.Model, candidates)
+	var best *weights.Manifest
+	for _, v := range candidates {
+		if m := manifests[v]; m != nil && matching(m, sample) > 0 && (best == nil || matching(m, sample) > matching(best, sample)) {
+			best = m
 		}
 	}
-	if unread == version {
+	if best != nil {
+		return s.adopt(ctx, o, best, r)
+	}
+	if err == nil {
+		s.strange(o, version, manifests, len(candidates))
+	}
+	return s.cfg.PollBusy
+}
+
+// strange notes that the staged pieces are of no version whose manifest could be
+// had.
+func (s *Sidecar) strange(o order, version int, manifests map[int]*weights.Manifest, candidates int) {
+	if manifests[version] == nil {
 		s.stall(version)
 	}
 	if s.stage.is(o.Model, version) {
 		s.stage, s.ahead = nil, s.stage // pieces that were fetched while the engine started
 	}
+	unread := candidates - len(manifests)
 	s.doubt.putOff(time.Now(), s.cfg)
 	s.doubt.looked = unread == 0 || s.doubt.tries >= earlierTries
 	s.log.WithFields(logrus.Fields{"version": version, "unread": unread, "tries": s.doubt.tries}).Warn("Pieces of an unknown version are staged.")
-	return s.cfg.PollBusy
 }
 
-// adopt takes over what an agent before has staged, and its order.
-func (s *Sidecar) adopt(ctx context.Context, o order, m *weights.Manifest, r Report) {
+// adopt takes over what an agent before has staged, and its order. It settles the
+// doubt only on what the engine answered, and returns the pause.
+func (s *Sidecar) adopt(ctx context.Context, o order, m *weights.Manifest, r Report) time.Duration {
 	if !s.stage.is(m.Model, m.Version) {
 		if s.stage != nil {
 			s.ahead = s.stage // pieces that were fetched while the engine started
 		}
 		s.stage = newStage(m)
 	}
-	s.verify(ctx, 0)
-	if m.Version <= r.serves(o.Model, o.Layers) || s.stage.stagedProgress().share < mostly {
+	unanswered := s.readBack(ctx, 0).unanswered
+	least := s.stage.stagedProgress().share
+	most := least + float64(unanswered)/float64(len(s.stage.staged))
+	switch {
+	case m.Version <= r.serves(o.Model, o.Layers), most < mostly:
 		s.settle(time.Now(), "not_ordered")
-		return
+		return 0
+	case least < mostly:
+		s.doubt.putOff(time.Now(), s.cfg)
+		s.log.WithField("version", m.Version).WithField("unanswered", unanswered).Info("Staged pieces not all read.")
+		return s.cfg.PollBusy
 	}
 	s.doubt.adopted, s.doubt.model, s.doubt.version, s.doubt.first = true, m.Model, m.Version, time.Now()
 	s.stats.ordersInDoubt.Inc(1)
 	s.log.WithFields(logrus.Fields{"model": m.Model, "version": m.Version, "missing": s.stage.missing}).Info("Staged pieces taken over.")
+	return 0
 }
 
-// check reads one staged piece back and notes whether it is whole.
-func (s *Sidecar) check(ctx context.Context, index int) bool {
+// finding is what the read of a staged piece tells.
+type finding uint8
+
+const (
+	sound      finding = iota
+	bad                // missing or spoilt
+	unanswered         // the engine did not answer
+)
+
+// check reads one staged piece back.
+func (s *Sidecar) check(ctx context.Context, index int) finding {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
 	data, err := s.engine.StagedPiece(ctx, s.engineAddr, s.stage.model, index)
-	ok := err == nil && s.stage.manifest.Verify(index, data) == nil
-	s.mark(index, ok)
-	return ok
+	switch {
+	case errors.Is(err, ErrNotStaged):
+		return bad
+	case err != nil:
+		return unanswered
+	case s.stage.manifest.Verify(index, data) != nil:
+		return bad
+	}
+	return sound
 }
 
-func (s *Sidecar) mark(index int, ok bool) {
-	s.stage.checked[index] = time.Now()
+// mark notes what is known of a piece since a time.
+func (s *Sidecar) mark(index int, ok bool, since time.Time) {
+	s.stage.checked[index] = since
 	if s.stage.staged[index] == ok {
 		return
 	}
@@ -202,20 +296,64 @@
 	}
 }
 
-// verify reads staged pieces back that were last checked longer than age ago, or
-// over which another may come. Bytes may go bad while they lie there.
-func (s *Sidecar) verify(ctx context.Context, age time.Duration) bool {
-	bad := 0
+// findings counts the pieces that were not found sound.
+type findings struct{ bad, unanswered int }
+
+// readBack reads staged pieces back that were last checked longer than age ago,
+// or over which another may come. Bytes may go bad while they lie there. A piece
+// of which the read got no answer counts as missing until it is read or put.
+func (s *Sidecar) readBack(ctx context.Context, age time.Duration) findings {
+	var due []int
 	for i, at := range s.stage.checked {
-		if (time.Since(at) >= age || s.unsure.has(i, time.Now())) && !s.check(ctx, i) {
-			bad++
+		if time.Since(at) >= age || s.unsure.has(i, time.Now()) {
+			due = append(due, i)
 		}
 	}
-	if bad > 0 {
-		s.stats.spoilt.Inc(int64(bad))
-		s.log.WithField("pieces", bad).WithField("version", s.stage.version).Info("Staged pieces are missing or spoilt.")
+	var n findings
+	always := func() bool { return true }
+	// There are no errors: what a read tells is counted. All are begun, also when
+	// ctx ends, so that none is taken for sound unread.
+	_ = each(context.WithoutCancel(ctx), due, readsAtOnce, always, func(i int) (func(), error) {
+		began := time.Now() // the bytes may go bad while the answer is on its way
+		f := s.check(ctx, i)
+		return func() {
+			s.mark(i, f == sound, began)
+			switch f {
+			case bad:
+				n.bad++
+			case unanswered:
+				n.unanswered++
+			}
+		}, nil
+	})
+	return n
+}
+
+// verify reads staged pieces back and reports whether all were found sound.
+func (s *Sidecar) verify(ctx context.Context, age time.Duration) bool {
+	n := s.readBack(ctx, age)
+	if n == (findings{}) {
+		return true
+	}
+	s.stats.spoilt.Inc(int64(n.bad))
+	s.log.WithFields(logrus.Fields{"pieces": n.bad, "unanswered": n.unanswered, "version": s.stage.version}).Info("Staged pieces are missing or spoilt.")
+	return false
+}
+
+// verifyForOrder verifies until no check is older than an order allows: the agent may
+// have been frozen in between, or reads may be slow.
+func (s *Sidecar) verifyForOrder(ctx context.Context, age time.Duration) bool {
+	for range verifyTries {
+		if !s.verify(ctx, age) {
+			return false
+		}
+		if time.Since(s.stage.oldestCheck()) < s.cfg.OrderAge {
+			return true
+		}
+		age = s.cfg.VerifyAge
 	}
-	return bad == 0
+	s.log.WithField("version", s.stage.version).Warn("Checks of staged pieces take too long for an order.")
+	return false
 }
 
 // fetchMissing fetches and stages the pieces that are missing, until a newer
@@ -231,7 +369,7 @@
 	goOn := func() bool { return s.assigned().Version == announced && parallel() <= atOnce }
 	return each(ctx, missing, atOnce, goOn, func(i int) (func(), error) {
 		err := s.fetch(ctx, i)
-		return func() { s.mark(i, true) }, err
+		return func() { s.mark(i, true, time.Now()) }, err
 	})
 }
 
