Sidecar: a refused repeat of an order is put off like one in doubt

Cause: only a repeat without an answer was put off. One that was refused came again every 40 ms, and each reads all staged pieces.

Change: it is put off the same way. TestRefusedRepeatIsPutOff failed before with 248 orders in 10 s.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -281,8 +281,11 @@
 		if errors.Is(err, ErrOrderFenced) {
 			s.tokens.lift()
 		}
-		if s.doubt.fencedBy(err) {
+		switch {
+		case s.doubt.fencedBy(err):
 			s.settle(time.Now(), "fenced")
+		case s.doubt.ours():
+			s.doubt.putOff(time.Now(), s.cfg) // all pieces are read for each repeat
 		}
 	}
 	return s.cfg.PollBusy
--- a/sidecar/stage_test.go
+++ b/sidecar/stage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,46 @@
 	assert.Assert(t, slept && orders > 0)
 	assert.Assert(t, !e.spoilt)
 }
+
+// An engine that heeds no tokens takes the order that is to shut out older ones,
+// and those too: only the refusal of a lower token tells.
+func TestEngineThatHeedsNoTokensIsNotTakenForFenced(t *testing.T) {
+	e := &fakeEngine{staged: stagedWhole(2), serves: 1, unfenced: true}
+	run(t, Config{}, e, &fakeSource{delay: 200 * time.Millisecond}, func(s *Sidecar, said func() peer.EngineState) {
+		time.AfterFunc(600*time.Millisecond, func() { e.set(func() { _ = e.take(LoadOrder{Model: "m", Version: 2, Token: 1}) }) })
+		s.Assign(time.Now(), thirdAfterSecond())
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, said().Version, 3)
+		assert.Assert(t, !e.spoilt, "loaded what was not whole")
+	})
+}
+
+// refusingEngine refuses orders of one version, once it has left one unanswered.
+type refusingEngine struct {
+	*fakeEngine
+	version int
+	sent    *atomic.Int64
+}
+
+func (r refusingEngine) Start(ctx context.Context, addr string, o LoadOrder) error {
+	if o.Version != r.version {
+		return r.fakeEngine.Start(ctx, addr, o)
+	}
+	if r.sent.Add(1) == 1 {
+		return ErrOrderInDoubt
+	}
+	return errors.New("status 503")
+}
+
+// The repeat of an order is put off longer each time, also if it is refused:
+// all pieces are read for each.
+func TestRefusedRepeatIsPutOff(t *testing.T) {
+	var sent atomic.Int64
+	e := &fakeEngine{staged: map[int]string{}, serves: 1}
+	run(t, Config{}, refusingEngine{e, 2, &sent}, &fakeSource{}, func(s *Sidecar, _ func() peer.EngineState) {
+		s.Assign(time.Now(), assignment(2, 0, 1))
+		time.Sleep(10 * time.Second)
+		n := sent.Load()
+		assert.Assert(t, n > 5 && n < 20, "%d orders in 10 s", n)
+	})
+}
