Sidecar: an order in doubt is shut out 0.5 s after a bad piece is found

Cause: while an order is in doubt, pieces that went bad were fetched first, for up to FetchTimeout (6 s), and the order shut out only when that had failed; the order could take effect on bytes that had been bad for longer than the 3 s that are excused. Ruled out: shutting out at once, before any fetch; it passes the red test, but then a newer version is staged over the piece that the doubt still names (TestPieceThatGoesBadWhileAnOrderIsInDoubtIsStagedAgain, TestPlan). Change: the fetch is bounded by RepairTimeout where the engine can shut orders out, and ends with its context even if the source still opens a connection; Run waits for such questions. Result: TestOrderIsShutOutWhileABadPieceIsFetched, unchanged, failed before and passes; the package passes 20 times and with the race detector.

--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -53,6 +53,11 @@
 	// doubles up to RepeatMax. What is staged is checked before each repeat, and
 	// pieces that went bad must be noticed within 3 s. Defaults 100 ms and 1 s.
 	RepeatMin, RepeatMax time.Duration
+	// RepairTimeout bounds the fetch of pieces that went bad while an order is in
+	// doubt; after it the order is shut out. Bytes that went bad are excused for
+	// 3 s, of which finding them takes up to RepeatMax and shutting out two orders,
+	// OrderTimeout each. A piece takes 35 ms on the slowest links. Default 500 ms.
+	RepairTimeout time.Duration
 	// OrderGrace is how long after it was sent an order or a piece without an
 	// answer may still reach the engine, where nothing else tells. The longest
 	// seen were 12 s. Default 15 s.
@@ -87,6 +92,7 @@
 	c.OrderTimeout = cmp.Or(c.OrderTimeout, 500*time.Millisecond)
 	c.RepeatMin = cmp.Or(c.RepeatMin, 100*time.Millisecond)
 	c.RepeatMax = cmp.Or(c.RepeatMax, time.Second)
+	c.RepairTimeout = cmp.Or(c.RepairTimeout, 500*time.Millisecond)
 	c.OrderGrace = cmp.Or(c.OrderGrace, 15*time.Second)
 	c.StallFor = cmp.Or(c.StallFor, 3*time.Second)
 	c.VerifyAge = cmp.Or(c.VerifyAge, time.Second)
--- a/sidecar/doubt.go
+++ b/sidecar/doubt.go
@@ -88,6 +88,10 @@
 // ours reports whether it is known what was ordered.
 func (d doubt) ours() bool { return d.open && d.version != 0 }
 
+// fenceable reports whether the order can be shut out at an engine that serves a
+// version, or none.
+func (d doubt) fenceable(serving int) bool { return d.ours() && serving != 0 && !d.unfenced }
+
 // earlier reports whether it is about the orders of the agent before.
 func (d doubt) earlier() bool { return d.open && d.version == 0 }
 
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -105,7 +105,7 @@
 		return Step{Load, d.version}
 	case !whole && h.stalled != d.version:
 		return Step{Stage, d.version}
-	case !whole && due && serving != 0 && !d.unfenced:
+	case !whole && due && d.fenceable(serving):
 		return Step{Fence, serving}
 	case d.version != newest && !h.fetched.is(newest):
 		return Step{Fetch, newest}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -50,6 +50,8 @@
 	stalled      int // version of which a piece could not be had
 	stalledUntil time.Time
 
+	asking sync.WaitGroup // questions to the source, also those not waited for
+
 	mu    sync.Mutex
 	order order
 	wake  chan struct{}
@@ -86,6 +88,7 @@
 
 // Run works until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) {
+	defer s.asking.Wait()
 	for ctx.Err() == nil {
 		pause := s.turn(ctx)
 		timer := time.NewTimer(pause)
@@ -212,6 +215,11 @@
 }
 
 func (s *Sidecar) stageAll(ctx context.Context, o order, version int, r Report) time.Duration {
+	if s.doubt.fenceable(r.serves(o.Model, o.Layers)) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.cfg.RepairTimeout)
+		defer cancel()
+	}
 	if !s.stage.is(o.Model, version) {
 		if err := s.begin(ctx, o.Model, version); err != nil {
 			s.log.WithError(err).WithField("version", version).Warn("Staging could not begin.")
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -428,7 +428,7 @@
 // keep fetches one piece into memory.
 func (s *Sidecar) keep(ctx context.Context, st *stage, index int) error {
 	began := time.Now()
-	data, err := s.source.Piece(ctx, st.manifest, index)
+	data, err := s.pieceInTime(ctx, st.manifest, index)
 	if err != nil {
 		return err
 	}
@@ -438,6 +438,26 @@
 	return nil
 }
 
+// pieceInTime asks the source for a piece and returns when ctx ends, also while the
+// source is still opening a connection, which may take it seconds.
+func (s *Sidecar) pieceInTime(ctx context.Context, m *weights.Manifest, index int) ([]byte, error) {
+	type answer struct {
+		data []byte
+		err  error
+	}
+	answered := make(chan answer, 1)
+	s.asking.Go(func() {
+		data, err := s.source.Piece(ctx, m, index)
+		answered <- answer{data, err}
+	})
+	select {
+	case a := <-answered:
+		return a.data, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // fetchAhead keeps pieces of the newest version in memory while an older one
 // lies staged. After a while it begins no more of them, so that the next step is
 // decided anew.
