Platform: entries of other writers name no target; engines that start again under their ID

Cause: an entry of the list with a missing field, an unknown state or an empty address was listed as a serving target, one of an unknown service could displace the target at its address, and one that could not be read left the last entry in use. An engine that came back under its ID kept the load, health and version that were believed of its earlier life. Ruled out: an order in doubt settled by Sequence alone; it starts anew and may be as high. The time of start goes from entry and report into Book, agents' words and orders in doubt; another life begins empty. Half of the soak's targets start again under their ID.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -15,6 +15,7 @@
 type EngineState struct {
 	Version int // served whole; 0 is none
 	Loading bool
+	Born    int64 // of the engine that it is about; 0 if not known
 }
 
 // Target is one instance with what an entry knows of it. Its fields are
@@ -53,7 +54,8 @@
 }
 
 // Apply takes the list of instances and the services' cost models. Loads and
-// health of instances that remain are kept.
+// health of instances that remain are kept, but not from one life of a target to the
+// next under the same ID.
 func (b *Book) Apply(instances []*fleet.Instance, services map[string]*fleet.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -62,7 +64,7 @@
 	addrs := make(map[string]bool, len(instances))
 	for _, i := range instances {
 		t := b.byID[i.ID]
-		if t == nil {
+		if t == nil || !fleet.SameLife(t.Born, i.Born) {
 			t = &Target{others: map[string]Load{}, heard: map[string]bool{}}
 		}
 		t.Instance = *i
--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -89,6 +89,40 @@
 }
 
 // A second version must not put the time of the first off.
+// An engine that started again under its ID knows nothing of before: neither what it
+// served, nor what was in flight or failed there, nor what its agent said until then.
+func TestNothingIsBelievedOfAnEarlierLife(t *testing.T) {
+	first, second, other := engine(1, 1), engine(1, 0), engine(2, 1)
+	first.Born, second.Born = 1000, 2000
+	b := book(engineModel(), Config{}, first)
+	b.SetState(first.Addr, EngineState{Version: 1, Born: 1000})
+	b.SetLoads("other", map[string]Load{"i-1": {Requests: 5, Unread: 3000}})
+	c, v := b.Pick(start, testService, demand(), nil)
+	assert.Equal(t, v, Chosen)
+	b.Finish(start, c.Target, Result{Gone: true})
+	services := map[string]*fleet.Service{testService: {Name: testService, Engine: engineModel()}}
+	b.Apply([]*fleet.Instance{second}, services)
+	assert.Equal(t, picked(b, start), "no_target", "it holds nothing yet, whatever its agent said before")
+	b.SetState(second.Addr, EngineState{Version: 1, Born: 2000})
+	c, v = b.Pick(start, testService, demand(), nil)
+	assert.Equal(t, v, Chosen)
+	assert.Equal(t, c.Load, Load{}, "no load of before")
+	b.SetState(second.Addr, EngineState{Version: 0, Born: 3000})
+	b.Apply([]*fleet.Instance{second, other}, services)
+	assert.Equal(t, picked(b, start), "i-2", "the agent knows of a later life than the list")
+}
+
+// Targets that do not tell when they were started are known by their IDs alone.
+func TestLifeThatIsNotToldIsTheSame(t *testing.T) {
+	first, second := engine(1, 1), engine(1, 1)
+	second.Born = 2000
+	b := book(engineModel(), Config{}, first)
+	b.SetLoads("other", map[string]Load{"i-1": {Requests: 5}})
+	b.Apply([]*fleet.Instance{second}, map[string]*fleet.Service{testService: {Name: testService, Engine: engineModel()}})
+	c, _ := b.Pick(start, testService, demand(), nil)
+	assert.Equal(t, c.Load.Requests, 5)
+}
+
 func TestEachVersionKeepsItsTime(t *testing.T) {
 	cfg := Config{VersionTimeout: 8 * time.Second, VersionMargin: time.Second}
 	b := book(engineModel(), cfg, engine(1, 1), engine(2, 2), engine(3, 3))
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -112,7 +112,7 @@
 		return true
 	}
 	holds := t.Holds(t.model)
-	if s, said := b.states[t.Addr]; said {
+	if s, said := b.states[t.Addr]; said && (s.Born >= t.Born || s.Born == 0) { // else of an earlier life
 		if s.Loading {
 			return false
 		}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -9,7 +9,10 @@
 
 // Instance is one incarnation of a target.
 type Instance struct {
-	ID       string
+	ID string
+	// Born is the Unix time of its start in milliseconds; 0 if not known. A target
+	// may start again under its ID: it then knows nothing of before.
+	Born     int64
 	Service  string
 	Addr     string
 	Domain   string
@@ -20,6 +23,9 @@
 	Models   []ModelVersion
 }
 
+// SameLife reports whether two accounts of a target may be of one life of it.
+func SameLife(born, other int64) bool { return born == other || born == 0 || other == 0 }
+
 // Holds returns the version of m's model that the instance holds with all its
 // layers, or zero.
 func (i *Instance) Holds(m *EngineModel) int {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
@@ -59,6 +60,7 @@
 	relay   Relay
 	log     logrus.FieldLogger
 
+	foreign    metrics.Gauge // entries of the list that name no target to use
 	roster     Roster
 	decoded    map[string]decodedInstance
 	configRev  int64
@@ -79,9 +81,10 @@
 	version int
 }
 
+// decodedInstance is an entry of the list of targets.
 type decodedInstance struct {
 	revision int64
-	instance *fleet.Instance
+	instance *fleet.Instance // nil if the entry names no target
 }
 
 // ControlOptions are what a Control is made of.
@@ -96,12 +99,16 @@
 	Roster  Roster
 	Relay   Relay
 	Log     logrus.FieldLogger
+	Metrics metrics.Registry // nil for none
 }
 
 // NewControl returns a control that is not running.
 func NewControl(o ControlOptions) *Control {
 	o.Config.Tick = cmp.Or(o.Config.Tick, 200*time.Millisecond)
-	return &Control{cfg: o.Config, addr: o.Addr, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, table: o.Table,
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	return &Control{cfg: o.Config, foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), addr: o.Addr, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]int64{}, assignments: map[string]*assignment{},
 		holders: map[string]holder{},
@@ -221,10 +228,11 @@
 			d = c.decodeInstance(i, d)
 		}
 		next[i.Key] = d
-		if d.instance != nil {
+		if d.instance != nil && c.serves(d.instance) {
 			list = append(list, d.instance)
 		}
 	}
+	c.foreign.Update(int64(len(next) - len(list)))
 	c.logVanished(next)
 	c.decoded = next
 	down, ended := c.outage()
@@ -234,11 +242,23 @@
 	}
 }
 
+// serves reports whether a target is of a service that the configuration names. One
+// that is not must not stand for another at its address either.
+func (c *Control) serves(i *fleet.Instance) bool {
+	cfg := c.gateway.Config()
+	return cfg == nil || cfg.Services[i.Service] != nil
+}
+
+// decodeInstance decodes an entry. One that another than a target wrote names no
+// target, also if a target wrote it before. It is logged once, until it is readable
+// again: it may be written each second.
 func (c *Control) decodeInstance(i mirror.Item, old decodedInstance) decodedInstance {
 	inst, err := c.decoder.Instance(i)
 	if err != nil {
-		c.log.WithError(err).WithFields(logrus.Fields{"key": i.Key, "revision": i.Revision}).Error("Target not readable, the last entry stays.")
-		return decodedInstance{i.Revision, old.instance}
+		if old.revision == 0 || old.instance != nil {
+			c.log.WithError(err).WithFields(logrus.Fields{"key": i.Key, "revision": i.Revision}).Warn("Entry names no target.")
+		}
+		return decodedInstance{i.Revision, nil}
 	}
 	c.log.WithFields(logrus.Fields{"target": inst.ID, "service": inst.Service, "addr": inst.Addr, "draining": inst.Draining,
 		"models": inst.Models, "revision": i.Revision}).Info("Target listed.")
@@ -289,7 +309,7 @@
 	}
 	c.setHolder(agent, *s)
 	c.log.WithFields(logrus.Fields{"addr": s.Addr, "model": s.Model, "version": s.Version, "loading": s.Loading}).Info("Engine state heard.")
-	c.book.SetState(s.Addr, dispatch.EngineState{Version: s.Version, Loading: s.Loading})
+	c.book.SetState(s.Addr, dispatch.EngineState{Version: s.Version, Loading: s.Loading, Born: s.Born})
 }
 
 // setHolder notes which version an agent's engine holds.
--- a/sidecar/doubt.go
+++ b/sidecar/doubt.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/fleet"
 )
 
 // LoadOrder tells an engine to load what is staged there.
@@ -75,6 +76,7 @@
 	model    string
 	version  int   // 0: what the agent before ordered, if it did, is not known
 	sequence int64 // its precondition
+	born     int64 // of the engine that it was sent to
 	first    time.Time
 	last     time.Time // when it was sent, or repeated
 	tries    int
@@ -99,6 +101,8 @@
 // with the same precondition the engine begins one.
 func (d doubt) settled(now time.Time, model string, r Report, serving int, grace time.Duration) string {
 	switch {
+	case !fleet.SameLife(d.born, r.Born):
+		return "engine_restarted"
 	case r.Sequence > d.sequence:
 		return "begun"
 	case r.Sequence < d.sequence:
@@ -136,7 +140,7 @@
 // review closes the doubt if the engine's report settles it.
 func (s *Sidecar) review(now time.Time, o order, r Report) {
 	if !s.reached {
-		s.doubt.sequence = r.Sequence // the agent before may have ordered something on it
+		s.doubt.sequence, s.doubt.born = r.Sequence, r.Born // the agent before may have ordered something on it
 	}
 	if !s.doubt.open {
 		return
@@ -163,22 +167,27 @@
 // that an order with the precondition 0 that is still on its way fits once more.
 // What is staged whole is then loaded first, which ends that.
 func (s *Sidecar) revive(now time.Time, r Report) {
-	restarted := !s.up || r.Sequence < s.sequence
-	s.sequence = r.Sequence
+	reborn := !fleet.SameLife(s.born, r.Born)
+	restarted := !s.up || reborn || r.Sequence < s.sequence
+	s.sequence, s.born = r.Sequence, r.Born
+	if reborn {
+		s.stage = nil // what lies there is checked again
+		s.log.WithFields(logrus.Fields{"engine": s.engineAddr, "born": r.Born}).Info("Engine was started anew.")
+	}
 	if !restarted || r.Sequence != 0 || s.doubt.earlier() || now.Sub(s.sentAtZero) >= s.cfg.OrderGrace {
 		return
 	}
 	if s.doubt.open {
 		s.settle(now, "engine_restarted")
 	}
-	s.doubt = doubt{open: true, last: s.sentAtZero, again: now}
+	s.doubt = doubt{open: true, last: s.sentAtZero, again: now, born: r.Born}
 	s.log.WithField("engine", s.engineAddr).Info("Orders in doubt again.")
 }
 
 // doubtful notes that an order got no answer.
 func (s *Sidecar) doubtful(now time.Time, o LoadOrder, err error) {
 	if !s.doubt.ours() {
-		s.doubt = doubt{open: true, model: o.Model, version: o.Version, sequence: o.Precondition, first: now, unfenced: s.doubt.unfenced}
+		s.doubt = doubt{open: true, model: o.Model, version: o.Version, sequence: o.Precondition, born: s.born, first: now, unfenced: s.doubt.unfenced}
 		s.stats.ordersInDoubt.Inc(1)
 		s.log.WithError(err).WithFields(logrus.Fields{"model": o.Model, "version": o.Version, "sequence": o.Precondition,
 			"token": o.Token}).Warn("Order in doubt.")
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -45,6 +45,7 @@
 	unsure  unsure
 
 	sequence   int64     // of the last report
+	born       int64     // likewise
 	sentAtZero time.Time // when an order with the precondition 0 got no answer
 
 	stalled      int // version of which a piece could not be had
@@ -119,7 +120,7 @@
 		return s.cfg.Poll
 	}
 	serves := r.serves(o.Model, o.Layers)
-	s.tell(o.Model, serves, r.Busy)
+	s.tell(o.Model, serves, r.Busy, r.Born)
 	step := s.cfg.Plan(now, r, o, s.holdings(now))
 	if step != s.step {
 		s.log.WithFields(logrus.Fields{"step": step.Action.String(), "from": s.step.Action.String(), "model": o.Model,
@@ -199,13 +200,13 @@
 		s.stage = nil // what lies there is checked again
 	}
 	if o := s.assigned(); o.Model != "" {
-		s.tell(o.Model, 0, false)
+		s.tell(o.Model, 0, false, s.born)
 	}
 }
 
 // tell says what the engine serves, if that has changed.
-func (s *Sidecar) tell(model string, version int, loading bool) {
-	state := peer.EngineState{Addr: s.engineAddr, Model: model, Version: version, Loading: loading}
+func (s *Sidecar) tell(model string, version int, loading bool, born int64) {
+	state := peer.EngineState{Addr: s.engineAddr, Model: model, Version: version, Loading: loading, Born: born}
 	if state == s.said {
 		return
 	}
@@ -270,7 +271,7 @@
 		return 0 // the next step stages what is bad
 	}
 	if !s.doubt.ours() { // an engine whose order is repeated may serve on for long
-		s.tell(o.Model, r.serves(o.Model, o.Layers), true)
+		s.tell(o.Model, r.serves(o.Model, o.Layers), true, r.Born)
 	}
 	order := s.newOrder(o.Model, version, r)
 	fields := logrus.Fields{"model": o.Model, "version": version, "running": r.Running, "sequence": order.Precondition, "token": order.Token}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -46,6 +46,7 @@
 	sequence int64
 	token    uint64 // the highest seen
 	lives    int    // starts
+	born     int64  // Unix milliseconds of the last start; 0 if it does not tell
 	slow     bool   // puts get no answer, and land slowPut later
 }
 
@@ -59,7 +60,7 @@
 	if e.down {
 		return Report{}, errors.New("refused")
 	}
-	r := Report{Busy: time.Now().Before(e.loading), Sequence: e.sequence}
+	r := Report{Busy: time.Now().Before(e.loading), Sequence: e.sequence, Born: e.born}
 	if e.serves > 0 {
 		r.Models = []fleet.ModelVersion{{Model: "m", Version: e.serves, Layers: 16}}
 	}
@@ -605,6 +606,35 @@
 	})
 }
 
+// An engine starts anew within the time between two reports, and its count is again
+// what it was: only the time of its start tells. The order in doubt comes to its next
+// process, while a newer version is due.
+func TestOrderThatOutlivesALifeThatEndedUnseen(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, late: seconds(3.5), outlive: true, serves: 1, born: 1000}
+	run(t, Config{}, e, &fakeSource{}, func(s *Sidecar, said func() peer.EngineState) {
+		s.Assign(time.Now(), assignment(2, 0, 1))
+		time.Sleep(510 * time.Millisecond)
+		e.set(func() {
+			e.serves, e.sequence, e.token, e.born = 0, 0, 0, 2000
+			e.lives++
+		})
+		s.Assign(time.Now(), thirdAfterSecond())
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, said().Born, int64(2000))
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, said().Version, 3)
+		assert.Assert(t, !e.spoilt)
+	})
+}
+
+// An order is not settled by what a later life of the engine has begun.
+func TestOrderIsNotSettledByTheCountOfAnotherLife(t *testing.T) {
+	d := doubt{open: true, model: "m", version: 2, sequence: 0, born: 1000, last: start}
+	assert.Equal(t, d.settled(start, "m", Report{Sequence: 1, Born: 2000}, 0, time.Minute), "engine_restarted")
+	assert.Equal(t, d.settled(start, "m", Report{Sequence: 1, Born: 1000}, 0, time.Minute), "begun")
+	assert.Equal(t, d.settled(start, "m", Report{Sequence: 1}, 0, time.Minute), "begun", "it does not tell")
+}
+
 // An engine that counts no orders and heeds no tokens is served all the same.
 func TestEngineThatCountsNoOrders(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1, uncounted: true, late: seconds(1)}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -118,7 +118,8 @@
 func (f *Fleet) startTargets() error {
 	for i := range f.cfg.Engines + f.cfg.Plains {
 		var way *Link
-		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)]}
+		// Every other target starts again under its ID.
+		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)], KeepID: i%2 == 1}
 		if i < f.cfg.Engines {
 			cfg.Service, cfg.Model, cfg.Holds = engineService, model, 1
 			cfg.RequireFencing = i%2 == 0
