Sidecar: puts of the agent before, slow reads and entries that are gone

Cause: a new agent knew nothing of pieces that the one before had put without an answer; an agent whose reads of all pieces took over 1.5 s never sent an order; an entry that had said that it cannot read a version was believed after it was gone. Ruled out: raising the age that a check may have: bytes that went bad are excused for 3 s. Change: for OrderGrace after its start an agent that is not of the fleet's first start reads all pieces back before an order; each further try for an order reads four times as many at once; links that break end what their entry withheld.

--- a/mesh/link.go
+++ b/mesh/link.go
@@ -172,11 +172,20 @@
 // linkBroke notes that an entry cannot be reached, unless another link to it has
 // replaced this one.
 func (m *Mesh) linkBroke(l *link) {
+	if m.noteBroken(l) && m.unassigned != nil {
+		m.unassigned(l.addr)
+	}
+}
+
+// noteBroken reports whether no other link to the entry has replaced this one.
+func (m *Mesh) noteBroken(l *link) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.links[l.addr] == l {
-		m.members.Lost(l.addr)
+	if now := m.links[l.addr]; now != nil && now != l {
+		return false
 	}
+	m.members.Lost(l.addr)
+	return true
 }
 
 // linkedFor is longer than any link lasts.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -30,19 +30,20 @@
 
 // Mesh is this process's part of the network.
 type Mesh struct {
-	cfg      Config
-	self     peer.Presence
-	pool     *peer.Pool
-	log      logrus.FieldLogger
-	listener Listener
-	assigned func(peer.Assignment)
-	table    *mirror.Table // nil at agents
-	metrics  metrics.Registry
-	made     time.Time       // zero of the clock that is told to others
-	moves    metrics.Counter // changes of the source of the own copy
-	store    *mirror.Contact // set by Follow
-	engines  *engineBoard
-	seed     bool // others begin with this entry
+	cfg        Config
+	self       peer.Presence
+	pool       *peer.Pool
+	log        logrus.FieldLogger
+	listener   Listener
+	assigned   func(peer.Assignment)
+	unassigned func(addr string)
+	table      *mirror.Table // nil at agents
+	metrics    metrics.Registry
+	made       time.Time       // zero of the clock that is told to others
+	moves      metrics.Counter // changes of the source of the own copy
+	store      *mirror.Contact // set by Follow
+	engines    *engineBoard
+	seed       bool // others begin with this entry
 
 	mu          sync.Mutex
 	members     *Members
@@ -68,9 +69,11 @@
 	Pool     *peer.Pool
 	Listener Listener              // nil at agents
 	Assigned func(peer.Assignment) // at agents
-	Table    *mirror.Table         // own copy of the store; nil at agents
-	Log      logrus.FieldLogger
-	Metrics  metrics.Registry // nil for none
+	// Unassigned is told, at agents, that an entry is not heard any more; nil for none.
+	Unassigned func(addr string)
+	Table      *mirror.Table // own copy of the store; nil at agents
+	Log        logrus.FieldLogger
+	Metrics    metrics.Registry // nil for none
 }
 
 // New returns a mesh that is not running.
@@ -79,7 +82,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
-	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, table: o.Table,
+	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, unassigned: o.Unassigned, table: o.Table,
 		metrics: o.Metrics, made: time.Now(), moves: metrics.NewRegisteredCounter("mesh.source_changes", o.Metrics),
 		members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
 		engines: newEngineBoard(o.Listener), seed: slices.Contains(o.Seeds, o.Self.Addr), spoken: map[string]spoken{},
--- a/mesh/size_test.go
+++ b/mesh/size_test.go
@@ -35,10 +35,10 @@
 	stop  context.CancelFunc
 
 	mu       sync.Mutex
-	down     bool
+	down     bool // refuses connections
 	conns    []*peer.Conn
 	engines  map[string]peer.EngineState // by address, as the mesh tells
-	assigned int                         // assignments that came
+	assigned map[string]bool             // entries that assign, at agents
 }
 
 const cityDomains = 5
@@ -47,7 +47,7 @@
 func startCity(entries, agents int) *city {
 	c := &city{byAddr: map[string]*citizen{}, entries: entries}
 	for i := range entries + agents {
-		m := &citizen{city: c, meter: &peer.Meter{}, engines: map[string]peer.EngineState{}}
+		m := &citizen{city: c, down: true, meter: &peer.Meter{}, engines: map[string]peer.EngineState{}, assigned: map[string]bool{}}
 		m.self = peer.Presence{Host: fmt.Sprint("host-", i), Domain: fmt.Sprint("domain-", i%cityDomains), Incarnation: 1, LinkMbps: 200}
 		if i < entries {
 			m.self.Addr = fmt.Sprintf("10.1.0.%d:8000", i)
@@ -77,11 +77,13 @@
 		o.Listener, o.Table = m, mirror.NewTable("")
 		loads = func() []peer.TargetLoad { return nil }
 	} else {
-		o.Assigned = func(peer.Assignment) { m.note(func() { m.assigned++ }) }
+		o.Assigned = func(a peer.Assignment) { m.note(func() { m.assigned[a.Entry] = true }) }
+		o.Unassigned = func(addr string) { m.note(func() { delete(m.assigned, addr) }) }
 	}
 	m.mesh = New(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
+	m.note(func() { m.down = false })
 	go m.mesh.Run(ctx, loads)
 	if m.self.Addr == "" {
 		m.mesh.Say(peer.EngineState{Addr: m.self.Engine, Model: "m", Version: 1})
@@ -136,8 +138,8 @@
 		m.engines[a.Engine] = *s
 	})
 }
-func (*citizen) Assignment(peer.Presence) (*peer.Assignment, <-chan struct{}) {
-	return &peer.Assignment{Model: "m", Version: 1}, make(chan struct{})
+func (m *citizen) Assignment(peer.Presence) (*peer.Assignment, <-chan struct{}) {
+	return &peer.Assignment{Entry: m.self.Addr, Model: "m", Version: 1}, make(chan struct{})
 }
 
 func (m *citizen) kill() {
@@ -167,7 +169,7 @@
 	return bytes, messages
 }
 
-// complete returns how many words of engines the live entries lack, where each should
+// lacking returns how many words of engines the live entries lack, where each should
 // know a version of each engine.
 func (c *city) lacking(version int) int {
 	lacking := 0
@@ -200,6 +202,7 @@
 		for _, agent := range c.members[c.entries:] {
 			linked := len(agent.mesh.Entries())
 			assert.Assert(t, linked >= 1+farLinks && linked <= nearLinks+farLinks, "%d links", linked)
+			agent.note(func() { assert.Equal(t, len(agent.assigned), linked) })
 		}
 		c.say(2)
 		time.Sleep(200 * time.Millisecond)
@@ -216,8 +219,12 @@
 		c.say(3)
 		time.Sleep(200 * time.Millisecond)
 		assert.Equal(t, c.lacking(3), 0, "agents of the domain name other speakers")
+		for _, agent := range c.members[c.entries:] {
+			for _, m := range lost {
+				agent.note(func() { assert.Assert(t, !agent.assigned[m.self.Addr]) })
+			}
+		}
 		for _, m := range lost {
-			m.note(func() { m.down = false })
 			m.self.Incarnation++
 			m.start()
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -61,7 +61,12 @@
 // New returns a sidecar of the engine at addr. say tells the entries.
 func New(cfg Config, engine Engine, addr string, source Source, say func(peer.EngineState), stats *Stats,
 	log logrus.FieldLogger) *Sidecar {
-	return &Sidecar{cfg: cfg.applyDefaults(), engine: engine, engineAddr: addr, source: source, say: say, stats: stats, log: log,
+	cfg = cfg.applyDefaults()
+	var before time.Time // until when a piece of the agent before may come
+	if !cfg.FirstStart {
+		before = time.Now().Add(cfg.OrderGrace)
+	}
+	return &Sidecar{cfg: cfg, unsure: unsure{all: before}, engine: engine, engineAddr: addr, source: source, say: say, stats: stats, log: log,
 		doubt: doubt{open: true, last: time.Now()}, wake: make(chan struct{}, 1)}
 }
 
@@ -81,6 +86,14 @@
 	}
 }
 
+// Unassign forgets what an entry said that is not heard any more: whether it can read
+// a version may have changed. The versions themselves stay.
+func (s *Sidecar) Unassign(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.order = s.order.without(entry)
+}
+
 func (s *Sidecar) assigned() order {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -44,10 +44,11 @@
 	// loseAll: also orders of what it serves are late.
 	loseAll  bool
 	sequence int64
-	token    uint64 // the highest seen
-	lives    int    // starts
-	born     int64  // Unix milliseconds of the last start; 0 if it does not tell
-	slow     bool   // puts get no answer, and land slowPut later
+	token    uint64        // the highest seen
+	lives    int           // starts
+	born     int64         // Unix milliseconds of the last start; 0 if it does not tell
+	slow     bool          // puts get no answer, and land slowPut later
+	readTime time.Duration // of a staged piece
 }
 
 // slowPut is how late a piece lands of which the put got no answer: after the put
@@ -85,6 +86,7 @@
 }
 
 func (e *fakeEngine) StagedPiece(_ context.Context, _, _ string, index int) ([]byte, error) {
+	time.Sleep(e.readTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
@@ -665,6 +667,53 @@
 	})
 }
 
+// A put of the agent before lands late, over the piece of a newer version that the new
+// agent has staged and checked.
+func TestPieceOfTheAgentBeforeThatLandsLateIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := Config{VerifyAge: time.Hour}
+		e := &fakeEngine{staged: map[int]string{}, serves: 1, slow: true}
+		s, _, end := begin(t, cfg, e, &fakeSource{})
+		s.Assign(time.Now(), assignment(2, 0, 1))
+		time.Sleep(100 * time.Millisecond)
+		e.set(func() { e.slow = false })
+		end()
+		s, said, end := begin(t, cfg, e, &fakeSource{})
+		s.Assign(time.Now(), assignment(3, 1, 2)) // the turn comes after those pieces
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, said().Version, 3)
+		assert.Assert(t, !e.spoilt)
+		end()
+	})
+}
+
+// Reads of staged pieces are so slow that four at a time take longer than a check may
+// be old: more are read at once, and the order is sent.
+func TestSlowReadsOfStagedPiecesDoNotKeepTheOrder(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, serves: 1, readTime: 900 * time.Millisecond}
+	run(t, Config{}, e, &fakeSource{}, func(s *Sidecar, said func() peer.EngineState) {
+		s.Assign(time.Now(), assignment(2, 1, 2)) // the turn comes when the checks are old
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, said().Version, 2)
+		assert.Assert(t, !e.spoilt)
+	})
+}
+
+// An entry that could not read the newest version is gone: the older one is not loaded
+// because of it.
+func TestVersionWithheldByAnEntryThatIsGone(t *testing.T) {
+	s := New(Config{}, &fakeEngine{}, "engine", &fakeSource{}, func(peer.EngineState) {}, NewStats(metrics.NewRegistry()), logrus.New())
+	a := assignment(2, 0, 1)
+	a.Entry, a.Withheld = "entry-1", true
+	s.Assign(start, a)
+	assert.Assert(t, s.assigned().withheld())
+	s.Unassign("entry-2")
+	assert.Assert(t, s.assigned().withheld())
+	s.Unassign("entry-1")
+	assert.Assert(t, !s.assigned().withheld())
+	assert.Equal(t, s.assigned().Version, 2, "the version stays")
+}
+
 // Whatever order orders, restarts and versions come in, the engine loads only
 // what is whole and serves the newest version in the end.
 func TestEngineLoadsOnlyWhatIsWhole(t *testing.T) {
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -14,7 +14,8 @@
 )
 
 // readsAtOnce is how many staged pieces are read back at once. One at a time may
-// take longer than a check may be old when an order is sent.
+// take longer than a check may be old when an order is sent. Each further try for one
+// order reads four times as many, so that an engine whose reads are slow gets orders.
 const readsAtOnce = 4
 
 // verifyTries is how often in one turn staged pieces are checked anew because the
@@ -90,6 +91,7 @@
 type unsure struct {
 	mu    sync.Mutex
 	until map[int]time.Time
+	all   time.Time // likewise of pieces that the agent before may have put
 }
 
 func (u *unsure) add(index int, until time.Time) {
@@ -104,7 +106,7 @@
 func (u *unsure) has(index int, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return now.Before(u.until[index])
+	return now.Before(u.all) || now.Before(u.until[index])
 }
 
 // manifest reads the manifest of a version.
@@ -132,7 +134,7 @@
 	began := time.Now()
 	if s.check(ctx, 0) == sound {
 		s.mark(0, true, began)
-		s.verify(ctx, 0)
+		s.verify(ctx, 0, readsAtOnce)
 	}
 	return nil
 }
@@ -239,7 +241,7 @@
 		}
 		s.stage = newStage(m)
 	}
-	unanswered := s.readBack(ctx, 0).unanswered
+	unanswered := s.readBack(ctx, 0, readsAtOnce).unanswered
 	least := s.stage.stagedProgress().share
 	most := least + float64(unanswered)/float64(len(s.stage.staged))
 	switch {
@@ -302,7 +304,7 @@
 // readBack reads staged pieces back that were last checked longer than age ago,
 // or over which another may come. Bytes may go bad while they lie there. A piece
 // of which the read got no answer counts as missing until it is read or put.
-func (s *Sidecar) readBack(ctx context.Context, age time.Duration) findings {
+func (s *Sidecar) readBack(ctx context.Context, age time.Duration, atOnce int) findings {
 	var due []int
 	for i, at := range s.stage.checked {
 		if time.Since(at) >= age || s.unsure.has(i, time.Now()) {
@@ -313,7 +315,7 @@
 	always := func() bool { return true }
 	// There are no errors: what a read tells is counted. All are begun, also when
 	// ctx ends, so that none is taken for sound unread.
-	_ = each(context.WithoutCancel(ctx), due, readsAtOnce, always, func(i int) (func(), error) {
+	_ = each(context.WithoutCancel(ctx), due, atOnce, always, func(i int) (func(), error) {
 		began := time.Now() // the bytes may go bad while the answer is on its way
 		f := s.check(ctx, i)
 		return func() {
@@ -330,8 +332,8 @@
 }
 
 // verify reads staged pieces back and reports whether all were found sound.
-func (s *Sidecar) verify(ctx context.Context, age time.Duration) bool {
-	n := s.readBack(ctx, age)
+func (s *Sidecar) verify(ctx context.Context, age time.Duration, atOnce int) bool {
+	n := s.readBack(ctx, age, atOnce)
 	if n == (findings{}) {
 		return true
 	}
@@ -343,10 +345,12 @@
 // verifyForOrder verifies until no check is older than an order allows: the agent may
 // have been frozen in between, or reads may be slow.
 func (s *Sidecar) verifyForOrder(ctx context.Context, age time.Duration) bool {
+	atOnce := readsAtOnce
 	for range verifyTries {
-		if !s.verify(ctx, age) {
+		if !s.verify(ctx, age, atOnce) {
 			return false
 		}
+		atOnce *= 4
 		if time.Since(s.stage.oldestCheck()) < s.cfg.OrderAge {
 			return true
 		}
--- a/sidecar/wanted.go
+++ b/sidecar/wanted.go
@@ -59,6 +59,13 @@
 	return out
 }
 
+// without returns the order without what an entry fails to read.
+func (o order) without(entry string) order {
+	o.failing = maps.Clone(o.failing)
+	delete(o.failing, entry)
+	return o
+}
+
 // withheld reports whether an entry fails to read the newest version.
 func (o order) withheld() bool {
 	for _, failing := range o.failing {
