Mirror: a whole copy may take 4 s over a link that many share

Cause: a read of the whole copy was given up after 1 s and begun anew. Seven entries that start together behind one link of 27 Mbit/s need 2.1 s for 1 MB each; where a copy takes longer than 1 s for each, none ever ends, and the failure domain has no configuration. Ruled out: a bound of the first byte only; a peer's copy is one message and shows no progress. Change: RangeTimeout of 4 s; the store counts as not reached after 1 s all the same, so that others are chosen as readers meanwhile. Result: TestCopyIsReadOverALinkThatManyShare: none of seven has the copy after 4 s on the older code, all on this.

--- a/mirror/contact.go
+++ b/mirror/contact.go
@@ -13,6 +13,9 @@
 // as not reached: longer than an answer of a store that is slow takes (0.4 s).
 const overdueAfter = 500 * time.Millisecond
 
+// rangeOverdueAfter is likewise of a read of a whole copy, which goes on all the same.
+const rangeOverdueAfter = time.Second
+
 // Contact is the store as this process reaches it: a Source that knows whether
 // its calls fail. Its methods may be called concurrently.
 type Contact struct {
@@ -68,7 +71,9 @@
 // old as the first.
 func (c *Contact) Range(ctx context.Context, prefix string) (Batch, error) {
 	call := c.begin()
+	overdue := time.AfterFunc(rangeOverdueAfter, func() { c.fail(call, errors.New("mirror: read of a whole copy is overdue")) })
 	b, err := c.store.Range(ctx, prefix)
+	overdue.Stop()
 	c.end(ctx, call, err)
 	b.FirstHand, b.Age = true, time.Since(call.begun)
 	return b, err
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -22,9 +22,13 @@
 	// bursts. A change after a quiet time is seen at once. Default 200 ms, a tenth
 	// of the time in which a configuration must be in force.
 	Interval time.Duration
-	// Timeout bounds a read that does not wait, and how late a watch may be.
-	// Default 1 s.
+	// Timeout bounds how late a watch may be. Default 1 s.
 	Timeout time.Duration
+	// RangeTimeout bounds the read of a whole copy. One of 3,000 targets has 1 MB,
+	// and the entries of a failure domain that start together read it over one link:
+	// seven of them need 2.1 s at 27 Mbit/s. One that gives up sooner begins anew and
+	// keeps the others from ending. Default 4 s.
+	RangeTimeout time.Duration
 	// Backoff is the pause after a failure with no other source; it doubles
 	// up to MaxBackoff. In an outage of the store all processes call it so often,
 	// and the first whose call works tells the others. Defaults 50 ms and 2 s.
@@ -47,6 +51,7 @@
 	c.Wait = cmp.Or(c.Wait, time.Second)
 	c.Interval = cmp.Or(c.Interval, 200*time.Millisecond)
 	c.Timeout = cmp.Or(c.Timeout, time.Second)
+	c.RangeTimeout = cmp.Or(c.RangeTimeout, rangeTimeout)
 	c.Backoff = cmp.Or(c.Backoff, 50*time.Millisecond)
 	c.MaxBackoff = cmp.Or(c.MaxBackoff, 2*time.Second)
 	c.StaleAfter = cmp.Or(c.StaleAfter, 1300*time.Millisecond)
@@ -248,7 +253,7 @@
 }
 
 func (f *Follower) readAll(ctx context.Context, src Source) error {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.RangeTimeout)
 	defer cancel()
 	b, err := src.Range(ctx, f.table.prefix)
 	if err != nil {
@@ -258,23 +263,23 @@
 	return nil
 }
 
-// catchUpTimeout bounds one CatchUp; a peer's copy lies in its memory.
+// rangeTimeout is the default of Config.RangeTimeout, which CatchUp keeps to.
+const rangeTimeout = 4 * time.Second
+
+// catchUpTimeout bounds the read of changes by CatchUp; a peer's copy lies in its
+// memory.
 const catchUpTimeout = time.Second
 
 // CatchUp applies what src has beyond the table, without waiting.
 func CatchUp(ctx context.Context, src Source, t *Table) error {
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
 	if after := t.Revision(); after > 0 {
-		b, err := src.Watch(ctx, t.prefix, after, 0)
-		if err == nil {
-			t.Apply(time.Now(), b)
-			return nil
-		}
+		err := catchUpChanges(ctx, src, t, after)
 		if !errors.Is(err, ErrCompacted) {
 			return err
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
+	defer cancel()
 	b, err := src.Range(ctx, t.prefix)
 	if err != nil {
 		return err
@@ -282,3 +287,14 @@
 	t.Replace(time.Now(), b)
 	return nil
 }
+
+func catchUpChanges(ctx context.Context, src Source, t *Table, after int64) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	b, err := src.Watch(ctx, t.prefix, after, 0)
+	if err != nil {
+		return err
+	}
+	t.Apply(time.Now(), b)
+	return nil
+}
--- a/mirror/table_test.go
+++ b/mirror/table_test.go
@@ -259,6 +259,59 @@
 	})
 }
 
+// Seven entries start together and read the whole copy, 1 MB, over one link of
+// 27 Mbit/s, which carries what one asks for as long as it waits for it.
+func TestCopyIsReadOverALinkThatManyShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		link := &sharedLink{}
+		var tables []*Table
+		for range 7 {
+			table := NewTable("")
+			tables = append(tables, table)
+			go newFollower(table, NewContact(link, quiet()), nil).Run(ctx)
+		}
+		time.Sleep(4 * time.Second)
+		for _, table := range tables {
+			assert.Equal(t, table.Revision(), int64(7))
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// sharedLink is a store whose answers share a link.
+type sharedLink struct{ reading atomic.Int64 }
+
+// A copy of 1 MB takes 300 ms on the link alone.
+const copyTime = 300 * time.Millisecond
+
+func (*sharedLink) Name() string { return "store" }
+
+func (l *sharedLink) Range(ctx context.Context, _ string) (Batch, error) {
+	l.reading.Add(1)
+	defer l.reading.Add(-1)
+	const step = 10 * time.Millisecond
+	for left := copyTime; left > 0; left -= step / time.Duration(l.reading.Load()) {
+		select {
+		case <-time.After(step):
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+	return Batch{Revision: 7}, nil
+}
+
+func (*sharedLink) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+	select {
+	case <-time.After(wait):
+		return Batch{Revision: after}, nil
+	case <-ctx.Done():
+		return Batch{}, ctx.Err()
+	}
+}
+
 // A watch that the store cut without a word ends by the follower's own time.
 func TestFollowerNoticesAWatchThatHangs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
