--- /dev/null
+++ b/gateway/foreign_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/targetconn"
+	"gotest.tools/v3/assert"
+)
+
+// textDecoder reads entries of the form "SERVICE ADDR"; others no target wrote.
+type textDecoder struct{ Decoder }
+
+func (textDecoder) IsInstance(mirror.Item) bool { return true }
+
+func (textDecoder) Instance(i mirror.Item) (*fleet.Instance, error) {
+	inst := &fleet.Instance{ID: i.Key, Revision: i.Revision, Slots: 1}
+	if n, _ := fmt.Sscanf(string(i.Value), "%s %s", &inst.Service, &inst.Addr); n != 2 {
+		return nil, errors.New("not an entry of a target")
+	}
+	return inst, nil
+}
+
+// Entries that name no target harm no other, whoever writes them, however often.
+func TestEntriesOfOtherWritersHarmNoOther(t *testing.T) {
+	log, lines := test.NewNullLogger()
+	log.SetLevel(logrus.InfoLevel)
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	book := dispatch.NewBook(dispatch.Config{}, rand.New(rand.NewPCG(1, 2)))
+	g := New(Config{}, testDialect{}, book, targetconn.NewPool(targetconn.Config{}), granted{}, NewStats(metrics.NewRegistry()), quiet)
+	g.SetConfig(fleet.NewConfig(1, routes(), []*fleet.Service{{Name: "s"}}, nil, fleet.Limits{}))
+	c := NewControl(ControlOptions{Gateway: g, Book: book, Decoder: textDecoder{}, Log: log,
+		Outage: func() (bool, time.Time) { return false, time.Time{} }, Roster: Roster{Hold: -1}})
+	usable := func(items ...mirror.Item) (ids []string) {
+		c.applyInstances(items)
+		for _, i := range c.list {
+			ids = append(ids, i.ID)
+		}
+		return ids
+	}
+	item := func(key, value string, revision int64) mirror.Item {
+		return mirror.Item{Key: key, Value: []byte(value), Revision: revision}
+	}
+	good, other := item("i-1", "s 10.0.0.1:80", 1), item("i-2", "s 10.0.0.2:80", 2)
+	assert.DeepEqual(t, usable(good, other), []string{"i-1", "i-2"})
+	// A service that the configuration does not name takes no address.
+	assert.DeepEqual(t, usable(good, other, item("x", "unknown 10.0.0.1:80", 3)), []string{"i-1", "i-2"})
+	assert.Equal(t, c.foreign.Value(), int64(1))
+	lines.Reset()
+	for r := int64(4); r < 40; r++ {
+		assert.DeepEqual(t, usable(good, item("i-2", "?", r), item("y", "", r)), []string{"i-1"})
+	}
+	assert.Equal(t, c.foreign.Value(), int64(2))
+	warnings := 0
+	for _, e := range lines.AllEntries() {
+		if e.Level == logrus.WarnLevel {
+			warnings++
+		}
+	}
+	assert.Equal(t, warnings, 2, "one line for each")
+	assert.DeepEqual(t, usable(good, item("i-2", "s 10.0.0.2:80", 50)), []string{"i-1", "i-2"})
+}
