--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -237,47 +237,6 @@
 	m.changed = make(chan struct{})
 }
 
-// compare reads from a peer what its copy of the store has and the own has not.
-func (m *Mesh) compare(ctx context.Context, now time.Time) {
-	addr, ahead := m.members.Ahead(now, m.table.Revision(), m.self.Domain)
-	if !ahead {
-		m.behindSince = time.Time{}
-		return
-	}
-	if m.behindSince.IsZero() {
-		m.behindSince = now
-	}
-	if now.Sub(m.behindSince) < m.patienceBehind(now) || m.catchingUp {
-		return
-	}
-	m.catchingUp = true
-	go m.catchUp(ctx, addr)
-}
-
-// patienceBehind is how long the own copy may be behind. No watch is to be waited
-// for when nobody has confirmed the copy for longer than one takes; an entry
-// without a copy reads it from its source.
-func (m *Mesh) patienceBehind(now time.Time) time.Duration {
-	if at := m.table.ContactAt(); !at.IsZero() && now.Sub(at) > m.cfg.UnconfirmedAfter {
-		return 0
-	}
-	return m.cfg.BehindAfter
-}
-
-func (m *Mesh) catchUp(ctx context.Context, addr string) {
-	before := m.table.Revision()
-	err := mirror.CatchUp(ctx, &peerSource{mesh: m, addr: addr}, m.table)
-	m.mu.Lock()
-	m.catchingUp, m.behindSince = false, time.Time{}
-	m.mu.Unlock()
-	fields := logrus.Fields{"peer": addr, "from_revision": before, "to_revision": m.table.Revision()}
-	if err != nil {
-		m.log.WithFields(fields).WithError(err).Info("Could not catch up from a peer.")
-		return
-	}
-	m.log.WithFields(fields).Info("Caught up from a peer.")
-}
-
 func sameAddrs(a, b []peer.Presence) bool {
 	if len(a) != len(b) {
 		return false
@@ -321,57 +280,6 @@
 	}
 }
 
-// Say tells the entries that this agent is linked to the state of its engine; links
-// that open later tell it first. One of them passes it on to all others.
-func (m *Mesh) Say(s peer.EngineState) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.said != nil {
-		s.Seq = m.said.Seq + 1
-	}
-	m.said = &s
-	for addr, l := range m.links {
-		l.say(m.wordFor(addr))
-	}
-}
-
-// wordFor returns an agent's newest word as an entry is to be told, or nil; the lock
-// is held.
-func (m *Mesh) wordFor(addr string) *peer.EngineState {
-	if m.said == nil {
-		return nil
-	}
-	s := *m.said
-	s.Speak = addr == m.speaker
-	return &s
-}
-
-// chooseSpeaker names another entry as speaker if the link to the last one is lost;
-// the lock is held.
-func (m *Mesh) chooseSpeaker() {
-	if hasAddr(m.live, m.speaker) && m.links[m.speaker] != nil || len(m.live) == 0 {
-		return
-	}
-	old := m.speaker
-	m.speaker = m.nearestLive()
-	m.log.WithFields(logrus.Fields{"from": old, "speaker": m.speaker}).Debug("Speaker changed.")
-	for _, addr := range []string{old, m.speaker} {
-		if l := m.links[addr]; l != nil && m.said != nil {
-			l.say(m.wordFor(addr))
-		}
-	}
-}
-
-// nearestLive returns a live entry, of the own failure domain if there is one; the
-// lock is held.
-func (m *Mesh) nearestLive() string {
-	var live []candidate
-	for _, p := range m.live {
-		live = append(live, candidate{p, true})
-	}
-	return chooseLinks(m.self, live)[0]
-}
-
 // heard notes what an entry says of itself.
 func (m *Mesh) heard(p peer.Presence) {
 	m.mu.Lock()
@@ -397,51 +305,6 @@
 	m.members.Lost(addr)
 }
 
-// known returns this entry and the live others, for those who ask, and a channel that
-// is closed when they change.
-func (m *Mesh) known() (self peer.Presence, live []peer.Presence, changed <-chan struct{}) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.presence(), m.live, m.changed
-}
-
-// Serve handles a stream that another process opened with its Presence.
-func (m *Mesh) Serve(ctx context.Context, s *peer.Stream, first *peer.Presence) {
-	if first.Addr != "" {
-		m.heard(*first)
-	}
-	go m.tellNews(ctx, s, *first)
-	if first.Engine != "" {
-		go m.tellAssignments(ctx, s, *first)
-	}
-	id := m.engines.open()
-	for {
-		msg, err := s.Recv(ctx)
-		if err != nil {
-			break
-		}
-		m.take(id, first, msg)
-	}
-	m.agentGone(id, first.Engine)
-	m.engines.end(id)
-}
-
-// take handles one message of a stream that another process opened.
-func (m *Mesh) take(id streamID, first *peer.Presence, msg peer.Message) {
-	switch v := msg.(type) {
-	case *peer.Loads:
-		from := *first
-		from.Leaving, from.Revision, from.Store = v.Leaving, v.Revision, v.Store
-		m.heard(from)
-		m.listener.Loads(from.Addr, v)
-	case *peer.EngineState:
-		m.engines.hear(id, engineWord{*first, *v})
-		m.passOn(id, *first, *v)
-	case *peer.EngineStates:
-		m.statesHeard(id, v)
-	}
-}
-
 // Nearest returns up to n live entries that this process should ask for key, in
 // order: those of the own failure domain by rendezvous hashing, then others.
 // Entries with slow links are left out.
--- /dev/null
+++ b/mesh/serve.go
@@ -0,0 +1,52 @@
+package mesh
+
+import (
+	"context"
+
+	"github.com/springgate/springgate/peer"
+)
+
+// known returns this entry and the live others, for those who ask, and a channel that
+// is closed when they change.
+func (m *Mesh) known() (self peer.Presence, live []peer.Presence, changed <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.presence(), m.live, m.changed
+}
+
+// Serve handles a stream that another process opened with its Presence.
+func (m *Mesh) Serve(ctx context.Context, s *peer.Stream, first *peer.Presence) {
+	if first.Addr != "" {
+		m.heard(*first)
+	}
+	go m.tellNews(ctx, s, *first)
+	if first.Engine != "" {
+		go m.tellAssignments(ctx, s, *first)
+	}
+	id := m.engines.open()
+	for {
+		msg, err := s.Recv(ctx)
+		if err != nil {
+			break
+		}
+		m.take(id, first, msg)
+	}
+	m.agentGone(id, first.Engine)
+	m.engines.end(id)
+}
+
+// take handles one message of a stream that another process opened.
+func (m *Mesh) take(id streamID, first *peer.Presence, msg peer.Message) {
+	switch v := msg.(type) {
+	case *peer.Loads:
+		from := *first
+		from.Leaving, from.Revision, from.Store = v.Leaving, v.Revision, v.Store
+		m.heard(from)
+		m.listener.Loads(from.Addr, v)
+	case *peer.EngineState:
+		m.engines.hear(id, engineWord{*first, *v})
+		m.passOn(id, *first, *v)
+	case *peer.EngineStates:
+		m.statesHeard(id, v)
+	}
+}
