Mesh: an agent knows an entry before it hears what that assigns

Ruled out: slow reads of staged pieces; taken over and ordered lie in one moment of the log. Change: a link that is up counts at once, and the first news of the members goes before the first assignment. Result: TestEntryThatAssignsCanBeAsked failed before and passes; mesh passes with the race detector.

--- a/mesh/link.go
+++ b/mesh/link.go
@@ -162,11 +162,14 @@
 }
 
 // linked notes that an agent's link to an entry is up; it counts as heard
-// until the link breaks.
+// until the link breaks. The entry can be asked from now on: the assignment that comes
+// next on the link is acted upon at once.
 func (m *Mesh) linked(p peer.Presence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.members.Heard(time.Now().Add(linkedFor), p)
+	now := time.Now()
+	m.members.Heard(now.Add(linkedFor), p)
+	m.setLive(m.members.Live(now))
 }
 
 // linkBroke notes that an entry cannot be reached, unless another link to it has
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -90,14 +90,31 @@
 	return !was
 }
 
-// tellNews tells a stream of the members as they change.
-func (m *Mesh) tellNews(ctx context.Context, s *peer.Stream, to peer.Presence) {
+// tell tells a stream of the members and, if it is an agent's, what its engine is to
+// serve. An agent knows the entry before it hears that: it asks the entry for pieces.
+func (m *Mesh) tell(ctx context.Context, s *peer.Stream, to peer.Presence) {
 	n := newNews(to, m.seed)
-	for {
-		self, live, changed := m.known()
-		if msg := n.next(self, live); msg != nil && s.Send(ctx, msg) != nil {
-			return
-		}
+	changed, ok := m.sendNews(ctx, s, n)
+	if !ok {
+		return
+	}
+	if to.Engine != "" {
+		go m.tellAssignments(ctx, s, to)
+	}
+	m.tellNews(ctx, s, n, changed)
+}
+
+// sendNews sends what the stream has not been told. It returns a channel that is closed
+// at the next change, and false if the stream has ended.
+func (m *Mesh) sendNews(ctx context.Context, s *peer.Stream, n *news) (changed <-chan struct{}, ok bool) {
+	self, live, changed := m.known()
+	msg := n.next(self, live)
+	return changed, msg == nil || s.Send(ctx, msg) == nil
+}
+
+// tellNews tells a stream of the members as they change.
+func (m *Mesh) tellNews(ctx context.Context, s *peer.Stream, n *news, changed <-chan struct{}) {
+	for ok := true; ok; changed, ok = m.sendNews(ctx, s, n) {
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -19,10 +19,7 @@
 	if first.Addr != "" {
 		m.heard(*first)
 	}
-	go m.tellNews(ctx, s, *first)
-	if first.Engine != "" {
-		go m.tellAssignments(ctx, s, *first)
-	}
+	go m.tell(ctx, s, *first)
 	id := m.engines.open()
 	for {
 		msg, err := s.Recv(ctx)
--- a/mesh/size_test.go
+++ b/mesh/size_test.go
@@ -39,6 +39,7 @@
 	conns    []*peer.Conn
 	engines  map[string]peer.EngineState // by address, as the mesh tells
 	assigned map[string]bool             // entries that assign, at agents
+	early    bool                        // one assigned before it was known as live
 }
 
 const cityDomains = 5
@@ -77,7 +78,10 @@
 		o.Listener, o.Table = m, mirror.NewTable("")
 		loads = func() []peer.TargetLoad { return nil }
 	} else {
-		o.Assigned = func(a peer.Assignment) { m.note(func() { m.assigned[a.Entry] = true }) }
+		o.Assigned = func(a peer.Assignment) {
+			known := hasAddr(m.mesh.Entries(), a.Entry)
+			m.note(func() { m.assigned[a.Entry], m.early = true, m.early || !known })
+		}
 		o.Unassigned = func(addr string) { m.note(func() { delete(m.assigned, addr) }) }
 	}
 	m.mesh = New(o)
@@ -242,6 +246,18 @@
 	})
 }
 
+// An agent that is told what its engine is to serve can ask the entry that told it.
+func TestEntryThatAssignsCanBeAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCity(5, 5)
+		defer c.stop()
+		time.Sleep(2 * time.Second)
+		for _, agent := range c.members[c.entries:] {
+			agent.note(func() { assert.Assert(t, !agent.early, "an entry that assigned was not known yet") })
+		}
+	})
+}
+
 // An agent that ends is forgotten by all entries.
 func TestAgentThatEndsIsForgottenEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
