Mesh: names of the field for what agents report and entries forward

An agent's word is a report, its speaker a forwarder, news are updates of members; files and the tests' names follow.

--- a/mesh/speaker.go
+++ b/mesh/forwarder.go
@@ -15,33 +15,33 @@
 	}
 	m.said = &s
 	for addr, l := range m.links {
-		l.say(m.wordFor(addr))
+		l.say(m.reportFor(addr))
 	}
 }
 
-// wordFor returns an agent's newest word as an entry is to be told, or nil; the lock
+// reportFor returns an agent's newest report as an entry is to be told, or nil; the lock
 // is held.
-func (m *Mesh) wordFor(addr string) *peer.EngineState {
+func (m *Mesh) reportFor(addr string) *peer.EngineState {
 	if m.said == nil {
 		return nil
 	}
 	s := *m.said
-	s.Speak = addr == m.speaker
+	s.Forward = addr == m.forwarder
 	return &s
 }
 
-// chooseSpeaker names another entry as speaker if the link to the last one is lost;
+// chooseForwarder names another entry as forwarder if the link to the last one is lost;
 // the lock is held.
-func (m *Mesh) chooseSpeaker() {
-	if hasAddr(m.live, m.speaker) && m.links[m.speaker] != nil || len(m.live) == 0 {
+func (m *Mesh) chooseForwarder() {
+	if hasAddr(m.live, m.forwarder) && m.links[m.forwarder] != nil || len(m.live) == 0 {
 		return
 	}
-	old := m.speaker
-	m.speaker = m.nearestLive()
-	m.log.WithFields(logrus.Fields{"from": old, "speaker": m.speaker}).Debug("Speaker changed.")
-	for _, addr := range []string{old, m.speaker} {
+	old := m.forwarder
+	m.forwarder = m.nearestLive()
+	m.log.WithFields(logrus.Fields{"from": old, "forwarder": m.forwarder}).Debug("Forwarder changed.")
+	for _, addr := range []string{old, m.forwarder} {
 		if l := m.links[addr]; l != nil && m.said != nil {
-			l.say(m.wordFor(addr))
+			l.say(m.reportFor(addr))
 		}
 	}
 }
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -17,10 +17,10 @@
 	wake chan struct{} // something waits to be sent
 
 	mu      sync.Mutex
-	state   *peer.EngineState            // an agent's newest word
+	state   *peer.EngineState            // an agent's newest report
 	told    bool                         // the entry was told of it
 	account *peer.Loads                  // what an entry has not told yet
-	states  map[string]peer.RelayedState // words of agents that it has not passed on yet
+	states  map[string]peer.RelayedState // reports of agents that it has not passed on yet
 }
 
 // offer adds an account to what waits to be sent.
@@ -31,7 +31,7 @@
 	l.signal()
 }
 
-// say replaces an agent's word.
+// say replaces an agent's report.
 func (l *link) say(s *peer.EngineState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -39,7 +39,7 @@
 	l.signal()
 }
 
-// relay adds an agent's word to what waits to be passed on.
+// relay adds an agent's report to what waits to be passed on.
 func (l *link) relay(w peer.RelayedState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -75,7 +75,7 @@
 		l.told = true
 	}
 	if len(l.states) > 0 {
-		out = append(out, statesMessage(l.states))
+		out = append(out, reportsMessage(l.states))
 		l.states = nil
 	}
 	if l.account != nil {
@@ -120,7 +120,7 @@
 		<-ended // so that nothing is heard of the entry after it counts as lost
 	}()
 	l.mesh.mu.Lock()
-	l.opened(l.mesh.allSpoken())
+	l.opened(l.mesh.allForwarded())
 	l.mesh.mu.Unlock()
 	go l.receive(ctx, s, ended)
 	for {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -42,7 +42,7 @@
 	made       time.Time       // zero of the clock that is told to others
 	moves      metrics.Counter // changes of the source of the own copy
 	store      *mirror.Contact // set by Follow
-	engines    *engineBoard
+	engines    *reportRegistry
 	seed       bool // others begin with this entry
 
 	mu          sync.Mutex
@@ -51,9 +51,9 @@
 	live        []peer.Presence
 	changed     chan struct{} // closed when live changes
 	leaving     bool
-	said        *peer.EngineState // an agent's newest word, for links that open later
-	speaker     string            // address of the entry that passes it on
-	spoken      map[string]spoken // words that this entry passes on, by engine
+	said        *peer.EngineState    // an agent's newest report, for links that open later
+	forwarder   string               // address of the entry that passes it on
+	forwarded   map[string]forwarded // reports that this entry passes on, by engine
 	behindSince time.Time
 	catchingUp  bool
 	role        role
@@ -85,7 +85,7 @@
 	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, unassigned: o.Unassigned, table: o.Table,
 		metrics: o.Metrics, made: time.Now(), moves: metrics.NewRegisteredCounter("mesh.source_changes", o.Metrics),
 		members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
-		engines: newEngineBoard(o.Listener), seed: slices.Contains(o.Seeds, o.Self.Addr), spoken: map[string]spoken{},
+		engines: newReportRegistry(o.Listener), seed: slices.Contains(o.Seeds, o.Self.Addr), forwarded: map[string]forwarded{},
 		changed: make(chan struct{}), moved: make(chan struct{})}
 }
 
@@ -171,7 +171,7 @@
 	m.linkTo(ctx, m.wantedLinks(now))
 	m.setLive(m.members.Live(now))
 	if m.table == nil {
-		m.chooseSpeaker()
+		m.chooseForwarder()
 		return
 	}
 	m.table.Confirm(m.members.Confirmed(m.table.Revision()))
@@ -195,7 +195,7 @@
 		wanted[addr] = true
 		if m.links[addr] == nil {
 			linkCtx, end := context.WithCancel(ctx)
-			l := &link{mesh: m, addr: addr, end: end, state: m.wordFor(addr), wake: make(chan struct{}, 1)}
+			l := &link{mesh: m, addr: addr, end: end, state: m.reportFor(addr), wake: make(chan struct{}, 1)}
 			m.links[addr] = l
 			go l.run(linkCtx)
 		}
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -41,9 +41,9 @@
 		m.heard(from)
 		m.listener.Loads(from.Addr, v)
 	case *peer.EngineState:
-		m.engines.hear(id, engineWord{*first, *v})
-		m.passOn(id, *first, *v)
+		m.engines.hear(id, engineReport{*first, *v})
+		m.forward(id, *first, *v)
 	case *peer.EngineStates:
-		m.statesHeard(id, v)
+		m.reportsHeard(id, v)
 	}
 }
--- a/mesh/size_test.go
+++ b/mesh/size_test.go
@@ -18,17 +18,17 @@
 	"gotest.tools/v3/assert"
 )
 
-// city is a fleet over several failure domains whose processes all start at once, over
-// pipes that count what is sent.
-type city struct {
-	members []*citizen // entries first
-	byAddr  map[string]*citizen
+// processes are a fleet over several failure domains whose processes all start at once,
+// over pipes that count what is sent.
+type processes struct {
+	members []*process // entries first
+	byAddr  map[string]*process
 	entries int
 }
 
-// citizen is one process.
-type citizen struct {
-	city  *city
+// process is an entry or an agent of them.
+type process struct {
+	fleet *processes
 	self  peer.Presence
 	mesh  *Mesh
 	pool  *peer.Pool
@@ -44,14 +44,14 @@
 	early    bool                        // one assigned before it was known as live
 }
 
-const cityDomains = 5
+const fleetDomains = 5
 
-// startCity starts entries and agents. Three entries are seeds.
-func startCity(entries, agents int) *city {
-	c := &city{byAddr: map[string]*citizen{}, entries: entries}
+// startFleet starts entries and agents. Three entries are seeds.
+func startFleet(entries, agents int) *processes {
+	c := &processes{byAddr: map[string]*process{}, entries: entries}
 	for i := range entries + agents {
-		m := &citizen{city: c, down: true, meter: &peer.Meter{}, engines: map[string]peer.EngineState{}, assigned: map[string]bool{}}
-		m.self = peer.Presence{Host: fmt.Sprint("host-", i), Domain: fmt.Sprint("domain-", i%cityDomains), Incarnation: 1, LinkMbps: 200}
+		m := &process{fleet: c, down: true, meter: &peer.Meter{}, engines: map[string]peer.EngineState{}, assigned: map[string]bool{}}
+		m.self = peer.Presence{Host: fmt.Sprint("host-", i), Domain: fmt.Sprint("domain-", i%fleetDomains), Incarnation: 1, LinkMbps: 200}
 		if i < entries {
 			m.self.Addr = fmt.Sprintf("10.1.0.%d:8000", i)
 			c.byAddr[m.self.Addr] = m
@@ -66,13 +66,13 @@
 	return c
 }
 
-func (m *citizen) start() {
+func (m *process) start() {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	hello := peer.Hello{Host: m.self.Host, Domain: m.self.Domain}
 	m.pool = peer.NewPoolOver(m.dial, hello, m.serve, m.meter)
 	o := Options{Self: m.self, Pool: m.pool, Log: log}
-	for _, seed := range m.city.members[:3] {
+	for _, seed := range m.fleet.members[:3] {
 		o.Seeds = append(o.Seeds, seed.self.Addr)
 	}
 	var loads func() []peer.TargetLoad
@@ -96,14 +96,14 @@
 	}
 }
 
-func (m *citizen) serve(ctx context.Context, s *peer.Stream, first peer.Message) {
+func (m *process) serve(ctx context.Context, s *peer.Stream, first peer.Message) {
 	if p, ok := first.(*peer.Presence); ok {
 		m.mesh.Serve(ctx, s, p)
 	}
 }
 
-func (m *citizen) dial(ctx context.Context, addr string) (net.Conn, error) {
-	to := m.city.byAddr[addr]
+func (m *process) dial(ctx context.Context, addr string) (net.Conn, error) {
+	to := m.fleet.byAddr[addr]
 	if to.dark.Load() {
 		<-ctx.Done() // the opening packet is lost
 		return nil, ctx.Err()
@@ -129,17 +129,17 @@
 	return near, nil
 }
 
-func (m *citizen) note(f func()) {
+func (m *process) note(f func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f()
 }
 
 // Listener.
-func (*citizen) Loads(string, *peer.Loads)              {}
-func (*citizen) Lost(string)                            {}
-func (*citizen) Announced(time.Time) []peer.SeenVersion { return nil }
-func (m *citizen) EngineState(a peer.Presence, s *peer.EngineState) {
+func (*process) Loads(string, *peer.Loads)              {}
+func (*process) Lost(string)                            {}
+func (*process) Announced(time.Time) []peer.SeenVersion { return nil }
+func (m *process) EngineState(a peer.Presence, s *peer.EngineState) {
 	m.note(func() {
 		if s == nil {
 			delete(m.engines, a.Engine)
@@ -148,11 +148,11 @@
 		m.engines[a.Engine] = *s
 	})
 }
-func (m *citizen) Assignment(peer.Presence) (*peer.Assignment, <-chan struct{}) {
+func (m *process) Assignment(peer.Presence) (*peer.Assignment, <-chan struct{}) {
 	return &peer.Assignment{Entry: m.self.Addr, Model: "m", Version: 1}, make(chan struct{})
 }
 
-func (m *citizen) kill() {
+func (m *process) kill() {
 	m.stop()
 	m.pool.Close()
 	m.note(func() {
@@ -163,7 +163,7 @@
 	})
 }
 
-func (c *city) stop() {
+func (c *processes) stop() {
 	for _, m := range c.members {
 		m.kill()
 	}
@@ -171,7 +171,7 @@
 }
 
 // sent sums up what all processes sent over a border.
-func (c *city) sent(b peer.Border) (bytes, messages int64) {
+func (c *processes) sent(b peer.Border) (bytes, messages int64) {
 	for _, m := range c.members {
 		n, k := m.meter.SentAll(b)
 		bytes, messages = bytes+n, messages+k
@@ -179,9 +179,9 @@
 	return bytes, messages
 }
 
-// lacking returns how many words of engines the live entries lack, where each should
+// lacking returns how many reports of engines the live entries lack, where each should
 // know a version of each engine.
-func (c *city) lacking(version int) int {
+func (c *processes) lacking(version int) int {
 	lacking := 0
 	for _, m := range c.members[:c.entries] {
 		m.note(func() {
@@ -195,7 +195,7 @@
 	return lacking
 }
 
-func (c *city) say(version int) {
+func (c *processes) say(version int) {
 	for _, agent := range c.members[c.entries:] {
 		agent.mesh.Say(peer.EngineState{Addr: agent.self.Engine, Model: "m", Version: version})
 	}
@@ -205,7 +205,7 @@
 // also after a failure domain has lost all its entries, and when they are back.
 func TestEntriesKnowAllEnginesThroughFewLinks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := startCity(20, 30)
+		c := startFleet(20, 30)
 		defer c.stop()
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, c.lacking(1), 0)
@@ -218,7 +218,7 @@
 		time.Sleep(200 * time.Millisecond)
 		assert.Equal(t, c.lacking(2), 0)
 
-		var lost []*citizen
+		var lost []*process
 		for _, m := range c.members[:c.entries] {
 			if m.self.Domain == "domain-1" {
 				m.kill()
@@ -256,7 +256,7 @@
 func TestEntriesAreReachedSoonAfterTheirHostsAreBack(t *testing.T) {
 	for _, later := range []time.Duration{50, 150, 250, 350, 400} {
 		synctest.Test(t, func(t *testing.T) {
-			c := startCity(5, 5)
+			c := startFleet(5, 5)
 			defer c.stop()
 			for _, m := range c.members[:c.entries] {
 				m.dark.Store(true)
@@ -280,7 +280,7 @@
 // An agent that is told what its engine is to serve can ask the entry that told it.
 func TestEntryThatAssignsCanBeAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := startCity(5, 5)
+		c := startFleet(5, 5)
 		defer c.stop()
 		time.Sleep(2 * time.Second)
 		for _, agent := range c.members[c.entries:] {
@@ -292,7 +292,7 @@
 // An agent that ends is forgotten by all entries.
 func TestAgentThatEndsIsForgottenEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := startCity(10, 5)
+		c := startFleet(10, 5)
 		defer c.stop()
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, c.lacking(1), 0)
@@ -312,7 +312,7 @@
 // startBytes returns what one process sends between failure domains in the first 4 s, as
 // the mean of a fleet of a quarter entries, and in the 4 s after that.
 func startBytes(t testing.TB, members int) (first, next, messages int64) {
-	c := startCity(members/4, members-members/4)
+	c := startFleet(members/4, members-members/4)
 	defer c.stop()
 	time.Sleep(4 * time.Second)
 	first, messages = c.sent(peer.Far)
--- a/mesh/news.go
+++ b/mesh/updates.go
@@ -10,19 +10,19 @@
 	"github.com/springgate/springgate/peer"
 )
 
-// newsPause is the least time between two messages about members on one stream.
+// updatePause is the least time between two messages about members on one stream.
 // When a fleet starts, entries find each other one by one: at 35 entries, 34 changes
 // in about a second become ten messages.
-const newsPause = 100 * time.Millisecond
+const updatePause = 100 * time.Millisecond
 
-// tellers is how many entries tell an entry of the others, beside the seeds: one that
+// introducers is how many entries tell an entry of the others, beside the seeds: one that
 // learns of them from few still links to all, and all so learn of it.
-const tellers = 3
+const introducers = 3
 
-// news is what one stream was told of the members. It tells each of them once: whole
+// memberUpdates is what one stream was told of the members. It tells each of them once: whole
 // lists at each change were 135 MB between regions in the first 4 s of 35 entries and
 // 204 agents, counted by kind of message. It is pure.
-type news struct {
+type memberUpdates struct {
 	to          peer.Presence
 	seed        bool            // this entry is one that others begin with
 	told        map[string]bool // addresses
@@ -30,12 +30,12 @@
 	saidLeaving bool
 }
 
-func newNews(to peer.Presence, seed bool) *news {
-	return &news{to: to, seed: seed, told: map[string]bool{}}
+func newMemberUpdates(to peer.Presence, seed bool) *memberUpdates {
+	return &memberUpdates{to: to, seed: seed, told: map[string]bool{}}
 }
 
 // next returns what the other side has not been told yet, or nil.
-func (n *news) next(self peer.Presence, live []peer.Presence) *peer.Presences {
+func (n *memberUpdates) next(self peer.Presence, live []peer.Presence) *peer.Presences {
 	if n.to.Engine == "" {
 		return n.forEntry(self, live)
 	}
@@ -43,8 +43,8 @@
 }
 
 // forEntry tells the addresses of all others, if this entry is to tell them.
-func (n *news) forEntry(self peer.Presence, live []peer.Presence) *peer.Presences {
-	if !n.seed && !slices.Contains(membership.Rank(n.to.Addr, append(addrsOf(live), self.Addr), tellers), self.Addr) {
+func (n *memberUpdates) forEntry(self peer.Presence, live []peer.Presence) *peer.Presences {
+	if !n.seed && !slices.Contains(membership.Rank(n.to.Addr, append(addrsOf(live), self.Addr), introducers), self.Addr) {
 		return nil
 	}
 	msg := &peer.Presences{}
@@ -61,7 +61,7 @@
 
 // forAgent tells of this entry, and of those that the agent should link to as far as
 // they are known here.
-func (n *news) forAgent(self peer.Presence, live []peer.Presence) *peer.Presences {
+func (n *memberUpdates) forAgent(self peer.Presence, live []peer.Presence) *peer.Presences {
 	msg := &peer.Presences{}
 	if !n.begun || self.Leaving != n.saidLeaving {
 		msg.Sender = self
@@ -84,7 +84,7 @@
 }
 
 // isNew takes an address for told and reports whether it was not.
-func (n *news) isNew(addr string) bool {
+func (n *memberUpdates) isNew(addr string) bool {
 	was := n.told[addr]
 	n.told[addr] = true
 	return !was
@@ -93,34 +93,34 @@
 // tell tells a stream of the members and, if it is an agent's, what its engine is to
 // serve. An agent knows the entry before it hears that: it asks the entry for pieces.
 func (m *Mesh) tell(ctx context.Context, s *peer.Stream, to peer.Presence) {
-	n := newNews(to, m.seed)
-	changed, ok := m.sendNews(ctx, s, n)
+	n := newMemberUpdates(to, m.seed)
+	changed, ok := m.sendUpdate(ctx, s, n)
 	if !ok {
 		return
 	}
 	if to.Engine != "" {
 		go m.tellAssignments(ctx, s, to)
 	}
-	m.tellNews(ctx, s, n, changed)
+	m.sendUpdates(ctx, s, n, changed)
 }
 
-// sendNews sends what the stream has not been told. It returns a channel that is closed
+// sendUpdate sends what the stream has not been told. It returns a channel that is closed
 // at the next change, and false if the stream has ended.
-func (m *Mesh) sendNews(ctx context.Context, s *peer.Stream, n *news) (changed <-chan struct{}, ok bool) {
+func (m *Mesh) sendUpdate(ctx context.Context, s *peer.Stream, n *memberUpdates) (changed <-chan struct{}, ok bool) {
 	self, live, changed := m.known()
 	msg := n.next(self, live)
 	return changed, msg == nil || s.Send(ctx, msg) == nil
 }
 
-// tellNews tells a stream of the members as they change.
-func (m *Mesh) tellNews(ctx context.Context, s *peer.Stream, n *news, changed <-chan struct{}) {
-	for ok := true; ok; changed, ok = m.sendNews(ctx, s, n) {
+// sendUpdates tells a stream of the members as they change.
+func (m *Mesh) sendUpdates(ctx context.Context, s *peer.Stream, n *memberUpdates, changed <-chan struct{}) {
+	for ok := true; ok; changed, ok = m.sendUpdate(ctx, s, n) {
 		select {
 		case <-changed:
 		case <-ctx.Done():
 			return
 		}
-		if !loop.Sleep(ctx, newsPause) {
+		if !loop.Sleep(ctx, updatePause) {
 			return
 		}
 	}
--- a/mesh/news_test.go
+++ b/mesh/updates_test.go
@@ -19,7 +19,7 @@
 // Each member is told of once on a stream, however often members change.
 func TestEachEntryIsToldOfOnce(t *testing.T) {
 	self, all := peer.Presence{Addr: "self", Domain: "d-0"}, fleetOf(35)
-	n := newNews(peer.Presence{Addr: "e-3"}, true)
+	n := newMemberUpdates(peer.Presence{Addr: "e-3"}, true)
 	told := map[string]int{}
 	for k := range all {
 		if msg := n.next(self, all[:k+1]); msg != nil {
@@ -42,17 +42,17 @@
 	telling := 0
 	for i, self := range all {
 		others := append(append([]peer.Presence(nil), all[:i]...), all[i+1:]...)
-		if newNews(peer.Presence{Addr: "new"}, false).next(self, others) != nil {
+		if newMemberUpdates(peer.Presence{Addr: "new"}, false).next(self, others) != nil {
 			telling++
 		}
 	}
-	assert.Equal(t, telling, tellers)
+	assert.Equal(t, telling, introducers)
 }
 
 // An agent is told of the entries that it links to, and enough of each to choose.
 func TestAgentIsToldOfTheEntriesNearby(t *testing.T) {
 	all := fleetOf(35)
-	n := newNews(peer.Presence{Host: "agent", Domain: "d-1", Engine: "engine"}, false)
+	n := newMemberUpdates(peer.Presence{Host: "agent", Domain: "d-1", Engine: "engine"}, false)
 	self := peer.Presence{Addr: "self", Domain: "d-0"}
 	msg := n.next(self, all)
 	assert.Equal(t, msg.Sender.Addr, "self")
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -104,23 +104,23 @@
 	Model   string
 	Version int    // served whole; 0 is none
 	Loading bool   // an order is in progress: new requests would wait
-	Seq     uint64 // counts the agent's words; the highest of an incarnation counts
+	Seq     uint64 // counts the agent's reports; the highest of an incarnation counts
 	Born    int64  // when the engine was started, Unix milliseconds; 0 if not known
-	Speak   bool   // the entry is to pass this on to all others
+	Forward bool   // the entry is to pass this on to all others
 }
 
 // Kind implements Message.
 func (*EngineState) Kind() Kind { return kindEngineState }
 
-// RelayedState is an agent's word that an entry passes on to others.
+// RelayedState is an agent's report that an entry passes on to others.
 type RelayedState struct {
 	Engine, Pieces, Domain string // of the agent's Presence, likewise Incarnation
 	Incarnation            uint64
 	State                  EngineState
-	Gone                   bool // the entry does not pass on words of this engine any more
+	Gone                   bool // the entry does not pass on reports of this engine any more
 }
 
-// EngineStates are the words of agents that are linked to the sender and not, or not
+// EngineStates are the reports of agents that are linked to the sender and not, or not
 // all, to the receiver.
 type EngineStates struct{ States []RelayedState }
 
