Peer: a caller whose time is over does not dial

Cause: a caller that waited for another one's attempt to the same address dialled after its own context had ended. Ruled out: the programs' connections; over TCP such an attempt fails at once. Change: the context is looked at again before the attempt.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -92,6 +92,9 @@
 	if s.conn != nil && s.conn.ctx.Err() == nil {
 		return s.conn, nil
 	}
+	if err := ctx.Err(); err != nil { // it ended while another caller dialled
+		return nil, errors.Wrap(ErrDial, err.Error())
+	}
 	c, err := p.dial(ctx, addr, class)
 	if err != nil {
 		return nil, err
