--- a/mesh/size_test.go
+++ b/mesh/size_test.go
@@ -86,7 +86,8 @@
 		}
 		o.Unassigned = func(addr string) { m.note(func() { delete(m.assigned, addr) }) }
 	}
-	m.mesh = New(o)
+	next := New(o)
+	m.note(func() { m.mesh = next })
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	m.note(func() { m.down = false })
@@ -97,8 +98,10 @@
 }
 
 func (m *process) serve(ctx context.Context, s *peer.Stream, first peer.Message) {
+	var mesh *Mesh
+	m.note(func() { mesh = m.mesh }) // it is another one after a restart
 	if p, ok := first.(*peer.Presence); ok {
-		m.mesh.Serve(ctx, s, p)
+		mesh.Serve(ctx, s, p)
 	}
 }
 
