Sight: what a target was chosen by, and copies of the store that differ

Cause: requests reached targets that had left. Logs could not tell news that were lost from news that were late, from a target kept as a last resort and from a request that was long on its way. Ruled out: nothing by this. Change: Sending. has the revision of the target's entry, revision and age of the copy, and whether the target was listed; Target listed. has the heartbeat that wrote the entry and the copy's revision; whole reads are logged with their newest item; entries tell a digest of their copy in full accounts, and one that differs for 2 s at the same revision is logged and counted (mesh.copies_differ); mirror.events_late counts changes that came too late. No decision is changed. Measured: go test of mesh, mirror, gateway, dispatch, platform, command passes.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -88,7 +88,7 @@
 	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e,
 		Table: table, Log: telemetry.Part(p.log, "mesh"), Metrics: p.metrics})
 	e.homes = mesh.NewReserver(e.mesh, e.book, off)
-	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
+	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, Copy: copyOf(table), RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.book, e.conns, e.homes,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = e.mesh.Follow(mirror.Config{}, platform.NewStore(s.Store.Addr), telemetry.Part(p.log, "mirror"))
@@ -103,6 +103,13 @@
 	return e
 }
 
+// copyOf returns what tells of the copy of the store in a table.
+func copyOf(t *mirror.Table) func() gateway.Copy {
+	return func() gateway.Copy {
+		return gateway.Copy{Revision: t.Revision(), Age: time.Since(t.ContactAt())}
+	}
+}
+
 func (e *entryProcess) start(ctx context.Context) {
 	go e.follower.Run(ctx)
 	go e.control.Run(ctx)
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -24,6 +24,8 @@
 // Choice is the target that a request goes to.
 type Choice struct {
 	Target    *Target
+	Entry     int64 // revision of the target's entry in the list, as the choice knew it
+	Doubtful  bool  // its entry had vanished from the list
 	Forecast  Forecast
 	Admission Admission
 	Load      Load // at the target before the request
@@ -46,7 +48,7 @@
 		if !b.usable(now, t) || slices.Contains(avoid, t.ID) {
 			continue
 		}
-		c := candidate{Choice: Choice{Target: t, Forecast: b.forecast(t, d), Load: t.load}}
+		c := candidate{Choice: Choice{Target: t, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -18,6 +18,7 @@
 	Domain   string
 	Slots    int
 	Revision int64 // of its entry in the list
+	Beat     int64 // heartbeat that wrote the entry, counted from its start
 	Draining bool
 	Doubtful bool // its entry vanished from the list a moment ago
 	Models   []ModelVersion
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -58,12 +58,14 @@
 	relay   Relay
 	log     logrus.FieldLogger
 
-	foreign    metrics.Gauge // entries of the list that name no target to use
-	roster     Roster
-	decoded    map[string]decodedInstance
-	configRev  int64
-	versionRev map[string]int64 // by key
-	list       []*fleet.Instance
+	foreign   metrics.Gauge // entries of the list that name no target to use
+	roster    Roster
+	decoded   map[string]decodedInstance
+	configRev int64
+	// copyRevision is what the items reach, or more by changes of a moment ago.
+	copyRevision int64
+	versionRev   map[string]int64 // by key
+	list         []*fleet.Instance
 
 	mu          sync.Mutex
 	assignments map[string]*assignment // by service
@@ -111,6 +113,7 @@
 	defer ticker.Stop()
 	for {
 		items, changed := c.table.Items()
+		c.copyRevision = c.table.Revision()
 		c.applyOperator(ctx, items)
 		c.applyInstances(items)
 		c.assign(ctx)
@@ -251,7 +254,7 @@
 		return decodedInstance{i.Revision, nil}
 	}
 	c.log.WithFields(logrus.Fields{"target": inst.ID, "service": inst.Service, "addr": inst.Addr, "draining": inst.Draining,
-		"models": inst.Models, "revision": i.Revision}).Info("Target listed.")
+		"models": inst.Models, "revision": i.Revision, "beat": inst.Beat, "born": inst.Born, "copy": c.copyRevision}).Info("Target listed.")
 	return decodedInstance{i.Revision, inst}
 }
 
@@ -259,7 +262,7 @@
 	for key, d := range c.decoded {
 		if _, ok := next[key]; !ok && d.instance != nil {
 			c.log.WithFields(logrus.Fields{"target": d.instance.ID, "service": d.instance.Service,
-				"draining": d.instance.Draining}).Info("Target no longer listed.")
+				"draining": d.instance.Draining, "copy": c.copyRevision}).Info("Target no longer listed.")
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,10 +62,19 @@
 	Reserve(ctx context.Context, c dispatch.Choice, prompt int) bool
 }
 
+// Copy describes this entry's copy of the store at a moment.
+type Copy struct {
+	Revision int64         // what it reaches
+	Age      time.Duration // since the store was last known to agree
+}
+
 // Config holds the limits of a Gateway.
 type Config struct {
 	Off    mechanism.Off // mechanisms that are switched off
 	Domain string        // failure domain of this entry
+	// Copy tells, for the lines about requests, what choices are based on.
+	// Default: nothing is known.
+	Copy func() Copy
 
 	// Patience is the part of the service's tightest objective that a fresh
 	// request may wait for a target: enough to bridge a moment without one, and
@@ -106,6 +115,9 @@
 }
 
 func (c Config) applyDefaults() Config {
+	if c.Copy == nil {
+		c.Copy = func() Copy { return Copy{} }
+	}
 	c.Patience = cmp.Or(c.Patience, 0.1)
 	c.RetryPatience = cmp.Or(c.RetryPatience, 250*time.Millisecond)
 	c.FirstEventLimit = cmp.Or(c.FirstEventLimit, 2200*time.Millisecond)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -113,8 +113,7 @@
 	x.target, x.choice = t.ID, c
 	h := forwardHeader(x.r.Header)
 	x.g.dialect.EncodeSend(h, Send{Instance: t.ID, Team: x.teamName(), Remaining: time.Until(x.deadline), LastEvent: x.lastEvent})
-	x.g.log.WithFields(logrus.Fields{"request": x.call.ID, "target": t.ID, "addr": t.Addr, "load": c.Load.Requests,
-		"unread": c.Load.Unread, "forecast_ms": c.Forecast.FirstEvent.Milliseconds(), "wait_ms": x.waited.Milliseconds(), "send": x.sends + 1}).Info("Sending.")
+	x.logSending(c)
 	a := &attempt{x: x, choice: c, began: time.Now(), unread: x.call.Prompt}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
@@ -127,6 +126,21 @@
 	return res
 }
 
+// logSending writes the line that says where a request goes and by what. With the
+// revision of the target's entry, and revision and age of the copy of the store, it
+// tells news that were lost (a young copy beyond the target's last change) from news
+// that were late (an old copy) and from a request that was long on its way.
+func (x *exchange) logSending(c dispatch.Choice) {
+	listed := x.g.cfg.Copy()
+	f := logrus.Fields{"request": x.call.ID, "target": c.Target.ID, "addr": c.Target.Addr, "load": c.Load.Requests,
+		"unread": c.Load.Unread, "forecast_ms": c.Forecast.FirstEvent.Milliseconds(), "wait_ms": x.waited.Milliseconds(),
+		"send": x.sends + 1, "entry": c.Entry, "copy": listed.Revision, "copy_age_ms": listed.Age.Milliseconds()}
+	if c.Doubtful {
+		f["doubtful"] = true
+	}
+	x.g.log.WithFields(f).Info("Sending.")
+}
+
 func (x *exchange) teamName() string {
 	if x.team == nil {
 		return ""
--- /dev/null
+++ b/mesh/differ_test.go
@@ -0,0 +1,43 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/mirror"
+	"gotest.tools/v3/assert"
+)
+
+// Two copies that differ for a moment are told of by nobody; those that go on to differ
+// are, once, until they agree.
+func TestCopiesThatGoOnToDifferAreTold(t *testing.T) {
+	d := differences{}
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	assert.Assert(t, !d.compare(at(0), "a", false))
+	assert.Assert(t, !d.compare(at(200), "a", true), "they agree again")
+	assert.Assert(t, !d.compare(at(500), "a", false))
+	assert.Equal(t, d.count(), int64(0))
+	assert.Assert(t, d.compare(at(2500), "a", false))
+	assert.Assert(t, !d.compare(at(3000), "a", false), "told before")
+	assert.Equal(t, d.count(), int64(1))
+	assert.Assert(t, !d.compare(at(3500), "a", true))
+	assert.Equal(t, d.count(), int64(0))
+}
+
+// The digest is of the keys and revisions, in whatever order they came.
+func TestDigestTellsCopiesApart(t *testing.T) {
+	item := func(key string, revision int64) mirror.Event {
+		return mirror.Event{Item: mirror.Item{Key: key, Value: []byte("v"), Revision: revision}}
+	}
+	one, other := mirror.NewTable(""), mirror.NewTable("")
+	one.Replace(start, mirror.Batch{Events: []mirror.Event{item("a", 1), item("b", 2)}, Revision: 3})
+	other.Replace(start, mirror.Batch{Events: []mirror.Event{item("b", 2), item("a", 1), item("c", 3)}, Revision: 3})
+	first, _ := one.Digest()
+	second, _ := other.Digest()
+	assert.Assert(t, first != second)
+	removed := mirror.Event{Item: mirror.Item{Key: "c", Revision: 4}, Deleted: true}
+	other.Apply(start, mirror.Batch{Events: []mirror.Event{removed}, Revision: 4})
+	second, revision := other.Digest()
+	assert.Equal(t, first, second)
+	assert.Equal(t, revision, int64(4))
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -57,6 +57,7 @@
 	behindSince time.Time
 	catchingUp  bool
 	role        role
+	differing   differences   // copies of others that are not as the own one
 	moved       chan struct{} // closed when role changes its source
 	movedAt     time.Time     // of the last line about that
 }
@@ -82,11 +83,13 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
-	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, unassigned: o.Unassigned, table: o.Table,
+	m := &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, assigned: o.Assigned, unassigned: o.Unassigned, table: o.Table,
 		metrics: o.Metrics, made: time.Now(), moves: metrics.NewRegisteredCounter("mesh.source_changes", o.Metrics),
 		members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
 		engines: newReportRegistry(o.Listener), seed: slices.Contains(o.Seeds, o.Self.Addr), forwarded: map[string]forwarded{},
-		changed: make(chan struct{}), moved: make(chan struct{})}
+		differing: differences{}, changed: make(chan struct{}), moved: make(chan struct{})}
+	metrics.NewRegisteredFunctionalGauge("mesh.copies_differ", o.Metrics, m.copiesDiffer)
+	return m
 }
 
 // Leave tells the others that this process is leaving.
@@ -140,6 +143,9 @@
 	out.Revision, out.Store = m.storeContact(time.Now())
 	if out.Full {
 		out.Versions = m.listener.Announced(time.Now())
+		if digest, revision := m.table.Digest(); revision == out.Revision {
+			out.Digest = digest
+		}
 	}
 	return &out
 }
@@ -217,6 +223,7 @@
 	for _, old := range m.live {
 		if !hasAddr(live, old.Addr) {
 			m.log.WithField("peer", old.Addr).Warn("Entry lost.")
+			delete(m.differing, old.Addr)
 			if m.listener != nil {
 				m.listener.Lost(old.Addr)
 			}
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/springgate/springgate/peer"
 )
@@ -39,6 +40,7 @@
 		from := *first
 		from.Leaving, from.Revision, from.Store = v.Leaving, v.Revision, v.Store
 		m.heard(from)
+		m.compareCopies(time.Now(), from.Addr, v)
 		m.listener.Loads(from.Addr, v)
 	case *peer.EngineState:
 		m.engines.hear(id, engineReport{*first, *v})
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -108,6 +108,7 @@
 	f := &Follower{cfg: o.Config.applyDefaults(), table: o.Table, store: o.Store, route: o.Route, log: o.Log, stats: o.Stats,
 		made: time.Now()}
 	f.stats.age(func() int64 { return f.age(time.Now()).Milliseconds() })
+	f.stats.late(f.table.Late)
 	return f
 }
 
@@ -255,11 +256,14 @@
 func (f *Follower) readAll(ctx context.Context, src Source) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.RangeTimeout)
 	defer cancel()
+	begun := time.Now()
 	b, err := src.Range(ctx, f.table.prefix)
 	if err != nil {
 		return err
 	}
 	f.table.Replace(time.Now(), b)
+	f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix, "items": len(b.Events), "revision": b.Revision,
+		"newest": b.newest(), "ms": time.Since(begun).Milliseconds()}).Info("Copy read whole.")
 	return nil
 }
 
--- a/mirror/stats.go
+++ b/mirror/stats.go
@@ -18,3 +18,8 @@
 func (s *Stats) age(f func() int64) {
 	metrics.NewRegisteredFunctionalGauge("mirror.copy_age_ms", s.registry, f)
 }
+
+// late registers the number of events that came too late to be taken.
+func (s *Stats) late(f func() int64) {
+	metrics.NewRegisteredFunctionalGauge("mirror.events_late", s.registry, f)
+}
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -84,6 +84,8 @@
 	contactAt time.Time // when the store was last known to agree
 	readAt    time.Time // when it was, by this process's own reads
 	changed   chan struct{}
+	digest    uint64 // of all items
+	late      int64  // events that were not taken because the copy was beyond them
 }
 
 // NewTable returns an empty copy of prefix.
@@ -123,6 +125,9 @@
 	defer t.mu.Unlock()
 	changed := false
 	for _, e := range b.Events {
+		if e.Revision <= t.revision {
+			t.late++
+		}
 		changed = t.apply(e) || changed
 	}
 	t.advance(now, b, changed)
@@ -164,10 +169,14 @@
 	if e.Deleted && (!known || e.Revision < old.Revision) {
 		return false
 	}
+	if known {
+		t.digest ^= old.digest()
+	}
 	if e.Deleted {
 		delete(t.items, e.Key)
 	} else {
 		t.items[e.Key] = e.Item
+		t.digest ^= e.Item.digest()
 	}
 	t.history = append(t.history, e)
 	t.size += e.size()
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -71,6 +71,7 @@
 	Leaving  bool  // the entry is leaving
 	Revision int64 // how far its copy of the store reaches
 	Store    StoreContact
+	Digest   uint64 // of its copy at Revision; 0 if not told
 	Targets  []TargetLoad
 	// Versions are those that the operators named lately, with the earliest moment at
 	// which an entry saw that; in full accounts only.
