Failing tests: copies of the store that differ for good

Cause: requests reached targets that had left. A copy of the store is made of answers that need not come in the order in which they were made, and a whole copy is read in pages. An answer that was overtaken lists a removed key again; changes between two pages are known when the watch brings them and so are missing in the history that followers get. Such a copy counts as young and complete. The soak lets answers of the store overtake each other while targets leave, some without a word, and lets targets of one failure domain leave after a cut; it now counts requests that reach a leaving target also if they did not run.

--- a/mesh/follow_test.go
+++ b/mesh/follow_test.go
@@ -41,8 +41,9 @@
 
 	mu      sync.Mutex
 	fault   fault
-	changed chan struct{} // closed when fault changes
-	calls   []time.Time   // when they began
+	changed chan struct{}        // closed when fault changes
+	calls   []time.Time          // when they began
+	hold    func() time.Duration // for how long an answer is held back once it is made; nil for not at all
 }
 
 func (*storeView) Name() string { return "store" }
@@ -104,6 +105,7 @@
 	go func() {
 		b, err := f(inner)
 		b.Age = 0
+		v.holdBack()
 		answered <- answer{b, err}
 	}()
 	for {
@@ -123,10 +125,39 @@
 	}
 }
 
+// holdBack keeps an answer that is made already for a while.
+func (v *storeView) holdBack() {
+	v.mu.Lock()
+	hold := v.hold
+	v.mu.Unlock()
+	if hold != nil {
+		time.Sleep(hold())
+	}
+}
+
 func (v *storeView) Range(ctx context.Context, _ string) (mirror.Batch, error) {
-	return v.call(ctx, func(context.Context) (mirror.Batch, error) { return v.store.Range(time.Now()) })
+	return v.call(ctx, func(context.Context) (mirror.Batch, error) { return v.pages() })
 }
 
+// pages reads all items in two pages, the second later than the first, as the store's
+// pages are no snapshot.
+func (v *storeView) pages() (mirror.Batch, error) {
+	first, err := v.store.Range(time.Now())
+	if err != nil {
+		return mirror.Batch{}, err
+	}
+	v.holdBack()
+	second, err := v.store.Range(time.Now())
+	onFirst := func(e mirror.Event) bool { return e.Key < secondPage }
+	out := mirror.Batch{Revision: first.Revision}
+	out.Events = append(out.Events, slices.DeleteFunc(first.Events, func(e mirror.Event) bool { return !onFirst(e) })...)
+	out.Events = append(out.Events, slices.DeleteFunc(second.Events, onFirst)...)
+	return out, err
+}
+
+// secondPage is the key that the second page of a whole read begins with.
+const secondPage = "servers/10"
+
 func (v *storeView) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (mirror.Batch, error) {
 	return v.call(ctx, func(ctx context.Context) (mirror.Batch, error) { return v.store.Watch(ctx, after, wait) })
 }
@@ -149,6 +180,7 @@
 	pool     *peer.Pool
 	stop     context.CancelFunc
 
+	starts uint64       // it was started so often
 	way    atomic.Int64 // of what the entry sends, in nanoseconds
 	mu     sync.Mutex
 	down   bool
@@ -274,13 +306,14 @@
 }
 
 func (e *entry) start() {
+	e.starts++
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e.table = mirror.NewTable("")
 	e.view = &storeView{store: e.fleet.store, changed: make(chan struct{})}
 	hello := peer.Hello{Host: "host of " + e.addr}
 	e.pool = peer.NewPoolOver(e.dial, hello, e.serve, &peer.Meter{})
-	e.mesh = New(Options{Self: peer.Presence{Host: hello.Host, Domain: "a", Addr: e.addr, Incarnation: 1},
+	e.mesh = New(Options{Self: peer.Presence{Host: hello.Host, Domain: "a", Addr: e.addr, Incarnation: e.starts},
 		Seeds: []string{e.fleet.all[0].addr}, Pool: e.pool, Listener: e, Table: e.table, Log: log})
 	e.follower = e.mesh.Follow(mirror.Config{}, e.view, log)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/soak/facts.go
+++ b/soak/facts.go
@@ -5,12 +5,15 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/springgate/springgate/platform/fake"
 )
 
 // Facts are what the store and the targets know. Times are since the start of
 // the run, on the monotonic clock of this process.
 type Facts struct {
 	Runs    map[string][]string      // instances that ran each request
+	Reached map[string][]string      // instances that each request reached, whether it ran or not
 	Configs map[int]Write            // each configuration, which allows the rotating key of its number only
 	Leaving map[string]time.Duration // when the store had the entry in which an instance leaves
 }
@@ -52,18 +55,18 @@
 	n.leaving[instance] = at
 }
 
-// facts returns what was noted, with the runs of requests.
-func (n *notes) facts(runs map[string][]string) Facts {
+// facts returns what was noted, with what targets saw of the requests.
+func (n *notes) facts(runs *fake.Runs) Facts {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return Facts{Runs: runs, Configs: maps.Clone(n.configs), Leaving: maps.Clone(n.leaving)}
+	return Facts{Runs: runs.All(), Reached: runs.Reached(), Configs: maps.Clone(n.configs), Leaving: maps.Clone(n.leaving)}
 }
 
-// leavingSince returns the first time since when one of the instances that ran a
-// request was leaving.
+// leavingSince returns the first time since when one of the instances that a request
+// reached was leaving.
 func (f Facts) leavingSince(id string) (time.Duration, bool) {
 	var since []time.Duration
-	for _, instance := range f.Runs[id] {
+	for _, instance := range slices.Concat(f.Reached[id], f.Runs[id]) {
 		if at, ok := f.Leaving[instance]; ok {
 			since = append(since, at)
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -325,7 +325,7 @@
 		r.OwnExits += p.OwnExits()
 	}
 	attempts := f.record.attempts()
-	r.Violations = Judge(attempts, f.notes.facts(f.runs.All()))
+	r.Violations = Judge(attempts, f.notes.facts(f.runs))
 	r.Attempts = len(attempts)
 	for _, a := range attempts {
 		if a.Status == 200 && !a.Cut {
--- a/soak/long.go
+++ b/soak/long.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/springgate/springgate/platform/fake"
 )
 
 // Shape of the long faults, which need something else to happen meanwhile.
@@ -29,10 +31,19 @@
 	// take turns at a version, the first at once and the last after a few seconds.
 	versionsEach = 2 * time.Second
 	lateVersions = 3
+	// overtakenFor is how long answers of the store overtake each other, and leavers the
+	// part of the targets that leave meanwhile. lingerFor is how long these serve on after
+	// that: until all entries have been in touch again for a while.
+	overtakenFor = 4 * time.Second
+	leavers      = 3 // one in so many
+	lingerFor    = touchFor + 4*time.Second
+	// silentFor is how long entries are cut off from the store before targets leave.
+	silentFor = 6 * time.Second
 )
 
 // longFaults last for a time of their own.
-var longFaults = []fault{{"links to the store", cutReaders}, {"target leaves", targetLeaves}, {"orders late", ordersLate}}
+var longFaults = []fault{{"links to the store", cutReaders}, {"target leaves", targetLeaves}, {"orders late", ordersLate},
+	{"news overtaken", newsOvertaken}, {"domain leaves after a cut", domainLeaves}}
 
 // between returns a random time.
 func between(rng *rand.Rand, from, to time.Duration) time.Duration {
@@ -117,3 +128,73 @@
 	}
 	setAll(flags, false)
 }
+
+// newsOvertaken lets answers of the store overtake each other while engines change to a
+// new version, entries start, the history goes and targets leave, some without a word.
+// The targets serve on until the entries are in touch again.
+func newsOvertaken(f *Fleet, rng *rand.Rand, _ time.Duration) {
+	targets := f.targets()
+	var leaving sync.WaitGroup
+	f.contact.lose()
+	f.store.SetMode(fake.StoreUneven)
+	end := time.Now().Add(overtakenFor)
+	f.nextVersion()
+	for _, i := range rng.Perm(len(targets))[:len(targets)/leavers] {
+		t, after, silent := targets[i], between(rng, 0, overtakenFor), rng.IntN(2) == 0
+		leaving.Go(func() { f.leaveAmid(t, after, silent, end.Add(lingerFor)) })
+	}
+	entry, killedAfter, forgetAfter := pick(rng, f.entries), between(rng, 0, overtakenFor/2), between(rng, 0, overtakenFor)
+	leaving.Go(func() {
+		time.Sleep(killedAfter)
+		f.restart(entry, time.Second, true)
+	})
+	leaving.Go(func() {
+		time.Sleep(forgetAfter)
+		f.store.Forget()
+	})
+	time.Sleep(time.Until(end))
+	f.store.SetMode(fake.StoreWorks)
+	f.contact.regain()
+	leaving.Wait()
+}
+
+// leaveAmid makes a target leave after a time, serve on until another and be replaced.
+func (f *Fleet) leaveAmid(t *fake.Target, after time.Duration, silent bool, until time.Time) {
+	time.Sleep(after)
+	leave, how := t.Leave, "leaves"
+	if silent {
+		leave, how = t.Vanish, "leaves without a word"
+	}
+	instance := leave()
+	f.notes.leaves(instance)
+	f.logf("%s %s", instance, how)
+	time.Sleep(time.Until(until))
+	f.troubleTarget(t, aftermath)
+	t.Replace(instance)
+}
+
+// domainLeaves cuts some entries off from the store without a word, while configurations
+// follow each other. Once they are in touch again, targets of one failure domain leave,
+// some of them without a word.
+func domainLeaves(f *Fleet, rng *rand.Rand, _ time.Duration) {
+	var cuts sync.WaitGroup
+	for _, i := range rng.Perm(len(f.links))[:max(1, len(f.links)/leavers)] {
+		cuts.Go(func() { f.cutEntry(i, LinkSilent, silentFor) })
+	}
+	for range leavers {
+		time.Sleep(between(rng, 0, configsEach/2))
+		f.nextConfig()
+	}
+	cuts.Wait()
+	time.Sleep(touchFor)
+	domain := rng.IntN(len(domains))
+	until := time.Now().Add(lingerFor)
+	var leaving sync.WaitGroup
+	for i, t := range f.targets() {
+		if i%len(domains) == domain && rng.IntN(2) == 0 {
+			silent := rng.IntN(leavers) == 0
+			leaving.Go(func() { f.leaveAmid(t, 0, silent, until) })
+		}
+	}
+	leaving.Wait()
+}
