Roster: outages that flap do not keep a target that left

An entry whose calls to the store come late, as on a busy host, sees outages begin and end again and again, and so kept such a target without bound. Change: what counts is for how long the store has been there since the target vanished, so that a live one could have been listed again. While the store is away it is kept as before. Measured: the new test fails on the code before (kept after 3.6 s with outages of 0.2 s each second, and for good).

--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -19,39 +19,60 @@
 	CatchUp time.Duration
 
 	known    map[string]*fleet.Instance
-	vanished map[string]time.Time
+	vanished map[string]absence
+	updated  time.Time
+	down     bool // at the last update
+}
+
+// absence is how an instance that vanished is missing.
+type absence struct {
+	// listable is for how long the store has been there meanwhile, so that the target
+	// could have been listed again. Time since the last outage does not do: an entry
+	// whose calls come late sees outages end again and again, and would keep a target
+	// that left for as long.
+	listable time.Duration
 }
 
 // Update takes the list and returns the instances that may be used. down is
 // true while the store cannot be read, and ended is when it last came back.
 func (r *Roster) Update(now time.Time, list []*fleet.Instance, down bool, ended time.Time) []*fleet.Instance {
+	var passed time.Duration
+	if !r.updated.IsZero() && !r.down {
+		passed = now.Sub(r.updated)
+	}
+	r.updated, r.down = now, down
 	listed := make(map[string]*fleet.Instance, len(list))
 	for _, i := range list {
 		listed[i.ID] = i
 	}
 	out := list
-	vanished := map[string]time.Time{}
+	vanished := map[string]absence{}
 	for id, old := range r.known {
 		if listed[id] != nil || old.Draining {
 			continue
 		}
-		since, ok := r.vanished[id]
-		if !ok {
-			since = now
+		missing, again := r.vanished[id]
+		if again {
+			missing.listable += passed
 		}
-		if !down && now.Sub(since) >= r.Hold && now.Sub(ended) >= r.CatchUp {
+		if !down && missing.gone(r, now.Sub(ended)) {
 			continue
 		}
 		kept := *old
 		kept.Doubtful = true
 		listed[id] = &kept
-		vanished[id] = since
+		vanished[id] = missing
 		out = append(out, &kept)
 	}
 	r.known, r.vanished = listed, vanished
 	return newestAtEachAddr(out)
 }
 
+// gone reports whether the target is taken for gone, so long after the last outage.
+func (a absence) gone(r *Roster, sinceOutage time.Duration) bool {
+	return a.listable >= r.Hold && max(a.listable, sinceOutage) >= r.CatchUp
+}
+
 // newestAtEachAddr drops incarnations that another one at the same address has
 // replaced. Their entries stay in the list until they lapse, seconds after all
 // hosts lost power, and nothing that they say is true any more.
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -74,3 +74,23 @@
 	got = r.Update(back.Add(3*time.Second), listed("a"), false, back)
 	assert.DeepEqual(t, state(got), map[string]bool{"a": false})
 }
+
+// An entry whose calls to the store come late may take it for away for a moment, again
+// and again, while the store answers and targets leave for good. A target that lives is
+// listed again once the store has been there for the time to catch up; one that is not
+// has left, however often an outage seems to have ended.
+func TestOutagesThatFlapDoNotKeepATargetThatLeft(t *testing.T) {
+	r := Roster{Hold: time.Second, CatchUp: 3 * time.Second}
+	r.Update(start, listed("a", "b"), false, time.Time{})
+	var ended time.Time
+	for ms := 0; ms <= 5000; ms += 200 {
+		now := at(time.Duration(ms) * time.Millisecond)
+		down := ms%1000 == 800
+		if ms%1000 == 0 {
+			ended = now
+		}
+		got := state(r.Update(now, listed("a"), down, ended))
+		_, kept := got["b"]
+		assert.Equal(t, kept, ms < 3600, "after %d ms", ms) // the store was there for 3 s of these
+	}
+}
