Gateway: a request that has not begun is taken back when its version is over

Cause: entries send requests to engines with an older version until 1 s before its time is over; how long a request waits there is not known when it is sent. On the large site one waited 1.43 s at an engine of another region and began 8.63 s after the newer version was named, where 8 s are allowed (VERSION). Ruled out: a wider margin: it takes engines out of service on every change of version, and the forecast at the choice (272 ms where 1,040 ms came) does not tell these requests from others. Change: a choice says until when the version that its target serves may be begun. 250 ms before that, a request that another target may run and that has not begun is taken back by closing its connection, and sent to another. What was long on its way, not at the engine, is not mended: its close comes after it.

--- a/dispatch/book_test.go
+++ b/dispatch/book_test.go
@@ -135,6 +135,24 @@
 	assert.Equal(t, picked(b, start.Add(9*time.Second)), "i-3")
 }
 
+// A choice says until when the version that the target serves may be begun: the earliest
+// end that a newer version brings.
+func TestChoiceSaysUntilWhenItsVersionMayBeBegun(t *testing.T) {
+	cfg := Config{VersionTimeout: 8 * time.Second, VersionMargin: time.Second}
+	b := book(engineModel(), cfg, engine(1, 1), engine(2, 2), engine(3, 3))
+	until := func(avoid ...string) time.Time {
+		c, v := b.Pick(start.Add(3*time.Second), testService, demand(), avoid)
+		assert.Equal(t, v, Chosen)
+		return c.Until
+	}
+	assert.Assert(t, until("i-2", "i-3").IsZero(), "no newer version is named")
+	b.SetVersion(fleet.VersionTarget{Model: "m", Version: 2}, start)
+	b.SetVersion(fleet.VersionTarget{Model: "m", Version: 3}, start.Add(2*time.Second))
+	assert.Equal(t, until("i-2", "i-3"), start.Add(8*time.Second))
+	assert.Equal(t, until("i-1", "i-3"), start.Add(10*time.Second))
+	assert.Assert(t, until("i-1", "i-2").IsZero())
+}
+
 func TestVersionsNeverGoBack(t *testing.T) {
 	b := book(engineModel(), Config{VersionTimeout: time.Second, VersionMargin: time.Millisecond}, engine(1, 1), engine(2, 2))
 	b.SetVersion(fleet.VersionTarget{Model: "m", Version: 2}, start)
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -23,9 +23,12 @@
 
 // Choice is the target that a request goes to.
 type Choice struct {
-	Target    *Target
-	Entry     int64 // revision of the target's entry in the list, as the choice knew it
-	Doubtful  bool  // its entry had vanished from the list
+	Target   *Target
+	Entry    int64 // revision of the target's entry in the list, as the choice knew it
+	Doubtful bool  // its entry had vanished from the list
+	// Until is when the request must have begun at the target, because the time of the
+	// version that it serves is over; zero if it may begin at any time.
+	Until     time.Time
 	Forecast  Forecast
 	Admission Admission
 	Load      Load // at the target before the request
@@ -72,6 +75,7 @@
 		best = c
 		if c.Admission.admits(c.Load, c.Forecast) {
 			b.start(now, c.Target, d)
+			c.Until = b.servesUntil(c.Target)
 			return c.Choice, Chosen
 		}
 	}
@@ -113,14 +117,8 @@
 	if t.model == nil {
 		return true
 	}
-	holds := t.Holds(t.model)
-	if s, said := b.states[t.Addr]; said && (s.Born >= t.Born || s.Born == 0) { // else of an earlier life
-		if s.Loading {
-			return false
-		}
-		holds = s.Version
-	}
-	if holds == 0 {
+	holds, loading := b.serving(t)
+	if holds == 0 || loading {
 		return false
 	}
 	if b.cfg.VersionTimeout == 0 {
@@ -130,6 +128,25 @@
 	return holds >= due
 }
 
+// serving returns the version that an engine serves whole, and whether it loads one, by
+// its agent or else by the list.
+func (b *Book) serving(t *Target) (version int, loading bool) {
+	if s, said := b.states[t.Addr]; said && (s.Born >= t.Born || s.Born == 0) { // else of an earlier life
+		return s.Version, s.Loading
+	}
+	return t.Holds(t.model), false
+}
+
+// servesUntil returns when the time of the version that a target serves is over; zero
+// if no newer one is named.
+func (b *Book) servesUntil(t *Target) time.Time {
+	if t.model == nil || b.cfg.VersionTimeout == 0 {
+		return time.Time{}
+	}
+	version, _ := b.serving(t)
+	return b.versions[t.model.Model].overAt(version, b.cfg.VersionTimeout)
+}
+
 func (b *Book) forecast(t *Target, d Demand) Forecast {
 	if t.model != nil {
 		return forecastEngine(t.model, t.load, d)
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -26,6 +26,18 @@
 	return 0
 }
 
+// overAt returns when the time of a version is over, because a newer one must be served
+// by then; zero if none is newer.
+func (w wantedVersions) overAt(version int, timeout time.Duration) time.Time {
+	var first time.Time
+	for _, x := range w {
+		if over := x.since.Add(timeout); x.version > version && (first.IsZero() || over.Before(first)) {
+			first = over
+		}
+	}
+	return first
+}
+
 // versionsKept bounds the versions that are remembered; those before are due.
 const versionsKept = 8
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,12 +22,16 @@
 	unread int // prompt tokens that the target has not read yet
 	events int
 	lastAt time.Time // when the last event came
+	// expiry takes the request back if it has not begun by then; nil if it may begin at
+	// any time.
+	expiry *time.Timer
 }
 
 // Causes of an attempt's end by our own clock.
 var (
 	errFirstEventLate = errors.New("gateway: first event is late")
 	errStalled        = errors.New("gateway: stream stalled")
+	errVersionOver    = errors.New("gateway: time of the target's version is over")
 )
 
 func (a *attempt) do(r *targetconn.Request) result {
@@ -37,6 +41,8 @@
 		watchdog = time.AfterFunc(a.x.g.cfg.FirstEventTimeout, func() { a.late(watchdog) })
 		defer watchdog.Stop()
 	}
+	a.expireWithVersion()
+	defer a.begun()
 	resp, err := a.x.g.pool.Do(a.ctx, a.choice.Target.Addr, r, a.idOf)
 	if err != nil {
 		return a.failed(err)
@@ -52,9 +58,29 @@
 	if a.x.route.Kind == fleet.Streaming && resp.StatusCode == http.StatusOK {
 		return a.stream(resp, watchdog)
 	}
+	a.begun()
 	return a.plain(resp, watchdog)
 }
 
+// expireWithVersion takes the request back from a target that serves an older version,
+// if it has not begun there when that must not be served any more: how long it waits at
+// the target is not known when it is sent. Only a request that another target may run
+// is taken back.
+func (a *attempt) expireWithVersion() {
+	if a.choice.Until.IsZero() || !a.x.route.Idempotent() {
+		return
+	}
+	left := time.Until(a.choice.Until) - a.x.g.cfg.TakeBack
+	a.expiry = time.AfterFunc(left, func() { a.cancel(errVersionOver) })
+}
+
+// begun notes that the target has begun with the request.
+func (a *attempt) begun() {
+	if a.expiry != nil {
+		a.expiry.Stop()
+	}
+}
+
 // lateRecheck is the time between two looks at a late target.
 const lateRecheck = 100 * time.Millisecond
 
@@ -83,6 +109,8 @@
 // failed turns an error of an exchange into a result.
 func (a *attempt) failed(err error) result {
 	switch {
+	case errors.Is(context.Cause(a.ctx), errVersionOver):
+		return result{reason: ReasonVersionOver, ran: true, sent: true}
 	case errors.Is(err, targetconn.ErrDial):
 		return result{reason: ReasonDialFailed}
 	case errors.Is(context.Cause(a.ctx), errFirstEventLate):
@@ -120,7 +148,7 @@
 func (a *attempt) finish(res result) {
 	r := dispatch.Result{Unread: a.unread, Latency: time.Since(a.began)}
 	switch res.reason {
-	case ReasonNone, ReasonTimeout, ReasonCallerGone:
+	case ReasonNone, ReasonTimeout, ReasonCallerGone, ReasonVersionOver:
 	case ReasonTargetRefused:
 		r.Latency = 0
 	case ReasonOtherInstance:
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -25,6 +25,7 @@
 	ReasonSlowStart     Reason = "first_event_late"
 	ReasonStalled       Reason = "stream_stalled"
 	ReasonBrokenStream  Reason = "stream_broken"
+	ReasonVersionOver   Reason = "version_over" // it had not begun when its version's time was over
 	ReasonTimeout       Reason = "timeout"
 	ReasonCallerGone    Reason = "caller_gone"
 	ReasonAttempts      Reason = "attempts_used"
@@ -34,7 +35,7 @@
 // reasons lists all reasons with a counter.
 var reasons = []Reason{ReasonNoConfig, ReasonNoRoute, ReasonUnknownKey, ReasonBodyTooLarge, ReasonBodyBroken,
 	ReasonSaturated, ReasonNoTarget, ReasonDialFailed, ReasonTargetRefused, ReasonOtherInstance, ReasonConnLost,
-	ReasonGarbled, ReasonTargetError, ReasonSlowStart, ReasonStalled, ReasonBrokenStream, ReasonTimeout,
+	ReasonGarbled, ReasonTargetError, ReasonSlowStart, ReasonStalled, ReasonBrokenStream, ReasonVersionOver, ReasonTimeout,
 	ReasonCallerGone, ReasonAttempts, ReasonBudget}
 
 // refusalStatus returns the status of an answer of our own. ran is true if a
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -123,6 +123,7 @@
 		observe(x.g.stats.firstEvent, x.firstAt)
 	}
 	if a.events == 0 {
+		a.begun()
 		observe(x.g.stats.forecastError, now.Sub(a.began)-a.choice.Forecast.FirstEvent)
 	}
 	if !a.lastAt.IsZero() {
