--- a/mesh/copies_test.go
+++ b/mesh/copies_test.go
@@ -97,6 +97,13 @@
 	e.start()
 }
 
+// findsDifference reports whether the entry finds another's copy not as its own.
+func (e *entry) findsDifference() bool {
+	e.mesh.mu.Lock()
+	defer e.mesh.mu.Unlock()
+	return e.mesh.differing.any()
+}
+
 // contentsOf returns the revisions of a copy's items.
 func contentsOf(t *mirror.Table) map[string]int64 {
 	out := map[string]int64{}
@@ -161,7 +168,7 @@
 		assert.DeepEqual(t, contentsOf(lost.table), contentsOf(all.store))
 		time.Sleep(2 * time.Second)
 		for _, e := range all.all {
-			assert.Assert(t, !e.mesh.differing.any(), e.addr)
+			assert.Assert(t, !e.findsDifference(), e.addr)
 			assert.Assert(t, e.mesh.repairs.Count() == 1, e.addr)
 		}
 	})
--- a/mesh/follow_test.go
+++ b/mesh/follow_test.go
@@ -313,21 +313,27 @@
 	e.view = &storeView{store: e.fleet.store, changed: make(chan struct{})}
 	hello := peer.Hello{Host: "host of " + e.addr}
 	e.pool = peer.NewPoolOver(e.dial, hello, e.serve, &peer.Meter{})
-	e.mesh = New(Options{Self: peer.Presence{Host: hello.Host, Domain: "a", Addr: e.addr, Incarnation: e.starts},
+	m := New(Options{Self: peer.Presence{Host: hello.Host, Domain: "a", Addr: e.addr, Incarnation: e.starts},
 		Seeds: []string{e.fleet.all[0].addr}, Pool: e.pool, Listener: e, Table: e.table, Log: log})
-	e.follower = e.mesh.Follow(mirror.Config{}, e.view, log)
+	e.mu.Lock()
+	e.mesh = m // connections of before a restart may still ask for it
+	e.mu.Unlock()
+	e.follower = m.Follow(mirror.Config{}, e.view, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	go e.follower.Run(ctx)
-	go e.mesh.Run(ctx, func() []peer.TargetLoad { return nil })
+	go m.Run(ctx, func() []peer.TargetLoad { return nil })
 }
 
 func (e *entry) serve(ctx context.Context, s *peer.Stream, first peer.Message) {
+	e.mu.Lock()
+	current := e.mesh
+	e.mu.Unlock()
 	switch m := first.(type) {
 	case *peer.Presence:
-		e.mesh.Serve(ctx, s, m)
+		current.Serve(ctx, s, m)
 	case *peer.MirrorRead:
-		e.mesh.ServeMirror(ctx, s, m)
+		current.ServeMirror(ctx, s, m)
 	}
 }
 
