--- a/mesh/follow_test.go
+++ b/mesh/follow_test.go
@@ -315,10 +315,10 @@
 	e.pool = peer.NewPoolOver(e.dial, hello, e.serve, &peer.Meter{})
 	m := New(Options{Self: peer.Presence{Host: hello.Host, Domain: "a", Addr: e.addr, Incarnation: e.starts},
 		Seeds: []string{e.fleet.all[0].addr}, Pool: e.pool, Listener: e, Table: e.table, Log: log})
+	e.follower = m.Follow(mirror.Config{}, e.view, log)
 	e.mu.Lock()
-	e.mesh = m // connections of before a restart may still ask for it
+	e.mesh = m // whole: connections of before a restart may ask for it at once
 	e.mu.Unlock()
-	e.follower = m.Follow(mirror.Config{}, e.view, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	go e.follower.Run(ctx)
