Requests stay in their homes and out of evacuated failure domains

Ruled out: evacuations read late or lost by the copy of the store; no decoder knew the key.

A cold target gets what it bears in any second, counted by its home for all entries.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -9,6 +9,7 @@
 
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
+	"github.com/springgate/springgate/residency"
 )
 
 // EngineState is what the agent beside an engine says about it.
@@ -30,6 +31,7 @@
 	health health
 	gone   bool
 	lost   int // requests of this entry whose connection broke there
+	cold   coldRate
 }
 
 // Book holds the targets of all services. Its methods may be called
@@ -38,6 +40,7 @@
 	cfg Config
 
 	mu       sync.Mutex
+	policy   *residency.Policy
 	services map[string][]*Target
 	byID     map[string]*Target
 	addrs    map[string]bool           // of all targets
@@ -50,7 +53,7 @@
 
 // NewBook returns an empty book.
 func NewBook(cfg Config, rng *rand.Rand) *Book {
-	return &Book{cfg: cfg.applyDefaults(), services: map[string][]*Target{}, byID: map[string]*Target{},
+	return &Book{cfg: cfg.applyDefaults(), policy: residency.New(cfg.Regions, nil), services: map[string][]*Target{}, byID: map[string]*Target{},
 		demands: map[string]*demands{}, states: map[string]EngineState{}, versions: map[string]wantedVersions{}, rng: rng, changed: make(chan struct{})}
 }
 
@@ -69,8 +72,10 @@
 			t = &Target{others: map[string]Load{}, heard: map[string]bool{}}
 		}
 		t.Instance = *i
+		t.cold.until = i.ColdUntil
 		if s := services[i.Service]; s != nil {
 			t.model = s.Engine
+			t.cold.perS = s.ColdRate
 		}
 		byID[i.ID] = t
 		addrs[i.Addr] = true
@@ -83,6 +88,21 @@
 	b.wake()
 }
 
+// SetEvacuated replaces the failure domains that are evacuated. It returns how many of
+// them are in no region that is known.
+func (b *Book) SetEvacuated(domains []string) (unknown int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.policy = residency.New(b.cfg.Regions, domains)
+	b.wake()
+	for _, d := range domains {
+		if b.cfg.Regions[d] == "" {
+			unknown++
+		}
+	}
+	return unknown
+}
+
 // SetState takes what the agent beside an engine says.
 func (b *Book) SetState(addr string, s EngineState) {
 	b.mu.Lock()
@@ -113,6 +133,7 @@
 func (b *Book) start(now time.Time, t *Target, d Demand) {
 	l := Load{Requests: 1, Unread: d.Prompt}
 	t.own, t.load = t.own.add(l), t.load.add(l)
+	t.cold.count(now)
 	if t.health.waitingSince.IsZero() {
 		t.health.waitingSince = now
 	}
@@ -121,17 +142,19 @@
 // Reserve decides for another entry whether one more request with so long a
 // prompt may go to a target, on the terms that the entry states. The grant counts
 // as that entry's load until its next account. A target that is not known here is
-// granted: the asker may know better.
-func (b *Book) Reserve(from, instance string, prompt int, a Admission) bool {
+// granted: the asker may know better. In a failure domain that is evacuated by now none
+// is granted.
+func (b *Book) Reserve(now time.Time, from, instance string, prompt int, a Admission) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.byID[instance]
 	if t == nil {
 		return true
 	}
-	if !a.admits(t.load, b.forecast(t, Demand{Prompt: prompt})) {
+	if b.policy.Evacuated(t.Domain) || !t.cold.allows(now) || !a.admits(t.load, b.forecast(t, Demand{Prompt: prompt})) {
 		return false
 	}
+	t.cold.count(now)
 	l := Load{Requests: 1, Unread: prompt}
 	t.others[from] = t.others[from].add(l)
 	t.load = t.load.add(l)
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -11,6 +11,8 @@
 type Config struct {
 	// Off are mechanisms that are switched off.
 	Off mechanism.Off
+	// Regions are the regions of the failure domains.
+	Regions map[string]string
 	// Admit is the part of the tightest objective of a service that the
 	// forecast of a mean request may take. The rest covers the way to the
 	// caller and what the forecast does not see. Default 0.75.
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/residency"
 )
 
 // Load is what is in flight at a target.
@@ -24,6 +25,7 @@
 	MaxGap    time.Duration // longest pause between events; zero for none
 	Domain    string        // failure domain of the entry
 	Standing  Standing
+	Homes     residency.Homes
 }
 
 // Forecast is what is expected of a request at a target.
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -17,10 +17,13 @@
 	Chosen    Verdict = iota
 	Saturated         // all that could serve are too loaded for the objective
 	NoTarget          // none could serve now
+	NoDomain          // all are in failure domains that must not run the request
 )
 
 // String returns the name of the verdict.
-func (v Verdict) String() string { return [...]string{"chosen", "saturated", "no_target"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"chosen", "saturated", "no_target", "no_domain"}[v]
+}
 
 // Choice is the target that a request goes to.
 type Choice struct {
@@ -50,11 +53,20 @@
 	}
 	var best, lightest, spare candidate
 	start := b.rng.IntN(n)
-	for k := range min(n, b.cfg.Sample) {
+	allowed, cold := 0, false
+	for k := 0; k < n && allowed < b.cfg.Sample; k++ {
 		t := targets[(start+k)%n]
+		if !b.policy.Allows(t.Domain, d.Homes) {
+			continue
+		}
+		allowed++
 		if !b.usable(now, t) || slices.Contains(avoid, t.ID) {
 			continue
 		}
+		if !t.cold.allows(now) {
+			cold = true
+			continue
+		}
 		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
@@ -71,7 +83,12 @@
 	if best.Target == nil {
 		best, lightest = spare, spare
 	}
-	if best.Target == nil {
+	switch {
+	case allowed == 0:
+		return Choice{}, NoDomain
+	case best.Target == nil && cold:
+		return Choice{}, Saturated
+	case best.Target == nil:
 		return Choice{}, NoTarget
 	}
 	for _, c := range [...]candidate{best, lightest} {
--- /dev/null
+++ b/dispatch/residency_test.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/residency"
+	"gotest.tools/v3/assert"
+)
+
+// spread returns a book with two engines in each of the failure domains a, b and c, which
+// are regions of their own.
+func spread(t *testing.T, evacuated ...string) *Book {
+	t.Helper()
+	var list []*fleet.Instance
+	for i := range 6 {
+		e := engine(i, 1)
+		e.Domain = string(rune('a' + i%3))
+		list = append(list, e)
+	}
+	b := book(engineModel(), Config{Regions: regions()}, list...)
+	b.SetEvacuated(evacuated)
+	return b
+}
+
+func regions() map[string]string { return map[string]string{"a": "A", "b": "B", "c": "C"} }
+
+// domainsOf returns the failure domains that 30 requests are sent to, one after the other.
+func domainsOf(t *testing.T, b *Book, d Demand, avoid ...string) map[string]bool {
+	t.Helper()
+	got := map[string]bool{}
+	for range 30 {
+		c, v := b.Pick(start, testService, d, avoid)
+		if v != Chosen {
+			got[v.String()] = true
+			continue
+		}
+		got[c.Instance.Domain] = true
+		b.Finish(start, c.Target, Result{Unread: d.Prompt})
+	}
+	return got
+}
+
+func TestRequestStaysInItsHomes(t *testing.T) {
+	for _, standing := range []Standing{Fresh, Overdue, Resumed} {
+		d := demand()
+		d.Standing, d.Homes = standing, residency.Homes{Route: []string{"B", "C"}, Team: []string{"C", "A"}}
+		b := spread(t)
+		assert.DeepEqual(t, domainsOf(t, b, d), map[string]bool{"c": true})
+		// The home alone is down or avoided: no other domain takes its place.
+		assert.DeepEqual(t, domainsOf(t, b, d, "i-2", "i-5"), map[string]bool{"no_target": true})
+		// The last resort is at home too.
+		b.Finish(start, b.byID["i-2"], Result{Down: true})
+		assert.DeepEqual(t, domainsOf(t, b, d, "i-5"), map[string]bool{"c": true})
+		d.Homes.Team = []string{"A"}
+		assert.DeepEqual(t, domainsOf(t, b, d), map[string]bool{"no_domain": true})
+	}
+}
+
+func TestEvacuatedDomainIsNotChosen(t *testing.T) {
+	b := spread(t, "a", "nowhere")
+	d := demand()
+	assert.Assert(t, !domainsOf(t, b, d)["a"])
+	assert.DeepEqual(t, domainsOf(t, b, d, "i-1", "i-2", "i-4", "i-5"), map[string]bool{"no_target": true})
+	d.Standing = Resumed
+	assert.Assert(t, !domainsOf(t, b, d)["a"])
+	b.SetEvacuated([]string{"a", "b", "c"})
+	assert.DeepEqual(t, domainsOf(t, b, d), map[string]bool{"no_domain": true})
+	b.SetEvacuated(nil)
+	assert.Assert(t, domainsOf(t, b, demand())["a"], "taken back")
+}
+
+// A home that knows of an evacuation grants no place there to an entry that does not.
+func TestHomeGrantsNothingInAnEvacuatedDomain(t *testing.T) {
+	b := spread(t, "a")
+	a := Admission{MaxWait: time.Hour}
+	assert.Assert(t, !b.Reserve(start, "x", "i-0", 10, a))
+	assert.Assert(t, b.Reserve(start, "x", "i-1", 10, a))
+}
+
+// The sample that is looked at is of targets that may run the request.
+func TestSampleIsOfAllowedDomains(t *testing.T) {
+	var list []*fleet.Instance
+	for i := range 60 {
+		e := engine(i, 1)
+		e.Domain = "a"
+		list = append(list, e)
+	}
+	home := engine(99, 1)
+	home.Domain = "c"
+	b := book(engineModel(), Config{Sample: 2, Regions: regions()}, append(list, home)...)
+	d := demand()
+	d.Homes.Route = []string{"C"}
+	assert.DeepEqual(t, domainsOf(t, b, d), map[string]bool{"c": true})
+}
+
+// A cold target gets no more requests in a second than it bears, whoever sends them.
+func TestColdTargetGetsNoMoreThanItBears(t *testing.T) {
+	const rate, coldFor = 3, 4 * time.Second
+	e := engine(1, 1)
+	e.ColdUntil = start.Add(coldFor)
+	b := book(engineModel(), Config{}, e)
+	b.Apply([]*fleet.Instance{e}, map[string]*fleet.Service{testService: {Name: testService, Engine: engineModel(), ColdRate: rate}})
+	var sent []time.Time
+	const step = 20 * time.Millisecond
+	for i := range int(2 * coldFor / step) {
+		now := start.Add(time.Duration(i) * step)
+		if i%2 == 0 {
+			if b.Reserve(now, "x", "i-1", 1, Admission{MaxWait: time.Hour}) {
+				sent = append(sent, now)
+			}
+			b.SetLoads("x", nil)
+			continue
+		}
+		c, v := b.Pick(now, testService, demand(), nil)
+		if v == Chosen {
+			sent = append(sent, now)
+			b.Finish(now, c.Target, Result{Unread: 1000})
+		} else {
+			assert.Equal(t, v, Saturated)
+		}
+	}
+	cold := 0
+	for i, at := range sent {
+		if at.Before(e.ColdUntil) {
+			cold++
+		}
+		if i >= rate && sent[i-rate].Before(e.ColdUntil) && at.Before(e.ColdUntil) {
+			assert.Assert(t, at.Sub(sent[i-rate]) >= time.Second, "%v and %v", sent[i-rate], at)
+		}
+	}
+	assert.Equal(t, cold, rate*int(coldFor/time.Second), "and no fewer")
+	assert.Assert(t, len(sent)-cold > 100, "warm, it gets all")
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -46,6 +46,7 @@
 	MaxAttempts int           // targets that one request may be sent to
 	Public      bool          // no API key is needed
 	Resumable   bool          // a stream may go on at another target
+	Homes       []string      // regions whose targets may run it; none is any
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -84,13 +85,15 @@
 	MaxConns int          // connections that one target accepts in all
 	Engine   *EngineModel // nil for plain services
 	Origin   *Origin      // set if the service is the origin of weights
+	ColdRate float64      // requests a second that a cold target bears; 0 for any number
 }
 
 // Team is a paying group of callers.
 type Team struct {
 	Name        string
 	Priority    int
-	HasPriority bool // the team's priority goes before the route's
+	HasPriority bool     // the team's priority goes before the route's
+	Homes       []string // regions whose targets may run its requests; none is any
 }
 
 // Limits bound what a caller may send.
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // ModelVersion is the weights of a model that an engine holds.
 type ModelVersion struct {
 	Model   string
@@ -21,7 +23,11 @@
 	Beat     int64 // heartbeat that wrote the entry, counted from its start
 	Draining bool
 	Doubtful bool // its entry vanished from the list a moment ago
-	Models   []ModelVersion
+	// ColdFor is how long it stays cold after its entry was written, ColdUntil when it is
+	// warm by the clock of this process.
+	ColdFor   time.Duration
+	ColdUntil time.Time
+	Models    []ModelVersion
 }
 
 // SameLife reports whether two accounts of a target may be of one life of it.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -20,6 +20,8 @@
 	// Config returns nil if the item is not the configuration.
 	Config(i mirror.Item) (*fleet.Config, error)
 	Version(i mirror.Item) (v fleet.VersionTarget, ok bool, err error)
+	// Evacuation returns the failure domain that an item evacuates; ok is false for others.
+	Evacuation(i mirror.Item) (domain string, ok bool)
 	IsInstance(i mirror.Item) bool
 	Instance(i mirror.Item) (*fleet.Instance, error)
 }
@@ -59,7 +61,10 @@
 	relay   Relay
 	log     logrus.FieldLogger
 
-	foreign metrics.Gauge // entries of the list that name no target to use
+	evacuated []string // failure domains, in order
+	// unknownEvacuations counts evacuations of failure domains that no setting names.
+	unknownEvacuations metrics.Gauge
+	foreign            metrics.Gauge // entries of the list that name no target to use
 	// endedAtWork counts targets that vanished and at which requests of this entry lost
 	// their connections.
 	endedAtWork metrics.Counter
@@ -104,7 +109,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
-	return &Control{cfg: o.Config, foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedAtWork: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
+	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedAtWork: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
 		addr: o.Addr, gateway: o.Gateway, book: o.Book, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]int64{}, assignments: map[string]*assignment{},
@@ -146,6 +151,7 @@
 	for _, i := range items {
 		c.applyVersion(ctx, i)
 	}
+	c.applyEvacuations(items)
 }
 
 func (c *Control) applyConfig(i mirror.Item) {
@@ -259,6 +265,7 @@
 		}
 		return decodedInstance{i.Revision, nil}
 	}
+	inst.ColdUntil = clock.Now().Add(inst.ColdFor)
 	c.log.WithFields(logrus.Fields{"target": inst.ID, "service": inst.Service, "addr": inst.Addr, "draining": inst.Draining,
 		"models": inst.Models, "revision": i.Revision, "beat": inst.Beat, "born": inst.Born, "copy": c.copyRevision}).Info("Target listed.")
 	return decodedInstance{i.Revision, inst}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -8,6 +8,7 @@
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/mechanism"
+	"github.com/springgate/springgate/residency"
 )
 
 // place waits until a target can serve the request in time.
@@ -30,6 +31,11 @@
 			x.waited += clock.Since(began)
 			return choice, ReasonNone
 		}
+		if verdict == dispatch.NoDomain {
+			// Waiting changes nothing: operators evacuate for minutes.
+			x.waited += clock.Since(began)
+			return choice, ReasonNoDomain
+		}
 		select {
 		case <-changed:
 		case <-patience.C:
@@ -48,7 +54,8 @@
 
 // demand is what the request asks of a target now.
 func (x *exchange) demand() dispatch.Demand {
-	d := dispatch.Demand{Prompt: x.call.Prompt, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain}
+	d := dispatch.Demand{Prompt: x.call.Prompt, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain,
+		Homes: x.homes()}
 	switch {
 	case x.started:
 		d.Standing = dispatch.Resumed
@@ -58,6 +65,15 @@
 	return d
 }
 
+// homes are the regions in which the request may run.
+func (x *exchange) homes() residency.Homes {
+	h := residency.Homes{Route: x.route.Homes}
+	if x.team != nil {
+		h.Team = x.team.Homes
+	}
+	return h
+}
+
 func reasonOf(v dispatch.Verdict) Reason {
 	if v == dispatch.Saturated {
 		return ReasonSaturated
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -16,6 +16,7 @@
 	ReasonBodyBroken    Reason = "body_broken"
 	ReasonSaturated     Reason = "saturated"
 	ReasonNoTarget      Reason = "no_target"
+	ReasonNoDomain      Reason = "no_domain" // no failure domain is left that may run it
 	ReasonDialFailed    Reason = "dial_failed"
 	ReasonTargetRefused Reason = "target_refused" // the target states that it did not run it
 	ReasonOtherInstance Reason = "other_instance"
@@ -35,7 +36,7 @@
 
 // reasons lists all reasons with a counter.
 var reasons = []Reason{ReasonNoConfig, ReasonNoRoute, ReasonUnknownKey, ReasonBodyTooLarge, ReasonBodyBroken,
-	ReasonSaturated, ReasonNoTarget, ReasonDialFailed, ReasonTargetRefused, ReasonOtherInstance, ReasonConnLost,
+	ReasonSaturated, ReasonNoTarget, ReasonNoDomain, ReasonDialFailed, ReasonTargetRefused, ReasonOtherInstance, ReasonConnLost,
 	ReasonGarbled, ReasonTargetError, ReasonSlowStart, ReasonStalled, ReasonBrokenStream, ReasonVersionOver, ReasonEndsTargets, ReasonTimeout,
 	ReasonCallerGone, ReasonAttempts, ReasonBudget}
 
--- a/mesh/reserve.go
+++ b/mesh/reserve.go
@@ -52,7 +52,7 @@
 
 // Serve answers another entry.
 func (r *Reserver) Serve(ctx context.Context, s *peer.Stream, q *peer.Reserve) {
-	granted := r.book.Reserve(q.From, q.Instance, q.Prompt, dispatch.Admission{
+	granted := r.book.Reserve(clock.Now(), q.From, q.Instance, q.Prompt, dispatch.Admission{
 		MaxWait: time.Duration(q.MaxWaitMs) * time.Millisecond, MaxGap: time.Duration(q.MaxGapMs) * time.Millisecond,
 		MaxLoad: q.MaxLoad})
 	// The asker does not wait long, and goes on without an answer.
--- /dev/null
+++ b/residency/residency.go
@@ -0,0 +1,49 @@
+// Package residency decides which failure domains may run a request: those in the home
+// regions of its route and of its team that the operators have not evacuated. It does no
+// I/O. Only the gateway mode of the entry uses it.
+package residency
+
+import "slices"
+
+// Homes are the regions in which a request may run: those of its route and those of its
+// team. Both bind; an empty list allows all regions.
+type Homes struct {
+	Route, Team []string
+}
+
+// allow reports whether a request with these homes may run in a region.
+func (h Homes) allow(region string) bool {
+	return allowedBy(h.Route, region) && allowedBy(h.Team, region)
+}
+
+func allowedBy(homes []string, region string) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
+}
+
+// Policy is what is known of the failure domains at one revision of the store. It is
+// immutable; a nil Policy knows no regions and no evacuations.
+type Policy struct {
+	regions   map[string]string // by failure domain
+	evacuated map[string]bool   // by failure domain
+}
+
+// New returns a policy for failure domains in regions of which some are evacuated.
+func New(regions map[string]string, evacuated []string) *Policy {
+	p := &Policy{regions: regions, evacuated: make(map[string]bool, len(evacuated))}
+	for _, d := range evacuated {
+		p.evacuated[d] = true
+	}
+	return p
+}
+
+// Evacuated reports whether no request may be sent to a failure domain, whatever its homes.
+func (p *Policy) Evacuated(domain string) bool { return p != nil && p.evacuated[domain] }
+
+// Allows reports whether a request with the given homes may be sent to a failure domain. A
+// domain whose region is not known is no home.
+func (p *Policy) Allows(domain string, h Homes) bool {
+	if p == nil {
+		return h.allow("")
+	}
+	return !p.evacuated[domain] && h.allow(p.regions[domain])
+}
--- /dev/null
+++ b/residency/residency_test.go
@@ -0,0 +1,44 @@
+package residency
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAllows(t *testing.T) {
+	regions := map[string]string{"a": "north", "b": "north", "c": "south"}
+	north, south := []string{"north"}, []string{"south"}
+	for name, c := range map[string]struct {
+		evacuated []string
+		homes     Homes
+		want      string // domains of a, b, c and x that may run it
+	}{
+		"anywhere":                 {nil, Homes{}, "abcx"},
+		"home of the route":        {nil, Homes{Route: north}, "ab"},
+		"home of the team":         {nil, Homes{Team: south}, "c"},
+		"both bind":                {nil, Homes{Route: []string{"north", "south"}, Team: south}, "c"},
+		"homes without a region":   {nil, Homes{Route: north, Team: south}, ""},
+		"home that is not known":   {nil, Homes{Route: []string{"east"}}, ""},
+		"evacuated":                {[]string{"a"}, Homes{}, "bcx"},
+		"evacuated home":           {[]string{"c"}, Homes{Team: south}, ""},
+		"evacuation of no domain":  {[]string{"nowhere"}, Homes{}, "abcx"},
+		"evacuated and other home": {[]string{"a"}, Homes{Route: north}, "b"},
+	} {
+		p, got := New(regions, c.evacuated), ""
+		for _, d := range []string{"a", "b", "c", "x"} {
+			if p.Allows(d, c.homes) {
+				got += d
+			}
+		}
+		assert.Equal(t, got, c.want, name)
+	}
+}
+
+// Without a policy a request with homes runs nowhere: no region is known.
+func TestNothingKnown(t *testing.T) {
+	var p *Policy
+	assert.Assert(t, p.Allows("a", Homes{}))
+	assert.Assert(t, !p.Allows("a", Homes{Route: []string{"north"}}))
+	assert.Assert(t, !p.Evacuated("a"))
+}
