The rest of an older version is read and staged first if it has to be served first

Reads at the origin waited in the order of their index over both versions, so pieces 55 to 63 of the older one stood behind 55 of the newer: had at 29.6 to 30.2 s, where 0.4 s of the link were missing at 26.5 s. Its time was over at 28.3 s; no engine ever took it, and from 27.3 to 32 s no engine had a version that may be served. Ruled out: tries that came too late (all entries try until 26.9 s, and none fails after that), connections in use.

Change: reads wait by version, then by index; a read that pauses after failures goes on as soon as the origin answers any read; an agent finishes an older version that is mostly staged if the newest cannot be had before the older one's time is over (sidecar.Config.tooLate).

Engines change twice now where they changed once; each change takes them out for as long as their longest answer runs.

--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -149,8 +149,8 @@
 // planTwo decides while a version is announced before the engine has changed to
 // the one before. Changing once is better than twice, so the newest goes first.
 // But it still has to come from the origin, which may go away: while it cannot be
-// had, the engine changes to the older one in time. What is staged of that stays
-// where it is until the newest is whole in the agent's memory.
+// had, or not in time, the engine changes to the older one in time. What is staged of
+// that stays where it is until the newest is whole in the agent's memory.
 func (c Config) planTwo(now time.Time, serving int, pending []wanted, o order, h holdings) Step {
 	newest := pending[len(pending)-1]
 	older := olderGoal(pending[:len(pending)-1], h)
@@ -166,7 +166,7 @@
 		return Step{Fetch, newest.version}
 	case h.staged.version == newest.version && h.staged.share >= mostly:
 		return Step{Stage, newest.version}
-	case withheld, serving == 0 && staged.share >= mostly:
+	case withheld, staged.share >= mostly && (serving == 0 || c.tooLate(now, o, pending, h)):
 		return Step{Stage, older.version}
 	case staged.share > 0:
 		return Step{Fetch, newest.version}
@@ -174,6 +174,14 @@
 	return Step{Stage, newest.version}
 }
 
+// tooLate reports whether what is missing of the newest version takes longer than until the
+// oldest pending one must be served: then engines would stand without a version that may be.
+func (c Config) tooLate(now time.Time, o order, pending []wanted, h holdings) bool {
+	missing := time.Duration((1 - h.fetched.share) * float64(c.Lead))
+	due := pending[0].announced.Add(time.Duration(o.TimeoutMs)*time.Millisecond - c.Margin)
+	return now.Add(missing).After(due)
+}
+
 // loadOlderAt returns when the engine loads an older version that is staged
 // whole: at its turn while the newest cannot be had; else when it would be late,
 // if the newest is not near its end.
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/fleet"
-	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/peer"
 	"github.com/zeromicro/go-zero/core/syncx"
@@ -80,8 +79,9 @@
 	call    Caller
 	log     logrus.FieldLogger
 
-	flight syncx.SingleFlight
-	gate   gate // of reads at the origin
+	flight   syncx.SingleFlight
+	gate     gate // of reads at the origin
+	recovery recovery
 
 	mu       sync.Mutex
 	versions map[string][]*held // by model, newest first
@@ -144,7 +144,7 @@
 func (r *Relay) readManifest(ctx context.Context, key string, q *peer.GetManifest) (*Manifest, error) {
 	var last error
 	for try := range r.tries(q.Hops) {
-		if try > 0 && !loop.Sleep(ctx, r.cfg.RetryPause<<(try-1)) {
+		if try > 0 && !r.recovery.pause(ctx, r.cfg.RetryPause<<(try-1)) {
 			break
 		}
 		for _, src := range r.sources(key, q.Hops, try) {
@@ -201,9 +201,6 @@
 	return m, nil
 }
 
-// manifestRank puts a manifest before all pieces: nothing can be checked without.
-const manifestRank = -1
-
 func (r *Relay) originManifest(ctx context.Context, q *peer.GetManifest) (*Manifest, error) {
 	o := r.origin()
 	if o == nil {
@@ -211,11 +208,13 @@
 	}
 	ctx, cancel := clock.WithTimeout(ctx, r.cfg.OriginTimeout)
 	defer cancel()
-	if err := r.gate.enter(ctx, r.originConns(o), manifestRank); err != nil {
+	if err := r.gate.enter(ctx, r.originConns(o), rank{q.Version, manifestIndex}); err != nil {
 		return nil, err
 	}
 	defer r.gate.leave()
-	return r.from.Manifest(ctx, o.Addr, q.Model, q.Version)
+	m, err := r.from.Manifest(ctx, o.Addr, q.Model, q.Version)
+	r.recovery.note(err)
+	return m, err
 }
 
 func (r *Relay) keepManifest(m *Manifest) {
@@ -248,7 +247,7 @@
 func (r *Relay) readPiece(ctx context.Context, key string, q *peer.GetPiece) ([]byte, error) {
 	var last error
 	for try := range r.tries(q.Hops) {
-		if try > 0 && !loop.Sleep(ctx, r.cfg.RetryPause<<(try-1)) {
+		if try > 0 && !r.recovery.pause(ctx, r.cfg.RetryPause<<(try-1)) {
 			break
 		}
 		m, err := r.Manifest(ctx, &peer.GetManifest{Model: q.Model, Version: q.Version})
@@ -327,11 +326,13 @@
 	}
 	ctx, cancel := clock.WithTimeout(ctx, r.cfg.OriginTimeout)
 	defer cancel()
-	if err := r.gate.enter(ctx, r.originConns(o), q.Index); err != nil {
+	if err := r.gate.enter(ctx, r.originConns(o), rank{q.Version, q.Index}); err != nil {
 		return nil, err
 	}
 	defer r.gate.leave()
-	return r.from.Piece(ctx, o.Addr, q.Model, q.Version, q.Index)
+	data, err := r.from.Piece(ctx, o.Addr, q.Model, q.Version, q.Index)
+	r.recovery.note(err)
+	return data, err
 }
 
 // Serve answers a request for a manifest or a piece.
--- a/weights/relay_test.go
+++ b/weights/relay_test.go
@@ -292,15 +292,15 @@
 
 func TestGate(t *testing.T) {
 	g := &gate{}
-	assert.NilError(t, g.enter(t.Context(), 1, 0))
+	assert.NilError(t, g.enter(t.Context(), 1, rank{}))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	assert.ErrorIs(t, g.enter(ctx, 1, 0), context.Canceled)
+	assert.ErrorIs(t, g.enter(ctx, 1, rank{}), context.Canceled)
 	assert.Equal(t, len(g.waiting), 0, "who gives up does not wait")
-	assert.NilError(t, g.enter(t.Context(), 2, 0), "a higher limit")
+	assert.NilError(t, g.enter(t.Context(), 2, rank{}), "a higher limit")
 	g.leave()
-	high, low, same := g.join(1, 7), g.join(1, 3), g.join(1, 3)
-	for _, w := range []*waiter{low, same, high} {
+	newer, high, low, same := g.join(1, rank{2, 0}), g.join(1, rank{1, 7}), g.join(1, rank{1, 3}), g.join(1, rank{1, 3})
+	for _, w := range []*waiter{low, same, high, newer} {
 		g.leave()
 		<-w.enter
 	}
