--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -48,11 +48,8 @@
 }
 
 // overdueReserve is one slot in so many that overdue requests leave free, and
-// overdueWait the part of the common wait that they accept. A slot that a late
-// answer holds for a second is missing for fresh requests. In the simulation of
-// overload_test.go with 72 requests/s at 6 engines, which serve 0.9 of that, and a
-// burst to twice that for 3 s, 29 seeds, 0.75 are in time with the reserve, 0.71
-// without, and 0.61 if overdue requests are treated as fresh ones.
+// overdueWait the part of the common wait that they accept. They answer sustained
+// overload: a slot that holds a late answer is missing for fresh requests.
 const (
 	overdueReserve = 8
 	overdueWait    = 0.5
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -127,7 +127,7 @@
 }
 
 // firstEventFactor is how many times longer than forecast the first event of a
-// busy target may take; none of 19,000 requests took 0.3 s longer than forecast.
+// busy target may take.
 const firstEventFactor = 4
 
 // firstEventLimit is how long a target that sends events of other streams, or
--- a/gateway/endings.go
+++ b/gateway/endings.go
@@ -171,7 +171,7 @@
 	if !x.over {
 		return
 	}
-	e.table.Saw(clock.Now(), x.lost...)
+	e.table.RecordCrashes(clock.Now(), x.lost...)
 	x.lost = nil
 }
 
@@ -187,7 +187,7 @@
 	}
 	delete(e.lives, life)
 	if x.over {
-		e.table.Alive(life)
+		e.table.RetractCrash(life)
 		e.log.WithFields(logrus.Fields{"target": t.ID, "born": t.Born}).Warn("Target has not ended after all.")
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,8 +90,7 @@
 	// request may wait for a target: enough to bridge a moment without one, and
 	// little enough that a caller who is refused has lost nothing. All wait
 	// equally long, since those who wait longer win the places that others
-	// leave. On 14 overloaded days 0.1 and 0.2 served equally many in time.
-	// Default 0.1.
+	// leave. Default 0.1.
 	Patience float64
 	// RetryPatience is how long a request that failed at one target may wait
 	// for another. Default 250 ms.
@@ -111,15 +110,13 @@
 	AnswerMemory int64
 	// TakeBack is how long before the end of its version's time a request that has not
 	// begun is taken back from a target: what the close of its connection may take to
-	// get there over a link that pieces of weights share. Requests are sent until 1 s
-	// before the end, and one waited 1.43 s at an engine. Default 250 ms.
+	// get there over a link that pieces of weights share. Default 250 ms.
 	TakeBack time.Duration
 	// RetryAfter is the part of the time left after which a refused caller
 	// should come back, the longest that callers heed: most bursts, changes of
 	// version and restarts are over by then. RetrySpread is the part by which
 	// that varies, so that those who are refused together do not come back
-	// together. Against 1 to 2 s of 6 s, 0.006 more worth on 14 overloaded
-	// days. Defaults 1/3 and 0.2.
+	// together. Defaults 1/3 and 0.2.
 	RetryAfter, RetrySpread float64
 	// RetryRatio is how many retries each request pays for, and RetryBurst
 	// how many may be saved up by all entries together.
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -56,6 +56,6 @@
 
 // survived notes that a target has brought a run of the request to its end.
 func (x *exchange) survived(c dispatch.Choice, sent time.Time) {
-	x.g.cfg.Crashes.Survived(clock.Now(), x.content)
+	x.g.cfg.Crashes.RecordSuccess(clock.Now(), x.content)
 	x.g.endings.answered(c.Instance, sent)
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -226,10 +226,10 @@
 	i := fleet.Instance{ID: "i-0", Addr: refusing(t)}
 	sent := time.Now()
 	assert.Assert(t, g.endings.lost(t.Context(), i, quarantine.Fingerprint{1}, sent, sent))
-	n, _ := g.cfg.Crashes.Known(0, 1)
+	n, _ := g.cfg.Crashes.Changes(0, 1)
 	assert.Equal(t, len(n.Crashes), 1)
 	g.endings.answered(i, sent.Add(time.Second))
-	n, _ = g.cfg.Crashes.Known(0, 1)
+	n, _ = g.cfg.Crashes.Changes(0, 1)
 	assert.Assert(t, n.Crashes[0].Void)
 }
 
@@ -241,7 +241,7 @@
 	content := f.gateway.cfg.Hasher.Fingerprint(quarantine.Content{Caller: "blue", Method: http.MethodPost, Host: "h.example", URI: "/safe/x", Body: []byte("b")})
 	for i := range 3 {
 		at := time.Now().Add(-time.Minute + time.Duration(i)*time.Second)
-		f.gateway.cfg.Crashes.Saw(time.Now(), quarantine.Crash{Content: content, Life: quarantine.Life{Target: fmt.Sprint(i)}, At: at})
+		f.gateway.cfg.Crashes.RecordCrashes(time.Now(), quarantine.Crash{Content: content, Life: quarantine.Life{Target: fmt.Sprint(i)}, At: at})
 	}
 	f.gateway.cfg.Probes = func(quarantine.Fingerprint) bool { return false }
 	assert.Equal(t, f.call(http.MethodPost, "/safe/x", "b").status, http.StatusBadRequest)
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -40,7 +40,7 @@
 	if t.table == nil {
 		return nil
 	}
-	n, place := t.table.Known(0, 1)
+	n, place := t.table.Changes(0, 1)
 	t.place = place
 	return encodeCrashes(clock.Now(), n)
 }
@@ -54,7 +54,7 @@
 
 // forAgent returns what has changed, as far as an agent keeps it, or nil.
 func (t *toldCrashes) forAgent() *peer.Crashes {
-	n, place := t.table.Known(t.place, agentCrashes)
+	n, place := t.table.Changes(t.place, agentCrashes)
 	t.place = place
 	return encodeCrashes(clock.Now(), n)
 }
@@ -104,7 +104,7 @@
 // learnCrashes takes what another process tells.
 func (m *Mesh) learnCrashes(msg *peer.Crashes) {
 	if m.crashes != nil {
-		m.crashes.Learn(clock.Now(), decodeCrashes(clock.Now(), msg))
+		m.crashes.Merge(clock.Now(), decodeCrashes(clock.Now(), msg))
 	}
 }
 
--- a/mesh/reach.go
+++ b/mesh/reach.go
@@ -5,9 +5,8 @@
 	"github.com/springgate/springgate/peer"
 )
 
-// Bounds of the links of one agent. An agent linked to every entry costs links that
-// grow with the product of both: 7,140 at 35 entries and 204 agents, of which four in
-// five cross between failure domains, all opened in the second in which a fleet starts.
+// Bounds of the links of one agent. Agents linked to every entry cost links that grow with
+// the product of both, all opened in the second in which a fleet starts.
 const (
 	// nearLinks is how many entries of its own failure domain an agent is linked to:
 	// they hand out pieces, each the ones that it reads for the domain.
--- a/mesh/updates.go
+++ b/mesh/updates.go
@@ -10,18 +10,16 @@
 	"github.com/springgate/springgate/peer"
 )
 
-// updatePause is the least time between two messages about members on one stream.
-// When a fleet starts, entries find each other one by one: at 35 entries, 34 changes
-// in about a second become ten messages.
-const updatePause = 100 * time.Millisecond
+// memberUpdateInterval batches membership changes on a stream, which come in bursts when a
+// fleet starts.
+const memberUpdateInterval = 100 * time.Millisecond
 
 // introducers is how many entries tell an entry of the others, beside the seeds: one that
 // learns of them from few still links to all, and all so learn of it.
 const introducers = 3
 
-// memberUpdates is what one stream was told of the members. It tells each of them once: whole
-// lists at each change were 135 MB between regions in the first 4 s of 35 entries and
-// 204 agents, counted by kind of message. It is pure.
+// memberUpdates tracks which members have been announced on a stream. Each is announced
+// once: whole lists at each change grow with the product of members and streams. It is pure.
 type memberUpdates struct {
 	to          peer.Presence
 	seed        bool            // this entry is one that others begin with
@@ -121,7 +119,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !loop.Sleep(ctx, updatePause) {
+		if !loop.Sleep(ctx, memberUpdateInterval) {
 			return
 		}
 	}
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -13,14 +13,14 @@
 	for i := range maxContents - spare {
 		for l := range 3 {
 			now += 100 * time.Millisecond
-			x.Saw(at(now), crash(content(9, i), 3*i+l, now))
+			x.RecordCrashes(at(now), crash(content(9, i), 3*i+l, now))
 		}
 	}
 	n := 0
 	for b.Loop() {
 		n++
 		now += judgeEvery
-		x.Saw(at(now), crash(content(8, n%32), 100000+n, now))
+		x.RecordCrashes(at(now), crash(content(8, n%32), 100000+n, now))
 		refused(x, now, content(8, n%32))
 	}
 }
@@ -33,9 +33,9 @@
 	for b.Loop() {
 		n++
 		now += 100 * time.Millisecond
-		x.Saw(at(now), crash(bad, n, now))
+		x.RecordCrashes(at(now), crash(bad, n, now))
 		for i := range 8 {
-			x.Saw(at(now), crash(content(3, 8*n+i), n, now))
+			x.RecordCrashes(at(now), crash(content(3, 8*n+i), n, now))
 		}
 		refused(x, now, bad)
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,7 +13,7 @@
 //   - It is there each time. A life is explained if another content that was at work on it
 //     has ended more targets; what remains unexplained counts.
 //   - It never ends well. A run that the target survives clears all that was before it, and
-//     a content that has ended well lately must end targets at crashesOfProven moments.
+//     a content that has ended well lately must end targets at provenThreshold moments.
 //   - Its targets end one by one. Where many others end in the same moment, a common cause
 //     is likelier, and the moment counts once.
 package quarantine
@@ -21,26 +21,25 @@
 import "time"
 
 const (
-	// crashesToKnow is how many unexplained ends show the cause. One is chance, and two in
-	// a row met 14 of 162 bystanders of a storm in which 40 targets ended.
-	crashesToKnow = 3
-	// crashesOfAny is enough also where another content was at work on all the same lives,
-	// so that the two cannot be told apart: one more send of each mostly tells.
-	crashesOfAny = 5
-	// crashesOfProven is at how many moments in a row a content must end targets that has
-	// ended well lately. Polls are at work on several targets at a time, and lose all of
-	// them at once when a rack does. Where one run in four is lost with its target for
-	// other reasons, eight in a row come once in 65,000 runs; what ends targets since a new
-	// version of the weights costs five more of them.
-	crashesOfProven = 8
-	// together is the time within which ends are taken for one moment: targets that lose
-	// their rack end within ms, those that begin with a request one by one.
-	together = 100 * time.Millisecond
-	// crowd is how many times more other lives must end in a moment than lives with the
-	// content, for a common cause to be likelier than several such contents at once.
-	crowd = 2
-	// survivalEvery is the least time between two accounts of a content that ends well.
-	survivalEvery = time.Second
+	// crashThreshold is the number of unexplained crashes after which a request is
+	// quarantined. Lower values quarantine requests that merely ran on a target when it
+	// crashed.
+	crashThreshold = 3
+	// ambiguousThreshold is enough also where another content was in flight at all the same
+	// crashes, so that the two cannot be told apart: one more send of each mostly tells.
+	ambiguousThreshold = 5
+	// provenThreshold is the number of successive moments with crashes after which a content
+	// is quarantined that succeeded lately. Such contents are in flight on several targets
+	// at a time, and lose all of them at once when a rack fails.
+	provenThreshold = 8
+	// correlationWindow groups crashes that likely share an external cause, such as the
+	// loss of a rack.
+	correlationWindow = 100 * time.Millisecond
+	// correlationFactor is how many times more other targets must crash in a window than
+	// targets with the content, for a common cause to be likelier.
+	correlationFactor = 2
+	// successInterval is the least time between two records of a content that succeeds.
+	successInterval = time.Second
 )
 
 // A condemned content is tried again once, by one entry, when its last crash is
@@ -67,7 +66,7 @@
 // probeAfter is how long after its last crash a content is tried again.
 func probeAfter(lives int) time.Duration {
 	d := firstProbe
-	for ; lives > crashesToKnow && d < longestProbe; lives-- {
+	for ; lives > crashThreshold && d < longestProbe; lives-- {
 		d *= probeFactor
 	}
 	return min(d, longestProbe)
--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -96,7 +96,7 @@
 // step lets runs end, and targets under them.
 func (s *storm) step(now time.Duration) {
 	for len(s.lateAt) > 0 && s.lateAt[0] <= now {
-		s.table.Learn(at(now), s.late[0])
+		s.table.Merge(at(now), s.late[0])
 		s.late, s.lateAt = s.late[1:], s.lateAt[1:]
 	}
 	for i := range s.targets {
@@ -110,7 +110,7 @@
 			case r.ends > now:
 				left = append(left, r)
 			default:
-				s.table.Survived(at(now), r.content)
+				s.table.RecordSuccess(at(now), r.content)
 			}
 		}
 		s.targets[i] = left
@@ -135,7 +135,7 @@
 	s.late, s.lateAt = append(s.late, n), append(s.lateAt, now+newsTakes)
 	for c := range under {
 		c.ended++
-		if c.ended == crashesToKnow {
+		if c.ended == crashThreshold {
 			c.knownAt = now + newsTakes
 		}
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -14,7 +14,7 @@
 // first, so that nobody's flood drives out what is known of others.
 const (
 	maxContents = 512
-	maxCrashes  = 2 * crashesOfProven // kept for each content, the newest
+	maxCrashes  = 2 * provenThreshold // kept for each content, the newest
 	// pruneEvery is the least time between two searches for what is old.
 	pruneEvery = time.Second
 	// spare is how many contents are given up at once, so that the search for them is
@@ -90,13 +90,13 @@
 	return &Table{records: map[Fingerprint]*record{}, changed: make(chan struct{})}
 }
 
-// Saw takes crashes that this process has seen.
-func (t *Table) Saw(now time.Time, crashes ...Crash) bool {
+// RecordCrashes takes crashes that this process has seen.
+func (t *Table) RecordCrashes(now time.Time, crashes ...Crash) bool {
 	return t.add(now, News{Crashes: crashes}, true)
 }
 
-// Learn takes what another process tells. It reports whether any of it is news.
-func (t *Table) Learn(now time.Time, n News) bool { return t.add(now, n, false) }
+// Merge takes what another process tells. It reports whether any of it is news.
+func (t *Table) Merge(now time.Time, n News) bool { return t.add(now, n, false) }
 
 func (t *Table) add(now time.Time, n News, own bool) bool {
 	t.mu.Lock()
@@ -118,21 +118,21 @@
 	return true
 }
 
-// Survived notes that a target has survived a run of a content, at this entry.
-func (t *Table) Survived(now time.Time, f Fingerprint) {
+// RecordSuccess notes that a target has survived a run of a content, at this entry.
+func (t *Table) RecordSuccess(now time.Time, f Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.proven.add(f)
 	r := t.records[f]
-	if r == nil || len(r.open()) == 0 && now.Sub(r.survived.is) < survivalEvery {
+	if r == nil || len(r.open()) == 0 && now.Sub(r.survived.is) < successInterval {
 		return
 	}
 	t.survived(r, now, true)
 	t.signal()
 }
 
-// Alive notes that a life which had seemed to end was heard again.
-func (t *Table) Alive(life Life) {
+// RetractCrash notes that a life which had seemed to end was heard again.
+func (t *Table) RetractCrash(life Life) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	found := false
@@ -233,7 +233,7 @@
 }
 
 func (r *record) keptFor() time.Duration {
-	if len(r.open()) >= crashesToKnow {
+	if len(r.open()) >= crashThreshold {
 		return longestProbe
 	}
 	return suspectFor
@@ -268,7 +268,7 @@
 // idleSuspect reports whether a content is not shut out and has not ended a target lately.
 func (t *Table) idleSuspect(f Fingerprint, now time.Time) bool {
 	r := t.records[f]
-	return len(r.open()) < crashesToKnow && now.Sub(r.newest()) >= suspectFirst
+	return len(r.open()) < crashThreshold && now.Sub(r.newest()) >= suspectFirst
 }
 
 func compareBool(a, b bool) int {
@@ -310,9 +310,9 @@
 	return n, t.seq
 }
 
-// Known returns all that is known of the contents with so many crashes at the least of
+// Changes returns all that is known of the contents with so many crashes at the least of
 // which something was learned after a place in the order, and the place reached.
-func (t *Table) Known(place uint64, crashes int) (News, uint64) {
+func (t *Table) Changes(place uint64, crashes int) (News, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var n News
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -42,10 +42,10 @@
 
 func TestThirdEndShutsOut(t *testing.T) {
 	x := NewTable()
-	x.Saw(at(0), crash(bad, 1, 0), crash(bad, 2, 100*time.Millisecond))
-	x.Saw(at(0), crash(bad, 2, 200*time.Millisecond)) // the same life
+	x.RecordCrashes(at(0), crash(bad, 1, 0), crash(bad, 2, 100*time.Millisecond))
+	x.RecordCrashes(at(0), crash(bad, 2, 200*time.Millisecond)) // the same life
 	assert.Assert(t, !refused(x, time.Second, bad))
-	x.Saw(at(0), crash(bad, 3, 300*time.Millisecond))
+	x.RecordCrashes(at(0), crash(bad, 3, 300*time.Millisecond))
 	v, f := x.Judge(at(time.Second), bad, elsewhere)
 	assert.Equal(t, v, Refuse)
 	assert.DeepEqual(t, f, Finding{Lives: 3, First: at(0), Last: at(300 * time.Millisecond), Seen: []string{"entry-0"},
@@ -60,17 +60,17 @@
 	for i := range beside {
 		beside[i] = content(3, i)
 		for l := range i { // the last one was at all three
-			x.Saw(at(0), crash(beside[i], l, time.Duration(l)*time.Second))
+			x.RecordCrashes(at(0), crash(beside[i], l, time.Duration(l)*time.Second))
 		}
 	}
 	for l := range 3 {
-		x.Saw(at(0), crash(bad, l, time.Duration(l)*time.Second))
+		x.RecordCrashes(at(0), crash(bad, l, time.Duration(l)*time.Second))
 	}
 	assert.Assert(t, !refused(x, 3*time.Second, beside[3]))
 	assert.Assert(t, !refused(x, 3*time.Second, bad), "cannot be told from the bystander yet")
-	x.Saw(at(0), crash(bad, 3, 3*time.Second))
+	x.RecordCrashes(at(0), crash(bad, 3, 3*time.Second))
 	assert.Assert(t, refused(x, 4*time.Second, bad))
-	x.Saw(at(0), crash(beside[3], 4, 4*time.Second)) // for another reason
+	x.RecordCrashes(at(0), crash(beside[3], 4, 4*time.Second)) // for another reason
 	for _, f := range beside {
 		assert.Assert(t, !refused(x, 5*time.Second, f))
 	}
@@ -82,9 +82,9 @@
 	x := NewTable()
 	for l := range 6 {
 		when := time.Duration(l) * time.Second
-		x.Saw(at(when), crash(bad, l, when))
+		x.RecordCrashes(at(when), crash(bad, l, when))
 		if l > 0 {
-			x.Saw(at(when), crash(poll, l, when))
+			x.RecordCrashes(at(when), crash(poll, l, when))
 		}
 	}
 	assert.Assert(t, refused(x, 7*time.Second, bad))
@@ -97,13 +97,13 @@
 	causes := []Fingerprint{content(1, 1), content(7, 2), content(8, 3)}
 	for i, c := range causes {
 		when := time.Duration(i) * time.Second
-		x.Saw(at(when), crash(c, 10*i, when), crash(c, 10*i+1, when+time.Second), crash(poll, 10*i, when))
+		x.RecordCrashes(at(when), crash(c, 10*i, when), crash(c, 10*i+1, when+time.Second), crash(poll, 10*i, when))
 	}
 	for _, f := range append(causes, poll) {
 		assert.Assert(t, !refused(x, 5*time.Second, f))
 	}
 	for i, c := range causes {
-		x.Saw(at(5*time.Second), crash(c, 10*i+2, 5*time.Second), crash(c, 10*i+3, 6*time.Second))
+		x.RecordCrashes(at(5*time.Second), crash(c, 10*i+2, 5*time.Second), crash(c, 10*i+3, 6*time.Second))
 		assert.Assert(t, refused(x, 7*time.Second, c))
 		assert.Assert(t, !refused(x, 7*time.Second, poll))
 	}
@@ -113,10 +113,10 @@
 func TestEndsAlmostAlike(t *testing.T) {
 	x := NewTable()
 	other := content(3, 0)
-	x.Saw(at(0), crash(bad, 1, 0), crash(bad, 2, 0), crash(bad, 3, 0), crash(other, 1, 0), crash(other, 2, 0), crash(other, 4, 0))
+	x.RecordCrashes(at(0), crash(bad, 1, 0), crash(bad, 2, 0), crash(bad, 3, 0), crash(other, 1, 0), crash(other, 2, 0), crash(other, 4, 0))
 	assert.Assert(t, !refused(x, time.Second, bad))
 	assert.Assert(t, !refused(x, time.Second, other))
-	x.Saw(at(0), crash(bad, 5, time.Second))
+	x.RecordCrashes(at(0), crash(bad, 5, time.Second))
 	assert.Assert(t, refused(x, 2*time.Second, bad))
 	assert.Assert(t, !refused(x, 2*time.Second, other))
 }
@@ -125,9 +125,9 @@
 func TestPairIsShutOutInTheEnd(t *testing.T) {
 	x := NewTable()
 	pair := content(3, 0)
-	for l := range crashesOfAny {
+	for l := range ambiguousThreshold {
 		assert.Assert(t, !refused(x, 9*time.Second, bad), "%d ends", l)
-		x.Saw(at(0), crash(bad, l, time.Duration(l)*time.Second), crash(pair, l, time.Duration(l)*time.Second))
+		x.RecordCrashes(at(0), crash(bad, l, time.Duration(l)*time.Second), crash(pair, l, time.Duration(l)*time.Second))
 	}
 	assert.Assert(t, refused(x, 9*time.Second, bad))
 }
@@ -137,12 +137,12 @@
 	for name, ended := range map[string]bool{"has ended well": true, "is new": false} {
 		x := NewTable()
 		if ended {
-			x.Survived(at(-time.Minute), poll)
+			x.RecordSuccess(at(-time.Minute), poll)
 		}
 		for l := range 12 {
-			x.Saw(at(0), crash(content(3, l), l, time.Duration(l)*time.Millisecond))
+			x.RecordCrashes(at(0), crash(content(3, l), l, time.Duration(l)*time.Millisecond))
 			if l < 4 {
-				x.Saw(at(0), crash(poll, l, time.Duration(l)*time.Millisecond))
+				x.RecordCrashes(at(0), crash(poll, l, time.Duration(l)*time.Millisecond))
 			}
 		}
 		assert.Assert(t, !refused(x, time.Second, poll), name)
@@ -154,14 +154,14 @@
 func TestPollsAreNotShutOut(t *testing.T) {
 	for seed := range uint64(20) {
 		a, b := NewTable(), NewTable()
-		b.Survived(at(0), poll)
+		b.RecordSuccess(at(0), poll)
 		rng := rand.New(rand.NewPCG(seed, 1))
 		for i := range 400 {
 			now := time.Duration(i+1) * 250 * time.Millisecond
 			if rng.IntN(4) == 0 {
-				a.Saw(at(now), crash(poll, i, now))
+				a.RecordCrashes(at(now), crash(poll, i, now))
 			} else {
-				b.Survived(at(now), poll)
+				b.RecordSuccess(at(now), poll)
 			}
 			exchange(a, b, at(now))
 			assert.Assert(t, !refused(a, now, poll) && !refused(b, now, poll), "seed %d at %v", seed, now)
@@ -172,11 +172,11 @@
 // What had ended well, and ends all targets since, is shut out too.
 func TestContentThatTurnsBad(t *testing.T) {
 	x := NewTable()
-	x.Survived(at(0), bad)
-	for l := range crashesOfProven {
+	x.RecordSuccess(at(0), bad)
+	for l := range provenThreshold {
 		assert.Assert(t, !refused(x, time.Minute, bad), "%d ends", l)
 		when := time.Duration(1+l) * 200 * time.Millisecond
-		x.Saw(at(when), crash(bad, l, when))
+		x.RecordCrashes(at(when), crash(bad, l, when))
 	}
 	assert.Assert(t, refused(x, time.Minute, bad))
 }
@@ -184,15 +184,15 @@
 func TestWhatEndsWellIsCleared(t *testing.T) {
 	x, y := NewTable(), NewTable()
 	for l := range 3 {
-		x.Saw(at(0), crash(bad, l, time.Duration(l)*time.Second))
+		x.RecordCrashes(at(0), crash(bad, l, time.Duration(l)*time.Second))
 	}
 	exchange(x, y, at(3*time.Second))
 	assert.Assert(t, refused(y, 3*time.Second, bad))
-	x.Survived(at(4*time.Second), bad)
+	x.RecordSuccess(at(4*time.Second), bad)
 	n, _ := x.Seen(0)
-	y.Learn(at(4*time.Second), n)
+	y.Merge(at(4*time.Second), n)
 	assert.Assert(t, !refused(x, 5*time.Second, bad) && !refused(y, 5*time.Second, bad))
-	y.Learn(at(5*time.Second), News{Crashes: []Crash{crash(bad, 9, 3*time.Second)}}) // heard late
+	y.Merge(at(5*time.Second), News{Crashes: []Crash{crash(bad, 9, 3*time.Second)}}) // heard late
 	assert.Assert(t, !refused(y, 5*time.Second, bad))
 }
 
@@ -200,14 +200,14 @@
 func TestLifeThatIsHeardAgain(t *testing.T) {
 	x, y := NewTable(), NewTable()
 	for l := range 3 {
-		x.Saw(at(0), crash(bad, l, time.Duration(l)*time.Second))
+		x.RecordCrashes(at(0), crash(bad, l, time.Duration(l)*time.Second))
 	}
 	exchange(x, y, at(3*time.Second))
-	x.Alive(life(1))
+	x.RetractCrash(life(1))
 	assert.Assert(t, !refused(x, 4*time.Second, bad))
 	assert.Assert(t, x.Digest() != y.Digest())
 	n, _ := x.Seen(0)
-	y.Learn(at(4*time.Second), n)
+	y.Merge(at(4*time.Second), n)
 	assert.Assert(t, !refused(y, 4*time.Second, bad))
 	assert.Equal(t, x.Digest(), y.Digest())
 }
@@ -216,7 +216,7 @@
 func TestProbe(t *testing.T) {
 	x := NewTable()
 	for l := range 3 {
-		x.Saw(at(0), crash(bad, l, 0))
+		x.RecordCrashes(at(0), crash(bad, l, 0))
 	}
 	probed := func(now time.Duration, home bool) bool {
 		v, _ := x.Judge(at(now), bad, func() bool { return home })
@@ -227,7 +227,7 @@
 	assert.Assert(t, probed(firstProbe, true))
 	assert.Assert(t, !probed(firstProbe+time.Second, true), "its outcome is not known yet")
 	again := firstProbe + time.Second
-	x.Saw(at(again), crash(bad, 3, again))
+	x.RecordCrashes(at(again), crash(bad, 3, again))
 	assert.Assert(t, !probed(again+firstProbe*probeFactor-1, true))
 	assert.Assert(t, probed(again+firstProbe*probeFactor, true))
 	assert.Equal(t, probeAfter(100), longestProbe)
@@ -237,17 +237,17 @@
 func TestFloodOfOneCaller(t *testing.T) {
 	x := NewTable()
 	for l := range 3 {
-		x.Saw(at(0), crash(bad, l, time.Duration(l)*time.Second))
+		x.RecordCrashes(at(0), crash(bad, l, time.Duration(l)*time.Second))
 	}
 	now := 4 * time.Second
 	for i := range 1000 {
 		for l := range 3 {
 			now += 100 * time.Millisecond
-			x.Saw(at(now), crash(content(9, i), 10+3*i+l, now))
+			x.RecordCrashes(at(now), crash(content(9, i), 10+3*i+l, now))
 		}
 	}
 	assert.Assert(t, refused(x, now, bad))
-	n, _ := x.Known(0, 1)
+	n, _ := x.Changes(0, 1)
 	assert.Assert(t, len(n.Crashes) <= maxContents*3, "%d", len(n.Crashes))
 	assert.Equal(t, x.Digest(), uint64(0), "what two tables gave up is not compared")
 	assert.Assert(t, refused(x, now, content(9, 999)), "the newest of the flood")
@@ -256,14 +256,14 @@
 // What is known of a suspect is forgotten in the end, and of a cause after hours.
 func TestEvidenceGrowsOld(t *testing.T) {
 	x := NewTable()
-	x.Saw(at(0), crash(poll, 1, 0), crash(bad, 2, 0), crash(bad, 3, time.Second), crash(bad, 4, 2*time.Second))
-	x.Saw(at(suspectFor), crash(content(5, 5), 9, suspectFor))
+	x.RecordCrashes(at(0), crash(poll, 1, 0), crash(bad, 2, 0), crash(bad, 3, time.Second), crash(bad, 4, 2*time.Second))
+	x.RecordCrashes(at(suspectFor), crash(content(5, 5), 9, suspectFor))
 	assert.Assert(t, refused(x, suspectFor, bad))
-	n, _ := x.Known(0, 1)
+	n, _ := x.Changes(0, 1)
 	assert.Equal(t, len(n.Crashes), 4)
-	x.Saw(at(5*time.Hour), crash(content(5, 5), 10, 5*time.Hour))
+	x.RecordCrashes(at(5*time.Hour), crash(content(5, 5), 10, 5*time.Hour))
 	assert.Assert(t, !refused(x, 5*time.Hour, bad))
-	x.Saw(at(5*time.Hour), crash(bad, 2, 0)) // told by one whose clock of ages lags
+	x.RecordCrashes(at(5*time.Hour), crash(bad, 2, 0)) // told by one whose clock of ages lags
 	assert.Assert(t, !refused(x, 5*time.Hour, bad))
 }
 
@@ -283,10 +283,10 @@
 		}
 		a, b := NewTable(), NewTable()
 		for _, i := range rng.Perm(len(all)) {
-			a.Learn(at(10*time.Second), all[i])
+			a.Merge(at(10*time.Second), all[i])
 		}
 		for _, i := range append(rng.Perm(len(all)), rng.Perm(len(all))...) {
-			b.Learn(at(10*time.Second), all[i])
+			b.Merge(at(10*time.Second), all[i])
 		}
 		exchange(a, b, at(10*time.Second))
 		exchange(a, b, at(10*time.Second))
@@ -296,8 +296,8 @@
 
 // exchange makes each of two tables tell the other all.
 func exchange(a, b *Table, now time.Time) {
-	n, _ := a.Known(0, 1)
-	b.Learn(now, n)
-	n, _ = b.Known(0, 1)
-	a.Learn(now, n)
+	n, _ := a.Changes(0, 1)
+	b.Merge(now, n)
+	n, _ = b.Changes(0, 1)
+	a.Merge(now, n)
 }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -31,7 +31,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[f]
-	if r == nil || len(r.crashes) < crashesToKnow { // most are bystanders
+	if r == nil || len(r.crashes) < crashThreshold { // most are bystanders
 		return Send, Finding{}
 	}
 	if t.stale && (len(t.records) <= fewContents || now.Sub(t.judgedAt) >= judgeEvery) {
@@ -119,15 +119,15 @@
 func (q *inquest) guilty(s *suspect) bool {
 	left := slices.DeleteFunc(slices.Clone(s.crashes), func(c Crash) bool { return q.explained[c.Life] })
 	switch {
-	case len(left) < crashesToKnow:
+	case len(left) < crashThreshold:
 		return false
-	case len(left) == crashesToKnow && slices.ContainsFunc(left, func(c Crash) bool { return q.contested(s, c.Life) }):
+	case len(left) == crashThreshold && slices.ContainsFunc(left, func(c Crash) bool { return q.contested(s, c.Life) }):
 		return false
 	case s.proven:
-		return len(grouped(left)) >= crashesOfProven
+		return len(grouped(left)) >= provenThreshold
 	}
 	n := q.weight(s, left)
-	return n >= crashesOfAny || n >= crashesToKnow && !q.shared(s, left)
+	return n >= ambiguousThreshold || n >= crashThreshold && !q.shared(s, left)
 }
 
 // contested reports whether another content that was at work on a life as it ended has
@@ -146,7 +146,7 @@
 func (q *inquest) weight(s *suspect, left []Crash) int {
 	n := 0
 	for _, g := range grouped(left) {
-		if q.othersAt(s, g) >= crowd*len(g) {
+		if q.othersAt(s, g) >= correlationFactor*len(g) {
 			n++
 		} else {
 			n += len(g)
@@ -159,7 +159,7 @@
 func grouped(crashes []Crash) [][]Crash {
 	var out [][]Crash
 	for i, c := range crashes {
-		if i > 0 && c.At.Sub(out[len(out)-1][0].At) < together {
+		if i > 0 && c.At.Sub(out[len(out)-1][0].At) < correlationWindow {
 			out[len(out)-1] = append(out[len(out)-1], c)
 			continue
 		}
@@ -171,7 +171,7 @@
 // othersAt counts the lives that ended around a group, without the content at work on
 // them and for no reason that is known.
 func (q *inquest) othersAt(s *suspect, group []Crash) (n int) {
-	from, to := group[0].At.Add(-together), group[len(group)-1].At.Add(together)
+	from, to := group[0].At.Add(-correlationWindow), group[len(group)-1].At.Add(correlationWindow)
 	i, _ := slices.BinarySearchFunc(q.ends, from, func(c Crash, t time.Time) int { return c.At.Compare(t) })
 	for ; i < len(q.ends) && !q.ends[i].At.After(to); i++ {
 		if life := q.ends[i].Life; !q.explained[life] && !s.at(life) {
@@ -191,7 +191,7 @@
 		}
 	}
 	for o, n := range with {
-		if o != s && !o.proven && len(o.crashes) >= len(s.crashes) && len(left)-n < crashesToKnow {
+		if o != s && !o.proven && len(o.crashes) >= len(s.crashes) && len(left)-n < crashThreshold {
 			return true
 		}
 	}
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -59,8 +59,7 @@
 	// OrderTimeout each. A piece takes 35 ms on the slowest links. Default 500 ms.
 	RepairTimeout time.Duration
 	// OrderGrace is how long after it was sent an order or a piece without an
-	// answer may still reach the engine, where nothing else tells. The longest
-	// seen were 12 s. Default 15 s.
+	// answer may still reach the engine, where nothing else tells. Default 15 s.
 	OrderGrace time.Duration
 	// StallFor is how long a version of which a piece could not be had is put
 	// behind an older one that must be served too. Default 3 s.
