An entry that starts tells agents no turns before it knows the engines

Cause: an entry reads the version that is named before the list of targets, worked the order of turns out from the empty list and never again, and told agents that there are no turns; an agent takes that for being alone. Ruled out: the guessed age of the version (agents keep the date that others saw); engines that hold nothing.

Change: the order follows the list; a named version is told once the engines are known; an agent keeps its turn if an entry tells none.

Measured: the two tests fail without the change. TestSuspension of gateway builds an assignment by hand and gives it an order now; its checks are unchanged.

--- a/gateway/assign.go
+++ b/gateway/assign.go
@@ -18,7 +18,7 @@
 	model    *fleet.EngineModel
 	version  int
 	since    time.Time
-	order    []string // addresses of engines that change, in turn
+	order    []string // addresses of the engines, in turn; empty if they are not known yet
 	assigned bool     // the operators named the version
 	guessed  bool     // this process started after that; since is the latest it can have been
 	withheld bool     // its pieces cannot be read
@@ -66,15 +66,39 @@
 		return
 	}
 	a := &assignment{model: m, version: version, since: since, assigned: true, guessed: !announced, before: c.recent(service)}
-	key := fmt.Sprintf("%s/%d", m.Model, version)
+	a.order = c.turnOrder(service, a)
+	c.setAssignment(service, a)
+}
+
+// turnOrder returns the engines of a service in the order in which they change to a version.
+// Entries that know the same engines agree on it.
+func (c *Control) turnOrder(service string, a *assignment) []string {
 	var addrs []string
 	for _, i := range c.list {
-		if i.Service == service && i.Holds(m) > 0 {
+		if i.Service == service {
 			addrs = append(addrs, i.Addr)
 		}
 	}
-	a.order = membership.Rank(key, addrs, len(addrs))
-	c.setAssignment(service, a)
+	return membership.Rank(fmt.Sprintf("%s/%d", a.model.Model, a.version), addrs, len(addrs))
+}
+
+// updateOrders brings the orders of engines up to date with the list. Agents are told if
+// there was none before; otherwise turns move little, and agents keep theirs.
+func (c *Control) updateOrders() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, a := range c.assignments {
+		if !a.assigned {
+			continue
+		}
+		order := c.turnOrder(service, a)
+		first := len(a.order) == 0 && len(order) > 0
+		a.order = order
+		if first {
+			close(c.changed)
+			c.changed = make(chan struct{})
+		}
+	}
 }
 
 // assign gives engines of services for which no version was named the newest
@@ -127,12 +151,13 @@
 	}
 }
 
-// Assignment implements mesh.Listener.
+// Assignment implements mesh.Listener. An agent is told of a named version once the
+// engines are known, which an entry that starts reads after the version.
 func (c *Control) Assignment(agent peer.Presence) (*peer.Assignment, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.assignments[agent.Service]
-	if a == nil {
+	if a == nil || a.assigned && len(a.order) == 0 {
 		return nil, c.changed
 	}
 	out := &peer.Assignment{Entry: c.addr, Withheld: a.withheld, Model: a.model.Model, Version: a.version, Layers: a.model.Layers, Pieces: a.model.Chunks,
--- a/gateway/assign_test.go
+++ b/gateway/assign_test.go
@@ -144,3 +144,39 @@
 	default:
 	}
 }
+
+// An entry that starts while engines change to a version in turns knows the version before
+// it has read which engines there are. It tells agents nothing until then: one that is told
+// that it is alone changes at once, and with one restart of an entry all do.
+func TestStartingEntryDoesNotPullTurnsForward(t *testing.T) {
+	c := assigning(&fakeRelay{})
+	list := c.list
+	c.list = nil
+	c.want("svc", assignModel, 2, time.Now(), false)
+	told, changed := c.Assignment(assignAgent)
+	assert.Assert(t, told == nil, "%+v", told)
+	c.list = list
+	c.updateOrders()
+	<-changed
+	last, _ := c.Assignment(peer.Presence{Service: "svc", Engine: c.assignments["svc"].order[1]})
+	assert.Equal(t, last.Turns, 2)
+	assert.Equal(t, last.Turn, 1)
+	// Engines that join have a turn; those that are there already are not told again.
+	_, changed = c.Assignment(assignAgent)
+	c.list = append(c.list, &fleet.Instance{ID: "e-3", Addr: "e-3", Service: "svc"})
+	c.updateOrders()
+	joined, _ := c.Assignment(peer.Presence{Service: "svc", Engine: "e-3"})
+	assert.Equal(t, joined.Turns, 3)
+	select {
+	case <-changed:
+		t.Fatal("all agents are told")
+	default:
+	}
+	// All engines have lost their weights: agents must be told all the same.
+	for _, i := range c.list {
+		i.Models = nil
+	}
+	c.updateOrders()
+	told, _ = c.Assignment(assignAgent)
+	assert.Equal(t, told.Turns, 3)
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -126,6 +126,7 @@
 		c.copyRevision = c.table.Revision()
 		c.applyOperator(ctx, items)
 		c.applyInstances(items)
+		c.updateOrders()
 		c.assign(ctx)
 	wait:
 		for {
--- a/gateway/suspension_test.go
+++ b/gateway/suspension_test.go
@@ -41,7 +41,8 @@
 		assert.Check(t, giveUp.Stop(), "%v: held beyond its time", d)
 		assert.Check(t, a.status == http.StatusGatewayTimeout, "%v: status %d", d, a.status)
 
-		named := &assignment{model: &fleet.EngineModel{Model: "m"}, version: 2, since: clock.Now(), assigned: true}
+		named := &assignment{model: &fleet.EngineModel{Model: "m"}, version: 2, since: clock.Now(), assigned: true,
+			order: []string{agentOf("s").Engine}}
 		c := &Control{assignments: map[string]*assignment{"s": named}, cfg: ControlConfig{VersionTimeout: time.Hour}}
 		machine.Suspend(d)
 		told, _ := c.Assignment(agentOf("s"))
--- a/sidecar/plan_test.go
+++ b/sidecar/plan_test.go
@@ -277,3 +277,15 @@
 	}
 	assert.Equal(t, len(o.versions), wantedKept)
 }
+
+// An entry that does not know the engines yet leaves the turn that others told.
+func TestAssignmentWithoutTurnsKeepsTheTurn(t *testing.T) {
+	o := order{}.merge(start, assignment(2, 7, 9))
+	unknown := assignment(2, 0, 0)
+	unknown.Entry = "starting"
+	o = o.merge(start, unknown)
+	assert.Equal(t, o.Turn, 7)
+	assert.Equal(t, o.Turns, 9)
+	o = o.merge(start, assignment(3, 0, 0))
+	assert.Equal(t, o.Turns, 0, "of another version")
+}
--- a/sidecar/wanted.go
+++ b/sidecar/wanted.go
@@ -50,6 +50,9 @@
 			out.failing = maps.Clone(o.failing)
 		}
 	}
+	if o.Model == a.Model && o.Version == a.Version && a.Turns == 0 {
+		out.Turn, out.Turns = o.Turn, o.Turns // the entry does not know the engines
+	}
 	if a.Version == out.Version {
 		out.failing[a.Entry] = a.Withheld
 	}
