--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,5 +1,5 @@
-// Package admission decides at a target host which requests run, wait or are
-// refused. It is pure: clock readings are passed in.
+// Package admission decides at a target host which requests run, wait or are refused, in the
+// mode of `springgate serve`; in that of `springgate gateway` package dispatch does. It is pure: clock readings are passed in.
 //
 // Teams share the target by weight with start-time fair queueing. Within a
 // team the more urgent go first, then the earlier; a retry stands behind as
--- a/agent/config.go
+++ b/agent/config.go
@@ -1,5 +1,5 @@
-// Package agent is the process beside a target. It is the only door to the
-// target: it runs requests, gives orders to the engine, holds and exchanges
+// Package agent is the process beside a target in the mode of `springgate serve`, in which it
+// is the only door to the target (package sidecar is the agent of the other mode): it runs requests, gives orders to the engine, holds and exchanges
 // weight chunks, and drains.
 package agent
 
--- a/control/config.go
+++ b/control/config.go
@@ -1,5 +1,5 @@
-// Package control is the part of a process that keeps its state about the
-// fleet: the fleet file in force, the hosts, and the reader's duty. One
+// Package control is the part of a process of `springgate serve` and its agents that keeps its
+// state about the fleet (package gateway has a Control of its own): the fleet file in force, the hosts, and the reader's duty. One
 // goroutine owns that state and publishes immutable snapshots; traffic
 // goroutines only read them. Decisions are made by the pure packages intent
 // and membership.
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -1,5 +1,5 @@
-// Package dispatch chooses the target of a request from the engines' cost
-// model, the load that all entries report, and what the answers showed. It
+// Package dispatch chooses the target of a request in the mode of `springgate gateway`, from the
+// engines' cost model, the load that all entries report, and what the answers showed. It
 // does no I/O; clock readings and randomness are arguments.
 package dispatch
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -1,5 +1,6 @@
-// Package entry is the process that takes callers' requests, chooses a target
-// host for each and speaks to that host's agent.
+// Package entry is the process of `springgate serve`, the mode in which requests go through
+// agents: it takes callers' requests, chooses a target host for each and speaks to that
+// host's agent. Package gateway is the entry of the other mode.
 package entry
 
 import (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,5 +1,5 @@
-// Package gateway is the entry where callers' requests go straight from the
-// entry to the target: it matches routes and teams, chooses targets, passes
+// Package gateway is the entry of `springgate gateway`, the mode in which callers' requests go
+// straight from the entry to the target: it matches routes and teams, chooses targets, passes
 // answers and event streams on, and resumes broken streams elsewhere. The
 // names on the wire are a Dialect's.
 package gateway
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -1,4 +1,4 @@
-// Package mesh connects the processes of the system: entries find each other
+// Package mesh connects the processes of `springgate gateway` and its agents: entries find each other
 // from a few seeds, tell each other what they have in flight, and hear from the
 // agents what the engines beside them serve. There is no leader and no shared
 // state; what a process says is forgotten when it is not heard any more.
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -1,5 +1,5 @@
-// Package mirror keeps copies of prefixes of the platform's key-value store
-// in each process. A copy follows the store directly or, where the store
+// Package mirror keeps copies of prefixes of the platform's key-value store in each entry of
+// `springgate gateway`. A copy follows the store directly or, where the store
 // cannot be reached, the copy of a peer: revisions are the store's own, so
 // that a process may change its source at any time and never goes back.
 package mirror
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -1,5 +1,6 @@
-// Package routing chooses the target host of a request. It is pure: clock
-// readings and randomness are passed in, and picking allocates nothing.
+// Package routing chooses the target host of a request in the mode of `springgate serve`;
+// package dispatch does in that of `springgate gateway`, which uses the retry budget of here.
+// It is pure: clock readings and randomness are passed in, and picking allocates nothing.
 package routing
 
 import (
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -1,5 +1,5 @@
-// Package sidecar is the agent on a host where callers' requests go straight
-// to the engine: it stages the weights that the engine is to serve, orders the
+// Package sidecar is the agent on a host where callers' requests go straight to the engine, in
+// the mode of `springgate gateway`: it stages the weights that the engine is to serve, orders the
 // engine to load them when it is its turn, and tells the entries what the
 // engine serves.
 package sidecar
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -1,5 +1,5 @@
-// Package submission is the life of one request at an entry, from its arrival
-// to its one final outcome. It is a pure state machine: it takes events and
+// Package submission is the life of one request at an entry of `springgate serve`, from its
+// arrival to its one final outcome. It is a pure state machine: it takes events and
 // returns actions, and knows neither sockets nor clocks.
 package submission
 
