A version overwritten in the store before an entry saw it keeps its time there

These read version 3 alone, 3 to 5 s late; others told them version 2, but what is told of a version that is not known was dropped. They sent requests to engines with version 1 until version 3's time less a second, 25 ms beyond version 2's time.

Change: a version that others tell and that is older than the newest known one is taken, by the book and in the chain that agents are told.

Measured: TestVersionOverwrittenBeforeItWasSeenKeepsItsTime fails without the change.

--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/springgate/springgate/fleet"
@@ -42,7 +44,7 @@
 const versionsKept = 8
 
 // SetVersion names the version of a model that is wanted since a time. That may be
-// corrected later.
+// corrected later, and a version may be learned of after a newer one.
 func (b *Book) SetVersion(v fleet.VersionTarget, since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -53,9 +55,7 @@
 			return
 		}
 	}
-	if len(w) > 0 && v.Version <= w[len(w)-1].version {
-		return
-	}
-	w = append(w, wanted{v.Version, since})
+	i, _ := slices.BinarySearchFunc(w, v.Version, func(x wanted, version int) int { return cmp.Compare(x.version, version) })
+	w = slices.Insert(w, i, wanted{v.Version, since})
 	b.versions[v.Model] = w[max(len(w)-versionsKept, 0):]
 }
--- a/gateway/announced.go
+++ b/gateway/announced.go
@@ -49,10 +49,11 @@
 func (c *Control) hearVersions(now time.Time, from string, list []peer.SeenVersion) {
 	for _, v := range list {
 		told := fleet.Announcement{At: now.Add(-time.Duration(v.AgeMs) * time.Millisecond)}
-		if !c.redate(fleet.VersionTarget{Model: v.Model, Version: v.Version}, told) {
+		target := fleet.VersionTarget{Model: v.Model, Version: v.Version}
+		if !c.redate(target, told) && !c.insertMissed(target, told) {
 			continue
 		}
-		c.book.SetVersion(fleet.VersionTarget{Model: v.Model, Version: v.Version}, told.At)
+		c.book.SetVersion(target, told.At)
 		c.log.WithFields(logrus.Fields{"model": v.Model, "version": v.Version, "age_ms": v.AgeMs, "peer": from}).Info("Version named earlier than known.")
 	}
 }
@@ -84,3 +85,30 @@
 	}
 	return changed
 }
+
+// insertMissed takes a version that a newer one had overwritten in the store before this
+// entry saw it, and reports whether it was missed. Its time is over before the newer one's.
+func (c *Control) insertMissed(v fleet.VersionTarget, told fleet.Announcement) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	missed := false
+	for _, newest := range c.assignments {
+		if !newest.assigned || newest.model.Model != v.Model || newest.version <= v.Version {
+			continue
+		}
+		a := newest
+		for a.before != nil && a.before.assigned && a.before.version > v.Version {
+			a = a.before
+		}
+		if a.before != nil && a.before.assigned && a.before.version == v.Version {
+			continue
+		}
+		a.before = &assignment{model: newest.model, version: v.Version, since: told.At, guessed: told.Guessed, assigned: true, before: a.before}
+		missed = true
+	}
+	if missed {
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+	return missed
+}
--- a/gateway/assign_test.go
+++ b/gateway/assign_test.go
@@ -180,3 +180,47 @@
 	told, _ = c.Assignment(assignAgent)
 	assert.Equal(t, told.Turns, 3)
 }
+
+// Two versions are named within a second, and the store keeps the newer one alone. An entry
+// that reads it late has never seen the older one, whose time is over first: others tell it.
+// Without that it sent requests to engines of the version before until the newer one's time.
+func TestVersionOverwrittenBeforeItWasSeenKeepsItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := assigning(&fakeRelay{})
+		engine := *assignModel
+		engine.Slots, engine.Stride, engine.PrefillRate = 8, 1, 1000
+		services := map[string]*fleet.Service{"svc": {Name: "svc", Engine: &engine}}
+		c.book = dispatch.NewBook(dispatch.Config{VersionTimeout: 8 * time.Second}, rand.New(rand.NewPCG(1, 2)))
+		c.book.Apply(c.list, services)
+		c.setAssignment("svc", &assignment{model: assignModel, version: 1, since: time.Now()})
+		second := time.Now()
+		time.Sleep(time.Second)
+		third := time.Now()
+		time.Sleep(4 * time.Second)
+		c.book.SetVersion(fleet.VersionTarget{Model: "m", Version: 3}, time.Now())
+		c.want("svc", assignModel, 3, time.Now(), true)
+		_, changed := c.Assignment(assignAgent)
+		tell := func() {
+			now := time.Now()
+			c.Loads("entry-2", &peer.Loads{Full: true, Versions: []peer.SeenVersion{
+				{Model: "m", Version: 3, AgeMs: now.Sub(third).Milliseconds()}, {Model: "m", Version: 2, AgeMs: now.Sub(second).Milliseconds()},
+				{Model: "other", Version: 2, AgeMs: 1}}})
+		}
+		tell()
+		<-changed
+		got, _ := c.Assignment(assignAgent)
+		assert.Equal(t, got.Version, 3)
+		assert.DeepEqual(t, got.Earlier, []peer.AnnouncedVersion{{Version: 2, AgeMs: 5000}})
+		_, changed = c.Assignment(assignAgent)
+		tell()
+		select {
+		case <-changed:
+			t.Fatal("told again, it changes nothing")
+		default:
+		}
+		time.Sleep(time.Until(second.Add(6900 * time.Millisecond)))
+		assert.Assert(t, c.picks(services), "its time is not over")
+		time.Sleep(time.Until(second.Add(7100 * time.Millisecond)))
+		assert.Assert(t, !c.picks(services), "0.9 s before the time of version 2 is over")
+	})
+}
