Limits that targets name are heard, logged and counted; nothing heeds them yet

What callers see is as before. Package notice keeps what a target says of itself by its life: an answer to a request that was sent before the limit was known does not raise or lift it, and a belief of an earlier life says nothing of a later one. Log: 'Target's limit heard.', 'limit' in 'Sending.'; counters of notices, unreadable ones, and of places that homes granted, denied and did not answer for.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -9,6 +9,7 @@
 
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
+	"github.com/springgate/springgate/notice"
 	"github.com/springgate/springgate/residency"
 )
 
@@ -47,6 +48,7 @@
 	demands  map[string]*demands       // by service
 	states   map[string]EngineState    // by address, from agents
 	versions map[string]wantedVersions // by model
+	notices  *notice.Table
 	rng      *rand.Rand
 	changed  chan struct{} // closed when a target may have become free
 }
@@ -54,7 +56,7 @@
 // NewBook returns an empty book.
 func NewBook(cfg Config, rng *rand.Rand) *Book {
 	return &Book{cfg: cfg.applyDefaults(), policy: residency.New(cfg.Regions, nil), services: map[string][]*Target{}, byID: map[string]*Target{},
-		demands: map[string]*demands{}, states: map[string]EngineState{}, versions: map[string]wantedVersions{}, rng: rng, changed: make(chan struct{})}
+		demands: map[string]*demands{}, states: map[string]EngineState{}, versions: map[string]wantedVersions{}, notices: notice.NewTable(), rng: rng, changed: make(chan struct{})}
 }
 
 // Apply takes the list of instances and the services' cost models. Loads and
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
+	"github.com/springgate/springgate/notice"
 )
 
 // Verdict says why no target was chosen.
@@ -38,7 +39,8 @@
 	Until     time.Time
 	Forecast  Forecast
 	Admission Admission
-	Load      Load // at the target before the request
+	Load      Load         // at the target before the request
+	Limit     notice.Limit // that the target is believed to have named
 }
 
 // Pick chooses a target of service and counts the request there; Finish must
@@ -67,7 +69,8 @@
 			cold = true
 			continue
 		}
-		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load}}
+		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load,
+			Limit: b.notices.Of(notice.LifeOf(t.Instance)).Limit}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,6 +50,7 @@
 	}
 	defer resp.Close()
 	info := a.x.g.dialect.DecodeAnswer(resp.StatusCode, resp.Header)
+	a.hearNotice(info)
 	if info.NotRun {
 		return notRun(info)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
+	"github.com/springgate/springgate/notice"
 	"github.com/springgate/springgate/quarantine"
 	"github.com/springgate/springgate/routing"
 	"github.com/springgate/springgate/targetconn"
@@ -44,6 +45,7 @@
 	Signed        bool   // it bears the target's signature
 	NotRun        bool   // the target states that it did not run the request
 	OtherInstance bool   // another instance has the address
+	Notice        notice.Statement
 }
 
 // Dialect translates the names of headers.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/notice"
 	"github.com/springgate/springgate/targetconn"
 	"gotest.tools/v3/assert"
 )
@@ -39,8 +40,12 @@
 }
 
 func (testDialect) DecodeAnswer(status int, h http.Header) AnswerInfo {
-	return AnswerInfo{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+	info := AnswerInfo{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 		OtherInstance: status == http.StatusMisdirectedRequest}
+	if perS, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		info.Notice.Limit = notice.Limit{Named: true, PerS: perS}
+	}
+	return info
 }
 
 // granted grants all places.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -159,6 +159,9 @@
 	if c.Doubtful {
 		f["doubtful"] = true
 	}
+	if c.Limit.Named {
+		f["limit"] = c.Limit.PerS
+	}
 	x.g.log.WithFields(f).Info("Sending.")
 }
 
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -22,6 +22,8 @@
 	whole      metrics.Histogram
 	ended      metrics.Counter // requests whose target ended under them
 	waited     metrics.Histogram
+	noticed    metrics.Counter // changes of what targets say of themselves
+	unreadable metrics.Counter // answers in which that is not readable
 	// forecastError is how much later than forecast first events came.
 	forecastError metrics.Histogram
 }
@@ -30,6 +32,7 @@
 func NewStats(r metrics.Registry) *Stats {
 	s := &Stats{answered: metrics.NewRegisteredCounter("gateway.answered", r),
 		ended:   metrics.NewRegisteredCounter("gateway.lost_with_target", r),
+		noticed: metrics.NewRegisteredCounter("gateway.notices", r), unreadable: metrics.NewRegisteredCounter("gateway.notices_unreadable", r),
 		refused: map[Reason]metrics.Counter{}, retried: map[Reason]metrics.Counter{},
 		firstEvent: histogram("gateway.first_event_ms", r), whole: histogram("gateway.answer_ms", r),
 		waited: histogram("gateway.wait_ms", r), forecastError: histogram("gateway.forecast_error_ms", r)}
--- a/mesh/reserve.go
+++ b/mesh/reserve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/mechanism"
@@ -21,6 +22,8 @@
 	// 6 ms; a home that is slower is not waited for.
 	timeout time.Duration
 	off     bool // no home is asked
+
+	granted, denied, unanswered metrics.Counter // questions to other homes
 }
 
 // reserveTimeout is four times the longest way there and back.
@@ -28,7 +31,9 @@
 
 // NewReserver returns a reserver that answers for this entry's book.
 func NewReserver(m *Mesh, b *dispatch.Book, off mechanism.Off) *Reserver {
-	return &Reserver{mesh: m, book: b, timeout: reserveTimeout, off: off.Has(mechanism.Homes)}
+	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter("mesh.places_"+name, m.metrics) }
+	return &Reserver{mesh: m, book: b, timeout: reserveTimeout, off: off.Has(mechanism.Homes),
+		granted: counter("granted"), denied: counter("denied"), unanswered: counter("unanswered")}
 }
 
 // Reserve implements gateway.Reserver.
@@ -43,11 +48,17 @@
 	msg, err := r.mesh.pool.Call(ctx, home, peer.Traffic, &peer.Reserve{From: r.mesh.self.Addr, Instance: t.ID,
 		Prompt: prompt, MaxWaitMs: c.Admission.MaxWait.Milliseconds(), MaxGapMs: c.Admission.MaxGap.Milliseconds(),
 		MaxLoad: c.Admission.MaxLoad})
-	if err != nil {
+	reply, ok := msg.(*peer.ReserveReply)
+	switch {
+	case err != nil || !ok:
+		r.unanswered.Inc(1)
+		return true
+	case reply.Granted:
+		r.granted.Inc(1)
 		return true
 	}
-	reply, ok := msg.(*peer.ReserveReply)
-	return !ok || reply.Granted
+	r.denied.Inc(1)
+	return false
 }
 
 // Serve answers another entry.
--- /dev/null
+++ b/notice/notice.go
@@ -0,0 +1,167 @@
+// Package notice keeps what targets say of themselves in their answers, by life of the
+// target. It is pure: a Table does no I/O and is guarded by its owner.
+package notice
+
+import (
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+)
+
+// Limit is how many requests a second a target takes from all entries together.
+type Limit struct {
+	Named bool // otherwise it takes any number
+	PerS  float64
+}
+
+// below reports whether the limit lets fewer requests through than another.
+func (l Limit) below(o Limit) bool {
+	return l.Named && (!o.Named || l.PerS < o.PerS)
+}
+
+// Statement is what one answer of a target says of it.
+type Statement struct {
+	Limit Limit
+	// LimitUnreadable is set if a limit is named that is none; Limit is then what is
+	// readable beside it.
+	LimitUnreadable bool
+}
+
+// Life names one life of a target.
+type Life struct {
+	Target string
+	Born   int64 // 0 if not known
+}
+
+// LifeOf returns the name of an instance's life.
+func LifeOf(i fleet.Instance) Life { return Life{i.ID, i.Born} }
+
+// Belief is what is held true of one life of a target.
+type Belief struct {
+	Limit Limit
+	// Turn counts the changes of Limit, over all entries that tell each other: of two
+	// beliefs the one with the higher turn is newer.
+	Turn uint64
+}
+
+// supersedes reports whether the limit of a belief goes before that of another.
+func (b Belief) supersedes(o Belief) bool {
+	return b.Turn > o.Turn || b.Turn == o.Turn && b.Limit.below(o.Limit)
+}
+
+// Told is a belief as entries tell it to each other.
+type Told struct {
+	Life
+	Belief
+}
+
+// forgetAfter is how long a target that is no longer listed is remembered. An entry
+// lapses while the store is away and comes back with the same life.
+const forgetAfter = time.Minute
+
+// record is what is known of a life.
+type record struct {
+	born     int64
+	belief   Belief
+	since    time.Time // when this process took up the limit
+	listedAt time.Time
+	// unreadable is set once it said something that is not readable.
+	unreadable bool
+}
+
+// Table holds the beliefs of one process.
+type Table struct{ records map[string]*record } // by target
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{records: map[string]*record{}} }
+
+// of returns the record of a life, or nil if a later one is known.
+func (t *Table) of(now time.Time, l Life) *record {
+	r := t.records[l.Target]
+	switch {
+	case r == nil, !fleet.SameLife(r.born, l.Born) && l.Born > r.born:
+		r = &record{born: l.Born, listedAt: now}
+		t.records[l.Target] = r
+	case !fleet.SameLife(r.born, l.Born):
+		return nil
+	}
+	r.born = max(r.born, l.Born)
+	return r
+}
+
+// Change is what a statement has changed.
+type Change struct {
+	Limit      bool // what is believed of the limit
+	Unreadable bool // it is the first of the life that is not readable
+}
+
+// Hear takes a statement in the answer to a request that was sent at a time. Answers
+// overtake each other: one to a request that was sent before the limit was known does not
+// raise or lift it.
+func (t *Table) Hear(now time.Time, l Life, s Statement, sent time.Time) Change {
+	r := t.of(now, l)
+	if r == nil {
+		return Change{}
+	}
+	first := s.LimitUnreadable && !r.unreadable
+	r.unreadable = r.unreadable || first
+	return Change{Limit: r.hearLimit(now, s, sent), Unreadable: first}
+}
+
+func (r *record) hearLimit(now time.Time, s Statement, sent time.Time) bool {
+	if s.Limit == r.belief.Limit || s.LimitUnreadable && !s.Limit.Named {
+		return false
+	}
+	if !s.Limit.below(r.belief.Limit) && !sent.After(r.since) {
+		return false
+	}
+	r.belief = Belief{s.Limit, r.belief.Turn + 1}
+	r.since = now
+	return true
+}
+
+// Merge takes what another entry holds true. It reports whether the own belief has
+// changed.
+func (t *Table) Merge(now time.Time, o Told) bool {
+	r := t.of(now, o.Life)
+	if r == nil || !o.supersedes(r.belief) {
+		return false
+	}
+	r.belief, r.since = o.Belief, now
+	return true
+}
+
+// Of returns what is held true of a life.
+func (t *Table) Of(l Life) Belief {
+	r := t.records[l.Target]
+	if r == nil || !fleet.SameLife(r.born, l.Born) {
+		return Belief{}
+	}
+	return r.belief
+}
+
+// All returns what other entries are to be told.
+func (t *Table) All() []Told {
+	var out []Told
+	for id, r := range t.records {
+		if r.belief != (Belief{}) {
+			out = append(out, Told{Life{id, r.born}, r.belief})
+		}
+	}
+	return out
+}
+
+// Listed takes the targets that are listed now, and forgets those that have not been for
+// long.
+func (t *Table) Listed(now time.Time, list []*fleet.Instance) {
+	for _, i := range list {
+		if r := t.records[i.ID]; r != nil {
+			r.listedAt = now
+		}
+	}
+	for id, r := range t.records {
+		if now.Sub(r.listedAt) >= forgetAfter {
+			delete(t.records, id)
+		}
+	}
+}
--- /dev/null
+++ b/notice/notice_test.go
@@ -0,0 +1,89 @@
+package notice
+
+import (
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+	"gotest.tools/v3/assert"
+)
+
+var (
+	start = time.Unix(1_800_000_000, 0)
+	life  = Life{Target: "i-1"}
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func limit(perS float64) Statement { return Statement{Limit: Limit{true, perS}} }
+
+func TestLimitIsHeardAndLifted(t *testing.T) {
+	x := NewTable()
+	assert.Assert(t, x.Hear(at(10), life, limit(5), at(0)).Limit)
+	assert.Assert(t, !x.Hear(at(20), life, limit(5), at(15)).Limit, "nothing new")
+	assert.Assert(t, x.Hear(at(30), life, limit(1), at(0)).Limit, "a lower limit holds at once")
+	assert.Assert(t, x.Hear(at(50), life, limit(7), at(40)).Limit)
+	assert.Equal(t, x.Of(life), Belief{Limit{true, 7}, 3})
+	assert.Assert(t, x.Hear(at(70), life, Statement{}, at(60)).Limit)
+	assert.Equal(t, x.Of(life), Belief{Limit{}, 4})
+}
+
+func TestAnswerToAnEarlierRequestDoesNotLiftALimit(t *testing.T) {
+	x := NewTable()
+	x.Hear(at(10), life, limit(1), at(0))
+	assert.Assert(t, !x.Hear(at(900), life, Statement{}, at(5)).Limit)
+	assert.Assert(t, !x.Hear(at(901), life, limit(9), at(10)).Limit)
+	assert.Equal(t, x.Of(life).Limit, Limit{true, 1})
+}
+
+func TestUnreadableLimitChangesNothing(t *testing.T) {
+	x := NewTable()
+	x.Hear(at(10), life, limit(1), at(0))
+	assert.Equal(t, x.Hear(at(30), life, Statement{LimitUnreadable: true}, at(20)), Change{Unreadable: true})
+	assert.Equal(t, x.Hear(at(40), life, Statement{LimitUnreadable: true}, at(35)), Change{}, "told of once")
+	assert.Assert(t, x.Hear(at(60), life, Statement{Limit: Limit{true, 0.5}, LimitUnreadable: true}, at(50)).Limit, "one of two is readable")
+}
+
+func TestNewerBeliefGoesBeforeAnOlder(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	a.Hear(at(10), life, limit(1), at(0))
+	first := a.All()
+	assert.Assert(t, b.Merge(at(20), first[0]))
+	assert.Assert(t, b.Hear(at(40), life, Statement{}, at(30)).Limit)
+	assert.Assert(t, !b.Merge(at(50), first[0]), "told again")
+	assert.Assert(t, a.Merge(at(60), b.All()[0]))
+	assert.Equal(t, a.Of(life), b.Of(life))
+	assert.Assert(t, !a.Hear(at(70), life, Statement{}, at(65)).Limit)
+}
+
+func TestOfTwoBeliefsOfOneTurnTheStricterHolds(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	a.Hear(at(10), life, limit(1), at(0))
+	b.Hear(at(10), life, limit(3), at(0))
+	assert.Assert(t, b.Merge(at(20), a.All()[0]))
+	assert.Assert(t, !a.Merge(at(20), Told{life, Belief{Limit{true, 3}, 1}}))
+	assert.Equal(t, a.Of(life), b.Of(life))
+}
+
+// What an earlier life said says nothing of a later one, also if it comes late.
+func TestBeliefEndsWithTheLife(t *testing.T) {
+	first, second := Life{"i-1", 1000}, Life{"i-1", 2000}
+	x := NewTable()
+	x.Hear(at(10), first, limit(1), at(0))
+	assert.Equal(t, x.Of(second), Belief{})
+	assert.Assert(t, x.Hear(at(20), second, limit(4), at(15)).Limit)
+	assert.Assert(t, !x.Hear(at(30), first, limit(1), at(5)).Limit)
+	assert.Assert(t, !x.Merge(at(30), Told{first, Belief{Limit{true, 1}, 9}}))
+	assert.Equal(t, x.Of(second).Limit, Limit{true, 4})
+	assert.Equal(t, x.Of(first), Belief{})
+}
+
+func TestTargetThatLapsedIsRememberedForAWhile(t *testing.T) {
+	x := NewTable()
+	x.Hear(at(0), life, limit(1), at(0))
+	x.Listed(at(10), []*fleet.Instance{{ID: "i-1"}})
+	x.Listed(at(5000), nil)
+	assert.Assert(t, x.Of(life).Limit.Named)
+	x.Listed(at(10).Add(forgetAfter), nil)
+	assert.Equal(t, x.Of(life), Belief{})
+}
