--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -51,3 +52,15 @@
 		assert.Equal(t, f.believed(), c.want, name)
 	}
 }
+
+// A target that had named a limit got requests as before.
+func TestTargetThatNamedALimitGetsNoMore(t *testing.T) {
+	x, free := newTarget(t, limited(ok)), newTarget(t, ok)
+	f := newFront(t, x, free)
+	for i := range 40 {
+		assert.Equal(t, f.call(http.MethodPost, "/unsafe/x", "", "Id", fmt.Sprint("r", i)).status, http.StatusOK)
+	}
+	const allowed = 1.5*4*1 + 5 // in 4 s
+	assert.Assert(t, x.count() <= allowed, "%d requests", x.count())
+	assert.Equal(t, x.count()+free.count(), 40)
+}
--- a/soak/facts.go
+++ b/soak/facts.go
@@ -18,6 +18,15 @@
 	Leaving map[string]time.Duration   // when the store had the entry in which an instance leaves
 	Crashes map[string][]time.Duration // when targets ended under a request, by its body
 	Late    map[string]time.Duration   // by how much targets were later with each request than they were to be
+	Limits  []LimitSpan
+	// Arrivals are the requests that reached each life of a target, in order.
+	Arrivals map[string][]Arrival
+}
+
+// Arrival is when a request reached a target.
+type Arrival struct {
+	Request string
+	At      time.Duration
 }
 
 // Write is when a write to the store began and was done.
@@ -30,6 +39,7 @@
 	mu      sync.Mutex
 	configs map[int]Write
 	leaving map[string]time.Duration
+	limits  []LimitSpan
 }
 
 func newNotes() *notes {
@@ -67,7 +77,11 @@
 			crashes[body] = append(crashes[body], c.At.Sub(n.start))
 		}
 	}
-	return Facts{Runs: runs.All(), Reached: runs.Reached(), Configs: maps.Clone(n.configs), Leaving: maps.Clone(n.leaving), Crashes: crashes, Late: runs.Late()}
+	arrivals := map[string][]Arrival{}
+	for _, a := range runs.Arrivals() {
+		arrivals[a.Life] = append(arrivals[a.Life], Arrival{a.Request, a.At.Sub(n.start)})
+	}
+	return Facts{Limits: slices.Clone(n.limits), Arrivals: arrivals, Runs: runs.All(), Reached: runs.Reached(), Configs: maps.Clone(n.configs), Leaving: maps.Clone(n.leaving), Crashes: crashes, Late: runs.Late()}
 }
 
 // leavingSince returns the first time since when one of the instances that a request
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -52,6 +52,7 @@
 	PromiseFresh   = "a configuration is in force in time"
 	PromiseLeaving = "a target that leaves gets no new request"
 	PromiseCrashed = "a request that crashed three targets is sent no more"
+	PromiseLimit   = "a target gets no more than the limit that it names"
 )
 
 // Judge compares what callers saw with what targets ran and the store said.
@@ -84,6 +85,9 @@
 	for _, a := range keptCrashing(attempts, facts) {
 		add(PromiseCrashed, a)
 	}
+	for _, a := range overLimit(attempts, facts) {
+		add(PromiseLimit, a)
+	}
 	for _, a := range wentBack(attempts) {
 		add(PromiseForward, a)
 	}
