Requests to a target stay under the limit that it names, over all entries

Callers' requests reached targets in need as before: two targets that had named 1 request a second got 16 and 19 in 4 s (11 allowed), because nothing read the limit.

A target's home already counted the requests of all entries to one that is cold. That count now serves both bounds (dispatch/pace.go): as many requests as the lower one of them allows, in 1 s, or in the time that one takes if it is less than one a second. What entries believe of limits travels with each question to a home and its answer and with full accounts, so that whoever knows binds all. Without an answer of its home, a target with such a bound is left alone for 100 ms; before, silence counted as a grant. A denied asker leaves the target alone until the home has a place and chooses another at once. A target that takes none still gets a request each 5 s: its answer says when it takes some again. If each target is so bound, the caller is refused at once, with a reason of its own (paced).

Ruled out: each entry taking a part of the limit. 14 entries would each keep one request in store, more than the 11 allowed when they go off together.

TestLimitHoldsForAllEntriesTogether plays 8 entries at limits from 0 to 1000.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -178,6 +178,9 @@
 // Announced implements mesh.Listener.
 func (e *entryProcess) Announced(now time.Time) []peer.SeenVersion { return e.control.Announced(now) }
 
+// Notices implements mesh.Listener.
+func (e *entryProcess) Notices() []peer.TargetNotice { return e.control.Notices() }
+
 // Assignment implements mesh.Listener.
 func (e *entryProcess) Assignment(p peer.Presence) (*peer.Assignment, <-chan struct{}) {
 	return e.control.Assignment(p)
--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -32,7 +32,9 @@
 	health health
 	gone   bool
 	lost   int // requests of this entry whose connection broke there
-	cold   coldRate
+	pace   pace
+	// coldPerS is how many requests a second it bears while it is cold; 0 for any number.
+	coldPerS float64
 }
 
 // Book holds the targets of all services. Its methods may be called
@@ -74,10 +76,9 @@
 			t = &Target{others: map[string]Load{}, heard: map[string]bool{}}
 		}
 		t.Instance = *i
-		t.cold.until = i.ColdUntil
 		if s := services[i.Service]; s != nil {
 			t.model = s.Engine
-			t.cold.perS = s.ColdRate
+			t.coldPerS = s.ColdRate
 		}
 		byID[i.ID] = t
 		addrs[i.Addr] = true
@@ -135,45 +136,12 @@
 func (b *Book) start(now time.Time, t *Target, d Demand) {
 	l := Load{Requests: 1, Unread: d.Prompt}
 	t.own, t.load = t.own.add(l), t.load.add(l)
-	t.cold.count(now)
+	t.pace.count(now, b.rate(now, t))
 	if t.health.waitingSince.IsZero() {
 		t.health.waitingSince = now
 	}
 }
 
-// Reserve decides for another entry whether one more request with so long a
-// prompt may go to a target, on the terms that the entry states. The grant counts
-// as that entry's load until its next account. A target that is not known here is
-// granted: the asker may know better. In a failure domain that is evacuated by now none
-// is granted.
-func (b *Book) Reserve(now time.Time, from, instance string, prompt int, a Admission) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t := b.byID[instance]
-	if t == nil {
-		return true
-	}
-	if b.policy.Evacuated(t.Domain) || !t.cold.allows(now) || !a.admits(t.load, b.forecast(t, Demand{Prompt: prompt})) {
-		return false
-	}
-	t.cold.count(now)
-	l := Load{Requests: 1, Unread: prompt}
-	t.others[from] = t.others[from].add(l)
-	t.load = t.load.add(l)
-	return true
-}
-
-// Cancel takes a choice back that was not followed.
-func (b *Book) Cancel(t *Target, d Demand) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	l := Load{Requests: -1, Unread: -d.Prompt}
-	t.own, t.load = t.own.add(l), t.load.add(l)
-	if t.own.Requests == 0 {
-		t.health.waitingSince = time.Time{}
-	}
-}
-
 // Silent reports whether a target with work has sent nothing for too long.
 func (b *Book) Silent(now time.Time, t *Target) bool {
 	b.mu.Lock()
--- /dev/null
+++ b/dispatch/pace_test.go
@@ -0,0 +1,163 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/notice"
+	"gotest.tools/v3/assert"
+)
+
+func limit(perS float64) notice.Statement {
+	return notice.Statement{Limit: notice.Limit{Named: true, PerS: perS}}
+}
+
+// fleetOfBooks are entries of which the first is the home of the only target.
+type fleetOfBooks struct {
+	books []*Book
+	sent  []time.Time
+}
+
+func newFleetOfBooks(n int) *fleetOfBooks {
+	f := &fleetOfBooks{}
+	for range n {
+		f.books = append(f.books, book(nil, Config{}, plain(1)))
+	}
+	return f
+}
+
+// send lets an entry choose the target, ask its home, and hear the answer.
+func (f *fleetOfBooks) send(now time.Time, entry int, says notice.Statement) {
+	b, home := f.books[entry], f.books[0]
+	c, v := b.Pick(now, testService, demand(), nil)
+	if v != Chosen {
+		return
+	}
+	if entry > 0 {
+		home.Learn(now, b.NoticeOf(c.Target.ID))
+		p := home.Reserve(now, "x", c.Target.ID, 0, Admission{MaxWait: time.Hour})
+		home.SetLoads("x", nil)
+		b.Learn(now, p.Told)
+		if !p.Granted {
+			b.Cancel(c.Target, demand())
+			b.Hold(now, c.Target.ID, p.Wait)
+			return
+		}
+	}
+	f.sent = append(f.sent, now)
+	b.HearNotice(now.Add(5*time.Millisecond), c.Instance, says, now)
+	b.Finish(now, c.Target, Result{Latency: time.Millisecond})
+}
+
+// most returns the most requests within a span.
+func most(sent []time.Time, span time.Duration) (n int) {
+	for i, at := range sent {
+		k := i
+		for k < len(sent) && sent[k].Sub(at) < span {
+			k++
+		}
+		n = max(n, k-i)
+	}
+	return n
+}
+
+// Each of several entries took the limit for its own, or none did.
+func TestLimitHoldsForAllEntriesTogether(t *testing.T) {
+	const known, end, window = 3 * time.Second, 30 * time.Second, 4 * time.Second
+	for _, perS := range []float64{0, 0.2, 1, 3, 20, 1000} {
+		f, rng := newFleetOfBooks(8), rand.New(rand.NewPCG(1, 2))
+		for ms := 0; ms < int(end.Milliseconds()); ms++ {
+			f.send(start.Add(time.Duration(ms)*time.Millisecond), rng.IntN(len(f.books)), limit(perS))
+		}
+		from := slices.IndexFunc(f.sent, func(at time.Time) bool { return at.Sub(start) >= known })
+		assert.Assert(t, from >= 0, "%v/s: none", perS)
+		sent := f.sent[from:]
+		assert.Assert(t, float64(most(sent, window)) <= 1.5*window.Seconds()*perS+5, "%v/s: %d", perS, most(sent, window))
+		want := min(max(perS, leastRate), 1000) * (end - known).Seconds()
+		assert.Assert(t, float64(len(sent)) >= 0.7*want-1, "%v/s: %d of %v", perS, len(sent), want)
+	}
+}
+
+func TestLimitThatIsRaisedAndLifted(t *testing.T) {
+	f := newFleetOfBooks(3)
+	course := []struct {
+		says notice.Statement
+		most int // within the last second of ten
+		all  bool
+	}{{limit(1), 1, false}, {limit(0), 1, false}, {limit(10), 10, false}, {limit(2), 2, false}, {notice.Statement{}, 0, true}}
+	for i, c := range course {
+		f.sent = nil
+		const steps = 1000
+		for k := range steps {
+			at := start.Add(time.Duration(i)*10*time.Second + time.Duration(k)*10*time.Millisecond)
+			f.send(at, k%len(f.books), c.says)
+		}
+		last := f.sent[len(f.sent)-1].Add(-time.Second)
+		n := 0
+		for _, at := range f.sent {
+			if at.After(last) {
+				n++
+			}
+		}
+		assert.Assert(t, c.all && n > 50 || !c.all && n <= c.most, "step %d: %d in the last second", i, n)
+	}
+}
+
+// A limit that is named again after each answer with another figure must not start over.
+func TestLimitThatVariesIsUsed(t *testing.T) {
+	f, rng := newFleetOfBooks(2), rand.New(rand.NewPCG(1, 2))
+	for ms := 0; ms < 20000; ms += 5 {
+		f.send(start.Add(time.Duration(ms)*time.Millisecond), rng.IntN(2), limit(2+rng.Float64()))
+	}
+	assert.Assert(t, len(f.sent) >= 30 && len(f.sent) <= 62, "%d in 20 s", len(f.sent))
+}
+
+func TestPacedTargetIsLeftForOthers(t *testing.T) {
+	b := book(nil, Config{}, plain(1), plain(2))
+	b.HearNotice(start, *plain(1), limit(1), start)
+	for range 20 {
+		assert.Equal(t, picked(b, start), "p-2")
+	}
+	c, v := b.Pick(start, testService, demand(), []string{"p-2"})
+	assert.Equal(t, v, Paced)
+	assert.Equal(t, c.FreeAt, start.Add(time.Second))
+	assert.Equal(t, picked(b, start.Add(time.Second), "p-2"), "p-1")
+	assert.Equal(t, picked(b, start.Add(time.Second), "p-2"), "paced")
+}
+
+// A choice that was taken back leaves its place to the next.
+func TestCancelGivesThePlaceBack(t *testing.T) {
+	b := book(nil, Config{}, plain(1))
+	b.HearNotice(start, *plain(1), limit(1), start)
+	now := start.Add(time.Second)
+	c, _ := b.Pick(now, testService, demand(), nil)
+	b.Cancel(c.Target, demand())
+	assert.Equal(t, picked(b, now), "p-1")
+}
+
+func TestLimitOutlastsALapseOfTheList(t *testing.T) {
+	b := book(nil, Config{}, plain(1))
+	services := map[string]*fleet.Service{testService: {Name: testService}}
+	b.HearNotice(start, *plain(1), limit(1), start)
+	b.Apply(nil, services)
+	b.ForgetNotices(start.Add(5 * time.Second))
+	b.Apply([]*fleet.Instance{plain(1)}, services)
+	assert.Equal(t, b.NoticeOf("p-1").Limit.PerS, 1.0)
+	assert.Equal(t, picked(b, start.Add(10*time.Second)), "p-1")
+	assert.Equal(t, picked(b, start.Add(10*time.Second)), "paced")
+}
+
+// The next life of a target under its ID has named none.
+func TestLimitEndsWithTheLife(t *testing.T) {
+	first, second := plain(1), plain(1)
+	first.Born, second.Born = 1000, 2000
+	b := book(nil, Config{}, first)
+	b.HearNotice(start, *first, limit(1), start)
+	b.Apply([]*fleet.Instance{second}, map[string]*fleet.Service{testService: {Name: testService}})
+	for range 5 {
+		assert.Equal(t, picked(b, start), "p-1")
+	}
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -19,11 +19,12 @@
 	Saturated         // all that could serve are too loaded for the objective
 	NoTarget          // none could serve now
 	NoDomain          // all are in failure domains that must not run the request
+	Paced             // all that could serve take no more before a time
 )
 
 // String returns the name of the verdict.
 func (v Verdict) String() string {
-	return [...]string{"chosen", "saturated", "no_target", "no_domain"}[v]
+	return [...]string{"chosen", "saturated", "no_target", "no_domain", "paced"}[v]
 }
 
 // Choice is the target that a request goes to.
@@ -41,6 +42,8 @@
 	Admission Admission
 	Load      Load         // at the target before the request
 	Limit     notice.Limit // that the target is believed to have named
+	Paced     bool         // the target takes a bounded rate, so that its home must grant a place
+	FreeAt    time.Time    // of a verdict that it is Paced: when a target takes one more
 }
 
 // Pick chooses a target of service and counts the request there; Finish must
@@ -55,7 +58,8 @@
 	}
 	var best, lightest, spare candidate
 	start := b.rng.IntN(n)
-	allowed, cold := 0, false
+	allowed := 0
+	var freeAt time.Time
 	for k := 0; k < n && allowed < b.cfg.Sample; k++ {
 		t := targets[(start+k)%n]
 		if !b.policy.Allows(t.Domain, d.Homes) {
@@ -65,12 +69,13 @@
 		if !b.usable(now, t) || slices.Contains(avoid, t.ID) {
 			continue
 		}
-		if !t.cold.allows(now) {
-			cold = true
+		r := b.rate(now, t)
+		if at := t.pace.next(now, r); at.After(now) {
+			freeAt = earliest(freeAt, at)
 			continue
 		}
 		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load,
-			Limit: b.notices.Of(notice.LifeOf(t.Instance)).Limit}}
+			Limit: b.notices.Of(notice.LifeOf(t.Instance)).Limit, Paced: r.bounded}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
@@ -89,8 +94,8 @@
 	switch {
 	case allowed == 0:
 		return Choice{}, NoDomain
-	case best.Target == nil && cold:
-		return Choice{}, Saturated
+	case best.Target == nil && !freeAt.IsZero():
+		return Choice{FreeAt: freeAt}, Paced
 	case best.Target == nil:
 		return Choice{}, NoTarget
 	}
@@ -120,6 +125,14 @@
 	return h.suspected(now) || h.unproven() && t.load.Requests > 0
 }
 
+// earliest returns the earlier of two times, of which the first may be zero for none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // candidate is a choice and its cost.
 type candidate struct {
 	Choice
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -246,6 +246,7 @@
 	if cfg := c.gateway.Config(); cfg != nil {
 		c.book.Apply(c.list, cfg.Services)
 	}
+	c.book.ForgetNotices(clock.Now())
 }
 
 // serves reports whether a target is of a service that the configuration names. One
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,9 +60,9 @@
 // one home, so that entries that see the same free target at the same moment do
 // not all fill it.
 type Reserver interface {
-	// Reserve reports whether a request with so long a prompt, in tokens, may go
-	// to the target. It also does if the home cannot be asked in time.
-	Reserve(ctx context.Context, c dispatch.Choice, prompt int) bool
+	// Reserve asks for a place for a request with so long a prompt, in tokens. It is
+	// granted too if the home cannot be asked in time, unless the choice is Paced.
+	Reserve(ctx context.Context, c dispatch.Choice, prompt int) dispatch.Reservation
 }
 
 // Copy describes this entry's copy of the store at a moment.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -22,6 +22,7 @@
 // Loads implements mesh.Listener.
 func (c *Control) Loads(from string, l *peer.Loads) {
 	c.hearVersions(clock.Now(), from, l.Versions)
+	c.learnNotices(from, l.Notices)
 	loads := make(map[string]dispatch.Load, len(l.Targets))
 	silence := !c.cfg.Off.Has(mechanism.SharedSilence)
 	for _, t := range l.Targets {
@@ -41,6 +42,26 @@
 	}
 }
 
+// learnNotices takes what another entry believes of targets by what they say.
+func (c *Control) learnNotices(from string, list []peer.TargetNotice) {
+	for _, n := range list {
+		told, ok := n.Decode()
+		if ok && c.book.Learn(clock.Now(), told) {
+			c.log.WithFields(logrus.Fields{"target": n.Instance, "peer": from, "limited": n.Limited, "limit": n.PerS}).Info("Target's limit learned.")
+		}
+	}
+}
+
+// Notices implements mesh.Listener.
+func (c *Control) Notices() []peer.TargetNotice {
+	var out []peer.TargetNotice
+	for _, told := range c.book.Notices() {
+		out = append(out, peer.EncodeNotice(told))
+	}
+	slices.SortFunc(out, func(a, b peer.TargetNotice) int { return cmp.Compare(a.Instance, b.Instance) })
+	return out
+}
+
 // Lost implements mesh.Listener.
 func (c *Control) Lost(addr string) { c.book.SetLoads(addr, nil) }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -14,44 +14,84 @@
 // place waits until a target can serve the request in time.
 func (x *exchange) place(ctx context.Context, d dispatch.Demand) (dispatch.Choice, Reason) {
 	began := clock.Now()
+	defer func() { x.waited += clock.Since(began) }()
 	if x.sends == 0 {
 		x.tightest = x.g.book.Arrived(began, x.service, d)
 	}
-	patience := clock.NewTimer(x.patience())
-	defer patience.Stop()
+	patience := x.patience()
+	until := began.Add(patience)
+	timer := clock.NewTimer(patience)
+	defer timer.Stop()
 	for {
 		changed := x.g.book.Changed()
-		choice, verdict := x.g.book.Pick(clock.Now(), x.service, d, x.avoid)
-		if verdict == dispatch.Chosen && !x.g.homes.Reserve(ctx, choice, d.Prompt) {
-			x.g.book.Cancel(choice.Target, d)
-			x.denied++
-			verdict = dispatch.Saturated
-		}
-		if verdict == dispatch.Chosen {
-			x.waited += clock.Since(began)
+		choice, verdict := x.pick(ctx, d, until)
+		switch {
+		case verdict == dispatch.Chosen:
 			return choice, ReasonNone
-		}
-		if verdict == dispatch.NoDomain {
-			// Waiting changes nothing: operators evacuate for minutes.
-			x.waited += clock.Since(began)
-			return choice, ReasonNoDomain
+		case verdict == dispatch.NoDomain:
+			return choice, ReasonNoDomain // operators evacuate for minutes
+		case verdict == dispatch.Paced && choice.FreeAt.After(until):
+			return choice, x.unplaced(verdict, choice, d)
 		}
 		select {
 		case <-changed:
-		case <-patience.C:
-			x.waited += clock.Since(began)
-			x.logUnplaced(verdict, choice, d)
-			if verdict == dispatch.Saturated {
-				x.g.book.Refused(clock.Now(), x.service, d)
-			}
-			return choice, reasonOf(verdict)
+		case <-x.freeAt(verdict, choice):
+		case <-timer.C:
+			return choice, x.unplaced(verdict, choice, d)
 		case <-ctx.Done():
-			x.waited += clock.Since(began)
 			return choice, ReasonTimeout
 		}
 	}
 }
 
+// freeAt returns a channel that gets a value when a target takes one more; nil if that is
+// not what the request waits for.
+func (x *exchange) freeAt(v dispatch.Verdict, c dispatch.Choice) <-chan time.Time {
+	if v != dispatch.Paced {
+		return nil
+	}
+	return clock.NewTimer(max(clock.Until(c.FreeAt), 0)).C
+}
+
+// maxHeld is how many targets that turn out to take no more for a time are passed over,
+// though the request may not wait.
+const maxHeld = 4
+
+// pick chooses a target whose home grants a place. Targets that turn out to take no more
+// for a time are passed over.
+func (x *exchange) pick(ctx context.Context, d dispatch.Demand, until time.Time) (dispatch.Choice, dispatch.Verdict) {
+	for held := 0; ; held++ {
+		choice, verdict := x.g.book.Pick(clock.Now(), x.service, d, x.avoid)
+		if verdict != dispatch.Chosen {
+			return choice, verdict
+		}
+		reservation := x.g.homes.Reserve(ctx, choice, d.Prompt)
+		if reservation == dispatch.PlaceGranted {
+			return choice, dispatch.Chosen
+		}
+		x.g.book.Cancel(choice.Target, d)
+		x.denied++
+		goOn := reservation == dispatch.PlaceHeld && (held < maxHeld || clock.Now().Before(until))
+		if !goOn || ctx.Err() != nil {
+			return choice, dispatch.Saturated
+		}
+	}
+}
+
+// unplaced notes that no target could serve the request in time, and returns why.
+func (x *exchange) unplaced(v dispatch.Verdict, c dispatch.Choice, d dispatch.Demand) Reason {
+	x.logUnplaced(v, c, d)
+	switch v {
+	case dispatch.Saturated:
+		x.g.book.Refused(clock.Now(), x.service, d)
+		return ReasonSaturated
+	case dispatch.Paced:
+		x.g.book.Refused(clock.Now(), x.service, d)
+		return ReasonPaced
+	}
+	return ReasonNoTarget
+}
+
 // demand is what the request asks of a target now.
 func (x *exchange) demand() dispatch.Demand {
 	d := dispatch.Demand{Prompt: x.call.Prompt, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain,
@@ -74,13 +114,6 @@
 	return h
 }
 
-func reasonOf(v dispatch.Verdict) Reason {
-	if v == dispatch.Saturated {
-		return ReasonSaturated
-	}
-	return ReasonNoTarget
-}
-
 func (x *exchange) logUnplaced(v dispatch.Verdict, c dispatch.Choice, d dispatch.Demand) {
 	f := logrus.Fields{"request": x.call.ID, "service": x.service, "verdict": v.String(), "avoid": len(x.avoid),
 		"standing": d.Standing.String()}
@@ -89,6 +122,9 @@
 		f["forecast_ms"], f["forecast_wait_ms"] = c.Forecast.FirstEvent.Milliseconds(), c.Forecast.Wait.Milliseconds()
 		f["max_wait_ms"], f["max_load"] = c.Admission.MaxWait.Milliseconds(), c.Admission.MaxLoad
 	}
+	if v == dispatch.Paced {
+		f["free_in_ms"] = clock.Until(c.FreeAt).Milliseconds()
+	}
 	x.g.log.WithFields(f).Info("No target in time.")
 }
 
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -15,6 +15,7 @@
 	ReasonBodyTooLarge  Reason = "body_too_large"
 	ReasonBodyBroken    Reason = "body_broken"
 	ReasonSaturated     Reason = "saturated"
+	ReasonPaced         Reason = "paced" // no target takes one more yet
 	ReasonNoTarget      Reason = "no_target"
 	ReasonNoDomain      Reason = "no_domain" // no failure domain is left that may run it
 	ReasonDialFailed    Reason = "dial_failed"
@@ -36,7 +37,7 @@
 
 // reasons lists all reasons with a counter.
 var reasons = []Reason{ReasonNoConfig, ReasonNoRoute, ReasonUnknownKey, ReasonBodyTooLarge, ReasonBodyBroken,
-	ReasonSaturated, ReasonNoTarget, ReasonNoDomain, ReasonDialFailed, ReasonTargetRefused, ReasonOtherInstance, ReasonConnLost,
+	ReasonSaturated, ReasonPaced, ReasonNoTarget, ReasonNoDomain, ReasonDialFailed, ReasonTargetRefused, ReasonOtherInstance, ReasonConnLost,
 	ReasonGarbled, ReasonTargetError, ReasonSlowStart, ReasonStalled, ReasonBrokenStream, ReasonVersionOver, ReasonEndsTargets, ReasonTimeout,
 	ReasonCallerGone, ReasonAttempts, ReasonBudget}
 
--- a/mesh/entries_test.go
+++ b/mesh/entries_test.go
@@ -144,6 +144,9 @@
 // Announced implements Listener.
 func (*entry) Announced(time.Time) []peer.SeenVersion { return nil }
 
+// Notices implements Listener.
+func (*entry) Notices() []peer.TargetNotice { return nil }
+
 // startEntries runs n entries until stop is called; the store has revision 1.
 func startEntries(t *testing.T, n int) *entries { return startEntriesApart(t, n, 0, 0) }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -28,6 +28,8 @@
 	Assignment(agent peer.Presence) (*peer.Assignment, <-chan struct{})
 	// Announced returns the versions that were seen named lately.
 	Announced(now time.Time) []peer.SeenVersion
+	// Notices returns what is believed of targets by what they say of themselves.
+	Notices() []peer.TargetNotice
 }
 
 // Mesh is this process's part of the network.
@@ -154,7 +156,7 @@
 		if m.crashes != nil {
 			out.CrashDigest = m.crashes.Digest()
 		}
-		out.Versions = m.listener.Announced(clock.Now())
+		out.Versions, out.Notices = m.listener.Announced(clock.Now()), m.listener.Notices()
 		if digest, revision := m.table.Digest(); revision == out.Revision {
 			out.Digest = digest
 		}
--- a/mesh/reserve.go
+++ b/mesh/reserve.go
@@ -37,37 +37,69 @@
 }
 
 // Reserve implements gateway.Reserver.
-func (r *Reserver) Reserve(ctx context.Context, c dispatch.Choice, prompt int) bool {
+func (r *Reserver) Reserve(ctx context.Context, c dispatch.Choice, prompt int) dispatch.Reservation {
 	t := c.Instance
 	home := r.mesh.home(t.ID, t.Domain)
 	if r.off || home == r.mesh.self.Addr {
-		return true // the own book has decided
+		return dispatch.PlaceGranted // the own book has decided
 	}
-	ctx, cancel := clock.WithTimeout(ctx, r.timeout)
-	defer cancel()
-	msg, err := r.mesh.pool.Call(ctx, home, peer.Traffic, &peer.Reserve{From: r.mesh.self.Addr, Instance: t.ID,
-		Prompt: prompt, MaxWaitMs: c.Admission.MaxWait.Milliseconds(), MaxGapMs: c.Admission.MaxGap.Milliseconds(),
-		MaxLoad: c.Admission.MaxLoad})
-	reply, ok := msg.(*peer.ReserveReply)
-	switch {
-	case err != nil || !ok:
+	reply, ok := r.ask(ctx, home, c, prompt)
+	if !ok {
 		r.unanswered.Inc(1)
-		return true
+		return r.unsure(c)
+	}
+	if told, ok := reply.Notice.Decode(); ok {
+		r.book.Learn(clock.Now(), told)
+	}
+	switch {
+	case reply.Granted && !reply.Known:
+		return r.unsure(c)
 	case reply.Granted:
 		r.granted.Inc(1)
-		return true
+		return dispatch.PlaceGranted
 	}
 	r.denied.Inc(1)
-	return false
+	if reply.WaitMs <= 0 {
+		return dispatch.PlaceDenied
+	}
+	r.book.Hold(clock.Now(), t.ID, time.Duration(reply.WaitMs)*time.Millisecond)
+	return dispatch.PlaceHeld
+}
+
+// unsure decides on a target whose home says nothing of it. What others send to one that
+// takes a bounded rate must be known.
+func (r *Reserver) unsure(c dispatch.Choice) dispatch.Reservation {
+	if !c.Paced {
+		return dispatch.PlaceGranted
+	}
+	r.book.HoldUnanswered(clock.Now(), c.Instance.ID)
+	return dispatch.PlaceHeld
+}
+
+// ask asks a home for a place; ok is false if it does not answer in time.
+func (r *Reserver) ask(ctx context.Context, home string, c dispatch.Choice, prompt int) (reply *peer.ReserveReply, ok bool) {
+	ctx, cancel := clock.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	msg, err := r.mesh.pool.Call(ctx, home, peer.Traffic, &peer.Reserve{From: r.mesh.self.Addr, Instance: c.Instance.ID,
+		Prompt: prompt, MaxWaitMs: c.Admission.MaxWait.Milliseconds(), MaxGapMs: c.Admission.MaxGap.Milliseconds(),
+		MaxLoad: c.Admission.MaxLoad, Notice: peer.EncodeNotice(r.book.NoticeOf(c.Instance.ID))})
+	if err != nil {
+		return nil, false
+	}
+	reply, ok = msg.(*peer.ReserveReply)
+	return reply, ok
 }
 
 // Serve answers another entry.
 func (r *Reserver) Serve(ctx context.Context, s *peer.Stream, q *peer.Reserve) {
-	granted := r.book.Reserve(clock.Now(), q.From, q.Instance, q.Prompt, dispatch.Admission{
+	if told, ok := q.Notice.Decode(); ok {
+		r.book.Learn(clock.Now(), told)
+	}
+	p := r.book.Reserve(clock.Now(), q.From, q.Instance, q.Prompt, dispatch.Admission{
 		MaxWait: time.Duration(q.MaxWaitMs) * time.Millisecond, MaxGap: time.Duration(q.MaxGapMs) * time.Millisecond,
 		MaxLoad: q.MaxLoad})
-	// The asker does not wait long, and goes on without an answer.
-	_ = s.SendLast(ctx, &peer.ReserveReply{Granted: granted})
+	// The asker does not wait long for an answer.
+	_ = s.SendLast(ctx, &peer.ReserveReply{Granted: p.Granted, Known: p.Known, WaitMs: milliseconds(p.Wait), Notice: peer.EncodeNotice(p.Told)})
 }
 
 // home returns the entry that decides who may use a target.
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -133,6 +133,9 @@
 
 // Of returns what is held true of a life.
 func (t *Table) Of(l Life) Belief {
+	if len(t.records) == 0 {
+		return Belief{}
+	}
 	r := t.records[l.Target]
 	if r == nil || !fleet.SameLife(r.born, l.Born) {
 		return Belief{}
@@ -151,15 +154,13 @@
 	return out
 }
 
-// Listed takes the targets that are listed now, and forgets those that have not been for
-// long.
-func (t *Table) Listed(now time.Time, list []*fleet.Instance) {
-	for _, i := range list {
-		if r := t.records[i.ID]; r != nil {
+// Prune forgets targets that have not been listed for long. It is called while listed
+// tells which are.
+func (t *Table) Prune(now time.Time, listed func(target string) bool) {
+	for id, r := range t.records {
+		if listed(id) {
 			r.listedAt = now
 		}
-	}
-	for id, r := range t.records {
 		if now.Sub(r.listedAt) >= forgetAfter {
 			delete(t.records, id)
 		}
--- /dev/null
+++ b/peer/notice.go
@@ -0,0 +1,30 @@
+package peer
+
+import (
+	"math"
+
+	"github.com/springgate/springgate/notice"
+)
+
+// TargetNotice is what an entry believes of a target by what that says of itself.
+type TargetNotice struct {
+	Instance string
+	Born     int64
+	Limited  bool    // it has named a limit
+	PerS     float64 // the limit, in requests a second
+	Turn     uint64  // of two notices of a limit the one with the higher turn is newer
+}
+
+// EncodeNotice returns a belief as a message has it.
+func EncodeNotice(t notice.Told) TargetNotice {
+	return TargetNotice{Instance: t.Target, Born: t.Born, Limited: t.Limit.Named, PerS: t.Limit.PerS, Turn: t.Turn}
+}
+
+// Decode returns the belief; ok is false if there is none that can be believed.
+func (n TargetNotice) Decode() (t notice.Told, ok bool) {
+	if n.Instance == "" || math.IsNaN(n.PerS) || n.PerS < 0 || n.Turn == 0 {
+		return notice.Told{}, false
+	}
+	return notice.Told{Life: notice.Life{Target: n.Instance, Born: n.Born},
+		Belief: notice.Belief{Limit: notice.Limit{Named: n.Limited, PerS: n.PerS}, Turn: n.Turn}}, true
+}
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -79,6 +79,8 @@
 	// Versions are those that the operators named lately, with the earliest moment at
 	// which an entry saw that; in full accounts only.
 	Versions []SeenVersion
+	// Notices are what targets say of themselves, in full accounts only.
+	Notices []TargetNotice
 }
 
 // Kind implements Message.
@@ -172,13 +174,20 @@
 	MaxWaitMs int64 // longest wait at the target that the asker accepts
 	MaxGapMs  int64 // longest pause of others there; zero for no bound
 	MaxLoad   int   // requests there before this one; zero for no bound
+	// Notice is what the asker believes of the target; empty if the target said nothing.
+	Notice TargetNotice
 }
 
 // Kind implements Message.
 func (*Reserve) Kind() Kind { return kindReserve }
 
 // ReserveReply answers a Reserve.
-type ReserveReply struct{ Granted bool }
+type ReserveReply struct {
+	Granted bool
+	Known   bool         // the home knows the target
+	WaitMs  int64        // until the target takes one more; zero if that is not why none is granted
+	Notice  TargetNotice // what the home believes of the target
+}
 
 // Kind implements Message.
 func (*ReserveReply) Kind() Kind { return kindReserveReply }
