Whether a target says that it leaves is heard, logged and counted; not heeded yet

Observability for the incident of the target that leaves, before any change of a decision. The first answer of a life that says so is logged, and 'Sending.' has what was known at the choice. Entries tell each other with what they tell of limits; within one life it is never taken back.

--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -21,17 +21,16 @@
 	return changed
 }
 
-// Learn takes what another entry believes of a target. It reports whether that changes
-// what is believed here.
-func (b *Book) Learn(now time.Time, o notice.Told) bool {
+// Learn takes what another entry believes of a target.
+func (b *Book) Learn(now time.Time, o notice.Told) notice.Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.byID[o.Target] == nil {
-		return false // it would not be forgotten when the target leaves the list
+		return notice.Change{} // it would not be forgotten when the target leaves the list
 	}
 	before := b.notices.Of(o.Life).Limit
 	changed := b.notices.Merge(now, o)
-	if changed {
+	if changed.Limit {
 		b.limitChanged(now, o.Life, before)
 	}
 	return changed
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,6 +45,7 @@
 	if perS, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		info.Notice.Limit = notice.Limit{Named: true, PerS: perS}
 	}
+	info.Notice.Leaving = h.Get("Leaving") != ""
 	return info
 }
 
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -12,7 +12,7 @@
 		return
 	}
 	g, s, t := a.x.g, info.Notice, a.choice.Instance
-	if s.LimitUnreadable {
+	if s.LimitUnreadable || s.LeavingUnreadable {
 		g.stats.unreadable.Inc(1)
 	}
 	changed := g.book.HearNotice(clock.Now(), t, s, a.began)
@@ -20,6 +20,10 @@
 	if changed.Unreadable {
 		g.log.WithFields(f).Warn("Target says of itself what is not readable.")
 	}
+	if changed.Leaving {
+		g.stats.noticed.Inc(1)
+		g.log.WithFields(f).Info("Target said that it leaves.")
+	}
 	if changed.Limit {
 		g.stats.noticed.Inc(1)
 		f["limited"], f["limit"] = s.Limit.Named, s.Limit.PerS
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/mechanism"
+	"github.com/springgate/springgate/notice"
 	"github.com/springgate/springgate/peer"
 )
 
@@ -46,8 +47,11 @@
 func (c *Control) learnNotices(from string, list []peer.TargetNotice) {
 	for _, n := range list {
 		told, ok := n.Decode()
-		if ok && c.book.Learn(clock.Now(), told) {
-			c.log.WithFields(logrus.Fields{"target": n.Instance, "peer": from, "limited": n.Limited, "limit": n.PerS}).Info("Target's limit learned.")
+		if !ok {
+			continue
+		}
+		if c.book.Learn(clock.Now(), told) != (notice.Change{}) {
+			c.log.WithFields(logrus.Fields{"target": n.Instance, "peer": from, "limited": n.Limited, "limit": n.PerS, "leaving": n.Leaving}).Info("Target's words learned.")
 		}
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -159,8 +159,11 @@
 	if c.Doubtful {
 		f["doubtful"] = true
 	}
-	if c.Limit.Named {
-		f["limit"] = c.Limit.PerS
+	if c.Notice.Limit.Named {
+		f["limit"] = c.Notice.Limit.PerS
+	}
+	if c.Notice.Leaving {
+		f["leaving"] = true
 	}
 	x.g.log.WithFields(f).Info("Sending.")
 }
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -21,10 +21,11 @@
 
 // Statement is what one answer of a target says of it.
 type Statement struct {
-	Limit Limit
+	Limit   Limit
+	Leaving bool // it ends soon and takes no more requests
 	// LimitUnreadable is set if a limit is named that is none; Limit is then what is
-	// readable beside it.
-	LimitUnreadable bool
+	// readable beside it. LeavingUnreadable is set if it cannot be read whether it leaves.
+	LimitUnreadable, LeavingUnreadable bool
 }
 
 // Life names one life of a target.
@@ -42,6 +43,8 @@
 	// Turn counts the changes of Limit, over all entries that tell each other: of two
 	// beliefs the one with the higher turn is newer.
 	Turn uint64
+	// Leaving is true for the rest of the life.
+	Leaving bool
 }
 
 // supersedes reports whether the limit of a belief goes before that of another.
@@ -92,6 +95,7 @@
 // Change is what a statement has changed.
 type Change struct {
 	Limit      bool // what is believed of the limit
+	Leaving    bool // the target leaves, which was not known
 	Unreadable bool // it is the first of the life that is not readable
 }
 
@@ -103,9 +107,17 @@
 	if r == nil {
 		return Change{}
 	}
-	first := s.LimitUnreadable && !r.unreadable
+	first := (s.LimitUnreadable || s.LeavingUnreadable) && !r.unreadable
 	r.unreadable = r.unreadable || first
-	return Change{Limit: r.hearLimit(now, s, sent), Unreadable: first}
+	return Change{Limit: r.hearLimit(now, s, sent), Leaving: r.leave(s.Leaving), Unreadable: first}
+}
+
+// leave takes that the target leaves or says nothing of it. It reports whether that is
+// news.
+func (r *record) leave(leaving bool) bool {
+	news := leaving && !r.belief.Leaving
+	r.belief.Leaving = r.belief.Leaving || leaving
+	return news
 }
 
 func (r *record) hearLimit(now time.Time, s Statement, sent time.Time) bool {
@@ -115,20 +127,22 @@
 	if !s.Limit.below(r.belief.Limit) && !sent.After(r.since) {
 		return false
 	}
-	r.belief = Belief{s.Limit, r.belief.Turn + 1}
+	r.belief.Limit, r.belief.Turn = s.Limit, r.belief.Turn+1
 	r.since = now
 	return true
 }
 
-// Merge takes what another entry holds true. It reports whether the own belief has
-// changed.
-func (t *Table) Merge(now time.Time, o Told) bool {
+// Merge takes what another entry holds true.
+func (t *Table) Merge(now time.Time, o Told) Change {
 	r := t.of(now, o.Life)
-	if r == nil || !o.supersedes(r.belief) {
-		return false
+	if r == nil {
+		return Change{}
 	}
-	r.belief, r.since = o.Belief, now
-	return true
+	c := Change{Leaving: r.leave(o.Leaving), Limit: o.supersedes(r.belief)}
+	if c.Limit {
+		r.belief.Limit, r.belief.Turn, r.since = o.Limit, o.Turn, now
+	}
+	return c
 }
 
 // Of returns what is held true of a life.
--- a/peer/notice.go
+++ b/peer/notice.go
@@ -13,18 +13,19 @@
 	Limited  bool    // it has named a limit
 	PerS     float64 // the limit, in requests a second
 	Turn     uint64  // of two notices of a limit the one with the higher turn is newer
+	Leaving  bool
 }
 
 // EncodeNotice returns a belief as a message has it.
 func EncodeNotice(t notice.Told) TargetNotice {
-	return TargetNotice{Instance: t.Target, Born: t.Born, Limited: t.Limit.Named, PerS: t.Limit.PerS, Turn: t.Turn}
+	return TargetNotice{Instance: t.Target, Born: t.Born, Limited: t.Limit.Named, PerS: t.Limit.PerS, Turn: t.Turn, Leaving: t.Leaving}
 }
 
 // Decode returns the belief; ok is false if there is none that can be believed.
 func (n TargetNotice) Decode() (t notice.Told, ok bool) {
-	if n.Instance == "" || math.IsNaN(n.PerS) || n.PerS < 0 || n.Turn == 0 {
+	if n.Instance == "" || math.IsNaN(n.PerS) || n.PerS < 0 || n.Turn == 0 && !n.Leaving {
 		return notice.Told{}, false
 	}
 	return notice.Told{Life: notice.Life{Target: n.Instance, Born: n.Born},
-		Belief: notice.Belief{Limit: notice.Limit{Named: n.Limited, PerS: n.PerS}, Turn: n.Turn}}, true
+		Belief: notice.Belief{Limit: notice.Limit{Named: n.Limited, PerS: n.PerS}, Turn: n.Turn, Leaving: n.Leaving}}, true
 }
