Red tests: a target that says in its answers that it leaves gets requests as before

The soak's targets say it some seconds before the list does, and its judge binds each life of an entry by the answers that it passed on, in touch or not.

--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -17,6 +17,14 @@
 	}
 }
 
+// leaving says on all answers of a target that it leaves.
+func leaving(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Leaving", "1")
+		h(w, r)
+	}
+}
+
 func TestLimitIsHeardFromEachKindOfAnswer(t *testing.T) {
 	for name, c := range map[string]struct {
 		path string
@@ -59,3 +67,16 @@
 	assert.Assert(t, a.header.Get("Retry-After") != "")
 	assert.Equal(t, x.count(), 1)
 }
+
+// A target that had said in an answer that it leaves got requests as before, because the
+// list went on naming it as ready.
+func TestTargetThatSaidItLeavesGetsNoMore(t *testing.T) {
+	for path, h := range map[string]http.HandlerFunc{"/unsafe/x": ok, "/stream/x": events(3, 3), "/safe/x": failure} {
+		x, stays := newTarget(t, leaving(h)), newTarget(t, h)
+		f := newFront(t, x, stays)
+		for i := range 10 {
+			f.call(http.MethodPost, path, "", "Id", fmt.Sprint("r", i))
+		}
+		assert.Equal(t, x.count(), 1, path)
+	}
+}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -22,6 +22,7 @@
 	InTouch     bool   // its entry could reach the store for touchFor when it was sent
 	Undisturbed bool   // its entry had no fault in the time aftermath before it
 	Body        string // set if it is one that comes again with other IDs
+	SaidLeaving string // life of a target that said in the answer that it leaves
 	// Sent and Answered are since the start of the run.
 	Sent, Answered time.Duration
 }
@@ -43,16 +44,17 @@
 
 // Promises that are checked.
 const (
-	PromiseOnce    = "what is not repeatable runs once"
-	PromiseNotRun  = "a refusal that says so has not run"
-	PromiseWhole   = "an answer is whole and the caller's own"
-	PromiseAllowed = "what is allowed is not denied"
-	PromiseDrain   = "an orderly stop cuts no request"
-	PromiseForward = "a configuration never goes back"
-	PromiseFresh   = "a configuration is in force in time"
-	PromiseLeaving = "a target that leaves gets no new request"
-	PromiseCrashed = "a request that crashed three targets is sent no more"
-	PromiseLimit   = "a target gets no more than the limit that it names"
+	PromiseOnce        = "what is not repeatable runs once"
+	PromiseNotRun      = "a refusal that says so has not run"
+	PromiseWhole       = "an answer is whole and the caller's own"
+	PromiseAllowed     = "what is allowed is not denied"
+	PromiseDrain       = "an orderly stop cuts no request"
+	PromiseForward     = "a configuration never goes back"
+	PromiseFresh       = "a configuration is in force in time"
+	PromiseLeaving     = "a target that leaves gets no new request"
+	PromiseCrashed     = "a request that crashed three targets is sent no more"
+	PromiseSaidLeaving = "a target that said that it leaves gets no new request from those it told"
+	PromiseLimit       = "a target gets no more than the limit that it names"
 )
 
 // Judge compares what callers saw with what targets ran and the store said.
@@ -85,6 +87,9 @@
 	for _, a := range keptCrashing(attempts, facts) {
 		add(PromiseCrashed, a)
 	}
+	for _, a := range toSaidLeaving(attempts, facts) {
+		add(PromiseSaidLeaving, a)
+	}
 	for _, a := range overLimit(attempts, facts) {
 		add(PromiseLimit, a)
 	}
