A target that has said in an answer that it leaves gets no more requests in that life

Callers' requests reached a target 2.2 and 2.5 s after an entry had passed on an answer in which it leaves (2 s allowed): only the list was asked whether a target leaves, and the store took 12 s to take that up.

What a target says and what the list says of its leaving are one belief now, kept by the life of the target: no choice takes one that leaves, as a first send, a repetition, a resumed stream or a last resort; no home grants a place there, and tells who asks; other entries hear it with full accounts. An entry of the list of the same life does not bring it back, nor does one that lapsed and returned; the next life serves. Requests that break at such a target are not held to have ended it.

TestListDoesNotBringATargetBackThatSaidItLeaves and four more of package dispatch guard the rest.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -136,7 +136,7 @@
 func (b *Book) start(now time.Time, t *Target, d Demand) {
 	l := Load{Requests: 1, Unread: d.Prompt}
 	t.own, t.load = t.own.add(l), t.load.add(l)
-	t.pace.count(now, b.rate(now, t))
+	t.pace.count(now, t.rate(now, b.said(t).Limit))
 	if t.health.waitingSince.IsZero() {
 		t.health.waitingSince = now
 	}
@@ -228,5 +228,5 @@
 func (b *Book) Serving(t *Target) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.byID[t.ID] == t && !t.Draining && !t.Doubtful
+	return b.byID[t.ID] == t && !b.leaving(t) && !t.Doubtful
 }
--- /dev/null
+++ b/dispatch/leaving_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/notice"
+	"gotest.tools/v3/assert"
+)
+
+// sayLeaving lets an entry hear that a target leaves.
+func sayLeaving(b *Book, i *fleet.Instance) {
+	b.HearNotice(start, *i, notice.Statement{Leaving: true}, start)
+}
+
+// The list took 12 s to say what the target had said itself, and went on naming it as
+// ready meanwhile.
+func TestListDoesNotBringATargetBackThatSaidItLeaves(t *testing.T) {
+	services := map[string]*fleet.Service{testService: {Name: testService}}
+	b := book(nil, Config{}, plain(1), plain(2))
+	sayLeaving(b, plain(1))
+	older, newer, doubtful := plain(1), plain(1), plain(1)
+	newer.Revision, doubtful.Doubtful = 99, true
+	for _, i := range []*fleet.Instance{older, newer, doubtful} {
+		b.Apply([]*fleet.Instance{i, plain(2)}, services)
+		b.UpdateNotices(start)
+		assert.Equal(t, picked(b, start, "p-2"), "no_target")
+	}
+	b.Apply([]*fleet.Instance{plain(2)}, services)
+	b.UpdateNotices(start.Add(20 * time.Second))
+	b.Apply([]*fleet.Instance{plain(1), plain(2)}, services)
+	assert.Equal(t, picked(b, start, "p-2"), "no_target", "its entry lapsed and came back")
+	assert.Equal(t, picked(b, start), "p-2")
+}
+
+func TestTargetThatTheListSaidToLeaveStaysSo(t *testing.T) {
+	services := map[string]*fleet.Service{testService: {Name: testService}}
+	draining := plain(1)
+	draining.Draining = true
+	b := book(nil, Config{}, draining)
+	b.UpdateNotices(start)
+	b.Apply([]*fleet.Instance{plain(1)}, services)
+	assert.Equal(t, picked(b, start), "no_target")
+}
+
+func TestNextLifeOfATargetThatLeftServes(t *testing.T) {
+	first, second := plain(1), plain(1)
+	first.Born, second.Born = 1000, 2000
+	b := book(nil, Config{}, first)
+	sayLeaving(b, first)
+	b.Apply([]*fleet.Instance{second}, map[string]*fleet.Service{testService: {Name: testService}})
+	assert.Equal(t, picked(b, start), "p-1")
+}
+
+// A home that knows that a target leaves tells an entry that does not.
+func TestHomeGrantsNothingAtATargetThatLeaves(t *testing.T) {
+	draining := plain(2)
+	draining.Draining = true
+	b := book(nil, Config{}, plain(1), draining)
+	sayLeaving(b, plain(1))
+	for _, id := range []string{"p-1", "p-2"} {
+		p := b.Reserve(start, "x", id, 1, Admission{MaxWait: time.Hour})
+		assert.Assert(t, !p.Granted && p.Told.Leaving, id)
+	}
+}
+
+// What breaks at a target that leaves does not break because of its requests.
+func TestTargetThatSaidItLeavesEndsByPlan(t *testing.T) {
+	b := book(nil, Config{}, plain(1))
+	c, _ := b.Pick(start, testService, demand(), nil)
+	assert.Assert(t, b.Serving(c.Target))
+	sayLeaving(b, plain(1))
+	assert.Assert(t, !b.Serving(c.Target))
+}
--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -18,6 +18,9 @@
 	if changed.Limit {
 		b.limitChanged(now, l, before)
 	}
+	if changed.Leaving {
+		b.wake()
+	}
 	return changed
 }
 
@@ -40,7 +43,7 @@
 func (b *Book) limitChanged(now time.Time, l notice.Life, before notice.Limit) {
 	t := b.byID[l.Target]
 	if t != nil && fleet.SameLife(t.Born, l.Born) && !before.Named {
-		t.pace.spend(now, b.rate(now, t))
+		t.pace.spend(now, t.rate(now, b.said(t).Limit))
 	}
 	b.wake()
 }
@@ -60,25 +63,36 @@
 	if t == nil {
 		return notice.Told{}
 	}
-	l := notice.LifeOf(t.Instance)
-	return notice.Told{Life: l, Belief: b.notices.Of(l)}
+	return notice.Told{Life: notice.LifeOf(t.Instance), Belief: b.said(t)}
 }
 
-// ForgetNotices forgets what targets said that have not been listed for long.
-func (b *Book) ForgetNotices(now time.Time) {
+// UpdateNotices takes which targets the list says to be leaving, and forgets what targets
+// said that have not been listed for long.
+func (b *Book) UpdateNotices(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, t := range b.byID {
+		if t.Draining {
+			b.notices.Leave(now, notice.LifeOf(t.Instance))
+		}
+	}
 	b.notices.Prune(now, func(target string) bool { return b.byID[target] != nil })
 }
 
-// rate is how many requests a second a target takes now; the lock is held.
-func (b *Book) rate(now time.Time, t *Target) rate {
+// said is what a target is believed to have said of itself; the lock is held.
+func (b *Book) said(t *Target) notice.Belief { return b.notices.Of(notice.LifeOf(t.Instance)) }
+
+// leaving reports whether a target leaves, by the list or its own word; the lock is held.
+func (b *Book) leaving(t *Target) bool { return t.Draining || b.said(t).Leaving }
+
+// rate is how many requests a second a target takes now that has named a limit.
+func (t *Target) rate(now time.Time, limit notice.Limit) rate {
 	var r rate
 	if t.coldPerS > 0 && now.Before(t.ColdUntil) {
 		r = r.lower(t.coldPerS)
 	}
-	if l := b.notices.Of(notice.LifeOf(t.Instance)).Limit; l.Named {
-		r = r.lower(max(l.PerS, leastRate))
+	if limit.Named {
+		r = r.lower(max(limit.PerS, leastRate))
 	}
 	return r
 }
--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -143,7 +143,7 @@
 	services := map[string]*fleet.Service{testService: {Name: testService}}
 	b.HearNotice(start, *plain(1), limit(1), start)
 	b.Apply(nil, services)
-	b.ForgetNotices(start.Add(5 * time.Second))
+	b.UpdateNotices(start.Add(5 * time.Second))
 	b.Apply([]*fleet.Instance{plain(1)}, services)
 	assert.Equal(t, b.NoticeOf("p-1").Limit.PerS, 1.0)
 	assert.Equal(t, picked(b, start.Add(10*time.Second)), "p-1")
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -66,16 +66,17 @@
 			continue
 		}
 		allowed++
-		if !b.usable(now, t) || slices.Contains(avoid, t.ID) {
+		said := b.said(t)
+		if said.Leaving || !b.usable(now, t) || slices.Contains(avoid, t.ID) {
 			continue
 		}
-		r := b.rate(now, t)
+		r := t.rate(now, said.Limit)
 		if at := t.pace.next(now, r); at.After(now) {
 			freeAt = earliest(freeAt, at)
 			continue
 		}
 		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load,
-			Notice: b.notices.Of(notice.LifeOf(t.Instance)), Paced: r.bounded}}
+			Notice: said, Paced: r.bounded}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,7 +13,7 @@
 const (
 	PlaceGranted Reservation = iota
 	PlaceDenied              // the target is too loaded by now
-	PlaceHeld                // the target takes no more for a time, and is left alone meanwhile
+	PlaceHeld                // the target takes no more, or not yet, and is left alone meanwhile
 )
 
 // Place is a home's answer to an entry that wants to send a request to a target.
@@ -36,11 +36,11 @@
 	if t == nil {
 		return Place{Granted: true}
 	}
-	life := notice.LifeOf(t.Instance)
-	p := Place{Known: true, Told: notice.Told{Life: life, Belief: b.notices.Of(life)}}
-	r := b.rate(now, t)
+	p := Place{Known: true, Told: notice.Told{Life: notice.LifeOf(t.Instance), Belief: b.said(t)}}
+	p.Told.Leaving = b.leaving(t)
+	r := t.rate(now, p.Told.Limit)
 	p.Wait = max(t.pace.next(now, r).Sub(now), 0)
-	if p.Wait > 0 || b.policy.Evacuated(t.Domain) || !a.admits(t.load, b.forecast(t, Demand{Prompt: prompt})) {
+	if p.Wait > 0 || p.Told.Leaving || b.policy.Evacuated(t.Domain) || !a.admits(t.load, b.forecast(t, Demand{Prompt: prompt})) {
 		return p
 	}
 	p.Granted = true
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -246,7 +246,7 @@
 	if cfg := c.gateway.Config(); cfg != nil {
 		c.book.Apply(c.list, cfg.Services)
 	}
-	c.book.ForgetNotices(clock.Now())
+	c.book.UpdateNotices(clock.Now())
 }
 
 // serves reports whether a target is of a service that the configuration names. One
@@ -279,10 +279,11 @@
 			continue
 		}
 		lost := c.book.LostAt(d.instance.ID)
-		if lost > 0 && !d.instance.Draining {
+		leaving := d.instance.Draining || c.book.NoticeOf(d.instance.ID).Leaving
+		if lost > 0 && !leaving {
 			c.endedAtWork.Inc(1)
 		}
 		c.log.WithFields(logrus.Fields{"target": d.instance.ID, "service": d.instance.Service, "lost": lost,
-			"draining": d.instance.Draining, "copy": c.copyRevision}).Info("Target no longer listed.")
+			"draining": d.instance.Draining, "leaving": leaving, "copy": c.copyRevision}).Info("Target no longer listed.")
 	}
 }
--- a/mesh/reserve.go
+++ b/mesh/reserve.go
@@ -59,11 +59,14 @@
 		return dispatch.PlaceGranted
 	}
 	r.denied.Inc(1)
-	if reply.WaitMs <= 0 {
-		return dispatch.PlaceDenied
+	switch {
+	case reply.Notice.Leaving:
+		return dispatch.PlaceHeld
+	case reply.WaitMs > 0:
+		r.book.Hold(clock.Now(), t.ID, time.Duration(reply.WaitMs)*time.Millisecond)
+		return dispatch.PlaceHeld
 	}
-	r.book.Hold(clock.Now(), t.ID, time.Duration(reply.WaitMs)*time.Millisecond)
-	return dispatch.PlaceHeld
+	return dispatch.PlaceDenied
 }
 
 // unsure decides on a target whose home says nothing of it. What others send to one that
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -112,6 +112,13 @@
 	return Change{Limit: r.hearLimit(now, s, sent), Leaving: r.leave(s.Leaving), Unreadable: first}
 }
 
+// Leave takes that a life leaves.
+func (t *Table) Leave(now time.Time, l Life) {
+	if r := t.of(now, l); r != nil {
+		r.leave(true)
+	}
+}
+
 // leave takes that the target leaves or says nothing of it. It reports whether that is
 // news.
 func (r *record) leave(leaving bool) bool {
