--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -42,6 +42,7 @@
 	Admission Admission
 	Load      Load          // at the target before the request
 	Notice    notice.Belief // what the target is believed to have said of itself
+	Resting   bool          // the target had asked for rest, which is not over
 	Paced     bool          // the target takes a bounded rate, so that its home must grant a place
 	FreeAt    time.Time     // of a verdict that it is Paced: when a target takes one more
 }
@@ -76,7 +77,7 @@
 			continue
 		}
 		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load,
-			Notice: said, Paced: r.bounded}}
+			Notice: said, Resting: b.notices.RestOf(notice.LifeOf(t.Instance)).Ongoing(now), Paced: r.bounded}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -46,6 +46,8 @@
 		info.Notice.Limit = notice.Limit{Named: true, PerS: perS}
 	}
 	info.Notice.Leaving = h.Get("Leaving") != ""
+	restMs, _ := strconv.Atoi(h.Get("Rest-Ms"))
+	info.Notice.Rest = time.Duration(restMs) * time.Millisecond
 	return info
 }
 
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -12,7 +12,7 @@
 		return
 	}
 	g, s, t := a.x.g, info.Notice, a.choice.Instance
-	if s.LimitUnreadable || s.LeavingUnreadable {
+	if s.Unreadable() {
 		g.stats.unreadable.Inc(1)
 	}
 	changed := g.book.HearNotice(clock.Now(), t, s, a.began)
@@ -24,6 +24,11 @@
 		g.stats.noticed.Inc(1)
 		g.log.WithFields(f).Info("Target said that it leaves.")
 	}
+	if changed.Rest {
+		g.stats.noticed.Inc(1)
+		f["rest_ms"] = s.Rest.Milliseconds()
+		g.log.WithFields(f).Info("Target asked for rest.")
+	}
 	if changed.Limit {
 		g.stats.noticed.Inc(1)
 		f["limited"], f["limit"] = s.Limit.Named, s.Limit.PerS
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -165,6 +165,10 @@
 	if c.Notice.Leaving {
 		f["leaving"] = true
 	}
+	if c.Resting {
+		f["resting"] = true
+		x.g.stats.atRest.Inc(1)
+	}
 	x.g.log.WithFields(f).Info("Sending.")
 }
 
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -23,9 +23,17 @@
 type Statement struct {
 	Limit   Limit
 	Leaving bool // it ends soon and takes no more requests
+	// Rest is how long the target wants no request of the asker, whom it has turned away.
+	Rest time.Duration
 	// LimitUnreadable is set if a limit is named that is none; Limit is then what is
-	// readable beside it. LeavingUnreadable is set if it cannot be read whether it leaves.
-	LimitUnreadable, LeavingUnreadable bool
+	// readable beside it. LeavingUnreadable and RestUnreadable are set if it cannot be read
+	// whether it leaves and how long it is to rest.
+	LimitUnreadable, LeavingUnreadable, RestUnreadable bool
+}
+
+// Unreadable reports whether a part of the statement could not be read.
+func (s Statement) Unreadable() bool {
+	return s.LimitUnreadable || s.LeavingUnreadable || s.RestUnreadable
 }
 
 // Life names one life of a target.
@@ -66,6 +74,7 @@
 type record struct {
 	born     int64
 	belief   Belief
+	rest     Rest
 	since    time.Time // when this process took up the limit
 	listedAt time.Time
 	// unreadable is set once it said something that is not readable.
@@ -96,6 +105,7 @@
 type Change struct {
 	Limit      bool // what is believed of the limit
 	Leaving    bool // the target leaves, which was not known
+	Rest       bool // it rests, and did not
 	Unreadable bool // it is the first of the life that is not readable
 }
 
@@ -107,9 +117,9 @@
 	if r == nil {
 		return Change{}
 	}
-	first := (s.LimitUnreadable || s.LeavingUnreadable) && !r.unreadable
+	first := s.Unreadable() && !r.unreadable
 	r.unreadable = r.unreadable || first
-	return Change{Limit: r.hearLimit(now, s, sent), Leaving: r.leave(s.Leaving), Unreadable: first}
+	return Change{Limit: r.hearLimit(now, s, sent), Leaving: r.leave(s.Leaving), Rest: r.rest.hear(now, s.Rest, sent), Unreadable: first}
 }
 
 // Leave takes that a life leaves.
@@ -164,6 +174,15 @@
 	return r.belief
 }
 
+// RestOf returns the rest that a life has asked this entry for.
+func (t *Table) RestOf(l Life) Rest {
+	r := t.records[l.Target]
+	if r == nil || !fleet.SameLife(r.born, l.Born) {
+		return Rest{}
+	}
+	return r.rest
+}
+
 // All returns what other entries are to be told.
 func (t *Table) All() []Told {
 	var out []Told
