--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -80,3 +81,45 @@
 		assert.Equal(t, x.count(), 1, path)
 	}
 }
+
+// resting turns requests away and asks for 3 s of rest.
+func resting(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.Header().Set("Rest-Ms", "3000")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// A target that turned requests away and asked for rest had no load, and got most of what
+// came.
+func TestTargetThatAskedForRestGetsNoMore(t *testing.T) {
+	const before, meanwhile = 3, 20
+	var x *target
+	x = newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		if x.count() > before {
+			resting(w, r)
+			return
+		}
+		ok(w, r)
+	})
+	free := newTarget(t, ok)
+	f := newFront(t, x, free)
+	for i := range before + meanwhile {
+		assert.Equal(t, f.call(http.MethodPost, "/unsafe/x", "", "Id", fmt.Sprint("r", i)).status, http.StatusOK)
+	}
+	assert.Equal(t, x.count(), before+1)
+	assert.Equal(t, free.count(), meanwhile)
+}
+
+// If all targets rest, callers are refused at once and told when the first is to be back.
+func TestAllTargetsRest(t *testing.T) {
+	x, y := newTarget(t, resting), newTarget(t, resting)
+	f := newFront(t, x, y)
+	for i := range 10 {
+		a := f.call(http.MethodPost, "/unsafe/x", "", "Id", fmt.Sprint("r", i), "Left-Ms", "2000")
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, i == 0 || after > 2, "%v", after)
+	}
+	assert.Equal(t, x.count()+y.count(), 2)
+}
--- a/soak/facts.go
+++ b/soak/facts.go
@@ -21,6 +21,7 @@
 	Limits  []LimitSpan
 	// Arrivals are the requests that reached each life of a target, in order.
 	Arrivals map[string][]Arrival
+	Rests    map[string][]Rest // that each life of a target asked for
 }
 
 // Arrival is when a request reached a target.
@@ -81,7 +82,11 @@
 	for _, a := range runs.Arrivals() {
 		arrivals[a.Life] = append(arrivals[a.Life], Arrival{a.Request, a.At.Sub(n.start)})
 	}
-	return Facts{Limits: slices.Clone(n.limits), Arrivals: arrivals, Runs: runs.All(), Reached: runs.Reached(), Configs: maps.Clone(n.configs), Leaving: maps.Clone(n.leaving), Crashes: crashes, Late: runs.Late()}
+	rests := map[string][]Rest{}
+	for _, x := range runs.Rests() {
+		rests[x.Life] = append(rests[x.Life], Rest{x.Request, x.At.Sub(n.start), x.Rest})
+	}
+	return Facts{Rests: rests, Limits: slices.Clone(n.limits), Arrivals: arrivals, Runs: runs.All(), Reached: runs.Reached(), Configs: maps.Clone(n.configs), Leaving: maps.Clone(n.leaving), Crashes: crashes, Late: runs.Late()}
 }
 
 // leavingSince returns the first time since when one of the instances that a request
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -91,7 +91,7 @@
 // asideFaults come beside those that are drawn, once in a run and at any moment of it.
 // Their draws are their own, so that the course of a seed stays when one is added.
 var asideFaults = []fault{{"request crashes targets", crashingRequest}, {"targets name limits", limitsNamed},
-	{"targets say that they leave", leavingSaid}}
+	{"targets say that they leave", leavingSaid}, {"targets ask for rest", restAsked}}
 
 // breakAside begins the faults beside those that are drawn.
 func (f *Fleet) breakAside(running *sync.WaitGroup, count map[string]int) {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -54,6 +54,7 @@
 	PromiseLeaving     = "a target that leaves gets no new request"
 	PromiseCrashed     = "a request that crashed three targets is sent no more"
 	PromiseSaidLeaving = "a target that said that it leaves gets no new request from those it told"
+	PromiseRest        = "a target gets no request from an entry that it asked for rest"
 	PromiseLimit       = "a target gets no more than the limit that it names"
 )
 
@@ -90,6 +91,9 @@
 	for _, a := range toSaidLeaving(attempts, facts) {
 		add(PromiseSaidLeaving, a)
 	}
+	for _, a := range atRest(attempts, facts) {
+		add(PromiseRest, a)
+	}
 	for _, a := range overLimit(attempts, facts) {
 		add(PromiseLimit, a)
 	}
--- /dev/null
+++ b/soak/rest_test.go
@@ -0,0 +1,29 @@
+package soak
+
+import (
+	"regexp"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Targets that turned requests away and asked for rest got more requests than the others.
+func TestSoakTargetsAskForRest(t *testing.T) {
+	const seed = 9401
+	runAndCheck(t, Config{Seed: seed, Only: regexp.MustCompile("targets ask for rest"), Duration: time.Second, Entries: 5, Engines: 6,
+		Plains: 6, Bin: buildPrograms(t), Dir: seedDir(t, seed), Logf: t.Logf})
+}
+
+func TestJudgeOfRest(t *testing.T) {
+	attempts := []Attempt{{ID: "refused", Incarnation: "e#1", Undisturbed: true}, {ID: "other", Incarnation: "e#2", Undisturbed: true}}
+	arrivals := []Arrival{{"refused", 0}, {"other", 1000 * ms}}
+	for id, at := range map[string]time.Duration{"soon": 400 * ms, "first": 600 * ms, "second": 700 * ms, "third": 2900 * ms, "after": 3100 * ms} {
+		attempts = append(attempts, Attempt{ID: id, Incarnation: "e#1", Undisturbed: true})
+		arrivals = append(arrivals, Arrival{id, at})
+	}
+	attempts = append(attempts, Attempt{ID: "paused", Incarnation: "e#1"})
+	arrivals = append(arrivals, Arrival{"paused", 800 * ms})
+	facts := Facts{Arrivals: map[string][]Arrival{"a": arrivals}, Rests: map[string][]Rest{"a": {{"refused", 0, 3 * second}}}}
+	assert.Equal(t, len(judged(t, attempts, facts)), 1)
+}
