A target that asks an entry for rest gets no request from it meanwhile

Callers were refused for nine seconds, two of five, because four targets that turned all requests away drew two of three: they had no load. Each had asked for 3 s of rest; entries sent 22 and 43 requests in one such time (two allowed), and used the retry budget up.

The rest is kept by the life of the target, for the entry that was asked, before each choice; the list does not end it, nor do answers to what was sent before. It is no failure: no ejection, no silence. After it one request is sent first, the others once that is answered, since all at once would be turned away together. If all targets rest, callers are refused at once and told when the first is to be back, spread over a fifth of that time. Other entries are not told: the target asked one of them, and may serve the rest.

--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -18,7 +18,7 @@
 	if changed.Limit {
 		b.limitChanged(now, l, before)
 	}
-	if changed.Leaving {
+	if changed.Leaving || changed.Rest {
 		b.wake()
 	}
 	return changed
@@ -82,6 +82,9 @@
 // said is what a target is believed to have said of itself; the lock is held.
 func (b *Book) said(t *Target) notice.Belief { return b.notices.Of(notice.LifeOf(t.Instance)) }
 
+// rest is what a target has asked of this entry; the lock is held.
+func (b *Book) rest(t *Target) notice.Rest { return b.notices.RestOf(notice.LifeOf(t.Instance)) }
+
 // leaving reports whether a target leaves, by the list or its own word; the lock is held.
 func (b *Book) leaving(t *Target) bool { return t.Draining || b.said(t).Leaving }
 
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -156,7 +156,7 @@
 	if s.times == nil {
 		return time.Second + time.Duration(s.rng.Int64N(int64(time.Second)))
 	}
-	return RetryAfter(j.until.Sub(s.now), heededPart, heededSpread, s.rng.Float64())
+	return RetryAfter(j.until.Sub(s.now), 0, heededPart, heededSpread, s.rng.Float64())
 }
 
 // pass begins a pass of an engine that has work and is not in one.
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -72,12 +72,13 @@
 			continue
 		}
 		r := t.rate(now, said.Limit)
-		if at := t.pace.next(now, r); at.After(now) {
+		rest := b.rest(t)
+		if at := latest(t.pace.next(now, r), rest.Next(now)); at.After(now) {
 			freeAt = earliest(freeAt, at)
 			continue
 		}
 		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load,
-			Notice: said, Resting: b.notices.RestOf(notice.LifeOf(t.Instance)).Ongoing(now), Paced: r.bounded}}
+			Notice: said, Resting: rest.Ongoing(now), Paced: r.bounded}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
@@ -135,6 +136,13 @@
 	return a
 }
 
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // candidate is a choice and its cost.
 type candidate struct {
 	Choice
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -73,6 +73,7 @@
 	l := Load{Requests: -1, Unread: -d.Prompt}
 	t.own, t.load = t.own.add(l), t.load.add(l)
 	t.pace.takeBack()
+	b.notices.NotSent(notice.LifeOf(t.Instance))
 	if t.own.Requests == 0 {
 		t.health.waitingSince = time.Time{}
 	}
--- a/dispatch/returns.go
+++ b/dispatch/returns.go
@@ -76,7 +76,9 @@
 
 // RetryAfter is when a refused caller that will wait for left should come back: after part
 // of that, less a random share of up to spread, so that those who are refused together do
-// not come back together. random is uniform in [0, 1).
-func RetryAfter(left time.Duration, part, spread, random float64) time.Duration {
-	return time.Duration(part * (1 - spread*random) * float64(left))
+// not come back together. If no target takes a request before free is over it is later, by
+// as large a share. random is uniform in [0, 1).
+func RetryAfter(left, free time.Duration, part, spread, random float64) time.Duration {
+	usual := part * (1 - spread*random) * float64(left)
+	return time.Duration(max(usual, (1+spread*random)*float64(free)))
 }
--- a/dispatch/returns_test.go
+++ b/dispatch/returns_test.go
@@ -47,7 +47,7 @@
 				continue
 			}
 			back++
-			if r.Returning("a", left-RetryAfter(left, part, spread, rng.Float64())) {
+			if r.Returning("a", left-RetryAfter(left, 0, part, spread, rng.Float64())) {
 				known++
 			}
 		}
@@ -91,3 +91,22 @@
 		r.Returning("a", 6*time.Second)
 	}
 }
+
+// Callers that no target takes before a time do not come back sooner, nor all at once.
+func TestCallersComeBackAfterTheFirstTargetHasRested(t *testing.T) {
+	const left, free = 2 * time.Second, 3 * time.Second
+	rng := rand.New(rand.NewPCG(1, 2))
+	var sooner, later int
+	for range 100 {
+		switch d := RetryAfter(left, free, 1.0/3, 0.2, rng.Float64()); {
+		case d < free || d > free*6/5:
+			t.Fatal(d)
+		case d < free*11/10:
+			sooner++
+		default:
+			later++
+		}
+	}
+	assert.Assert(t, sooner > 25 && later > 25, "%d and %d", sooner, later)
+	assert.Equal(t, RetryAfter(left, 100*time.Millisecond, 0.5, 0.2, 0), time.Second, "the usual time is later")
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -86,6 +86,7 @@
 		x.g.book.Refused(clock.Now(), x.service, d)
 		return ReasonSaturated
 	case dispatch.Paced:
+		x.freeFrom = c.FreeAt
 		x.g.book.Refused(clock.Now(), x.service, d)
 		return ReasonPaced
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -51,6 +51,7 @@
 	target    string          // of the last send
 	choice    dispatch.Choice // of the last send
 	retries   []Reason
+	freeFrom  time.Time // when a target takes a request again; zero if that is not known
 }
 
 // ServeHTTP implements http.Handler.
@@ -167,7 +168,11 @@
 	if left <= 0 || x.g.cfg.Off.Has(mechanism.RetryAfter) {
 		return retryAfterUnknown
 	}
-	return dispatch.RetryAfter(left, x.g.cfg.RetryAfter, x.g.cfg.RetrySpread, rand.Float64())
+	free := time.Duration(0)
+	if !x.freeFrom.IsZero() {
+		free = max(clock.Until(x.freeFrom), 0)
+	}
+	return dispatch.RetryAfter(left, free, x.g.cfg.RetryAfter, x.g.cfg.RetrySpread, rand.Float64())
 }
 
 // retryAfterUnknown is said where it is not known how long the caller waits.
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -183,6 +183,20 @@
 	return r.rest
 }
 
+// Sent notes that this entry sends a request to a life, which tries whether it has rested.
+func (t *Table) Sent(now time.Time, l Life) {
+	if r := t.records[l.Target]; r != nil {
+		r.rest.try(now)
+	}
+}
+
+// NotSent takes that back.
+func (t *Table) NotSent(l Life) {
+	if r := t.records[l.Target]; r != nil {
+		r.rest.untry()
+	}
+}
+
 // All returns what other entries are to be told.
 func (t *Table) All() []Told {
 	var out []Told
