The wait that a source of weights asks for is heard with a fraction, and beside 503

Whole seconds beside 429 were read, fractions were taken for one second and 503 for any failure. One reading of Retry-After serves both places. TestReadAllHeedsRetryAfter fails before (2.5 s, 0.3 s beside 503).

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -137,7 +137,7 @@
 	l := Load{Requests: 1, Unread: d.Prompt}
 	t.own, t.load = t.own.add(l), t.load.add(l)
 	t.pace.count(now, t.rate(now, b.said(t).Limit))
-	b.notices.Sent(now, notice.LifeOf(t.Instance))
+	b.notices.Sent(now, notice.LifeOf(&t.Instance))
 	if t.health.waitingSince.IsZero() {
 		t.health.waitingSince = now
 	}
--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -12,7 +12,7 @@
 func (b *Book) HearNotice(now time.Time, i fleet.Instance, s notice.Statement, sent time.Time) notice.Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := notice.LifeOf(i)
+	l := notice.LifeOf(&i)
 	before := b.notices.Of(l).Limit
 	changed := b.notices.Hear(now, l, s, sent)
 	if changed.Limit {
@@ -63,7 +63,7 @@
 	if t == nil {
 		return notice.Told{}
 	}
-	return notice.Told{Life: notice.LifeOf(t.Instance), Belief: b.said(t)}
+	return notice.Told{Life: notice.LifeOf(&t.Instance), Belief: b.said(t)}
 }
 
 // UpdateNotices takes which targets the list says to be leaving, and forgets what targets
@@ -73,17 +73,17 @@
 	defer b.mu.Unlock()
 	for _, t := range b.byID {
 		if t.Draining {
-			b.notices.Leave(now, notice.LifeOf(t.Instance))
+			b.notices.Leave(now, notice.LifeOf(&t.Instance))
 		}
 	}
 	b.notices.Prune(now, func(target string) bool { return b.byID[target] != nil })
 }
 
 // said is what a target is believed to have said of itself; the lock is held.
-func (b *Book) said(t *Target) notice.Belief { return b.notices.Of(notice.LifeOf(t.Instance)) }
+func (b *Book) said(t *Target) notice.Belief { return b.notices.Of(notice.LifeOf(&t.Instance)) }
 
 // rest is what a target has asked of this entry; the lock is held.
-func (b *Book) rest(t *Target) notice.Rest { return b.notices.RestOf(notice.LifeOf(t.Instance)) }
+func (b *Book) rest(t *Target) notice.Rest { return b.notices.RestOf(notice.LifeOf(&t.Instance)) }
 
 // leaving reports whether a target leaves, by the list or its own word; the lock is held.
 func (b *Book) leaving(t *Target) bool { return t.Draining || b.said(t).Leaving }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -36,7 +36,7 @@
 	if t == nil {
 		return Place{Granted: true}
 	}
-	p := Place{Known: true, Told: notice.Told{Life: notice.LifeOf(t.Instance), Belief: b.said(t)}}
+	p := Place{Known: true, Told: notice.Told{Life: notice.LifeOf(&t.Instance), Belief: b.said(t)}}
 	p.Told.Leaving = b.leaving(t)
 	r := t.rate(now, p.Told.Limit)
 	p.Wait = max(t.pace.next(now, r).Sub(now), 0)
@@ -73,7 +73,7 @@
 	l := Load{Requests: -1, Unread: -d.Prompt}
 	t.own, t.load = t.own.add(l), t.load.add(l)
 	t.pace.takeBack()
-	b.notices.NotSent(notice.LifeOf(t.Instance))
+	b.notices.NotSent(notice.LifeOf(&t.Instance))
 	if t.own.Requests == 0 {
 		t.health.waitingSince = time.Time{}
 	}
--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -6,7 +6,6 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -62,7 +61,8 @@
 	}
 }
 
-// ErrLimited is returned for status 429; it says how long to wait.
+// ErrLimited is returned for status 429, and for 503 with Retry-After; it says how long to
+// wait.
 type ErrLimited struct{ RetryAfter time.Duration }
 
 // Error implements error.
@@ -81,8 +81,15 @@
 	case http.StatusOK:
 	case http.StatusNotFound:
 		return nil, ErrNotFound
-	case http.StatusTooManyRequests:
-		return nil, &ErrLimited{retryAfter(resp.Header)}
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		d, ok := RetryAfter(resp.Header)
+		if !ok && resp.StatusCode == http.StatusServiceUnavailable {
+			return nil, errors.Wrapf(ErrStatus, "%d", resp.StatusCode)
+		}
+		if !ok {
+			d = defaultRetryAfter
+		}
+		return nil, &ErrLimited{d}
 	default:
 		return nil, errors.Wrapf(ErrStatus, "%d", resp.StatusCode)
 	}
@@ -95,11 +102,3 @@
 	}
 	return b, nil
 }
-
-func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || s < 0 {
-		return defaultRetryAfter
-	}
-	return time.Duration(s) * time.Second
-}
--- /dev/null
+++ b/httpclient/retryafter_test.go
@@ -0,0 +1,42 @@
+package httpclient
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func answer(status int, retryAfter string) *http.Response {
+	h := http.Header{}
+	if retryAfter != "" {
+		h.Set("Retry-After", retryAfter)
+	}
+	return &http.Response{StatusCode: status, Header: h, Body: io.NopCloser(strings.NewReader(""))}
+}
+
+// A wait with a fraction, or beside 503, was not heard.
+func TestReadAllHeedsRetryAfter(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		value  string
+		want   time.Duration
+	}{
+		{http.StatusTooManyRequests, "2", 2 * time.Second},
+		{http.StatusTooManyRequests, "2.5", 2500 * time.Millisecond},
+		{http.StatusTooManyRequests, "", defaultRetryAfter},
+		{http.StatusTooManyRequests, "soon", defaultRetryAfter},
+		{http.StatusServiceUnavailable, "0.3", 300 * time.Millisecond},
+	} {
+		_, err := ReadAll(answer(c.status, c.value), 1)
+		var limited *ErrLimited
+		assert.Assert(t, errors.As(err, &limited), "%d %q: %v", c.status, c.value, err)
+		assert.Equal(t, limited.RetryAfter, c.want, "%d %q", c.status, c.value)
+	}
+	_, err := ReadAll(answer(http.StatusServiceUnavailable, ""), 1)
+	assert.ErrorIs(t, err, ErrStatus)
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -43,7 +43,7 @@
 }
 
 // LifeOf returns the name of an instance's life.
-func LifeOf(i fleet.Instance) Life { return Life{i.ID, i.Born} }
+func LifeOf(i *fleet.Instance) Life { return Life{i.ID, i.Born} }
 
 // Belief is what is held true of one life of a target.
 type Belief struct {
@@ -164,23 +164,29 @@
 
 // Of returns what is held true of a life.
 func (t *Table) Of(l Life) Belief {
-	if len(t.records) == 0 {
-		return Belief{}
-	}
-	r := t.records[l.Target]
-	if r == nil || !fleet.SameLife(r.born, l.Born) {
-		return Belief{}
+	if r := t.known(l); r != nil {
+		return r.belief
 	}
-	return r.belief
+	return Belief{}
 }
 
 // RestOf returns the rest that a life has asked this entry for.
 func (t *Table) RestOf(l Life) Rest {
-	r := t.records[l.Target]
-	if r == nil || !fleet.SameLife(r.born, l.Born) {
-		return Rest{}
+	if r := t.known(l); r != nil {
+		return r.rest
+	}
+	return Rest{}
+}
+
+// known returns the record of a life, or nil.
+func (t *Table) known(l Life) *record {
+	if len(t.records) == 0 {
+		return nil
+	}
+	if r := t.records[l.Target]; r != nil && fleet.SameLife(r.born, l.Born) {
+		return r
 	}
-	return r.rest
+	return nil
 }
 
 // Sent notes that this entry sends a request to a life, which tries whether it has rested.
