Targets that say nothing take no place in the table of notices; dead fields removed

Read as a newcomer: each answer of each target made a record of nothing, so that the quick way past an empty table was never taken and entries told each other empty beliefs to be left out again. 'resting' and 'leaving' of a choice and their counter could only ever be empty now that no such target is chosen; what a test cannot make happen is not logged. Choice.Limit stays. TestTargetThatSaysNothingIsNotKept fails before.

--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -40,11 +40,10 @@
 	Until     time.Time
 	Forecast  Forecast
 	Admission Admission
-	Load      Load          // at the target before the request
-	Notice    notice.Belief // what the target is believed to have said of itself
-	Resting   bool          // the target had asked for rest, which is not over
-	Paced     bool          // the target takes a bounded rate, so that its home must grant a place
-	FreeAt    time.Time     // of a verdict that it is Paced: when a target takes one more
+	Load      Load         // at the target before the request
+	Limit     notice.Limit // that the target is believed to have named
+	Paced     bool         // the target takes a bounded rate, so that its home must grant a place
+	FreeAt    time.Time    // of a verdict that it is Paced: when a target takes one more
 }
 
 // Pick chooses a target of service and counts the request there; Finish must
@@ -72,13 +71,12 @@
 			continue
 		}
 		r := t.rate(now, said.Limit)
-		rest := b.rest(t)
-		if at := latest(t.pace.next(now, r), rest.Next(now)); at.After(now) {
+		if at := latest(t.pace.next(now, r), b.rest(t).Next(now)); at.After(now) {
 			freeAt = earliest(freeAt, at)
 			continue
 		}
 		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, Entry: t.Revision, Doubtful: t.Doubtful, Forecast: b.forecast(t, d), Load: t.load,
-			Notice: said, Resting: rest.Ongoing(now), Paced: r.bounded}}
+			Limit: said.Limit, Paced: r.bounded}}
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -159,15 +159,8 @@
 	if c.Doubtful {
 		f["doubtful"] = true
 	}
-	if c.Notice.Limit.Named {
-		f["limit"] = c.Notice.Limit.PerS
-	}
-	if c.Notice.Leaving {
-		f["leaving"] = true
-	}
-	if c.Resting {
-		f["resting"] = true
-		x.g.stats.atRest.Inc(1)
+	if c.Limit.Named {
+		f["limit"] = c.Limit.PerS
 	}
 	x.g.log.WithFields(f).Info("Sending.")
 }
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -24,7 +24,6 @@
 	waited     metrics.Histogram
 	noticed    metrics.Counter // changes of what targets say of themselves
 	unreadable metrics.Counter // answers in which that is not readable
-	atRest     metrics.Counter // requests sent to targets that had asked for rest
 	// forecastError is how much later than forecast first events came.
 	forecastError metrics.Histogram
 }
@@ -34,7 +33,6 @@
 	s := &Stats{answered: metrics.NewRegisteredCounter("gateway.answered", r),
 		ended:   metrics.NewRegisteredCounter("gateway.lost_with_target", r),
 		noticed: metrics.NewRegisteredCounter("gateway.notices", r), unreadable: metrics.NewRegisteredCounter("gateway.notices_unreadable", r),
-		atRest:  metrics.NewRegisteredCounter("gateway.sent_at_rest", r),
 		refused: map[Reason]metrics.Counter{}, retried: map[Reason]metrics.Counter{},
 		firstEvent: histogram("gateway.first_event_ms", r), whole: histogram("gateway.answer_ms", r),
 		waited: histogram("gateway.wait_ms", r), forecastError: histogram("gateway.forecast_error_ms", r)}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -113,6 +113,9 @@
 // overtake each other: one to a request that was sent before the limit was known does not
 // raise or lift it.
 func (t *Table) Hear(now time.Time, l Life, s Statement, sent time.Time) Change {
+	if s == (Statement{}) && t.records[l.Target] == nil {
+		return Change{} // as of most targets
+	}
 	r := t.of(now, l)
 	if r == nil {
 		return Change{}
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -101,3 +101,9 @@
 	assert.Equal(t, other.Of(first), x.Of(first))
 	assert.Assert(t, !x.Of(second).Leaving, "the next life serves")
 }
+
+func TestTargetThatSaysNothingIsNotKept(t *testing.T) {
+	x := NewTable()
+	assert.Equal(t, x.Hear(at(10), life, Statement{}, at(0)), Change{})
+	assert.Equal(t, len(x.records), 0)
+}
--- a/notice/rest.go
+++ b/notice/rest.go
@@ -22,7 +22,7 @@
 		r.untried = r.untried && sent.Before(r.until)
 		return false
 	}
-	begins := !r.Ongoing(now)
+	begins := !r.ongoing(now)
 	if until := now.Add(rest); until.After(r.until) {
 		r.until = until
 	}
@@ -30,12 +30,11 @@
 	return begins
 }
 
-// Ongoing reports whether the target rests.
-func (r Rest) Ongoing(now time.Time) bool { return now.Before(r.until) }
+func (r Rest) ongoing(now time.Time) bool { return now.Before(r.until) }
 
 // Next returns when a request may be sent; not after now if it may at once.
 func (r Rest) Next(now time.Time) time.Time {
-	if r.Ongoing(now) || !r.untried || r.triedAt.Before(r.until) {
+	if r.ongoing(now) || !r.untried || r.triedAt.Before(r.until) {
 		return r.until
 	}
 	return r.triedAt.Add(trialTimeout)
