Entries that start together do not overfill a cold target

After a loss of power of all hosts, the first engine that served got 47 and 55 requests in one second (44 allowed) and ended under them. Entries that have just started know few others, so that each took itself, or another one, for the home, and each of these granted all that the engine bears while cold; and a home that did not answer counted as a grant.

For the first, an entry that finds a cold target sends one request in the first second after that: by then it knows the others, and in a usual start the target loads meanwhile. Ruled out: granting nothing until accounts were heard, which loses that second for all.

--- a/dispatch/book.go
+++ b/dispatch/book.go
@@ -72,7 +72,8 @@
 	addrs := make(map[string]bool, len(instances))
 	for _, i := range instances {
 		t := b.byID[i.ID]
-		if t == nil || !fleet.SameLife(t.Born, i.Born) {
+		isNew := t == nil || !fleet.SameLife(t.Born, i.Born)
+		if isNew {
 			t = &Target{others: map[string]Load{}, heard: map[string]bool{}}
 		}
 		t.Instance = *i
@@ -80,6 +81,9 @@
 			t.model = s.Engine
 			t.coldPerS = s.ColdRate
 		}
+		if isNew {
+			t.found()
+		}
 		byID[i.ID] = t
 		addrs[i.Addr] = true
 		lists[i.Service] = append(lists[i.Service], t)
--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -43,7 +43,7 @@
 func (b *Book) limitChanged(now time.Time, l notice.Life, before notice.Limit) {
 	t := b.byID[l.Target]
 	if t != nil && fleet.SameLife(t.Born, l.Born) && !before.Named {
-		t.pace.spend(now, t.rate(now, b.said(t).Limit))
+		t.pace.spend(now, t.rate(now, b.said(t).Limit), 0)
 	}
 	b.wake()
 }
@@ -88,6 +88,14 @@
 // leaving reports whether a target leaves, by the list or its own word; the lock is held.
 func (b *Book) leaving(t *Target) bool { return t.Draining || b.said(t).Leaving }
 
+// found begins the pace of a target that is new to this entry, if it is cold.
+func (t *Target) found() {
+	at := t.ColdUntil.Add(-t.ColdFor)
+	if r := t.rate(at, notice.Limit{}); r.bounded {
+		t.pace.spend(at, r, firstSights)
+	}
+}
+
 // rate is how many requests a second a target takes now that has named a limit.
 func (t *Target) rate(now time.Time, limit notice.Limit) rate {
 	var r rate
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -16,6 +16,9 @@
 	// holdUnanswered is how long a target with a bounded rate is left alone after its
 	// home did not answer.
 	holdUnanswered = 100 * time.Millisecond
+	// firstSights is what an entry may send to a cold target in the first paceSpan after it
+	// has found the target: entries that start together do not know each other yet.
+	firstSights = 1
 )
 
 // rate is how many requests a second a target takes from all entries together.
@@ -75,11 +78,11 @@
 	p.sent = p.sent[:max(len(p.sent)-1, 0)]
 }
 
-// spend counts as many requests as may be sent now. What was sent before the rate was
-// known, here or by others, is not known.
-func (p *pace) spend(now time.Time, r rate) {
+// spend counts as many requests as may be sent now, but for some. What was sent before
+// the rate was known, or by others, is not known.
+func (p *pace) spend(now time.Time, r rate, but int) {
 	n, _ := r.window()
-	for range n {
+	for range max(n-but, 1) {
 		p.count(now, r)
 	}
 }
--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -161,3 +161,29 @@
 		assert.Equal(t, picked(b, start), "p-1")
 	}
 }
+
+// Entries that all start at one moment know few others: each took itself for the home of the
+// first engine that served, and granted all that it bears while it was cold.
+func TestEntriesThatStartTogetherDoNotOverfillAColdTarget(t *testing.T) {
+	const entries, perS, coldFor = 15, 26, 5 * time.Second
+	var books []*Book
+	for range entries {
+		e := engine(1, 1)
+		e.ColdFor, e.ColdUntil = coldFor, start.Add(coldFor)
+		b := book(engineModel(), Config{Admit: 100, AdmitGap: 100})
+		b.Apply([]*fleet.Instance{e}, map[string]*fleet.Service{testService: {Name: testService, Engine: engineModel(), ColdRate: perS}})
+		books = append(books, b)
+	}
+	var sent []time.Time
+	for ms := 0; ms < 1000; ms += 5 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for _, b := range books {
+			if _, v := b.Pick(now, testService, demand(), nil); v == Chosen {
+				sent = append(sent, now)
+			}
+		}
+	}
+	assert.Assert(t, len(sent) <= perS*3/2+5, "%d sent", len(sent))
+	assert.Assert(t, len(sent) >= entries/2, "%d sent", len(sent))
+	assert.Equal(t, picked(books[0], start.Add(time.Second)), "i-1", "a second later it is served as usual")
+}
