Agent: the end of a request is recorded before its answer ends

Cause: relay marked the answer as ended, and execute told the records afterwards. Its readers run on goroutines of their own, so the caller could have the whole answer, or know that it broke, while its key still counted as running. The order of the other two ways to end (target not reached, target never answered) was right already.

Change: relay returns why an answer is not whole; one function, finish, ends every request that ran: record first, then the end that readers see. Whether an answer may be replayed is no longer read from its end (fromStart instead of whole).

Nothing else found.

--- a/agent/answer.go
+++ b/agent/answer.go
@@ -107,11 +107,11 @@
 	}
 }
 
-// whole reports whether the answer has ended and can be sent from its start.
-func (a *answer) whole() bool {
+// fromStart reports whether the answer can still be sent from its start.
+func (a *answer) fromStart() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ended && a.base == 0
+	return a.base == 0
 }
 
 func (a *answer) size() int64 {
--- a/agent/requests.go
+++ b/agent/requests.go
@@ -197,11 +197,12 @@
 	r.apply(now, r.intake.NotRun(now, w.id, reason))
 }
 
-// finished ends a request that ran.
-func (r *requests) finished(w *work) {
+// finished records that a request that ran has ended. whole is true if all of its answer
+// has been received.
+func (r *requests) finished(w *work, whole bool) {
 	now := clock.Now()
 	w.ended = now
-	held := w.answer.whole()
+	held := whole && w.answer.fromStart()
 	if held {
 		r.hold(w)
 	} else {
--- a/agent/run.go
+++ b/agent/run.go
@@ -162,19 +162,28 @@
 		return
 	}
 	defer resp.Body.Close()
-	a.relay(ctx, w, resp)
-	_ = a.requests.loop.Call(func() { a.requests.finished(w) })
+	a.finish(w, a.relay(ctx, w, resp))
 	a.statusChanged()
 }
 
+// finish ends a request that ran; broken says why its answer is not whole. The record is
+// written first: a caller that has the end may send its key again.
+func (a *Agent) finish(w *work, broken outcome.Reason) {
+	_ = a.requests.loop.Call(func() { a.requests.finished(w, broken == "") })
+	if broken != "" {
+		w.answer.fail(broken)
+		return
+	}
+	w.answer.end()
+}
+
 func (a *Agent) notAnswered(ctx context.Context, w *work, err error) {
 	if errors.Is(err, target.ErrNotConnected) && ctx.Err() == nil {
 		_ = a.requests.loop.Call(func() { a.requests.notRun(w, outcome.TargetUnreachable) })
 		w.answer.fail(outcome.TargetUnreachable)
 		return
 	}
-	_ = a.requests.loop.Call(func() { a.requests.finished(w) })
-	w.answer.fail(a.brokenBy(ctx))
+	a.finish(w, a.brokenBy(ctx))
 }
 
 // brokenBy tells a deadline and a caller who left from a failing target.
@@ -199,12 +208,12 @@
 	return req
 }
 
-// relay copies the target's answer into the buffer.
-func (a *Agent) relay(ctx context.Context, w *work, resp *http.Response) {
+// relay copies the target's answer into the buffer. It returns why the answer is not
+// whole, or "".
+func (a *Agent) relay(ctx context.Context, w *work, resp *http.Response) outcome.Reason {
 	head := &peer.Head{Attempt: w.dispatch.Attempt, Status: resp.StatusCode, Version: resp.Header.Get(target.LoadoutHeader)}
 	if want := a.supervisor.readiness().loadout; want != "" && head.Version != "" && head.Version != want {
-		w.answer.fail(outcome.VersionMixed)
-		return
+		return outcome.VersionMixed
 	}
 	for _, f := range target.EndToEnd(resp.Header) {
 		head.Header = append(head.Header, peer.HeaderField(f))
@@ -214,19 +223,15 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 && w.answer.write(ctx, buf[:n]) != nil {
-			w.answer.fail(a.brokenBy(ctx))
-			return
+			return a.brokenBy(ctx)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			w.answer.end()
-			return
+			return ""
 		case ctx.Err() != nil:
-			w.answer.fail(a.brokenBy(ctx))
-			return
+			return a.brokenBy(ctx)
 		case err != nil:
-			w.answer.fail(outcome.Truncated)
-			return
+			return outcome.Truncated
 		}
 	}
 }
