Pool: a slot that was taken out is not dialled on, a closed pool dials no more

Change: a slot that the pool takes out is marked, and a caller that has waited for it takes a new one; Close says that the pool is closed, and Get fails with ErrDial after it.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,13 +29,20 @@
 // ErrDial is the cause of every failed connection attempt: nothing was sent.
 var ErrDial = errors.New("peer: dial failed")
 
+// errSlotGone means that the pool has taken out the slot that a caller waited for.
+var errSlotGone = errors.New("peer: slot taken out of the pool")
+
 type poolKey struct {
 	addr  string
 	class Class
 }
 
+// slot holds the connection for one key of a pool.
 type slot struct {
-	mu   sync.Mutex
+	// gone is set when the pool has taken the slot out; nobody may dial on it then.
+	gone atomic.Bool
+
+	mu   sync.Mutex // held while dialling
 	conn *Conn
 }
 
@@ -53,8 +61,9 @@
 	meter    *Meter
 	dialAddr Dial
 
-	mu    sync.Mutex
-	slots map[poolKey]*slot
+	mu     sync.Mutex
+	slots  map[poolKey]*slot
+	closed bool
 }
 
 // NewPool returns a pool whose connections say self, serve streams by h and
@@ -78,18 +87,44 @@
 	return len(p.slots)
 }
 
-// Get returns a live connection, dialling if there is none.
+// Get returns a live connection, dialling if there is none. It fails with ErrDial, also
+// after Close.
 func (p *Pool) Get(ctx context.Context, addr string, class Class) (*Conn, error) {
+	for {
+		s, err := p.slot(poolKey{addr, class})
+		if err != nil {
+			return nil, err
+		}
+		c, err := p.connect(ctx, s, addr, class)
+		if !errors.Is(err, errSlotGone) {
+			return c, err
+		}
+	}
+}
+
+// slot returns the slot of a key, a new one if there is none.
+func (p *Pool) slot(k poolKey) (*slot, error) {
 	p.mu.Lock()
-	s := p.slots[poolKey{addr, class}]
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errors.Wrap(ErrDial, "pool closed")
+	}
+	s := p.slots[k]
 	if s == nil {
 		s = &slot{}
-		p.slots[poolKey{addr, class}] = s
+		p.slots[k] = s
 	}
-	p.mu.Unlock()
+	return s, nil
+}
 
+// connect returns the live connection of a slot, dialling if there is none. It fails with
+// errSlotGone if the pool took the slot out meanwhile.
+func (p *Pool) connect(ctx context.Context, s *slot, addr string, class Class) (*Conn, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.gone.Load() {
+		return nil, errSlotGone
+	}
 	if s.conn != nil && s.conn.ctx.Err() == nil {
 		return s.conn, nil
 	}
@@ -137,7 +172,7 @@
 		if keep(k.addr) {
 			continue
 		}
-		delete(p.slots, k)
+		p.takeOut(k, s)
 		go s.close()
 	}
 }
@@ -152,7 +187,7 @@
 			continue // being dialled
 		}
 		if s.conn == nil || s.conn.ctx.Err() != nil || s.conn.idleFor(now) > limit {
-			delete(p.slots, k)
+			p.takeOut(k, s)
 			if s.conn != nil {
 				s.conn.Close()
 			}
@@ -161,8 +196,19 @@
 	}
 }
 
-// Close closes all connections.
-func (p *Pool) Close() { p.Keep(func(string) bool { return false }) }
+// takeOut removes a slot; p.mu is held. Its connection is the caller's to close.
+func (p *Pool) takeOut(k poolKey, s *slot) {
+	delete(p.slots, k)
+	s.gone.Store(true)
+}
+
+// Close closes all connections, also those that are being dialled. The pool dials no more.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Keep(func(string) bool { return false })
+}
 
 func (s *slot) close() {
 	s.mu.Lock()
