peer: a caller waits for another's dial no longer than it can

Cause: the slot of a connection was a mutex, held while one caller dialled; others waited for it whatever their deadline, up to the dial timeout of 2 s. A question to a home, bounded by 25 ms, could take that long. In virtual time the mutex stopped the clock. Change: the slot is a channel; waiting for it ends with the caller's context. Result: TestCallerDoesNotOutwaitItsDeadline, which hung before, passes after 25 ms.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -42,10 +42,35 @@
 	// removed is set when the pool removes the slot; no caller may dial on it afterwards.
 	removed atomic.Bool
 
-	mu   sync.Mutex // held while dialling
+	lock chan struct{} // holds a value while conn is in use, also while it is dialled
 	conn *Conn
 }
 
+func newSlot() *slot { return &slot{lock: make(chan struct{}, 1)} }
+
+// acquire locks the slot unless ctx ends first: another caller may be dialling for longer than
+// this one can wait.
+func (s *slot) acquire(ctx context.Context) error {
+	select {
+	case s.lock <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// tryAcquire locks the slot unless it is in use.
+func (s *slot) tryAcquire() bool {
+	select {
+	case s.lock <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *slot) release() { <-s.lock }
+
 // DialFunc opens a connection to the peer listener of a process.
 type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -111,7 +136,7 @@
 	}
 	s := p.slots[k]
 	if s == nil {
-		s = &slot{}
+		s = newSlot()
 		p.slots[k] = s
 	}
 	return s, nil
@@ -120,15 +145,17 @@
 // connect returns the open connection of a slot, dialling if there is none. It returns
 // errSlotRemoved if the pool has removed the slot.
 func (p *Pool) connect(ctx context.Context, s *slot, addr string, class Class) (*Conn, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if err := s.acquire(ctx); err != nil {
+		return nil, errors.Wrap(ErrDial, err.Error())
+	}
+	defer s.release()
 	if s.removed.Load() {
 		return nil, errSlotRemoved
 	}
 	if s.conn != nil && s.conn.ctx.Err() == nil {
 		return s.conn, nil
 	}
-	if err := ctx.Err(); err != nil { // ctx ended while another caller was dialling
+	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
 	c, err := p.dial(ctx, addr, class)
@@ -183,7 +210,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for k, s := range p.slots {
-		if !s.mu.TryLock() {
+		if !s.tryAcquire() {
 			continue // being dialled
 		}
 		if s.conn == nil || s.conn.ctx.Err() != nil || s.conn.idleFor(now) > limit {
@@ -192,7 +219,7 @@
 				s.conn.Close()
 			}
 		}
-		s.mu.Unlock()
+		s.release()
 	}
 }
 
@@ -212,8 +239,8 @@
 }
 
 func (s *slot) close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock <- struct{}{}
+	defer s.release()
 	if s.conn != nil {
 		s.conn.Close()
 	}
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -83,11 +84,11 @@
 				_, err := p.Get(t.Context(), "a", Control)
 				assert.NilError(t, err)
 				s := p.slots[poolKey{"a", Control}]
-				s.mu.Lock()
+				s.lock <- struct{}{}
 				var callers sync.WaitGroup
 				callers.Go(func() { _, _ = p.Get(t.Context(), "a", Control) })
 				time.Sleep(time.Millisecond) // usually enough for the caller to wait for the slot
-				s.mu.Unlock()
+				s.release()
 				remove(p)
 				callers.Wait()
 			}
@@ -118,3 +119,23 @@
 	assert.Equal(t, n.dialled.Load(), int64(1))
 	n.waitAllClosed(t)
 }
+
+// A caller waits no longer than it can for a connection that another caller is dialling.
+func TestCallerDoesNotOutwaitItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hang := func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		p := NewPoolWithDialer(hang, Hello{}, nil, &Meter{})
+		go func() { _, _ = p.Get(t.Context(), "a", Control) }()
+		synctest.Wait()
+		begun := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 25*time.Millisecond)
+		defer cancel()
+		_, err := p.Get(ctx, "a", Control)
+		assert.ErrorIs(t, err, ErrDial)
+		assert.Equal(t, time.Since(begun), 25*time.Millisecond)
+		time.Sleep(dialTimeout)
+	})
+}
