mesh: links, roles and member lists are computed when members change

Change: Members keeps its lists until a member changes or expires; links, roles and the list of live members follow a version number. Rounds come with the load reports, at agents every 100 ms, and at once when members change.

--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -46,6 +46,12 @@
 	candidates []readerCandidate
 }
 
+// roleBasis identifies the state from which a role was chosen.
+type roleBasis struct {
+	members uint64 // version of the members
+	failing bool   // own calls to the store fail
+}
+
 // readerCandidate is an entry that may become a reader.
 type readerCandidate struct {
 	addr     string
@@ -94,8 +100,14 @@
 	return m.role.backup
 }
 
-// updateRole chooses this entry's role from the state of all live entries.
-func (m *Mesh) updateRole(now time.Time) {
+// updateRole chooses this entry's role from the state of all live entries, if that has changed;
+// version is that of the members.
+func (m *Mesh) updateRole(now time.Time, version uint64) {
+	basis := roleBasis{version, m.failing()}
+	if basis == m.roleBasis {
+		return
+	}
+	m.roleBasis = basis
 	candidates := []readerCandidate{readerCandidateOf(m.self, m.failing())}
 	for _, p := range m.live {
 		candidates = append(candidates, readerCandidateOf(p, p.Store.Failing))
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -209,6 +209,7 @@
 	now := clock.Now()
 	m.members.Observe(now.Add(linkValidity), p)
 	m.setLive(m.members.Live(now))
+	m.wakeIfMembersChanged()
 }
 
 // linkLost records that an entry is unreachable, unless another link to it has replaced l.
@@ -227,6 +228,7 @@
 		return false
 	}
 	m.members.MarkUnreachable(l.addr)
+	m.wakeIfMembersChanged()
 	return true
 }
 
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -80,6 +81,19 @@
 	return max(c.Interval, time.Duration(entries)*c.IntervalPerEntry)
 }
 
+// maxRoundInterval is the longest time between two rounds of Mesh.Run. In each, a suspension of
+// the machine is noticed (see package clock), and members that sent nothing expire.
+const maxRoundInterval = 100 * time.Millisecond
+
+// roundInterval returns the time between two rounds of Mesh.Run while the members do not change:
+// at entries that of the load reports, at agents, which send none, the longest.
+func (c Config) roundInterval(entries int, reports bool) time.Duration {
+	if !reports {
+		return maxRoundInterval
+	}
+	return min(c.loadInterval(entries), maxRoundInterval)
+}
+
 // member is an entry that sent a message, or that another entry reported.
 type member struct {
 	peer.Presence
@@ -134,6 +148,22 @@
 	self        string // own address; never a member
 	expireAfter time.Duration
 	byAddr      map[string]*member
+	// version is raised by each change of the set, of which members are live, or of what a
+	// member reports about itself, other than its copy of the store.
+	version uint64
+	live    liveList
+	addrs   []string // all addresses, in order; nil if they must be listed again
+}
+
+// liveList is a list of the live members that is kept until it may have changed.
+type liveList struct {
+	version          uint64 // of the Members when it was made
+	madeAt, validFor time.Time
+	list             []peer.Presence
+}
+
+func (l liveList) valid(version uint64, now time.Time) bool {
+	return l.version == version && !now.Before(l.madeAt) && !now.After(l.validFor)
 }
 
 // NewMembers returns a set in which only the addresses of the seeds are known.
@@ -158,6 +188,8 @@
 		return
 	}
 	m.byAddr[p.Addr] = &member{Presence: p}
+	m.addrs = nil
+	m.version++
 }
 
 // Observe records a message from the entry itself. It reports whether the entry was not live
@@ -169,10 +201,10 @@
 		return false
 	}
 	old := m.byAddr[p.Addr]
-	if old != nil && old.Incarnation > p.Incarnation && m.live(now, old) {
+	if old != nil && old.Incarnation > p.Incarnation && m.isLive(now, old) {
 		return false
 	}
-	isNew := old == nil || !m.live(now, old) || old.Incarnation != p.Incarnation
+	isNew := old == nil || !m.isLive(now, old) || old.Incarnation != p.Incarnation
 	x := &member{Presence: p, receivedAt: now}
 	if old != nil && old.Incarnation == p.Incarnation {
 		x.clock = old.clock
@@ -182,42 +214,74 @@
 		x.storeSeenAt = x.clock.at(fromMilliseconds(p.Store.UptimeMs - p.Store.AgeMs))
 	}
 	m.byAddr[p.Addr] = x
+	if old == nil {
+		m.addrs = nil
+	}
+	if isNew || withoutCopy(old.Presence) != withoutCopy(p) {
+		m.version++
+	}
 	return isNew && !p.Leaving
 }
 
+// withoutCopy returns what an entry reports about itself without the state of its copy of the
+// store, which changes with each report.
+func withoutCopy(p peer.Presence) peer.Presence {
+	p.Revision, p.Store = 0, peer.StoreStatus{Failing: p.Store.Failing}
+	return p
+}
+
 func fromMilliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // MarkUnreachable records that an entry cannot be reached.
 func (m *Members) MarkUnreachable(addr string) {
 	if old := m.byAddr[addr]; old != nil {
+		if !old.receivedAt.IsZero() {
+			m.version++
+		}
 		old.receivedAt = time.Time{}
 	}
 }
 
-func (m *Members) live(now time.Time, x *member) bool {
+func (m *Members) isLive(now time.Time, x *member) bool {
 	return !x.receivedAt.IsZero() && now.Sub(x.receivedAt) <= m.expireAfter && !x.Leaving
 }
 
-// Live returns the live entries, ordered by address.
+// Live returns the live entries, ordered by address. The states of their copies may be older
+// than the latest reports. The caller must not modify the list.
 func (m *Members) Live(now time.Time) []peer.Presence {
-	var out []peer.Presence
+	if m.live.valid(m.version, now) {
+		return m.live.list
+	}
+	next := liveList{madeAt: now, validFor: now.Add(m.expireAfter)}
 	for _, x := range m.byAddr {
-		if m.live(now, x) {
-			out = append(out, x.Presence)
+		if m.isLive(now, x) {
+			next.list = append(next.list, x.Presence)
+			next.validFor = earlier(next.validFor, x.receivedAt.Add(m.expireAfter))
 		}
 	}
-	slices.SortFunc(out, func(a, b peer.Presence) int { return cmp.Compare(a.Addr, b.Addr) })
-	return out
+	slices.SortFunc(next.list, func(a, b peer.Presence) int { return cmp.Compare(a.Addr, b.Addr) })
+	next.list = slices.Clip(next.list)
+	if !sameAddrs(next.list, m.live.list) {
+		m.version++
+	}
+	next.version = m.version
+	m.live = next
+	return next.list
 }
 
-// Addrs returns all addresses that may belong to entries, in order.
+// Version returns a number that is raised whenever members, or which of them are live, change.
+func (m *Members) Version(now time.Time) uint64 {
+	m.Live(now) // notices members that expired
+	return m.version
+}
+
+// Addrs returns all addresses that may belong to entries, in order. The caller must not modify
+// the list.
 func (m *Members) Addrs() []string {
-	out := make([]string, 0, len(m.byAddr))
-	for a := range m.byAddr {
-		out = append(out, a)
+	if m.addrs == nil {
+		m.addrs = slices.Sorted(maps.Keys(m.byAddr))
 	}
-	slices.Sort(out)
-	return out
+	return m.addrs
 }
 
 // Candidates returns all known entries, ordered by address.
@@ -225,7 +289,7 @@
 	var out []candidate
 	for _, addr := range m.Addrs() {
 		x := m.byAddr[addr]
-		out = append(out, candidate{x.Presence, m.live(now, x)})
+		out = append(out, candidate{x.Presence, m.isLive(now, x)})
 	}
 	return out
 }
@@ -234,9 +298,13 @@
 // beyond revision, preferring entries in domain among equals; ok is false if there is none.
 func (m *Members) MostAdvanced(now time.Time, revision int64, domain string) (addr string, ok bool) {
 	near := false
-	for _, x := range m.Live(now) {
-		if x.Revision > revision || ok && x.Revision == revision && !near && x.Domain == domain {
-			addr, revision, ok, near = x.Addr, x.Revision, true, x.Domain == domain
+	for _, x := range m.byAddr {
+		if x.Revision < revision || !ok && x.Revision == revision || !m.isLive(now, x) {
+			continue
+		}
+		xNear := x.Domain == domain
+		if x.Revision > revision || xNear && !near || xNear == near && x.Addr < addr {
+			addr, revision, ok, near = x.Addr, x.Revision, true, xNear
 		}
 	}
 	return addr, ok
--- a/mesh/members_test.go
+++ b/mesh/members_test.go
@@ -137,3 +137,26 @@
 	}
 	assert.Assert(t, start.Add(stopped+2*clockWindow).Sub(m.ConfirmedAt(7)) <= 0)
 }
+
+// Heartbeats of live members change nothing that links, roles and lists of members depend on, so
+// that a fleet at rest computes nothing anew.
+func TestHeartbeatsDoNotChangeTheMembers(t *testing.T) {
+	m := NewMembers("a:1", []string{"b:1"}, expire)
+	now := start
+	m.Observe(now, presence("b:1", 1, 0))
+	version, live := m.Version(now), m.Live(now)
+	for i := range 100 {
+		now = now.Add(expire / 2)
+		m.Observe(now, presenceSeenAt(time.Duration(i)*expire/2))
+		assert.Equal(t, m.Version(now), version)
+	}
+	assert.Equal(t, len(live), 1)
+	failing := presence("b:1", 1, 0)
+	failing.Store.Failing = true
+	m.Observe(now, failing)
+	assert.Assert(t, m.Version(now) > version)
+	version = m.Version(now)
+	now = now.Add(expire + 1)
+	assert.Assert(t, m.Version(now) > version, "the member expires")
+	assert.Equal(t, len(m.Live(now)), 0)
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -63,6 +63,7 @@
 	behindSince     time.Time
 	catchingUp      bool
 	role            role
+	roleBasis       roleBasis
 	crashMismatches map[string]time.Time // since when the crash digests of other entries differ, by address
 	copyDifferences differences          // copies of other entries that differ from the own one
 	nextRepairAt    time.Time            // earliest time of the next full read because of a difference
@@ -70,6 +71,9 @@
 	repairs         metrics.Counter
 	sourceChanged   chan struct{} // closed when role.follows changes
 	sourceLoggedAt  time.Time     // when a change of the source was last logged at level info
+
+	refreshedVersion uint64        // version of the members at the last refresh
+	membersChanged   chan struct{} // signals Run that the members may have changed
 }
 
 // Options are the dependencies and settings of a Mesh.
@@ -102,7 +106,7 @@
 		engines: newReportRegistry(o.Listener), isSeed: slices.Contains(o.Seeds, o.Self.Addr), forwarded: map[string]forwardedReport{},
 		crashes: o.Crashes, crashMismatches: map[string]time.Time{},
 		copyDifferences: differences{}, copiesDiffered: metrics.NewRegisteredCounter("mesh.copies_differed", o.Metrics),
-		repairs: metrics.NewRegisteredCounter("mesh.copy_repairs", o.Metrics), liveChanged: make(chan struct{}), sourceChanged: make(chan struct{})}
+		repairs: metrics.NewRegisteredCounter("mesh.copy_repairs", o.Metrics), liveChanged: make(chan struct{}), sourceChanged: make(chan struct{}), membersChanged: make(chan struct{}, 1)}
 }
 
 // Leave announces to the other processes that this one is leaving.
@@ -170,17 +174,19 @@
 // Run maintains links to other entries and refreshes the members until ctx ends. loads
 // returns the requests that this process has in flight at each target; it is nil at agents.
 func (m *Mesh) Run(ctx context.Context, loads func() []peer.TargetLoad) {
-	ticker := time.NewTicker(m.cfg.Interval)
-	defer ticker.Stop()
 	reporter := newLoadReporter(m.cfg.Heartbeat)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		now := clock.Now()
 		m.refresh(ctx, now)
 		if loads != nil {
 			m.sendLoads(now, reporter, loads)
 		}
+		timer.Reset(m.cfg.roundInterval(len(m.Entries()), loads != nil))
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+		case <-m.membersChanged:
 		case <-ctx.Done():
 			return
 		}
@@ -192,14 +198,18 @@
 func (m *Mesh) refresh(ctx context.Context, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.updateLinks(ctx, m.wantedLinks(now))
-	m.setLive(m.members.Live(now))
+	version := m.members.Version(now)
+	if version != m.refreshedVersion {
+		m.refreshedVersion = version
+		m.updateLinks(ctx, m.wantedLinks(now))
+		m.setLive(m.members.Live(now))
+	}
 	if m.table == nil {
 		m.chooseForwarder()
 		return
 	}
 	m.table.Confirm(m.members.ConfirmedAt(m.table.Revision()))
-	m.updateRole(now)
+	m.updateRole(now, version)
 	m.catchUpIfBehind(ctx, now)
 	m.repair(ctx, now)
 }
@@ -313,6 +323,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.members.Observe(clock.Now(), p)
+	m.wakeIfMembersChanged()
+}
+
+// wakeIfMembersChanged makes Run refresh at once if the members have changed since it did. The
+// lock must be held.
+func (m *Mesh) wakeIfMembersChanged() {
+	if m.members.version == m.refreshedVersion {
+		return
+	}
+	select {
+	case m.membersChanged <- struct{}{}:
+	default:
+	}
 }
 
 // addMembers adds the members that another entry reported.
@@ -325,12 +348,14 @@
 	for _, addr := range msg.EntryAddrs {
 		m.members.AddAddr(addr)
 	}
+	m.wakeIfMembersChanged()
 }
 
 func (m *Mesh) markUnreachable(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.members.MarkUnreachable(addr)
+	m.wakeIfMembersChanged()
 }
 
 // Nearest returns up to n live entries from which this process should request key, in order:
