peer: connections at rest hold no write buffer and small queues

Change: a write buffer is taken from a pool for the time of a write; the read buffer has 2 KiB, which larger payloads bypass; 64 frames may wait.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -22,9 +22,15 @@
 	window = 32
 	// creditEvery is how many frames the receiver reads before it grants the sender credit
 	// for as many further frames.
-	creditEvery      = window / 2
-	writeQueue       = 256
-	bufferSize       = 16 << 10
+	creditEvery = window / 2
+	// writeQueue is how many frames may wait to be written; those that send more wait.
+	writeQueue = 64
+	// readBuffer is the size of a connection's read buffer in bytes. Larger payloads are
+	// read without it.
+	readBuffer = 2 << 10
+	// writeBuffer is how many bytes are written at once. A connection has a write buffer
+	// only while it writes, because most are idle most of the time.
+	writeBuffer      = 16 << 10
 	handshakeTimeout = 5 * time.Second
 	writeTimeout     = 30 * time.Second
 )
@@ -192,11 +198,10 @@
 
 func (c *Conn) writeLoop() {
 	defer c.Close()
-	w := bufio.NewWriterSize(c.nc, bufferSize)
 	for {
 		select {
 		case b := <-c.out:
-			if !c.writeBatch(w, b) {
+			if !c.writeBatch(b) {
 				return
 			}
 		case <-c.ctx.Done():
@@ -205,9 +210,18 @@
 	}
 }
 
+// writers holds unused write buffers.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
+
 // writeBatch writes b and all frames queued behind it, then flushes. It reports whether
 // that worked.
-func (c *Conn) writeBatch(w *bufio.Writer, b []byte) bool {
+func (c *Conn) writeBatch(b []byte) bool {
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(c.nc)
+	defer func() {
+		w.Reset(nil) // keeps no connection alive
+		writers.Put(w)
+	}()
 	if c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
 		return false
 	}
@@ -226,7 +240,7 @@
 
 func (c *Conn) readLoop() {
 	defer c.Close()
-	r := bufio.NewReaderSize(c.nc, bufferSize)
+	r := bufio.NewReaderSize(c.nc, readBuffer)
 	for {
 		f, err := readFrame(r)
 		if err != nil {
--- a/peer/pool_test.go
+++ b/peer/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -139,3 +140,33 @@
 		time.Sleep(dialTimeout)
 	})
 }
+
+// An idle connection holds little memory: an entry may have 4,096 descriptors open and 128 MB.
+func TestIdleConnectionsAreSmall(t *testing.T) {
+	const conns, limit = 100, 128 << 20 / 4096 // bytes of both ends of a connection
+	synctest.Test(t, func(t *testing.T) {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var all []*Conn
+		for range conns {
+			a, b := net.Pipe()
+			accepted := make(chan *Conn)
+			go func() {
+				c, _ := NewConn(b, Hello{}, false, nil, &Meter{})
+				accepted <- c
+			}()
+			c, err := NewConn(a, Hello{}, true, nil, &Meter{})
+			assert.NilError(t, err)
+			all = append(all, c, <-accepted)
+		}
+		synctest.Wait()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		held := (after.HeapAlloc - before.HeapAlloc) / conns
+		for _, c := range all {
+			c.Close()
+		}
+		assert.Assert(t, held < limit, "%d B a connection", held)
+	})
+}
