dispatch: a load report costs what it lists, not what the fleet has

Cause: SetLoads went through all targets for each full report. Change: the balancer keeps by entry at which targets it reported a load. Waiting requests are woken by a report only if a load has changed.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -48,6 +48,7 @@
 	services   map[string][]*Target
 	byID       map[string]*Target
 	addrs      map[string]bool            // of all targets
+	reported   map[string]map[string]bool // targets at which other entries reported loads, by entry and target ID
 	objectives map[string]*objectiveStats // by service
 	states     map[string]EngineState     // by address, as reported by agents
 	versions   map[string]wantedVersions  // by model
@@ -58,7 +59,7 @@
 
 // NewBalancer returns a Balancer without targets.
 func NewBalancer(cfg Config, rng *rand.Rand) *Balancer {
-	return &Balancer{cfg: cfg.applyDefaults(), policy: residency.New(cfg.Regions, nil), services: map[string][]*Target{}, byID: map[string]*Target{},
+	return &Balancer{cfg: cfg.applyDefaults(), policy: residency.New(cfg.Regions, nil), services: map[string][]*Target{}, byID: map[string]*Target{}, reported: map[string]map[string]bool{},
 		objectives: map[string]*objectiveStats{}, states: map[string]EngineState{}, versions: map[string]wantedVersions{}, notices: notice.NewTable(), rng: rng, changed: make(chan struct{})}
 }
 
--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/springgate/springgate/fleet"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -354,3 +355,54 @@
 		})
 	}
 }
+
+// The cost of a full load report grows with the targets that it lists, not with those of the fleet.
+func BenchmarkSetLoads(b *testing.B) {
+	for _, targets := range []int{100, 700, 4400} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			all := make([]*fleet.Instance, targets)
+			for i := range all {
+				all[i] = &fleet.Instance{ID: fmt.Sprint("i-", i), Service: "s", Addr: fmt.Sprint("a-", i)}
+			}
+			balancer := NewBalancer(Config{}, rand.New(rand.NewPCG(1, 2)))
+			balancer.Apply(all, map[string]*fleet.Service{"s": {Name: "s"}})
+			for i := 0; b.Loop(); i++ {
+				balancer.SetLoads("e", map[string]Load{fmt.Sprint("i-", i%targets): {Requests: 1}})
+			}
+		})
+	}
+}
+
+// A full report removes the loads that it does not list any more, also those that were granted
+// since the last one.
+func TestFullReportReplacesAllLoadsOfAnEntry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		balancer := NewBalancer(Config{}, rand.New(rand.NewPCG(1, 2)))
+		var all []*fleet.Instance
+		for i := range 5 {
+			all = append(all, &fleet.Instance{ID: fmt.Sprint("i-", i), Service: "s", Addr: fmt.Sprint("a-", i), Slots: 99})
+		}
+		balancer.Apply(all, map[string]*fleet.Service{"s": {Name: "s"}})
+		want := map[string]map[string]int{"e": {}, "f": {}}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			from, id := rapid.SampledFrom([]string{"e", "f"}).Draw(t, "from"), all[rapid.IntRange(0, 4).Draw(t, "target")].ID
+			n := rapid.IntRange(0, 3).Draw(t, "requests")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				balancer.SetLoads(from, map[string]Load{id: {Requests: n}})
+				want[from] = map[string]int{id: n}
+			case 1:
+				balancer.UpdateLoads(from, map[string]Load{id: {Requests: n}})
+				want[from][id] = n
+			default:
+				balancer.Reserve(start, from, id, 0, Admission{MaxWait: time.Hour})
+				want[from][id]++
+			}
+			for _, i := range all {
+				if got := balancer.byID[i.ID].load.Requests; got != want["e"][i.ID]+want["f"][i.ID] {
+					t.Fatalf("%d requests at %s, want %v", got, i.ID, want)
+				}
+			}
+		}
+	})
+}
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -10,13 +10,18 @@
 func (b *Balancer) SetLoads(from string, loads map[string]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, t := range b.byID {
-		t.setEntryLoad(from, loads[id])
-		if loads[id].Requests == 0 {
+	changed := false
+	for id := range b.reported[from] {
+		if t := b.byID[id]; t != nil && loads[id].Requests == 0 {
+			changed = t.setEntryLoad(from, loads[id]) || changed
 			delete(t.responsiveTo, from)
 		}
 	}
-	b.notifyChanged()
+	delete(b.reported, from)
+	changed = b.applyLoads(from, loads) || changed
+	if changed {
+		b.notifyChanged()
+	}
 }
 
 // UpdateLoads replaces the loads, by target ID, that the other entry from has in flight at the
@@ -24,18 +29,39 @@
 func (b *Balancer) UpdateLoads(from string, loads map[string]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.applyLoads(from, loads) {
+		b.notifyChanged()
+	}
+}
+
+// applyLoads replaces the loads of an entry at the targets in the map. It reports whether any
+// has changed. The caller holds the lock.
+func (b *Balancer) applyLoads(from string, loads map[string]Load) (changed bool) {
 	for id, l := range loads {
 		if t := b.byID[id]; t != nil {
-			t.setEntryLoad(from, l)
+			b.markReported(from, id)
+			changed = t.setEntryLoad(from, l) || changed
 		}
 	}
-	b.notifyChanged()
+	return changed
 }
 
-func (t *Target) setEntryLoad(from string, l Load) {
+// markReported records that an entry has reported a load or a response of a target, so that
+// SetLoads finds what it has to remove without a search of all targets.
+func (b *Balancer) markReported(from, id string) {
+	ids := b.reported[from]
+	if ids == nil {
+		ids = map[string]bool{}
+		b.reported[from] = ids
+	}
+	ids[id] = true
+}
+
+// setEntryLoad replaces the load of an entry and reports whether it has changed.
+func (t *Target) setEntryLoad(from string, l Load) bool {
 	old := t.entryLoads[from]
 	if l == old {
-		return
+		return false
 	}
 	if l == (Load{}) {
 		delete(t.entryLoads, from)
@@ -43,6 +69,7 @@
 		t.entryLoads[from] = l
 	}
 	t.load = Load{t.load.Requests + l.Requests - old.Requests, t.load.PendingPrefill + l.PendingPrefill - old.PendingPrefill}
+	return true
 }
 
 // OwnLoads returns the loads that this entry has in flight, by target ID.
@@ -96,6 +123,7 @@
 	switch {
 	case t == nil:
 	case responsive:
+		b.markReported(from, instance)
 		t.responsiveTo[from] = true
 	default:
 		delete(t.responsiveTo, from)
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -47,6 +47,7 @@
 	p.Granted = true
 	t.pace.count(now, r)
 	l := Load{Requests: 1, PendingPrefill: prompt}
+	b.markReported(from, instance)
 	t.entryLoads[from] = t.entryLoads[from].add(l)
 	t.load = t.load.add(l)
 	return p
