entry: TestVersionArrivesPastBadSources counts the agents' steps, not seconds

Cause: the test failed once on a machine with ten times as many busy threads as cores: an order was not repeated within 20 s of the wall clock. No time is promised there; the agents had not run. Change: each wait ends after as many steps of each agent as it takes in 20 s, counted by the reads of their engines' status; an agent on a starved machine takes fewer steps, not more. On an idle machine the limit is the same.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -169,6 +170,28 @@
 	}, poll.WithTimeout(pollTimeout), poll.WithDelay(5*time.Millisecond))
 }
 
+// waitForSteps is waitFor with a limit that does not depend on how busy the machine is: agents
+// read the status of their engines in each step, at most once per superviseInterval unless there
+// is something to do. It fails once each agent has taken as many steps as it takes in pollTimeout.
+func (f *testFleet) waitForSteps(what string, ok func() bool) {
+	f.t.Helper()
+	const superviseInterval = 100 * time.Millisecond // of the agents
+	begin := map[string]int64{}
+	for name, h := range f.hosts {
+		begin[name] = h.engine.StatusReads()
+	}
+	for !ok() {
+		fewest := int64(math.MaxInt64)
+		for name, h := range f.hosts {
+			fewest = min(fewest, h.engine.StatusReads()-begin[name])
+		}
+		if fewest > int64(pollTimeout/superviseInterval) {
+			f.t.Fatalf("not reached after %d steps of each agent: %s", fewest, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 func (f *testFleet) allServe(v int) func() bool {
 	want := target.Loadout{Model: f.versionIDs[v], Role: "mixed"}.ID()
 	return func() bool {
@@ -421,19 +444,19 @@
 	f.store.Faults.Corrupt.Store(1)
 	f.origin.Faults.Truncate.Store(true)
 	f.publish(0)
-	f.waitFor("chunks are requested from the origin", func() bool { return f.origin.Requests() > 3 })
+	f.waitForSteps("chunks are requested from the origin", func() bool { return f.origin.Requests() > 3 })
 	assert.Equal(t, f.hosts["e0"].engine.Loadout(), "")
 	f.origin.Faults.Truncate.Store(false)
-	f.waitFor("version 0", f.allServe(0))
+	f.waitForSteps("version 0", f.allServe(0))
 	stuck := f.hosts["e1"].engine
 	stuck.Faults.IgnoreLoad.Store(true)
 	orders := stuck.Orders()
 	f.publish(1)
-	f.waitFor("the load order is repeated", func() bool { return stuck.Orders() >= orders+2 })
-	f.waitFor("the other engine loads the new version", func() bool { return f.hosts["e0"].engine.Loadout() != stuck.Loadout() })
-	f.waitFor("the old version is still served", func() bool { return f.call("engine", "c").status == http.StatusOK })
+	f.waitForSteps("the load order is repeated", func() bool { return stuck.Orders() >= orders+2 })
+	f.waitForSteps("the other engine loads the new version", func() bool { return f.hosts["e0"].engine.Loadout() != stuck.Loadout() })
+	f.waitForSteps("the old version is still served", func() bool { return f.call("engine", "c").status == http.StatusOK })
 	stuck.Faults.IgnoreLoad.Store(false)
-	f.waitFor("version 1", f.allServe(1))
+	f.waitForSteps("version 1", f.allServe(1))
 	for _, h := range f.hosts {
 		assert.Equal(t, h.engine.Mixed(), int64(0))
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -61,6 +61,7 @@
 	boot    string // identifies the start of the engine process
 	mixed   atomic.Int64
 	orders  atomic.Int64
+	polls   atomic.Int64
 	running atomic.Int64
 }
 
@@ -105,6 +106,9 @@
 // Orders returns the number of accepted load orders.
 func (e *Engine) Orders() int64 { return e.orders.Load() }
 
+// StatusReads returns how often the status was read.
+func (e *Engine) StatusReads() int64 { return e.polls.Load() }
+
 // Running returns the number of running requests.
 func (e *Engine) Running() int64 { return e.running.Load() }
 
@@ -118,6 +122,7 @@
 }
 
 func (e *Engine) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	e.polls.Add(1)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	writeJSON(w, target.EngineStatus{Loadout: e.loadout, Loading: e.loading, Fence: e.fence,
