gateway: a target's heartbeat is not logged as a change of the list

Cause: each entry logged each target anew with each heartbeat, 143 lines a second at 716 targets with 5 s between heartbeats, at each of 303 entries. Change: a line is written if anything but the heartbeat has changed. Result: not measured by itself.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -274,11 +275,19 @@
 		return decodedInstance{i.Revision, nil}
 	}
 	inst.ColdUntil = clock.Now().Add(inst.ColdFor)
-	c.log.WithFields(logrus.Fields{"target": inst.ID, "service": inst.Service, "addr": inst.Addr, "draining": inst.Draining,
-		"models": inst.Models, "revision": i.Revision, "beat": inst.HeartbeatSeq, "born": inst.StartMs, "copy": c.mirrorRevision}).Info("Target listed.")
+	if !sameRegistration(old.instance, inst) {
+		c.log.WithFields(logrus.Fields{"target": inst.ID, "service": inst.Service, "addr": inst.Addr, "draining": inst.Draining,
+			"models": inst.Models, "revision": i.Revision, "beat": inst.HeartbeatSeq, "born": inst.StartMs, "copy": c.mirrorRevision}).Info("Target listed.")
+	}
 	return decodedInstance{i.Revision, inst}
 }
 
+// sameRegistration reports whether two registrations of a target differ in their heartbeat only.
+func sameRegistration(a, b *fleet.Instance) bool {
+	return a != nil && a.ID == b.ID && a.Service == b.Service && a.Addr == b.Addr && a.Domain == b.Domain && a.Slots == b.Slots &&
+		a.Draining == b.Draining && a.StartMs == b.StartMs && slices.Equal(a.Models, b.Models)
+}
+
 func (c *Control) logVanished(next map[string]decodedInstance) {
 	for key, d := range c.decoded {
 		if _, ok := next[key]; ok || d.instance == nil {
