--- a/peer/message.go
+++ b/peer/message.go
@@ -54,6 +54,10 @@
 	kindReserveReply
 	kindEngineStates
 	kindCrashes
+	kindGossip
+	kindGossipDigest
+	kindPlace
+	kindPlaceReply
 
 	kindCount // one more than the last kind
 )
@@ -144,6 +148,14 @@
 		return &EngineStates{}
 	case kindCrashes:
 		return &Crashes{}
+	case kindGossip:
+		return &Gossip{}
+	case kindGossipDigest:
+		return &GossipDigest{}
+	case kindPlace:
+		return &Place{}
+	case kindPlaceReply:
+		return &PlaceReply{}
 	}
 	return nil
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -162,7 +162,7 @@
 }
 
 func TestEveryKindHasAMessage(t *testing.T) {
-	for k := kindHello; k <= kindCrashes; k++ {
+	for k := kindHello; k <= kindPlaceReply; k++ {
 		if k == kindCredit || k == kindReset {
 			continue
 		}
@@ -170,7 +170,7 @@
 		assert.Assert(t, m != nil, "no message type for kind %d", k)
 		assert.Equal(t, m.Kind(), k)
 	}
-	assert.Assert(t, newMessage(kindCrashes+1) == nil)
+	assert.Assert(t, newMessage(kindPlaceReply+1) == nil)
 }
 
 func FuzzFrame(f *testing.F) {
