--- a/command/gateway.go
+++ b/command/gateway.go
@@ -92,7 +92,7 @@
 	e.conns = targetconn.NewPool(targetconn.Config{})
 	crashes := quarantine.NewTable()
 	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e, Crashes: crashes,
-		Table: table, Log: telemetry.Part(p.log, "mesh"), Metrics: p.metrics})
+		Table: table, TargetDomain: e.balancer.DomainOf, Log: telemetry.Part(p.log, "mesh"), Metrics: p.metrics})
 	e.reserver = mesh.NewReserver(e.mesh, e.balancer, off)
 	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, MirrorState: mirrorState(table), Crashes: crashes,
 		Hasher: quarantine.NewHasher(contentKey), Host: p.self.Host, Probes: e.mesh.Probes, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
@@ -161,6 +161,8 @@
 		e.mesh.ServeMirror(ctx, s, m)
 	case *peer.Reserve:
 		e.reserver.Serve(ctx, s, m)
+	case *peer.Place:
+		e.reserver.ServePlace(ctx, s, m)
 	case *peer.GetManifest, *peer.GetPiece:
 		e.relay.Serve(ctx, s, first)
 	}
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -28,6 +28,7 @@
 	model           *fleet.EngineModel
 	own             Load
 	entryLoads      map[string]Load // by entry
+	homeLoadAt      time.Time       // when the target's home entry last told its load
 	responsiveTo    map[string]bool // other entries that currently receive data from the target
 	load            Load            // own plus entryLoads
 	health          health
@@ -49,6 +50,7 @@
 	byID       map[string]*Target
 	addrs      map[string]bool            // of all targets
 	reported   map[string]map[string]bool // targets at which other entries reported loads, by entry and target ID
+	homeLoads  []homeLoad                 // loads told by home entries, oldest first
 	objectives map[string]*objectiveStats // by service
 	states     map[string]EngineState     // by address, as reported by agents
 	versions   map[string]wantedVersions  // by model
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -72,6 +72,52 @@
 	return true
 }
 
+// homeLoadValidity is how long the load that the home entry of a target told counts. After that the
+// target counts as having this entry's requests only.
+const homeLoadValidity = time.Second
+
+// homeLoad is a load that a home entry told.
+type homeLoad struct {
+	target string
+	at     time.Time
+}
+
+// toldByHome is the key of such a load among those of other entries.
+const toldByHome = "home"
+
+// SetHomeLoad records the load of all other entries at a target as its home entry told it, for
+// entries that do not receive the other entries' own reports.
+func (b *Balancer) SetHomeLoad(now time.Time, target string, l Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expireHomeLoads(now)
+	if t := b.byID[target]; t != nil {
+		t.setEntryLoad(toldByHome, l)
+		t.homeLoadAt = now
+		b.homeLoads = append(b.homeLoads, homeLoad{target, now})
+	}
+}
+
+// expireHomeLoads drops loads told longer ago than homeLoadValidity. The caller holds the lock.
+func (b *Balancer) expireHomeLoads(now time.Time) {
+	for len(b.homeLoads) > 0 && now.Sub(b.homeLoads[0].at) >= homeLoadValidity {
+		if t := b.byID[b.homeLoads[0].target]; t != nil && t.homeLoadAt.Equal(b.homeLoads[0].at) {
+			t.setEntryLoad(toldByHome, Load{})
+		}
+		b.homeLoads = b.homeLoads[1:]
+	}
+}
+
+// DomainOf returns the failure domain of a target, or "" if it is not listed.
+func (b *Balancer) DomainOf(target string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.byID[target]; t != nil {
+		return t.Domain
+	}
+	return ""
+}
+
 // OwnLoads returns the loads that this entry has in flight, by target ID.
 func (b *Balancer) OwnLoads() map[string]Load {
 	b.mu.Lock()
@@ -130,6 +176,15 @@
 	}
 }
 
+// Silenced reports whether this entry or others found a target silent, and none has received
+// anything from it since.
+func (b *Balancer) Silenced(now time.Time, instance string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.byID[instance]
+	return t != nil && len(t.responsiveTo) == 0 && (t.health.suspected(now) || t.health.silent(now, t.silenceLimit()))
+}
+
 // Suspect records that another entry reported a target silent. It reports whether the target
 // was not suspected already.
 func (b *Balancer) Suspect(now time.Time, instance string) bool {
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -27,6 +27,7 @@
 	pendingPrefill int
 	retried        int
 	target         *Target
+	entry          int       // which entry serves it, if there are several
 	until          time.Time // when the caller gives up
 }
 
@@ -35,15 +36,43 @@
 
 func (t tally) share() float64 { return float64(t.inTime) / float64(max(t.arrived, 1)) }
 
+// placer places the requests of a simulated fleet.
+type placer interface {
+	place(now time.Time, j *job) bool     // sets j.target
+	answering(now time.Time, j *job)      // the first event of a request
+	finished(now time.Time, j *job)       // the last one
+	refused(now time.Time, demand Demand) // no target could be found
+}
+
+// oneEntry places all requests at one entry.
+type oneEntry struct{ balancer *Balancer }
+
+func (o oneEntry) place(now time.Time, j *job) bool {
+	o.balancer.RecordArrival(now, testService, j.demand)
+	c, v := o.balancer.Pick(now, testService, j.demand, nil)
+	j.target = c.Target
+	return v == Chosen
+}
+
+func (o oneEntry) answering(now time.Time, j *job) {
+	o.balancer.RecordActivity(now, j.target, j.pendingPrefill)
+}
+
+func (o oneEntry) finished(now time.Time, j *job) {
+	o.balancer.Finish(now, j.target, Result{Latency: time.Second})
+}
+
+func (o oneEntry) refused(now time.Time, d Demand) { o.balancer.RecordRefusal(now, testService, d) }
+
 // fleetSim simulates a fleet of model engines behind one entry in virtual time. In each pass an
 // engine prefills all new prompts and then decodes the tokens of one pass for each running
 // request. Refused callers retry after 1 to 2 s.
 type fleetSim struct {
-	balancer *Balancer
-	model    *fleet.EngineModel
-	rng      *rand.Rand
-	kinds    []callerKind
-	retries  int
+	placer  placer
+	model   *fleet.EngineModel
+	rng     *rand.Rand
+	kinds   []callerKind
+	retries int
 	// timeout draws a caller's timeout; if nil, refused callers retry after 1 to 2 s.
 	timeout func(*rand.Rand) time.Duration
 	// detector detects retries; if nil, the simulation knows which requests are retries.
@@ -75,7 +104,7 @@
 		list = append(list, engine(i, 1))
 		s.engines[list[i].ID] = &simEngine{}
 	}
-	s.balancer = newTestBalancer(m, Config{}, list...)
+	s.placer = oneEntry{newTestBalancer(m, Config{}, list...)}
 	return s
 }
 
@@ -98,8 +127,10 @@
 func (s *fleetSim) run(d time.Duration) {
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(simTick) {
 		for i, k := range s.kinds {
-			if s.rng.Float64() < k.perSecond*s.burst(s.now)*simTick.Seconds() {
-				s.arrive(i, k)
+			for expected := k.perSecond * s.burst(s.now) * simTick.Seconds(); expected > 0; expected-- {
+				if s.rng.Float64() < expected {
+					s.arrive(i, k)
+				}
 			}
 		}
 		for _, f := range s.events[s.now] {
@@ -135,16 +166,14 @@
 			j.demand.Standing = Overdue
 		}
 	}
-	s.balancer.RecordArrival(s.now, testService, j.demand)
-	c, v := s.balancer.Pick(s.now, testService, j.demand, nil)
-	if v == Chosen {
-		j.target, j.pendingPrefill = c.Target, j.demand.Prompt
-		e := s.engines[c.Target.ID]
+	if s.placer.place(s.now, j) {
+		j.pendingPrefill = j.demand.Prompt
+		e := s.engines[j.target.ID]
 		e.queue = append(e.queue, j)
 		s.pass(e)
 		return
 	}
-	s.balancer.RecordRefusal(s.now, testService, j.demand)
+	s.placer.refused(s.now, j.demand)
 	if j.retried < s.retries {
 		j.retried++
 		j.demand.Standing = Overdue
@@ -181,7 +210,7 @@
 	running := e.running[:0]
 	for _, j := range e.running {
 		if j.pendingPrefill > 0 {
-			s.balancer.RecordActivity(s.now, j.target, j.pendingPrefill)
+			s.placer.answering(s.now, j)
 			j.pendingPrefill = 0
 			if s.now.Sub(j.arrived) <= j.demand.Objective {
 				s.tally(j).inTime++
@@ -191,7 +220,7 @@
 			running = append(running, j)
 			continue
 		}
-		s.balancer.Finish(s.now, j.target, Result{Latency: time.Second})
+		s.placer.finished(s.now, j)
 	}
 	e.running = running
 	s.pass(e)
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -35,6 +35,7 @@
 	Instance      fleet.Instance
 	EntryRevision int64 // revision of the target's list entry at the time of the choice
 	Unlisted      bool  // the target's list entry had recently disappeared
+	LastResort    bool  // no other target is expected to answer
 	// StartBy is when the request must have started at the target, because the version that it
 	// serves expires then; zero for no limit.
 	StartBy   time.Time
@@ -51,6 +52,7 @@
 func (b *Balancer) Pick(now time.Time, service string, d Demand, avoid []string) (Choice, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expireHomeLoads(now)
 	targets := b.services[service]
 	n := len(targets)
 	if n == 0 {
@@ -91,6 +93,7 @@
 	}
 	if best.Target == nil {
 		best, fastest = fallback, fallback
+		best.LastResort, fastest.LastResort = true, true
 	}
 	switch {
 	case allowed == 0:
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -11,9 +11,10 @@
 
 // Outcomes of a reservation.
 const (
-	ReservationGranted  Reservation = iota
-	ReservationDenied               // the target is now too loaded
-	ReservationDeferred             // the target accepts no requests for now; this entry sends it none for a while
+	ReservationGranted   Reservation = iota
+	ReservationDenied                // the target is now too loaded
+	ReservationDeferred              // the target accepts no requests for now; this entry sends it none for a while
+	ReservationElsewhere             // the target is too loaded, which this entry did not know; another one may not be
 )
 
 // ReserveResult is the answer to another entry's reservation request from the home entry of a
@@ -23,6 +24,7 @@
 	Known   bool          // the home entry knows the target
 	Wait    time.Duration // until the target's rate limit allows the next request; zero if it allows one now
 	Report  notice.Report // state of the target known to the home entry
+	Others  Load          // at the target before the request, of all entries but the requester
 }
 
 // Reserve decides, as the home entry of a target, whether the entry from may send one more request
@@ -39,6 +41,7 @@
 	}
 	p := ReserveResult{Known: true, Report: notice.Report{Incarnation: notice.IncarnationOf(&t.Instance), State: b.stateOf(t)}}
 	p.Report.Leaving = b.leaving(t)
+	p.Others = Load{t.load.Requests - t.entryLoads[from].Requests, t.load.PendingPrefill - t.entryLoads[from].PendingPrefill}
 	r := t.rate(now, p.Report.Limit)
 	p.Wait = max(t.pace.next(now, r).Sub(now), 0)
 	if p.Wait > 0 || p.Report.Leaving || b.policy.Evacuated(t.Domain) || !a.admits(t.load, b.forecast(t, Demand{Prompt: prompt})) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -58,10 +58,14 @@
 // the request may not wait.
 const maxDeferredTargets = 4
 
+// maxLoadedTargets bounds how many targets a request tries whose homes know a higher load than
+// this entry. A question to a home takes a few milliseconds at most.
+const maxLoadedTargets = 6
+
 // pick chooses a target whose home entry (see Reserver) grants a place. A target that
 // accepts no requests for now defers the reservation and is skipped.
 func (x *exchange) pick(ctx context.Context, d dispatch.Demand, until time.Time) (dispatch.Choice, dispatch.Verdict) {
-	for deferred := 0; ; deferred++ {
+	for deferred, loaded := 0, 0; ; {
 		choice, verdict := x.g.balancer.Pick(clock.Now(), x.service, d, x.avoid)
 		if verdict != dispatch.Chosen {
 			return choice, verdict
@@ -72,7 +76,15 @@
 		}
 		x.g.balancer.Cancel(choice.Target, d)
 		x.denied++
-		retry := reservation == dispatch.ReservationDeferred && (deferred < maxDeferredTargets || clock.Now().Before(until))
+		retry := false
+		switch reservation {
+		case dispatch.ReservationDeferred:
+			retry = deferred < maxDeferredTargets || clock.Now().Before(until)
+			deferred++
+		case dispatch.ReservationElsewhere:
+			loaded++
+			retry = loaded < maxLoadedTargets
+		}
 		if !retry || ctx.Err() != nil {
 			return choice, dispatch.Saturated
 		}
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -57,6 +57,13 @@
 	return encodeCrashes(clock.Now(), n)
 }
 
+// all returns the changed records, whoever observed them, or nil.
+func (c *crashCursor) all() *peer.Crashes {
+	n, position := c.table.Changes(c.position, 1)
+	c.position = position
+	return encodeCrashes(clock.Now(), n)
+}
+
 // forAgent returns the changed records that agents keep, or nil.
 func (c *crashCursor) forAgent() *peer.Crashes {
 	n, position := c.table.Changes(c.position, agentCrashThreshold)
--- a/mesh/entries_test.go
+++ b/mesh/entries_test.go
@@ -43,6 +43,7 @@
 	mu          sync.Mutex
 	down        bool
 	conns       []*peer.Conn  // connections that other processes opened
+	raw         []net.Conn    // all connections, also those whose handshake has not ended
 	frozen      chan struct{} // closed when the entry is frozen
 }
 
@@ -221,19 +222,25 @@
 	for _, c := range e.conns {
 		c.Close()
 	}
+	for _, c := range e.raw {
+		c.Close()
+	}
 }
 
 // dial connects to another entry.
 func (e *entry) dial(_ context.Context, addr string) (net.Conn, error) {
 	to := e.fleet.all[slices.IndexFunc(e.fleet.all, func(e *entry) bool { return e.addr == addr })]
 	to.mu.Lock()
-	defer to.mu.Unlock()
 	if to.down || e.unreachable[addr] || to.unreachable[e.addr] {
+		to.mu.Unlock()
 		return nil, errors.New("connection refused")
 	}
 	near, far := net.Pipe()
+	accepted := newFreezableConn(newDelayedConn(far, to), to)
+	to.raw = append(to.raw, accepted)
+	to.mu.Unlock()
 	go func() {
-		c, err := peer.NewConn(newFreezableConn(newDelayedConn(far, to), to), peer.Hello{Host: addr}, false, to.serve, &peer.Meter{})
+		c, err := peer.NewConn(accepted, peer.Hello{Host: addr}, false, to.serve, &peer.Meter{})
 		if err != nil {
 			return
 		}
@@ -241,7 +248,11 @@
 		defer to.mu.Unlock()
 		to.conns = append(to.conns, c)
 	}()
-	return newFreezableConn(newDelayedConn(near, e), e), nil
+	dialled := newFreezableConn(newDelayedConn(near, e), e)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.raw = append(e.raw, dialled)
+	return dialled, nil
 }
 
 // stop stops all entries and waits until messages in flight have been dropped.
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -116,7 +116,7 @@
 		return
 	}
 	old := m.role
-	m.role = chooseRole(m.self, candidates)
+	m.role = chooseRole(m.self, candidates, m.storeRelays())
 	if old.follows == m.role.follows {
 		return
 	}
@@ -144,11 +144,20 @@
 	return addr
 }
 
-// chooseRole returns the role of self, the first of candidates. Readers are chosen among the
+// storeRelays returns the entries of the own failure domain that pass the copy of the store on to
+// the others there, or nil if those follow one entry.
+func (m *Mesh) storeRelays() []string {
+	if !m.large() {
+		return nil
+	}
+	return m.overlay.Relays(m.self.Domain)
+}
+
+// chooseRole returns the role of self, the first of candidates; relays are those of storeRelays. Readers are chosen among the
 // entries that reach the store: a reader that does not reach it would still answer its followers,
 // and so keep them from the changes that other readers receive. Entries with the same view of the
 // candidates make the same choice.
-func chooseRole(self peer.Presence, candidates []readerCandidate) role {
+func chooseRole(self peer.Presence, candidates []readerCandidate, relays []string) role {
 	all := readerCandidateAddrs(candidates, func(readerCandidate) bool { return true })
 	reaching := readerCandidateAddrs(candidates, func(c readerCandidate) bool { return !c.failing })
 	r := role{candidates: candidates, reason: "entries that reach the store"}
@@ -161,7 +170,7 @@
 	ranked := membership.Rank(readerKey, reaching, secondGroupRanks)
 	readers := ranked[:min(readerCount, len(ranked))]
 	if !slices.Contains(readers, self.Addr) {
-		r.follows = chooseSource(self, candidates, readers)
+		r.follows = chooseSource(self, candidates, readers, relays)
 	}
 	switch rank := slices.Index(ranked, self.Addr); {
 	case rank >= firstGroupRanks:
@@ -185,9 +194,17 @@
 // chooseSource returns the entry that a non-reader follows: a reader of its failure domain
 // or, if there is none, the domain relay, so that the store's data crosses to the domain
 // only once. A configuration of 1,400 routes has about 300 kB, and a link between failure
-// domains carries 3.4 MB/s in total.
-func chooseSource(self peer.Presence, candidates []readerCandidate, readers []string) string {
+// domains carries 3.4 MB/s in total. In a large fleet only relays follow these, and the other
+// entries follow a relay, so that none has more followers than the square root of the domain's
+// entries, about.
+func chooseSource(self peer.Presence, candidates []readerCandidate, readers, relays []string) string {
 	inDomain := func(c readerCandidate) bool { return c.domain == self.Domain }
+	if !slices.Contains(relays, self.Addr) {
+		usable := readerCandidateAddrs(candidates, func(c readerCandidate) bool { return !c.failing && slices.Contains(relays, c.addr) })
+		if len(usable) > 0 {
+			return membership.First(self.Host, usable)
+		}
+	}
 	near := readerCandidateAddrs(candidates, func(c readerCandidate) bool { return inDomain(c) && slices.Contains(readers, c.addr) })
 	if len(near) > 0 {
 		return membership.First(self.Host, near)
--- a/mesh/forward.go
+++ b/mesh/forward.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/peer"
 )
 
@@ -37,7 +38,7 @@
 	}
 	r := toRelayedState(agent, s)
 	m.forwarded[agent.EngineAddr] = forwardedReport{from, r}
-	m.broadcastReport(r)
+	m.issueReport(r)
 }
 
 // agentStreamEnded stops forwarding the reports received on an agent's stream.
@@ -55,10 +56,17 @@
 		return
 	}
 	delete(m.forwarded, engine)
-	m.broadcastReport(peer.RelayedState{EngineAddr: engine, Withdrawn: true})
+	m.issueReport(peer.RelayedState{EngineAddr: engine, Withdrawn: true})
 }
 
-func (m *Mesh) broadcastReport(r peer.RelayedState) {
+// issueReport passes a report on to the other entries: over its links or, in a large fleet, by
+// gossip. The lock must be held.
+func (m *Mesh) issueReport(r peer.RelayedState) {
+	m.records.Forward(clock.Now(), r)
+	if m.large() {
+		m.wake()
+		return
+	}
 	for _, l := range m.links {
 		l.queueRelayed(r)
 	}
@@ -83,9 +91,9 @@
 func (m *Mesh) receiveReports(from streamID, msg *peer.EngineStates) {
 	for _, r := range msg.States {
 		if r.Withdrawn {
-			m.engines.remove(from, r.EngineAddr)
+			m.engines.remove(reportSource{stream: from}, r.EngineAddr)
 			continue
 		}
-		m.engines.add(from, fromRelayedState(r))
+		m.engines.add(reportSource{stream: from}, fromRelayedState(r))
 	}
 }
--- /dev/null
+++ b/mesh/large_test.go
@@ -0,0 +1,235 @@
+package mesh
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/springgate/springgate/overlay"
+	"github.com/springgate/springgate/peer"
+	"gotest.tools/v3/assert"
+)
+
+// largeFleet is a number of entries that do not all link to each other.
+const largeFleet = 60
+
+// lossKnown is the time within which all entries must know that an entry is lost.
+const lossKnown = 3 * time.Second
+
+// steadyBytes returns what one entry sends in a second, when all have known each other for a while.
+func steadyBytes(t *testing.T, entries, agents int) int64 {
+	c := startFleet(entries, agents)
+	defer c.stop()
+	time.Sleep(8 * time.Second)
+	assert.Equal(t, c.missingReports(1), 0)
+	near, _ := c.sent(peer.SameDomain)
+	far, _ := c.sent(peer.OtherDomain)
+	begin := near + far
+	const watched = 10
+	time.Sleep(watched * time.Second)
+	near, _ = c.sent(peer.SameDomain)
+	far, _ = c.sent(peer.OtherDomain)
+	return (near + far - begin) / watched / int64(entries)
+}
+
+// What an entry sends at rest does not grow with the fleet.
+func TestRestCostsTheSameInAFleetTwiceTheSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		small := steadyBytes(t, 45, 40)
+		large := steadyBytes(t, 90, 80)
+		t.Logf("%d B/s at 45 entries, %d B/s at 90", small, large)
+		assert.Assert(t, 10*large <= 12*small, "%d B/s at 45 entries, %d B/s at 90", small, large)
+	})
+}
+
+// Each entry of a large fleet knows all others and all engines, and links to few.
+func TestEntriesOfALargeFleetKnowAllThroughFewLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFleet(largeFleet, 30)
+		defer c.stop()
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, c.missingReports(1), 0)
+		for _, m := range c.members[:c.entries] {
+			assert.Equal(t, len(m.mesh.Entries()), largeFleet-1, m.self.Addr)
+			assert.Assert(t, m.mesh.linkCount() <= overlay.CompleteUpTo/2, "%d links", m.mesh.linkCount())
+		}
+		c.publish(2)
+		time.Sleep(time.Second)
+		assert.Equal(t, c.missingReports(2), 0)
+	})
+}
+
+func (m *Mesh) linkCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links) + len(m.accounts)
+}
+
+// knownBy returns how many of the given entries count one as live.
+func knownBy(list []*process, addr string) int {
+	n := 0
+	for _, m := range list {
+		if hasAddr(m.mesh.Entries(), addr) {
+			n++
+		}
+	}
+	return n
+}
+
+// All entries soon know that others are lost, relays among them, nobody else is taken for lost, and
+// all know those that are back, with the reports that they forward.
+func TestLossesInALargeFleet(t *testing.T) {
+	for name, lost := range map[string]func(c *processes) []*process{
+		"an entry":  func(c *processes) []*process { return c.members[largeFleet-1 : largeFleet] },
+		"the seeds": func(c *processes) []*process { return c.members[:3] },
+		"all relays of a failure domain": func(c *processes) []*process {
+			relays := c.members[0].mesh.overlay.Relays(c.members[0].self.Domain)
+			return slices.DeleteFunc(slices.Clone(c.members[:c.entries]), func(m *process) bool { return !slices.Contains(relays, m.self.Addr) })
+		},
+		"half of the entries": func(c *processes) []*process { return c.members[c.entries/2 : c.entries] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := startFleet(largeFleet, 20)
+				defer c.stop()
+				time.Sleep(8 * time.Second)
+				gone := lost(c)
+				rest := slices.DeleteFunc(slices.Clone(c.members[:c.entries]), func(m *process) bool { return slices.Contains(gone, m) })
+				for _, m := range gone {
+					m.kill()
+				}
+				time.Sleep(lossKnown)
+				for _, m := range gone {
+					assert.Equal(t, knownBy(rest, m.self.Addr), 0, "%s is lost", m.self.Addr)
+				}
+				for _, m := range rest {
+					assert.Equal(t, knownBy(rest, m.self.Addr), len(rest)-1, "%s is up", m.self.Addr)
+				}
+				assert.Equal(t, c.missingReports(1), 0)
+				for _, m := range gone {
+					m.self.Incarnation++
+					m.start()
+				}
+				time.Sleep(lossKnown)
+				for _, m := range c.members[:c.entries] {
+					assert.Equal(t, knownBy(c.members[:c.entries], m.self.Addr), c.entries-1, "%s is up", m.self.Addr)
+				}
+				c.publish(2)
+				time.Sleep(time.Second)
+				assert.Equal(t, c.missingReports(2), 0)
+			})
+		})
+	}
+}
+
+// Changes of the store reach all entries of a large fleet in time, also when the readers, relays
+// among them, lose the store, are killed or hang.
+func TestChangesReachALargeFleet(t *testing.T) {
+	for _, f := range []fault{healthy, silent, killed, frozen} {
+		t.Run(fmt.Sprint("readers ", f), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := startEntries(t, largeFleet)
+				defer all.stop()
+				time.Sleep(8 * time.Second)
+				lost := all.readers(time.Now().Add(-2 * time.Second))
+				if f == healthy {
+					lost = nil
+				}
+				for _, e := range lost {
+					e.inject(f)
+				}
+				for n := range 3 {
+					for addr, delay := range lag(all.except(lost), all.change(), changeInterval) {
+						assert.Check(t, delay <= maxLag, "change %d: %s received it after %v", n, addr, delay)
+					}
+				}
+				for _, e := range all.except(lost) {
+					assert.Check(t, !e.sawOutage(), "%s detected an outage", e.addr)
+				}
+			})
+		})
+	}
+}
+
+// Without faults only the readers call the store of a large fleet, and all copies stay confirmed.
+func TestLargeFleetCallsTheStoreThreeTimesASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startEntries(t, largeFleet)
+		defer all.stop()
+		time.Sleep(8 * time.Second)
+		begin := time.Now()
+		time.Sleep(20 * time.Second)
+		calls := all.callsSince(begin)
+		assert.Check(t, calls >= 55 && calls <= 66, "%d calls in 20 s", calls)
+	})
+}
+
+// split closes the connections between two groups of entries, and lets none open until join.
+func (f *entries) split(a, b []*entry) {
+	hosts := map[string]bool{}
+	for _, x := range a {
+		hosts["host of "+x.addr] = true
+		x.unreachable = map[string]bool{}
+		for _, y := range b {
+			x.unreachable[y.addr] = true
+		}
+	}
+	for _, y := range b {
+		y.mu.Lock()
+		for _, c := range y.conns {
+			if hosts[c.Remote().Host] {
+				c.Close()
+			}
+		}
+		y.mu.Unlock()
+	}
+	for _, x := range a {
+		x.mu.Lock()
+		for _, c := range x.conns {
+			if !hosts[c.Remote().Host] {
+				c.Close()
+			}
+		}
+		x.mu.Unlock()
+	}
+}
+
+func (f *entries) join(a []*entry) {
+	for _, x := range a {
+		x.unreachable = nil
+	}
+}
+
+// After a partition the parts of a large fleet find each other by themselves.
+func TestPartitionHealsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startEntries(t, largeFleet)
+		defer all.stop()
+		time.Sleep(8 * time.Second)
+		a, b := all.all[:20], all.all[20:]
+		all.split(a, b)
+		time.Sleep(2 * lossKnown)
+		for _, e := range b {
+			assert.Equal(t, len(e.mesh.Entries()), len(b)-1, "%s in the larger part", e.addr)
+		}
+		all.join(a)
+		time.Sleep(4 * lossKnown)
+		for _, e := range all.all {
+			assert.Equal(t, len(e.mesh.Entries()), largeFleet-1, e.addr)
+		}
+	})
+}
+
+// A crash that one entry of a large fleet observes is known to all in time.
+func TestCrashesReachALargeFleet(t *testing.T) {
+	withEntries(t, largeFleet, func(t *testing.T, all *entries) {
+		time.Sleep(7 * time.Second)
+		all.all[3].recordThreeCrashes()
+		time.Sleep(propagationLimit)
+		for _, e := range all.all {
+			assert.Assert(t, refuses(e.crashes), e.addr)
+		}
+	})
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -14,15 +14,25 @@
 type link struct {
 	mesh   *Mesh
 	addr   string
+	class  peer.Class
 	cancel context.CancelFunc
 	wake   chan struct{} // signals that messages are pending
 
+	// The fields of this group are guarded by the mutex of the Mesh.
+	account       bool      // carries only load reports to the home of targets (see accounts.go)
+	loadedAt      time.Time // of an account: when it last reported a load
+	up            bool      // the stream is open
+	unwantedSince time.Time // zero while the link is wanted
+
 	mu         sync.Mutex
 	report     *peer.EngineState            // latest report, at agents
 	reportSent bool                         // report was sent to the entry
 	crashesDue bool                         // all crash records must be sent
 	loads      *peer.Loads                  // pending load report, at entries
 	relayed    map[string]peer.RelayedState // pending reports of agents, by engine
+	records    pendingRecords               // pending gossip
+	digest     *peer.GossipDigest           // pending question for the records that the entry has
+	notices    sentNotices                  // notices of targets last sent
 }
 
 // queueLoads merges a load report into the pending one.
@@ -98,6 +108,13 @@
 		out = append(out, reportsMessage(l.relayed))
 		l.relayed = nil
 	}
+	if msg := l.records.take(); msg != nil {
+		out = append(out, msg)
+	}
+	if l.digest != nil {
+		out = append(out, l.digest)
+		l.digest = nil
+	}
 	if l.loads != nil {
 		out = append(out, l.loads)
 		l.loads = nil
@@ -108,10 +125,11 @@
 func (l *link) run(ctx context.Context) {
 	for attempts := 0; ctx.Err() == nil; attempts++ {
 		timeout, pause := l.mesh.cfg.dialAttempt(attempts)
-		if l.session(ctx, timeout) {
+		reached := l.session(ctx, timeout)
+		if reached {
 			attempts, pause = 0, l.mesh.cfg.RetryAfter
 		}
-		l.mesh.linkLost(l)
+		l.mesh.linkLost(ctx, l, reached)
 		if !loop.Sleep(ctx, pause) {
 			return
 		}
@@ -123,7 +141,7 @@
 func (l *link) session(ctx context.Context, dialTimeout time.Duration) bool {
 	dialCtx, cancel := clock.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := l.mesh.pool.Get(dialCtx, l.addr, peer.Control)
+	c, err := l.mesh.pool.Get(dialCtx, l.addr, l.class)
 	if err != nil {
 		return false
 	}
@@ -139,11 +157,8 @@
 		s.Close()
 		<-ended // no message of the entry may be handled after the entry counts as lost
 	}()
-	l.mesh.mu.Lock()
-	l.streamOpened(l.mesh.allForwarded())
-	l.mesh.mu.Unlock()
+	crashes := l.mesh.linkOpened(l)
 	go l.receive(ctx, s, ended)
-	crashes := crashCursor{table: l.mesh.crashes}
 	for {
 		changed := crashes.changed()
 		if msg := l.nextCrashes(&crashes); msg != nil && s.Send(ctx, msg) != nil {
@@ -153,7 +168,7 @@
 		case <-changed:
 		case <-l.wake:
 			for _, msg := range l.takePending() {
-				if s.Send(ctx, l.mesh.stamped(msg)) != nil {
+				if s.Send(ctx, l.trimNotices(l.mesh.stamped(msg))) != nil {
 					return true
 				}
 			}
@@ -173,6 +188,8 @@
 		return nil
 	case l.takeCrashesDue():
 		return cursor.snapshot()
+	case l.mesh.isLarge():
+		return cursor.all()
 	}
 	return cursor.observed()
 }
@@ -196,6 +213,8 @@
 			l.mesh.onAssignment(*v)
 		case *peer.Crashes:
 			l.mesh.mergeCrashes(v)
+		case *peer.Gossip:
+			l.mesh.mergeGossip(l.addr, v)
 		}
 	}
 }
@@ -212,21 +231,48 @@
 	m.wakeIfMembersChanged()
 }
 
+// linkOpened prepares a link whose stream has just been opened. It returns the cursor of the crash
+// records to send on it.
+func (m *Mesh) linkOpened(l *link) crashCursor {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l.up = true
+	if l.account {
+		l.streamOpened(nil)
+		return crashCursor{}
+	}
+	if m.large() {
+		l.streamOpened(nil)
+		m.gossipLinkOpened(l)
+	} else {
+		l.streamOpened(m.allForwarded())
+	}
+	return crashCursor{table: m.crashes}
+}
+
 // linkLost records that an entry is unreachable, unless another link to it has replaced l.
-func (m *Mesh) linkLost(l *link) {
-	if m.markBroken(l) && m.onEntryLost != nil {
+// reached is true if the link was up.
+func (m *Mesh) linkLost(ctx context.Context, l *link, reached bool) {
+	if m.markBroken(ctx, l, reached) && m.onEntryLost != nil {
 		m.onEntryLost(l.addr)
 	}
 }
 
 // markBroken marks the entry of a link as unreachable. It returns false if another link to
 // the entry has replaced l.
-func (m *Mesh) markBroken(l *link) bool {
+func (m *Mesh) markBroken(ctx context.Context, l *link, reached bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	l.up = false
 	if current := m.links[l.addr]; current != nil && current != l {
 		return false
 	}
+	if m.large() {
+		if !reached && ctx.Err() == nil { // if it was up, it is opened again first
+			m.lostContact(l.addr)
+		}
+		return true
+	}
 	m.members.MarkUnreachable(l.addr)
 	m.wakeIfMembersChanged()
 	return true
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -102,6 +102,12 @@
 	// beyond its Revision; zero if they never did.
 	storeSeenAt time.Time
 	clock       peerClock
+
+	// vouched is true if other entries count the entry as live (see package gossip). That does
+	// not hold here before distrustedUntil: this process could not reach the entry.
+	vouched         bool
+	distrustedUntil time.Time
+	lastLiveAt      time.Time // last message or last time vouched for; zero for never
 }
 
 // clockWindow is how long a reading of a peer's clock is used to bound the transit time of
@@ -157,13 +163,13 @@
 
 // liveList is a list of the live members that is kept until it may have changed.
 type liveList struct {
-	version          uint64 // of the Members when it was made
-	madeAt, validFor time.Time
-	list             []peer.Presence
+	version            uint64 // of the Members when it was made
+	madeAt, validUntil time.Time
+	list               []peer.Presence
 }
 
 func (l liveList) valid(version uint64, now time.Time) bool {
-	return l.version == version && !now.Before(l.madeAt) && !now.After(l.validFor)
+	return l.version == version && !now.Before(l.madeAt) && !now.After(l.validUntil)
 }
 
 // NewMembers returns a set in which only the addresses of the seeds are known.
@@ -205,9 +211,9 @@
 		return false
 	}
 	isNew := old == nil || !m.isLive(now, old) || old.Incarnation != p.Incarnation
-	x := &member{Presence: p, receivedAt: now}
+	x := &member{Presence: p, receivedAt: now, lastLiveAt: now}
 	if old != nil && old.Incarnation == p.Incarnation {
-		x.clock = old.clock
+		x.clock, x.vouched, x.distrustedUntil = old.clock, old.vouched, old.distrustedUntil
 	}
 	x.clock = x.clock.observe(now, fromMilliseconds(p.Store.UptimeMs))
 	if p.Store.Known {
@@ -242,8 +248,84 @@
 	}
 }
 
+// Vouch records whether other entries count an entry as live, and what it reported to them.
+func (m *Members) Vouch(now time.Time, p peer.Presence, live bool) {
+	old := m.byAddr[p.Addr]
+	if p.Addr == m.self || old == nil && !live {
+		return
+	}
+	x := &member{Presence: p, vouched: live}
+	if old != nil && (old.Incarnation == p.Incarnation || m.heardLately(now, old)) {
+		x = old
+		if !m.heardLately(now, old) {
+			x.Host, x.Domain, x.LinkMbps, x.Leaving, x.Store.Failing = p.Host, p.Domain, p.LinkMbps, p.Leaving, p.Store.Failing
+		}
+		x.vouched = live
+	}
+	if live {
+		x.lastLiveAt = now
+	}
+	m.byAddr[p.Addr] = x
+	if old == nil {
+		m.addrs = nil
+	}
+	m.version++
+}
+
+// distrustFor is how long an entry that this process could not reach does not count as live here
+// although others vouch for it.
+const distrustFor = 2 * time.Second
+
+// Distrust records that this process could not reach an entry.
+func (m *Members) Distrust(now time.Time, addr string) {
+	if x := m.byAddr[addr]; x != nil {
+		x.distrustedUntil = now.Add(distrustFor)
+		m.version++
+	}
+}
+
+// heardLately reports whether the entry itself has sent something within the time after which it
+// counts as lost otherwise.
+func (m *Members) heardLately(now time.Time, x *member) bool {
+	return !x.receivedAt.IsZero() && now.Sub(x.receivedAt) <= m.expireAfter
+}
+
+// Silent reports whether an entry has sent nothing for longer than that.
+func (m *Members) Silent(now time.Time, addr string) bool {
+	x := m.byAddr[addr]
+	return x != nil && !x.receivedAt.IsZero() && !m.heardLately(now, x)
+}
+
 func (m *Members) isLive(now time.Time, x *member) bool {
-	return !x.receivedAt.IsZero() && now.Sub(x.receivedAt) <= m.expireAfter && !x.Leaving
+	return !x.Leaving && (m.heardLately(now, x) || x.vouched && !now.Before(x.distrustedUntil))
+}
+
+// mayChangeAt returns until when isLive holds or, if it does not, does not hold unless something
+// is recorded.
+func (m *Members) mayChangeAt(now time.Time, x *member) time.Time {
+	at := now.Add(m.expireAfter)
+	if m.heardLately(now, x) {
+		at = earlier(at, x.receivedAt.Add(m.expireAfter))
+	}
+	if x.vouched && now.Before(x.distrustedUntil) {
+		at = earlier(at, x.distrustedUntil.Add(-1))
+	}
+	return at
+}
+
+// sizeMemory is how long an entry counts in Size after it was last live.
+const sizeMemory = time.Minute
+
+// Size returns the size of the fleet, including this process: members that are live, were live
+// lately, or are known by address only.
+func (m *Members) Size(now time.Time) int {
+	n := 1
+	for _, x := range m.byAddr {
+		if x.lastLiveAt.IsZero() || now.Sub(x.lastLiveAt) < sizeMemory || m.isLive(now, x) {
+			n++
+		}
+	}
+	return n
 }
 
 // Live returns the live entries, ordered by address. The states of their copies may be older
@@ -252,12 +334,12 @@
 	if m.live.valid(m.version, now) {
 		return m.live.list
 	}
-	next := liveList{madeAt: now, validFor: now.Add(m.expireAfter)}
+	next := liveList{madeAt: now, validUntil: now.Add(m.expireAfter)}
 	for _, x := range m.byAddr {
 		if m.isLive(now, x) {
 			next.list = append(next.list, x.Presence)
-			next.validFor = earlier(next.validFor, x.receivedAt.Add(m.expireAfter))
 		}
+		next.validUntil = earlier(next.validUntil, m.mayChangeAt(now, x))
 	}
 	slices.SortFunc(next.list, func(a, b peer.Presence) int { return cmp.Compare(a.Addr, b.Addr) })
 	next.list = slices.Clip(next.list)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -9,8 +9,11 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/gossip"
+	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overlay"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/quarantine"
 )
@@ -19,7 +22,8 @@
 type Listener interface {
 	// Loads receives the load report of the entry at address from.
 	Loads(from string, l *peer.Loads)
-	// EntryLost is called when an entry is no longer live.
+	// EntryLost is called when an entry is no longer live, or does not report its loads to this
+	// one any more.
 	EntryLost(addr string)
 	// EngineState receives the state of an agent's engine; s is nil once no report of
 	// that engine is left.
@@ -49,11 +53,20 @@
 	store         *mirror.MonitoredStore // set by NewFollower
 	crashes       *quarantine.Table      // crash records; nil for none
 	engines       *reportRegistry
+	told          confirmationsTold
 	isSeed        bool // other processes start discovery at this entry
+	seeds         []string
+	targetDomain  func(target string) string
 
 	mu              sync.Mutex
 	members         *Members
+	overlay         *overlay.Overlay // links of the entries
+	records         *gossip.Table    // what entries of a large fleet tell each other
+	gossipTimes     gossipTimes
+	probe           string         // a lost entry or a seed that is contacted now, in a large fleet
+	inbound         map[string]int // open streams of other entries, by address
 	links           map[string]*link
+	accounts        map[string]*link // to homes of targets that are not in links
 	live            []peer.Presence
 	liveChanged     chan struct{} // closed when live changes
 	leaving         bool
@@ -89,6 +102,9 @@
 	Table       *mirror.Table // own copy of the store; nil at agents
 	Log         logrus.FieldLogger
 	Metrics     metrics.Registry // nil for none
+	// TargetDomain returns the failure domain of a target by its ID, or "" if it is not known; nil
+	// for none.
+	TargetDomain func(target string) string
 	// Crashes holds the crash records, which are replicated to the other processes (see
 	// crashes.go); nil for none.
 	Crashes *quarantine.Table
@@ -100,7 +116,11 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
-	return &Mesh{cfg: cfg, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, onAssignment: o.OnAssignment, onEntryLost: o.OnEntryLost, table: o.Table,
+	if o.TargetDomain == nil {
+		o.TargetDomain = func(string) string { return "" }
+	}
+	return &Mesh{cfg: cfg, seeds: o.Seeds, targetDomain: o.TargetDomain, overlay: overlay.New([]peer.Presence{o.Self}, true),
+		records: gossip.NewTable(clock.Now(), o.Self), inbound: map[string]int{}, accounts: map[string]*link{}, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, onAssignment: o.OnAssignment, onEntryLost: o.OnEntryLost, table: o.Table,
 		metrics: o.Metrics, startedAt: clock.Now(), sourceChanges: metrics.NewRegisteredCounter("mesh.source_changes", o.Metrics),
 		members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
 		engines: newReportRegistry(o.Listener), isSeed: slices.Contains(o.Seeds, o.Self.Addr), forwarded: map[string]forwardedReport{},
@@ -115,6 +135,7 @@
 	defer m.mu.Unlock()
 	m.leaving = true
 	m.signalChange()
+	m.wake()
 }
 
 // Entries returns the live entries except this process.
@@ -181,12 +202,13 @@
 		now := clock.Now()
 		m.refresh(ctx, now)
 		if loads != nil {
-			m.sendLoads(now, reporter, loads)
+			m.sendLoads(ctx, now, reporter, loads)
 		}
 		timer.Reset(m.cfg.roundInterval(len(m.Entries()), loads != nil))
 		select {
 		case <-timer.C:
 		case <-m.membersChanged:
+			loop.Sleep(ctx, m.minRoundGap()-clock.Since(now))
 		case <-ctx.Done():
 			return
 		}
@@ -198,27 +220,43 @@
 func (m *Mesh) refresh(ctx context.Context, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	version := m.members.Version(now)
-	if version != m.refreshedVersion {
-		m.refreshedVersion = version
-		m.updateLinks(ctx, m.wantedLinks(now))
-		m.setLive(m.members.Live(now))
+	if m.isEntry() {
+		m.refreshRecords(now)
+	}
+	if version := m.members.Version(now); version != m.refreshedVersion {
+		m.applyMembers(ctx, now)
 	}
 	if m.table == nil {
 		m.chooseForwarder()
 		return
 	}
+	m.closeUnwanted(now)
+	m.gossipRound(now)
 	m.table.Confirm(m.members.ConfirmedAt(m.table.Revision()))
-	m.updateRole(now, version)
+	m.updateRole(now, m.refreshedVersion)
 	m.catchUpIfBehind(ctx, now)
 	m.repair(ctx, now)
 }
 
-// wantedLinks returns the addresses of the entries that this process links to: all of them
-// for an entry, a few for an agent.
+// applyMembers updates the links and the live members to what is known of the members. The lock
+// must be held.
+func (m *Mesh) applyMembers(ctx context.Context, now time.Time) {
+	if m.isEntry() {
+		m.updateOverlay(now)
+	}
+	live := m.members.Live(now)
+	m.refreshedVersion = m.members.Version(now)
+	m.updateLinks(ctx, m.wantedLinks(now))
+	m.setLive(live)
+}
+
+func (m *Mesh) isEntry() bool { return m.self.EngineAddr == "" }
+
+// wantedLinks returns the addresses of the entries that this process links to: for an entry those
+// of the overlay, for an agent a few.
 func (m *Mesh) wantedLinks(now time.Time) []string {
-	if m.self.EngineAddr == "" {
-		return m.members.Addrs()
+	if m.isEntry() {
+		return m.entryLinks()
 	}
 	return chooseLinks(m.self, m.members.Candidates(now))
 }
@@ -229,14 +267,18 @@
 	for _, addr := range addrs {
 		wanted[addr] = true
 		if m.links[addr] == nil {
-			linkCtx, cancel := context.WithCancel(ctx)
-			l := &link{mesh: m, addr: addr, cancel: cancel, report: m.reportFor(addr), wake: make(chan struct{}, 1)}
-			m.links[addr] = l
-			go l.run(linkCtx)
+			m.links[addr] = m.openLink(ctx, &link{addr: addr, class: peer.Control, report: m.reportFor(addr)})
 		}
 	}
 	for addr, l := range m.links {
-		if !wanted[addr] {
+		switch {
+		case wanted[addr]:
+			l.unwantedSince = time.Time{}
+		case m.isEntry():
+			if l.unwantedSince.IsZero() {
+				l.unwantedSince = clock.Now()
+			}
+		default:
 			l.cancel()
 			delete(m.links, addr)
 			m.members.MarkUnreachable(addr)
@@ -249,25 +291,52 @@
 		m.live = live
 		return
 	}
-	for _, old := range m.live {
-		if !hasAddr(live, old.Addr) {
-			m.log.WithField("peer", old.Addr).Warn("Entry lost.")
-			delete(m.copyDifferences, old.Addr)
-			delete(m.crashMismatches, old.Addr)
-			if m.listener != nil {
-				m.listener.EntryLost(old.Addr)
-			}
-		}
-	}
-	for _, p := range live {
-		if !hasAddr(m.live, p.Addr) {
-			m.log.WithFields(logrus.Fields{"peer": p.Addr, "host": p.Host, "incarnation": p.Incarnation}).Info("Entry found.")
+	lost, found := differingMembers(m.live, live)
+	for _, old := range lost {
+		m.logMember(old, "Entry lost.", logrus.WarnLevel)
+		delete(m.copyDifferences, old.Addr)
+		delete(m.crashMismatches, old.Addr)
+		m.engines.removeSource(reportSource{forwarder: old.Addr})
+		if m.listener != nil {
+			m.listener.EntryLost(old.Addr)
 		}
 	}
 	m.live = live
+	for _, p := range found {
+		m.logMember(p, "Entry found.", logrus.InfoLevel)
+		m.applyReports(m.records.ReportsOf(p.Addr))
+	}
+	if m.large() {
+		m.log.WithFields(logrus.Fields{"found": len(found), "lost": len(lost), "entries": len(live)}).Info("Members changed.")
+	}
 	m.signalChange()
 }
 
+// logMember logs a change of one member. In a large fleet, single changes are logged for
+// debugging only.
+func (m *Mesh) logMember(p peer.Presence, text string, level logrus.Level) {
+	if m.large() {
+		level = logrus.DebugLevel
+	}
+	m.log.WithFields(logrus.Fields{"peer": p.Addr, "host": p.Host, "incarnation": p.Incarnation}).Log(level, text)
+}
+
+// differingMembers returns the members that are only in the first and only in the second of two
+// lists ordered by address.
+func differingMembers(a, b []peer.Presence) (onlyA, onlyB []peer.Presence) {
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && a[0].Addr < b[0].Addr:
+			onlyA, a = append(onlyA, a[0]), a[1:]
+		case len(a) == 0 || b[0].Addr < a[0].Addr:
+			onlyB, b = append(onlyB, b[0]), b[1:]
+		default:
+			a, b = a[1:], b[1:]
+		}
+	}
+	return onlyA, onlyB
+}
+
 // signalChange wakes goroutines that wait for a change of the members. The lock must be
 // held.
 func (m *Mesh) signalChange() {
@@ -297,13 +366,14 @@
 }
 
 // sendLoads queues a load report on all links if one is due or the store state changed.
-func (m *Mesh) sendLoads(now time.Time, r *loadReporter, loads func() []peer.TargetLoad) {
+func (m *Mesh) sendLoads(ctx context.Context, now time.Time, r *loadReporter, loads func() []peer.TargetLoad) {
 	storeAt, _ := m.table.LastStoreRead()
 	urgent := r.urgent(now, storeAt, m.failing())
 	if !urgent && !r.due(now, m.cfg.loadInterval(len(m.Entries()))) {
 		return
 	}
-	msg := r.next(now, loads())
+	current := loads()
+	msg := r.next(now, current)
 	if msg == nil && urgent {
 		msg = &peer.Loads{}
 	}
@@ -313,6 +383,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	msg.Leaving = m.leaving
+	if m.large() {
+		m.sendAccounts(ctx, now, msg, current, urgent)
+		return
+	}
 	for _, l := range m.links {
 		l.queueLoads(msg)
 	}
@@ -322,16 +396,24 @@
 func (m *Mesh) observe(p peer.Presence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.members.Observe(clock.Now(), p)
+	now := clock.Now()
+	m.members.Observe(now, p)
+	if m.records.Introduce(now, p) && m.large() {
+		m.vouch(now, []string{p.Addr})
+	}
 	m.wakeIfMembersChanged()
 }
 
 // wakeIfMembersChanged makes Run refresh at once if the members have changed since it did. The
 // lock must be held.
 func (m *Mesh) wakeIfMembersChanged() {
-	if m.members.version == m.refreshedVersion {
-		return
+	if m.members.version != m.refreshedVersion {
+		m.wake()
 	}
+}
+
+// wake makes Run refresh at once.
+func (m *Mesh) wake() {
 	select {
 	case m.membersChanged <- struct{}{}:
 	default:
@@ -355,6 +437,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.members.MarkUnreachable(addr)
+	if m.large() {
+		m.members.Distrust(clock.Now(), addr)
+	}
 	m.wakeIfMembersChanged()
 }
 
--- a/mesh/reports.go
+++ b/mesh/reports.go
@@ -9,6 +9,13 @@
 // streamID identifies a stream that another process opened, as the origin of reports.
 type streamID uint64
 
+// reportSource is where a report comes from: a stream that another process opened or, in a large
+// fleet, the entry that forwards it.
+type reportSource struct {
+	stream    streamID
+	forwarder string // address
+}
+
 // engineReport is an agent's report of the state of its engine.
 type engineReport struct {
 	agent peer.Presence
@@ -25,8 +32,8 @@
 
 // engineReports holds the reports of engines, received from the agents themselves and from
 // entries that forward them; the newest of an engine is in effect. A report is kept until
-// the stream on which it arrived ends. It performs no I/O and reads no clock.
-type engineReports map[string]map[streamID]engineReport // by address of the engine
+// its source is gone. It performs no I/O and reads no clock.
+type engineReports map[string]map[reportSource]engineReport // by address of the engine
 
 // newest returns the report in effect for an engine.
 func (e engineReports) newest(engine string) (best engineReport, ok bool) {
@@ -39,20 +46,20 @@
 }
 
 // add records a report and returns whether it is now the one in effect.
-func (e engineReports) add(from streamID, rep engineReport) bool {
+func (e engineReports) add(from reportSource, rep engineReport) bool {
 	engine := rep.agent.EngineAddr
 	old, known := e.newest(engine)
 	if e[engine] == nil {
-		e[engine] = map[streamID]engineReport{}
+		e[engine] = map[reportSource]engineReport{}
 	}
 	e[engine][from] = rep
 	return !known || rep.newerThan(old)
 }
 
-// remove deletes a stream's report of an engine. It returns the report now in effect, and whether
+// remove deletes a source's report of an engine. It returns the report now in effect, and whether
 // that changed. If no report of the engine is left, it returns the removed one and known is
 // false.
-func (e engineReports) remove(from streamID, engine string) (rep engineReport, known, changed bool) {
+func (e engineReports) remove(from reportSource, engine string) (rep engineReport, known, changed bool) {
 	old, existed := e.newest(engine)
 	delete(e[engine], from)
 	if len(e[engine]) == 0 {
@@ -66,15 +73,15 @@
 	return rep, known, changed
 }
 
-// reportChange says that the report in effect for an engine has changed because a stream
-// ended.
+// reportChange says that the report in effect for an engine has changed because a source
+// is gone.
 type reportChange struct {
 	report engineReport
 	known  bool // if false, no report of the engine is left and report is the removed one
 }
 
-// removeStream deletes all reports of a stream.
-func (e engineReports) removeStream(from streamID) []reportChange {
+// removeSource deletes all reports of a source.
+func (e engineReports) removeSource(from reportSource) []reportChange {
 	var out []reportChange
 	for engine, reports := range e {
 		if _, ok := reports[from]; !ok {
@@ -108,7 +115,7 @@
 	return r.lastID
 }
 
-func (r *reportRegistry) add(from streamID, rep engineReport) {
+func (r *reportRegistry) add(from reportSource, rep engineReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.reports.add(from, rep) {
@@ -116,7 +123,7 @@
 	}
 }
 
-func (r *reportRegistry) remove(from streamID, engine string) {
+func (r *reportRegistry) remove(from reportSource, engine string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rep, known, changed := r.reports.remove(from, engine); changed {
@@ -124,10 +131,10 @@
 	}
 }
 
-func (r *reportRegistry) removeStream(from streamID) {
+func (r *reportRegistry) removeSource(from reportSource) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, c := range r.reports.removeStream(from) {
+	for _, c := range r.reports.removeSource(from) {
 		r.notify(c)
 	}
 }
--- a/mesh/reports_test.go
+++ b/mesh/reports_test.go
@@ -15,17 +15,17 @@
 // remaining one once that stream ends.
 func TestNewestReportOfAnEngineIsInEffect(t *testing.T) {
 	e := engineReports{}
-	assert.Assert(t, e.add(1, report(1, 1, 5)))
-	assert.Assert(t, !e.add(2, report(1, 1, 5)), "the same report forwarded by an entry")
-	assert.Assert(t, e.add(2, report(1, 2, 6)))
-	assert.Assert(t, !e.add(1, report(1, 1, 5)), "an old report that arrives late")
+	assert.Assert(t, e.add(reportSource{stream: 1}, report(1, 1, 5)))
+	assert.Assert(t, !e.add(reportSource{stream: 2}, report(1, 1, 5)), "the same report forwarded by an entry")
+	assert.Assert(t, e.add(reportSource{stream: 2}, report(1, 2, 6)))
+	assert.Assert(t, !e.add(reportSource{stream: 1}, report(1, 1, 5)), "an old report that arrives late")
 	w, _ := e.newest("e")
 	assert.Equal(t, w.state.Version, 6)
-	got := e.removeStream(2)
+	got := e.removeSource(reportSource{stream: 2})
 	assert.Equal(t, len(got), 1)
 	assert.Equal(t, got[0].report.state.Version, 5, "the report from the agent itself remains")
 	assert.Assert(t, got[0].known)
-	got = e.removeStream(1)
+	got = e.removeSource(reportSource{stream: 1})
 	assert.Assert(t, len(got) == 1 && !got[0].known, "no report of the engine remains")
 	assert.Equal(t, len(e), 0)
 }
@@ -33,9 +33,9 @@
 // A new incarnation of an agent starts its sequence again.
 func TestReportsOfANewIncarnationTakePrecedence(t *testing.T) {
 	e := engineReports{}
-	e.add(1, report(1, 40, 5))
-	assert.Assert(t, e.add(2, report(2, 1, 0)))
-	assert.Equal(t, len(e.removeStream(1)), 0, "the stream of the old incarnation is not in effect")
+	e.add(reportSource{stream: 1}, report(1, 40, 5))
+	assert.Assert(t, e.add(reportSource{stream: 2}, report(2, 1, 0)))
+	assert.Equal(t, len(e.removeSource(reportSource{stream: 1})), 0, "the stream of the old incarnation is not in effect")
 	w, ok := e.newest("e")
 	assert.Assert(t, ok && w.state.Version == 0)
 }
--- a/mesh/reserve.go
+++ b/mesh/reserve.go
@@ -43,11 +43,19 @@
 	if r.off || home == r.mesh.self.Addr {
 		return dispatch.ReservationGranted // the choice of the own balancer is final
 	}
+	if r.mesh.isLarge() {
+		return r.place(ctx, home, c, prompt)
+	}
 	reply, ok := r.callHome(ctx, home, c, prompt)
 	if !ok {
 		r.unanswered.Inc(1)
 		return r.decideWithoutHome(c)
 	}
+	return r.apply(c, reply)
+}
+
+// apply applies the answer of a home.
+func (r *Reserver) apply(c dispatch.Choice, reply *peer.ReserveReply) dispatch.Reservation {
 	if notice, ok := reply.Notice.Decode(); ok {
 		r.balancer.MergeReport(clock.Now(), notice)
 	}
@@ -63,7 +71,7 @@
 	case reply.Notice.Leaving:
 		return dispatch.ReservationDeferred
 	case reply.WaitMs > 0:
-		r.balancer.BackOff(clock.Now(), t.ID, time.Duration(reply.WaitMs)*time.Millisecond)
+		r.balancer.BackOff(clock.Now(), c.Instance.ID, time.Duration(reply.WaitMs)*time.Millisecond)
 		return dispatch.ReservationDeferred
 	}
 	return dispatch.ReservationDenied
@@ -82,11 +90,8 @@
 
 // callHome requests a place from a home; ok is false if the home does not answer in time.
 func (r *Reserver) callHome(ctx context.Context, home string, c dispatch.Choice, prompt int) (reply *peer.ReserveReply, ok bool) {
-	ctx, cancel := clock.WithTimeout(ctx, r.timeout)
-	defer cancel()
-	msg, err := r.mesh.pool.Call(ctx, home, peer.Traffic, &peer.Reserve{From: r.mesh.self.Addr, Instance: c.Instance.ID,
-		PromptTokens: prompt, MaxWaitMs: c.Admission.MaxWait.Milliseconds(), MaxGapMs: c.Admission.MaxGap.Milliseconds(),
-		MaxLoad: c.Admission.MaxLoad, Notice: peer.EncodeNotice(r.balancer.ReportOf(c.Instance.ID))})
+	q := r.request(c, prompt)
+	msg, err := r.call(ctx, home, &q)
 	if err != nil {
 		return nil, false
 	}
@@ -94,29 +99,49 @@
 	return reply, ok
 }
 
+func (r *Reserver) call(ctx context.Context, home string, q peer.Message) (peer.Message, error) {
+	ctx, cancel := clock.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	return r.mesh.pool.Call(ctx, home, peer.Traffic, q)
+}
+
+func (r *Reserver) request(c dispatch.Choice, prompt int) peer.Reserve {
+	return peer.Reserve{From: r.mesh.self.Addr, Instance: c.Instance.ID,
+		PromptTokens: prompt, MaxWaitMs: c.Admission.MaxWait.Milliseconds(), MaxGapMs: c.Admission.MaxGap.Milliseconds(),
+		MaxLoad: c.Admission.MaxLoad, Notice: peer.EncodeNotice(r.balancer.ReportOf(c.Instance.ID))}
+}
+
 // Serve answers a request of another entry.
 func (r *Reserver) Serve(ctx context.Context, s *peer.Stream, q *peer.Reserve) {
+	reply, _ := r.decide(q)
+	// On failure the requester's timeout applies.
+	_ = s.SendLast(ctx, reply)
+}
+
+// decide decides, as the home, on a request of another entry.
+func (r *Reserver) decide(q *peer.Reserve) (*peer.ReserveReply, dispatch.ReserveResult) {
 	if notice, ok := q.Notice.Decode(); ok {
 		r.balancer.MergeReport(clock.Now(), notice)
 	}
 	p := r.balancer.Reserve(clock.Now(), q.From, q.Instance, q.PromptTokens, dispatch.Admission{
 		MaxWait: time.Duration(q.MaxWaitMs) * time.Millisecond, MaxGap: time.Duration(q.MaxGapMs) * time.Millisecond,
 		MaxLoad: q.MaxLoad})
-	// On failure the requester's timeout applies.
-	_ = s.SendLast(ctx, &peer.ReserveReply{Granted: p.Granted, Known: p.Known, WaitMs: milliseconds(p.Wait), Notice: peer.EncodeNotice(p.Report)})
+	return &peer.ReserveReply{Granted: p.Granted, Known: p.Known, WaitMs: milliseconds(p.Wait), Notice: peer.EncodeNotice(p.Report)}, p
 }
 
-// home returns the home entry of a target, which grants or denies the places at it.
+// home returns the home entry of a target, which grants or denies the places at it: a relay of
+// the target's failure domain (see package overlay).
 func (m *Mesh) home(target, domain string) string {
-	var near, all []string
-	for _, p := range append([]peer.Presence{m.self}, m.Entries()...) {
-		all = append(all, p.Addr)
-		if p.Domain == domain {
-			near = append(near, p.Addr)
-		}
-	}
-	if len(near) == 0 {
-		near = all
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.homeIn(target, domain)
+}
+
+// homeIn is home with the lock held.
+func (m *Mesh) homeIn(target, domain string) string {
+	relays := m.overlay.Relays(domain)
+	if len(relays) == 0 {
+		relays = m.overlay.All()
 	}
-	return membership.First(target, near)
+	return membership.First(target, relays)
 }
--- a/mesh/role_test.go
+++ b/mesh/role_test.go
@@ -44,7 +44,7 @@
 				candidates = append(candidates, readerCandidate{addr: other, failing: k < failing})
 			}
 		}
-		r := chooseRole(peer.Presence{Addr: self, Host: self}, candidates)
+		r := chooseRole(peer.Presence{Addr: self, Host: self}, candidates, nil)
 		delays = append(delays, r.readDelay)
 		if r.follows == "" {
 			readers++
@@ -77,7 +77,7 @@
 	followedFrom := map[string]int{} // followers of another domain, by domain
 	for i, self := range all {
 		candidates := append([]readerCandidate{self}, append(append([]readerCandidate(nil), all[:i]...), all[i+1:]...)...)
-		r := chooseRole(peer.Presence{Addr: self.addr, Host: self.addr, Domain: self.domain}, candidates)
+		r := chooseRole(peer.Presence{Addr: self.addr, Host: self.addr, Domain: self.domain}, candidates, nil)
 		if r.follows != "" && domainOf[r.follows] != self.domain {
 			followedFrom[self.domain]++
 			assert.Equal(t, self.linkMbps, 200.0, "a domain relay must have a fast link")
@@ -98,7 +98,7 @@
 func TestFailureDomainWithoutTheStoreFollowsReaders(t *testing.T) {
 	self := readerCandidate{addr: "a:1", domain: "a", failing: true}
 	candidates := []readerCandidate{self, {addr: "a:2", domain: "a", failing: true}, {addr: "b:1", domain: "b"}, {addr: "b:2", domain: "b"}}
-	r := chooseRole(peer.Presence{Addr: "a:1", Host: "h", Domain: "a"}, candidates)
+	r := chooseRole(peer.Presence{Addr: "a:1", Host: "h", Domain: "a"}, candidates, nil)
 	assert.Assert(t, r.follows == "b:1" || r.follows == "b:2")
 }
 
--- a/mesh/serve.go
+++ b/mesh/serve.go
@@ -19,6 +19,8 @@
 func (m *Mesh) Serve(ctx context.Context, s *peer.Stream, first *peer.Presence) {
 	if first.Addr != "" {
 		m.observe(*first)
+		m.streamAccepted(first.Addr, 1)
+		defer m.streamAccepted(first.Addr, -1)
 	}
 	go m.sendMembers(ctx, s, *first)
 	id := m.engines.openStream()
@@ -27,10 +29,16 @@
 		if err != nil {
 			break
 		}
+		if digest, ok := msg.(*peer.GossipDigest); ok {
+			if s.Send(ctx, m.answerDigest(digest)) != nil {
+				break
+			}
+			continue
+		}
 		m.handle(id, first, msg)
 	}
 	m.agentStreamEnded(id, first.EngineAddr)
-	m.engines.removeStream(id)
+	m.engines.removeSource(reportSource{stream: id})
 }
 
 // handle processes one message of a stream that another process opened.
@@ -46,11 +54,13 @@
 		}
 		m.listener.Loads(from.Addr, v)
 	case *peer.EngineState:
-		m.engines.add(id, engineReport{*first, *v})
+		m.engines.add(reportSource{stream: id}, engineReport{*first, *v})
 		m.forward(id, *first, *v)
 	case *peer.EngineStates:
 		m.receiveReports(id, v)
 	case *peer.Crashes:
 		m.mergeCrashes(v)
+	case *peer.Gossip:
+		m.mergeGossip(first.Addr, v)
 	}
 }
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,19 +60,24 @@
 
 // ServeMirror answers a peer's read of this process's copy.
 func (m *Mesh) ServeMirror(ctx context.Context, s *peer.Stream, q *peer.MirrorRead) {
-	reply := m.readMirror(ctx, q)
+	reply := m.readMirror(ctx, q, s.Conn().Remote().Host)
 	// On failure the reader's timeout applies.
 	_ = s.SendLast(ctx, reply)
 }
 
-func (m *Mesh) readMirror(ctx context.Context, q *peer.MirrorRead) *peer.MirrorBatch {
+func (m *Mesh) readMirror(ctx context.Context, q *peer.MirrorRead, follower string) *peer.MirrorBatch {
 	var b mirror.Batch
 	var err error
 	begun := clock.Now()
-	if q.All {
+	wait := time.Duration(q.WaitMs) * time.Millisecond
+	switch {
+	case q.All:
 		b, err = m.table.Range(clock.Now())
-	} else {
-		b, err = m.table.Watch(ctx, q.After, time.Duration(q.WaitMs)*time.Millisecond)
+	case m.isLarge():
+		b, err = m.table.WatchConfirmed(ctx, q.After, wait, m.told.last(follower))
+		m.told.record(follower, b)
+	default:
+		b, err = m.table.Watch(ctx, q.After, wait)
 	}
 	switch {
 	case errors.Is(err, mirror.ErrCompacted):
@@ -92,3 +98,37 @@
 	}
 	return out
 }
+
+// confirmationsTold holds, by follower, the time of the newest confirmation of the copy that it was
+// told.
+type confirmationsTold struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+// toldMemory is how long it is known what a follower was told: much longer than it waits for
+// changes.
+const toldMemory = 30 * time.Second
+
+func (c *confirmationsTold) last(follower string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at[follower]
+}
+
+func (c *confirmationsTold) record(follower string, b mirror.Batch) {
+	if b.AgeMeasuredAt.IsZero() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at == nil {
+		c.at = map[string]time.Time{}
+	}
+	c.at[follower] = b.AgeMeasuredAt.Add(-b.Age)
+	for f, at := range c.at {
+		if b.AgeMeasuredAt.Sub(at) >= toldMemory {
+			delete(c.at, f)
+		}
+	}
+}
--- a/mesh/updates.go
+++ b/mesh/updates.go
@@ -94,6 +94,9 @@
 // The agent must know this entry before its first assignment arrives, because the
 // agent then requests pieces (parts of model weights) from the entry.
 func (m *Mesh) sendMembers(ctx context.Context, s *peer.Stream, to peer.Presence) {
+	if to.EngineAddr == "" && !m.isSeed && m.isLarge() {
+		return // entries learn the members by gossip
+	}
 	u := newMemberUpdates(to, m.isSeed)
 	changed, ok := m.sendUpdate(ctx, s, u)
 	if !ok {
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -96,13 +96,15 @@
 	confirmedAt   time.Time // when the copy was last confirmed to agree with the store
 	storeReadAt   time.Time // like confirmedAt, but by this process's own reads of the store only
 	changed       chan struct{}
-	digest        uint64 // of all items
-	lateEvents    int64  // events ignored because their revision was not above the copy's
+	confirmed     chan struct{} // closed when confirmedAt has moved on by confirmationStep
+	signalledAt   time.Time     // confirmedAt when confirmed was last closed
+	digest        uint64        // of all items
+	lateEvents    int64         // events ignored because their revision was not above the copy's
 }
 
 // NewTable returns an empty copy of prefix.
 func NewTable(prefix string) *Table {
-	return &Table{prefix: prefix, items: map[string]Item{}, digest: emptyDigest, changed: make(chan struct{})}
+	return &Table{prefix: prefix, items: map[string]Item{}, digest: emptyDigest, changed: make(chan struct{}), confirmed: make(chan struct{})}
 }
 
 // Revision returns the store revision of the copy; zero before the first read.
@@ -234,7 +236,7 @@
 	advanced := b.Revision > t.revision
 	t.revision = max(t.revision, b.Revision)
 	at := now.Add(-b.Age)
-	t.confirmedAt = later(t.confirmedAt, at)
+	t.confirm(at)
 	if b.FromStore {
 		t.storeReadAt = later(t.storeReadAt, at)
 	}
@@ -272,7 +274,20 @@
 func (t *Table) Confirm(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.confirm(at)
+}
+
+// confirmationStep is by how much a copy must have been confirmed anew for peers to be told.
+const confirmationStep = 300 * time.Millisecond
+
+// confirm records that the copy agreed with the store at a time. The lock must be held.
+func (t *Table) confirm(at time.Time) {
 	t.confirmedAt = later(t.confirmedAt, at)
+	if t.confirmedAt.Sub(t.signalledAt) >= confirmationStep {
+		t.signalledAt = t.confirmedAt
+		close(t.confirmed)
+		t.confirmed = make(chan struct{})
+	}
 }
 
 // Range returns the full copy for a peer.
@@ -292,6 +307,23 @@
 // Watch waits for changes after a revision on behalf of a peer. It returns an empty batch
 // when wait expires or ctx ends first.
 func (t *Table) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+	return t.watch(ctx, after, wait, nil)
+}
+
+// WatchConfirmed is Watch for peers that pass the copy on: it also returns as soon as the copy has
+// been confirmed by confirmationStep later than at the time that the peer was last told, so that
+// confirmations reach a chain of peers without a wait at each.
+func (t *Table) WatchConfirmed(ctx context.Context, after int64, wait time.Duration, told time.Time) (Batch, error) {
+	t.mu.Lock()
+	confirmed, news := t.confirmed, t.confirmedAt.Sub(told) >= confirmationStep
+	t.mu.Unlock()
+	if news && !told.IsZero() {
+		wait = 0
+	}
+	return t.watch(ctx, after, wait, confirmed)
+}
+
+func (t *Table) watch(ctx context.Context, after int64, wait time.Duration, confirmed <-chan struct{}) (Batch, error) {
 	if wait <= 0 {
 		b, _, err := t.since(clock.Now(), after)
 		return b, err
@@ -305,14 +337,16 @@
 		}
 		select {
 		case <-changed:
+			continue
+		case <-confirmed:
 		case <-timer.C:
-			// Measure the age again: the age before the wait would be too low, and
-			// the error would grow with each peer that relays the copy.
-			b, _, err = t.since(clock.Now(), after)
-			return b, err
 		case <-ctx.Done():
 			return b, ctx.Err()
 		}
+		// Measure the age again: the age before the wait would be too low, and
+		// the error would grow with each peer that relays the copy.
+		b, _, err = t.since(clock.Now(), after)
+		return b, err
 	}
 }
 
