--- a/mesh/entries_test.go
+++ b/mesh/entries_test.go
@@ -24,6 +24,14 @@
 	t     *testing.T
 	store *mirror.Table
 	all   []*entry
+	cuts  sync.RWMutex // guards unreachable of all entries
+}
+
+// reaches reports whether two entries can connect.
+func (f *entries) reaches(a, b *entry) bool {
+	f.cuts.RLock()
+	defer f.cuts.RUnlock()
+	return !a.unreachable[b.addr] && !b.unreachable[a.addr]
 }
 
 // entry is one entry of the set.
@@ -231,7 +239,7 @@
 func (e *entry) dial(_ context.Context, addr string) (net.Conn, error) {
 	to := e.fleet.all[slices.IndexFunc(e.fleet.all, func(e *entry) bool { return e.addr == addr })]
 	to.mu.Lock()
-	if to.down || e.unreachable[addr] || to.unreachable[e.addr] {
+	if to.down || !e.fleet.reaches(e, to) {
 		to.mu.Unlock()
 		return nil, errors.New("connection refused")
 	}
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -169,6 +169,7 @@
 // split closes the connections between two groups of entries, and lets none open until join.
 func (f *entries) split(a, b []*entry) {
 	hosts := map[string]bool{}
+	f.cuts.Lock()
 	for _, x := range a {
 		hosts["host of "+x.addr] = true
 		x.unreachable = map[string]bool{}
@@ -176,6 +177,7 @@
 			x.unreachable[y.addr] = true
 		}
 	}
+	f.cuts.Unlock()
 	for _, y := range b {
 		y.mu.Lock()
 		for _, c := range y.conns {
@@ -197,6 +199,8 @@
 }
 
 func (f *entries) join(a []*entry) {
+	f.cuts.Lock()
+	defer f.cuts.Unlock()
 	for _, x := range a {
 		x.unreachable = nil
 	}
