mesh: a change of members costs an agent's stream little

Change: the choice is made only if an announced entry is lost or one is found that ranks before one of those.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -127,12 +127,7 @@
 	ticker := time.NewTicker(c.cfg.Tick)
 	defer ticker.Stop()
 	for {
-		items, changed := c.table.Items()
-		c.mirrorRevision = c.table.Revision()
-		c.applyOperator(ctx, items)
-		c.applyInstances(items)
-		c.updateOrders()
-		c.assign(ctx)
+		changed := c.round(ctx)
 	wait:
 		for {
 			select {
@@ -150,6 +145,17 @@
 	}
 }
 
+// round applies the mirror's content. It returns a channel that is closed when that changes.
+func (c *Control) round(ctx context.Context) (changed <-chan struct{}) {
+	items, changed := c.table.Items()
+	c.mirrorRevision = c.table.Revision()
+	c.applyOperator(ctx, items)
+	c.applyInstances(items)
+	c.updateOrders()
+	c.assign(ctx)
+	return changed
+}
+
 func (c *Control) applyOperator(ctx context.Context, items []mirror.Item) {
 	for _, i := range items {
 		c.applyConfig(i)
--- a/mesh/updates.go
+++ b/mesh/updates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -26,6 +27,7 @@
 	to          peer.Presence
 	seed        bool            // this entry is a seed
 	announced   map[string]bool // by address
+	live        []peer.Presence // as of the last message to an agent
 	senderSent  bool
 	leavingSent bool
 }
@@ -66,6 +68,10 @@
 	if !u.senderSent || self.Leaving != u.leavingSent {
 		msg.Sender = self
 	}
+	if msg.Sender.Addr == "" && !u.mayChoose(live) {
+		return nil
+	}
+	u.live = live
 	known := []candidate{{self, true}}
 	for _, p := range live {
 		known = append(known, candidate{p, true})
@@ -83,6 +89,48 @@
 	return msg
 }
 
+// mayChoose reports whether the agent may have to link to an entry that was not announced to it,
+// because one of its links is lost, or an entry was found that it may prefer to one of them. It
+// costs little, as opposed to the choice itself: in a large fleet members change often, and an
+// entry has many agents.
+func (u *memberUpdates) mayChoose(live []peer.Presence) bool {
+	lost, found := differingMembers(u.live, live)
+	for _, p := range lost {
+		if u.announced[p.Addr] {
+			return true
+		}
+	}
+	if len(found) == 0 {
+		return false
+	}
+	for _, near := range []bool{true, false} {
+		limit := farLinks
+		if near {
+			limit = nearLinks
+		}
+		if u.maySupersede(found, near, limit) {
+			return true
+		}
+	}
+	return false
+}
+
+// maySupersede reports whether one of the entries found ranks before one of those announced, in the
+// own failure domain or others.
+func (u *memberUpdates) maySupersede(found []peer.Presence, near bool, limit int) bool {
+	inGroup := func(p peer.Presence) bool { return (p.Domain == u.to.Domain) == near }
+	announced, lowest := 0, uint64(math.MaxUint64)
+	for _, p := range u.live {
+		if inGroup(p) && u.announced[p.Addr] {
+			announced++
+			lowest = min(lowest, membership.Score(u.to.Host, p.Addr))
+		}
+	}
+	return slices.ContainsFunc(found, func(p peer.Presence) bool {
+		return inGroup(p) && (announced < limit || membership.Score(u.to.Host, p.Addr) > lowest)
+	})
+}
+
 // markAnnounced marks an address as announced and reports whether it was not before.
 func (u *memberUpdates) markAnnounced(addr string) bool {
 	known := u.announced[addr]
--- a/mesh/updates_test.go
+++ b/mesh/updates_test.go
@@ -1,11 +1,14 @@
 package mesh
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 func presencesOf(n int) []peer.Presence {
@@ -71,3 +74,47 @@
 	msg = n.next(self, all)
 	assert.Assert(t, msg.Sender.Leaving && len(msg.Entries) == 0)
 }
+
+// An agent is told of each entry that it should link to, whichever members come and go, as if the
+// choice were made anew with each change.
+func TestAgentIsToldOfAllEntriesToLinkTo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		to, self := peer.Presence{Host: "agent", Domain: "d-1", EngineAddr: "engine"}, peer.Presence{Addr: "self", Domain: "d-0", LinkMbps: 200}
+		all := presencesOf(rapid.IntRange(5, 60).Draw(t, "entries"))
+		for i := range all {
+			all[i].LinkMbps = rapid.SampledFrom([]float64{40, 200}).Draw(t, "link")
+		}
+		slices.SortFunc(all, func(a, b peer.Presence) int { return cmp.Compare(a.Addr, b.Addr) })
+		u, told := newMemberUpdates(to, false), map[string]bool{"self": true}
+		for range rapid.IntRange(1, 10).Draw(t, "changes") {
+			var live []peer.Presence
+			known := []candidate{{self, true}}
+			for _, p := range all {
+				if rapid.IntRange(0, 4).Draw(t, "up") > 0 {
+					live, known = append(live, p), append(known, candidate{p, true})
+				}
+			}
+			if msg := u.next(self, live); msg != nil {
+				for _, p := range msg.Entries {
+					told[p.Addr] = true
+				}
+			}
+			for _, addr := range chooseLinks(to, known) {
+				if !told[addr] {
+					t.Fatalf("%s was not announced", addr)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkMemberOfAnotherDomainLost is the cost of a change for one agent's stream.
+func BenchmarkMemberOfAnotherDomainLost(b *testing.B) {
+	all := presencesOf(303)
+	slices.SortFunc(all, func(a, b peer.Presence) int { return cmp.Compare(a.Addr, b.Addr) })
+	u, self := newMemberUpdates(peer.Presence{Host: "agent", Domain: "d-1", EngineAddr: "engine"}, false), peer.Presence{Addr: "self", Domain: "d-0", LinkMbps: 200}
+	u.next(self, all)
+	for i := 0; b.Loop(); i++ {
+		u.next(self, all[i%2:])
+	}
+}
