mesh: homes forget short requests; a restarted seed learns that the fleet is large

Reports to homes came each 1.5 ms for each entry, 455 ms at 303, though each goes to one home. Entries that start together with all seeds heard of few others and kept the complete mesh for good. Reports that an entry forwarded before a quick restart stayed in effect.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -83,17 +83,16 @@
 
 // Update is what a message has changed.
 type Update struct {
-	Members []string            // addresses of entries whose record has changed
-	Engines []peer.EngineRecord // reports that are new
+	Members   []string            // addresses of entries whose record has changed
+	Restarted []string            // those of which another process was known; its reports are void
+	Engines   []peer.EngineRecord // reports that are new
 }
 
 // Merge adds the records that a neighbour sent.
 func (t *Table) Merge(now time.Time, msg *peer.Gossip, from string) Update {
 	var u Update
 	for _, r := range msg.Members {
-		if t.mergeMember(now, r, from) {
-			u.Members = append(u.Members, r.Addr)
-		}
+		t.mergeMember(now, r, from, &u)
 	}
 	for _, r := range msg.Engines {
 		if t.mergeEngine(now, r, from) {
@@ -103,20 +102,21 @@
 	return u
 }
 
-// Introduce adds an entry that this one met itself, unless it is known. It reports whether the
-// entry is new.
-func (t *Table) Introduce(now time.Time, p peer.Presence) bool {
-	return t.mergeMember(now, recordOf(p), "")
+// Introduce adds an entry that this one met itself, unless it is known.
+func (t *Table) Introduce(now time.Time, p peer.Presence) Update {
+	var u Update
+	t.mergeMember(now, recordOf(p), "", &u)
+	return u
 }
 
-func (t *Table) mergeMember(now time.Time, r peer.MemberRecord, from string) bool {
+func (t *Table) mergeMember(now time.Time, r peer.MemberRecord, from string, u *Update) {
 	if r.Addr == t.self.Addr {
 		t.defend(now, r)
-		return false
+		return
 	}
 	old := t.members[r.Addr]
 	if r.Addr == "" || old != nil && !newer(r, old.record) {
-		return false
+		return
 	}
 	next := &member{record: r, changedAt: now}
 	if r.Suspected {
@@ -126,10 +126,10 @@
 	}
 	t.members[r.Addr] = next
 	t.changedMembers[r.Addr] = from
-	if old != nil && old.record.Incarnation != r.Incarnation {
-		t.dropReports(r.Addr, r.Incarnation)
+	u.Members = append(u.Members, r.Addr)
+	if t.dropReports(r.Addr, r.Incarnation) {
+		u.Restarted = append(u.Restarted, r.Addr)
 	}
-	return true
 }
 
 // newer orders the records of one entry.
@@ -148,13 +148,16 @@
 	}
 }
 
-// dropReports removes the reports that earlier processes of an entry forwarded.
-func (t *Table) dropReports(forwarder string, incarnation uint64) {
+// dropReports removes the reports that other processes of an entry forwarded, and reports whether
+// there were any.
+func (t *Table) dropReports(forwarder string, incarnation uint64) (dropped bool) {
 	for k, e := range t.engines {
-		if k.forwarder == forwarder && e.record.ForwarderIncarnation < incarnation {
+		if k.forwarder == forwarder && e.record.ForwarderIncarnation != incarnation {
 			delete(t.engines, k)
+			dropped = true
 		}
 	}
+	return dropped
 }
 
 func (t *Table) mergeEngine(now time.Time, r peer.EngineRecord, from string) bool {
@@ -167,7 +170,7 @@
 		return false
 	}
 	if m := t.members[r.Forwarder]; m != nil && m.record.Incarnation > r.ForwarderIncarnation {
-		return false
+		return false // of an earlier process
 	}
 	t.engines[k] = &engine{r, now}
 	t.changedEngines[k] = from
@@ -217,7 +220,7 @@
 			lost = append(lost, addr)
 		case !m.live() && now.Sub(m.changedAt) >= forgetAfter:
 			delete(t.members, addr)
-			t.dropReports(addr, m.record.Incarnation+1)
+			t.dropReports(addr, 0)
 		}
 	}
 	for k, e := range t.engines {
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/gossip"
 	"github.com/springgate/springgate/peer"
 )
 
@@ -13,15 +14,16 @@
 	// syncInterval is the mean time between two comparisons of all records with those of a
 	// neighbour, which make up for what was lost with a broken link.
 	syncInterval = 3 * time.Second
-	// soonSyncInterval is the time until the next one while this entry knows few records, or
-	// after a link has opened.
+	// soonSyncInterval is that time during the first startPeriod, in which the neighbours may
+	// know little themselves, and after a link has opened.
 	soonSyncInterval = 500 * time.Millisecond
+	startPeriod      = 10 * time.Second
 	// recentChanges is how far back changes are sent on a link that opens.
 	recentChanges = 3 * time.Second
 )
 
 // gossipTimes are the times of the next steps.
-type gossipTimes struct{ nextSync, nextProbe time.Time }
+type gossipTimes struct{ heard, becameLarge, nextSync, nextProbe time.Time }
 
 // refreshRecords applies what follows from the records by the passing of time. The lock must be
 // held.
@@ -40,6 +42,9 @@
 func (m *Mesh) gossipRound(now time.Time) {
 	changes := m.records.TakeChanges()
 	if !m.large() {
+		if now.Sub(m.gossipTimes.heard) < startPeriod {
+			m.sync(now)
+		}
 		return
 	}
 	if !changes.Empty() {
@@ -71,7 +76,7 @@
 	known := len(m.live) > 0
 	up[rand.IntN(len(up))].queueDigest(m.records.Digest(known))
 	m.gossipTimes.nextSync = now.Add(soonSyncInterval)
-	if known {
+	if now.Sub(m.gossipTimes.becameLarge) >= startPeriod {
 		m.gossipTimes.nextSync = now.Add(syncInterval/2 + rand.N(syncInterval))
 	}
 }
@@ -90,9 +95,10 @@
 
 // becameLarge makes the reports that this entry forwards known by gossip; up to now they were sent
 // to each entry.
-func (m *Mesh) becameLarge() {
+func (m *Mesh) becameLarge(now time.Time) {
+	m.gossipTimes.becameLarge = now
 	for _, f := range m.forwarded {
-		m.records.Forward(clock.Now(), f.report)
+		m.records.Forward(now, f.report)
 	}
 	for _, l := range m.links {
 		l.queueRecords(m.records.Since(time.Time{}))
@@ -105,11 +111,34 @@
 	defer m.mu.Unlock()
 	now := clock.Now()
 	u := m.records.Merge(now, msg, from)
+	if !m.large() {
+		m.joinLarge(now, u.Members)
+	}
+	m.applyUpdate(now, u)
+	m.wake()
+}
+
+// applyUpdate applies changed records to the members and the reports of engines.
+func (m *Mesh) applyUpdate(now time.Time, u gossip.Update) {
 	if m.large() {
 		m.vouch(now, u.Members)
 	}
+	for _, addr := range u.Restarted {
+		m.engines.removeSource(reportSource{forwarder: addr})
+		m.applyReports(m.records.ReportsOf(addr))
+	}
 	m.applyReports(u.Engines)
-	m.wake()
+}
+
+// joinLarge adds the addresses of live entries that a neighbour told of. An entry that knows few
+// others itself, for it has just started, learns in this way that the fleet is large.
+func (m *Mesh) joinLarge(now time.Time, addrs []string) {
+	m.gossipTimes.heard = now
+	for _, addr := range addrs {
+		if _, live := m.records.Member(addr); live {
+			m.members.AddAddr(addr)
+		}
+	}
 }
 
 // answerDigest returns the records that another entry lacks.
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/overlay"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
@@ -124,6 +127,35 @@
 	}
 }
 
+// The reports that an entry forwarded before it was restarted at once do not outlive their agents.
+func TestReportsOfARestartedForwarderAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFleet(largeFleet, 10)
+		defer c.stop()
+		time.Sleep(8 * time.Second)
+		agents := c.members[c.entries:]
+		for _, m := range c.members[:c.entries] {
+			m.mesh.mu.Lock()
+			forwards := len(m.mesh.forwarded)
+			m.mesh.mu.Unlock()
+			if forwards > 0 {
+				m.kill()
+				m.self.Incarnation++
+				m.start()
+			}
+		}
+		time.Sleep(lossKnown)
+		assert.Equal(t, c.missingReports(1), 0)
+		for _, a := range agents {
+			a.kill()
+		}
+		time.Sleep(lossKnown)
+		for _, m := range c.members[:c.entries] {
+			m.locked(func() { assert.Equal(t, len(m.engines), 0, "%s: %v", m.self.Addr, m.engines) })
+		}
+	})
+}
+
 // Changes of the store reach all entries of a large fleet in time, also when the readers, relays
 // among them, lose the store, are killed or hang.
 func TestChangesReachALargeFleet(t *testing.T) {
@@ -237,3 +269,34 @@
 		}
 	})
 }
+
+// The home of a target counts requests no longer than they take and one round, however short they
+// are: a place that stays counted is lost to all callers. Each entry gets all places of a target
+// once, one after the other.
+func TestHomesForgetRequestsThatHaveEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startFleet(largeFleet, 0)
+		defer c.stop()
+		time.Sleep(8 * time.Second)
+		const slots = 4
+		target := &fleet.Instance{ID: "i", Service: "s", Addr: "i:1", Domain: c.members[0].self.Domain, Slots: slots}
+		for _, m := range c.members {
+			m.balancer.Apply([]*fleet.Instance{target}, map[string]*fleet.Service{"s": {Name: "s"}})
+		}
+		for _, m := range c.members {
+			var held []dispatch.Choice
+			for range slots {
+				choice, verdict := m.balancer.Pick(clock.Now(), "s", dispatch.Demand{Objective: time.Second}, nil)
+				assert.Equal(t, verdict, dispatch.Chosen)
+				choice.Admission = dispatch.Admission{MaxLoad: slots, MaxWait: time.Second}
+				assert.Equal(t, m.reserver.Reserve(t.Context(), choice, 0), dispatch.ReservationGranted, m.self.Addr)
+				held = append(held, choice)
+			}
+			time.Sleep(5 * time.Millisecond)
+			for _, choice := range held {
+				m.balancer.Finish(clock.Now(), choice.Target, dispatch.Result{Latency: 5 * time.Millisecond})
+			}
+			time.Sleep(2 * maxRoundInterval)
+		}
+	})
+}
--- a/mesh/place.go
+++ b/mesh/place.go
@@ -15,8 +15,12 @@
 	reply, ok := msg.(*peer.PlaceReply)
 	if err != nil || !ok {
 		r.unanswered.Inc(1)
+		r.mesh.oweReport(home) // it may have granted the place
 		return r.decideWithoutHome(c)
 	}
+	if reply.Reply.Granted {
+		r.mesh.oweReport(home)
+	}
 	now := clock.Now()
 	if reply.Reply.Known {
 		r.balancer.SetHomeLoad(now, c.Instance.ID, dispatch.Load{Requests: reply.Requests, PendingPrefill: reply.Prefill})
--- a/mesh/size_test.go
+++ b/mesh/size_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
@@ -35,6 +37,9 @@
 	meter *peer.Meter
 	stop  context.CancelFunc
 
+	balancer *dispatch.Balancer // at entries
+	reserver *Reserver
+
 	mu            sync.Mutex
 	poweredOff    atomic.Bool // the host has no power
 	down          bool        // refuses connections
@@ -77,8 +82,9 @@
 	}
 	var loads func() []peer.TargetLoad
 	if m.self.Addr != "" {
-		o.Listener, o.Table = m, mirror.NewTable("")
-		loads = func() []peer.TargetLoad { return nil }
+		m.balancer = dispatch.NewBalancer(dispatch.Config{}, rand.New(rand.NewPCG(1, 2)))
+		o.Listener, o.Table, o.TargetDomain = m, mirror.NewTable(""), m.balancer.DomainOf
+		loads = m.ownLoads
 	} else {
 		o.OnAssignment = func(a peer.Assignment) {
 			known := hasAddr(m.mesh.Entries(), a.Entry)
@@ -87,7 +93,7 @@
 		o.OnEntryLost = func(addr string) { m.locked(func() { delete(m.assigned, addr) }) }
 	}
 	next := New(o)
-	m.locked(func() { m.mesh = next })
+	m.locked(func() { m.mesh, m.reserver = next, NewReserver(next, m.balancer, 0) })
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	m.locked(func() { m.down = false })
@@ -99,10 +105,23 @@
 
 func (m *process) serve(ctx context.Context, s *peer.Stream, first peer.Message) {
 	var mesh *Mesh
-	m.locked(func() { mesh = m.mesh }) // m.mesh is replaced at a restart
-	if p, ok := first.(*peer.Presence); ok {
-		mesh.Serve(ctx, s, p)
+	var reserver *Reserver
+	m.locked(func() { mesh, reserver = m.mesh, m.reserver }) // replaced at a restart
+	switch q := first.(type) {
+	case *peer.Presence:
+		mesh.Serve(ctx, s, q)
+	case *peer.Place:
+		reserver.ServePlace(ctx, s, q)
+	}
+}
+
+// ownLoads returns the loads of an entry as package gateway reports them.
+func (m *process) ownLoads() []peer.TargetLoad {
+	var out []peer.TargetLoad
+	for id, l := range m.balancer.OwnLoads() {
+		out = append(out, peer.TargetLoad{Instance: id, Requests: l.Requests, PendingPrefill: l.PendingPrefill})
 	}
+	return out
 }
 
 func (m *process) dial(ctx context.Context, addr string) (net.Conn, error) {
@@ -139,8 +158,18 @@
 }
 
 // Methods of Listener.
-func (*process) Loads(string, *peer.Loads)                  {}
-func (*process) EntryLost(string)                           {}
+func (m *process) Loads(from string, l *peer.Loads) {
+	loads := map[string]dispatch.Load{}
+	for _, t := range l.Targets {
+		loads[t.Instance] = dispatch.Load{Requests: t.Requests, PendingPrefill: t.PendingPrefill}
+	}
+	if l.Full {
+		m.balancer.SetLoads(from, loads)
+	} else {
+		m.balancer.UpdateLoads(from, loads)
+	}
+}
+func (m *process) EntryLost(addr string)                    { m.balancer.SetLoads(addr, nil) }
 func (*process) Announced(time.Time) []peer.ObservedVersion { return nil }
 func (*process) Notices() []peer.TargetNotice               { return nil }
 func (m *process) EngineState(a peer.Presence, s *peer.EngineState) {
--- a/mesh/topology.go
+++ b/mesh/topology.go
@@ -46,15 +46,14 @@
 
 // updateOverlay computes the overlay of the live entries.
 func (m *Mesh) updateOverlay(now time.Time) {
-	wasLarge := m.large()
-	complete := m.members.Size(now) <= overlay.CompleteUpTo
-	if wasLarge == complete {
-		m.vouchAll(now, !complete)
+	wasLarge, large := m.large(), m.members.Size(now) > overlay.CompleteUpTo
+	if large != wasLarge {
+		m.vouchAll(now, large)
 	}
 	live := append([]peer.Presence{m.self}, m.members.Live(now)...)
-	m.overlay = overlay.New(live, complete)
-	if m.large() && !wasLarge {
-		m.becameLarge()
+	m.overlay = overlay.New(live, !large)
+	if large && !wasLarge {
+		m.becameLarge(now)
 	}
 }
 
