mesh: an entry that turns out to be in a large fleet voids what it sent on its links

Causes, from 120 and 250 runs of TestReportsOfARestartedForwarderAreDropped: reports sent on a link before the entry knew that the fleet is large stayed in effect there while the link was open; a small table was compared with a neighbour's every 3 s only while the entry thought the fleet small. Change: the reports are withdrawn on the links once they are passed on by gossip; comparisons come every 0.5 s until the fleet is known to be large. The test lets the streams of a killed process end.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -76,7 +76,7 @@
 	known := len(m.live) > 0
 	up[rand.IntN(len(up))].queueDigest(m.records.Digest(known))
 	m.gossipTimes.nextSync = now.Add(soonSyncInterval)
-	if now.Sub(m.gossipTimes.becameLarge) >= startPeriod {
+	if m.large() && now.Sub(m.gossipTimes.becameLarge) >= startPeriod {
 		m.gossipTimes.nextSync = now.Add(syncInterval/2 + rand.N(syncInterval))
 	}
 }
@@ -102,6 +102,9 @@
 	}
 	for _, l := range m.links {
 		l.queueRecords(m.records.Since(time.Time{}))
+		for engine := range m.forwarded { // what was sent on the link itself is void
+			l.queueRelayed(peer.RelayedState{EngineAddr: engine, Withdrawn: true})
+		}
 	}
 }
 
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -140,6 +140,7 @@
 			m.mesh.mu.Unlock()
 			if forwards > 0 {
 				m.kill()
+				time.Sleep(10 * time.Millisecond) // until the streams of the process have ended
 				m.self.Incarnation++
 				m.start()
 			}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -104,13 +104,13 @@
 		out = append(out, l.report)
 		l.reportSent = true
 	}
+	if msg := l.records.take(); msg != nil {
+		out = append(out, msg)
+	}
 	if len(l.relayed) > 0 {
 		out = append(out, reportsMessage(l.relayed))
 		l.relayed = nil
 	}
-	if msg := l.records.take(); msg != nil {
-		out = append(out, msg)
-	}
 	if l.digest != nil {
 		out = append(out, l.digest)
 		l.digest = nil
