--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -120,7 +120,7 @@
 	if o.TargetDomain == nil {
 		o.TargetDomain = func(string) string { return "" }
 	}
-	return &Mesh{cfg: cfg, seeds: o.Seeds, targetDomain: o.TargetDomain, overlay: overlay.New([]peer.Presence{o.Self}, true),
+	m := &Mesh{cfg: cfg, seeds: o.Seeds, targetDomain: o.TargetDomain, overlay: overlay.New([]peer.Presence{o.Self}, true),
 		records: gossip.NewTable(clock.Now(), o.Self), inbound: map[string]int{}, accounts: map[string]*link{}, owed: map[string]bool{}, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, onAssignment: o.OnAssignment, onEntryLost: o.OnEntryLost, table: o.Table,
 		metrics: o.Metrics, startedAt: clock.Now(), sourceChanges: metrics.NewRegisteredCounter("mesh.source_changes", o.Metrics),
 		members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
@@ -128,6 +128,10 @@
 		crashes: o.Crashes, crashMismatches: map[string]time.Time{},
 		copyDifferences: differences{}, copiesDiffered: metrics.NewRegisteredCounter("mesh.copies_differed", o.Metrics),
 		repairs: metrics.NewRegisteredCounter("mesh.copy_repairs", o.Metrics), liveChanged: make(chan struct{}), sourceChanged: make(chan struct{}), membersChanged: make(chan struct{}, 1)}
+	if m.isEntry() {
+		m.registerGauges()
+	}
+	return m
 }
 
 // Leave announces to the other processes that this one is leaving.
--- a/mesh/topology.go
+++ b/mesh/topology.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/overlay"
@@ -44,6 +45,21 @@
 	return m.cfg.Interval
 }
 
+// registerGauges adds gauges of the live entries and of the links to other entries.
+func (m *Mesh) registerGauges() {
+	gauge := func(name string, n func() int) {
+		metrics.NewRegisteredFunctionalGauge("mesh."+name, m.metrics, func() int64 {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return int64(n())
+		})
+	}
+	gauge("entries", func() int { return len(m.live) + 1 })
+	gauge("links", func() int { return len(m.links) })
+	gauge("accounts", func() int { return len(m.accounts) })
+	gauge("lost_entries", func() int { return len(m.records.Lost()) })
+}
+
 // updateOverlay computes the overlay of the live entries.
 func (m *Mesh) updateOverlay(now time.Time) {
 	wasLarge, large := m.large(), m.members.Size(now) > overlay.CompleteUpTo
