mesh: a request that asks for a place is counted once

Change: the question tells the requester's own load without the request, which replaces what the home knew. Reports to homes are opened in a function of their own; plain names.

--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -131,6 +131,16 @@
 	return out
 }
 
+// OwnLoad returns the load that this entry has in flight at a target.
+func (b *Balancer) OwnLoad(target string) Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.byID[target]; t != nil {
+		return t.own
+	}
+	return Load{}
+}
+
 // SilentTargets returns the sorted IDs of the targets to report to other entries as silent.
 func (b *Balancer) SilentTargets(now time.Time) []string {
 	b.mu.Lock()
--- a/mesh/accounts.go
+++ b/mesh/accounts.go
@@ -10,19 +10,19 @@
 // accountIdle is how long an account is kept without loads.
 const accountIdle = 10 * time.Second
 
-// oweReport records that a home has, or may have, granted a place. The home counts it until the
+// requireReport records that a home has, or may have, granted a place. The home counts it until the
 // next report, which it must get also if the request has ended by then and was in none.
-func (m *Mesh) oweReport(home string) {
+func (m *Mesh) requireReport(home string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.owed[home] = true
+	m.reportsDue[home] = true
 }
 
-// owesReports reports whether a home waits for a report because of oweReport.
-func (m *Mesh) owesReports() bool {
+// hasDueReports reports whether a home needs a report because of requireReport.
+func (m *Mesh) hasDueReports() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.owed) > 0
+	return len(m.reportsDue) > 0
 }
 
 // sendAccounts sends each home the loads of this entry at its targets, in a large fleet: there, the
@@ -32,34 +32,41 @@
 func (m *Mesh) sendAccounts(ctx context.Context, now time.Time, msg *peer.Loads, current []peer.TargetLoad, urgent bool) {
 	reported, all := m.byHome(msg.Targets), m.byHome(current)
 	part := func(addr string) *peer.Loads {
-		if msg.Full || m.owed[addr] {
+		if msg.Full || m.reportsDue[addr] {
 			return &peer.Loads{Full: true, Leaving: msg.Leaving, Targets: all[addr]}
 		}
 		return &peer.Loads{Leaving: msg.Leaving, Targets: reported[addr]}
 	}
-	for home := range all {
-		m.owed[home] = m.owed[home] || m.links[home] == nil && m.accounts[home] == nil
-	}
-	delete(m.owed, m.self.Addr)
-	for home, owed := range m.owed {
-		if owed && m.links[home] == nil && m.accounts[home] == nil {
-			m.accounts[home] = m.openLink(ctx, &link{addr: home, class: peer.Traffic, account: true})
-		}
-	}
+	m.openAccounts(ctx, all)
 	for addr, l := range m.links {
-		if msg.Full || urgent || m.owed[addr] || len(reported[addr]) > 0 {
+		if msg.Full || urgent || m.reportsDue[addr] || len(reported[addr]) > 0 {
 			l.queueLoads(part(addr))
 		}
 	}
 	for addr, l := range m.accounts {
-		if m.owed[addr] || len(all[addr]) > 0 {
+		if m.reportsDue[addr] || len(all[addr]) > 0 {
 			l.loadedAt = now
 		}
-		if msg.Full || m.owed[addr] || len(reported[addr]) > 0 {
+		if msg.Full || m.reportsDue[addr] || len(reported[addr]) > 0 {
 			l.queueLoads(part(addr))
 		}
 	}
-	clear(m.owed)
+	clear(m.reportsDue)
+}
+
+// openAccounts opens a link to each home that is told something and has none.
+func (m *Mesh) openAccounts(ctx context.Context, loads map[string][]peer.TargetLoad) {
+	linked := func(home string) bool { return home == m.self.Addr || m.links[home] != nil || m.accounts[home] != nil }
+	for home := range loads {
+		if !linked(home) {
+			m.reportsDue[home] = true // its first report is a full one
+		}
+	}
+	for home := range m.reportsDue {
+		if !linked(home) {
+			m.accounts[home] = m.openLink(ctx, &link{addr: home, class: peer.Traffic, account: true})
+		}
+	}
 }
 
 // byHome divides loads by the homes of their targets.
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -115,7 +115,7 @@
 	now := clock.Now()
 	u := m.records.Merge(now, msg, from)
 	if !m.large() {
-		m.joinLarge(now, u.Members)
+		m.addAddrs(now, u.Members)
 	}
 	m.applyUpdate(now, u)
 	m.wake()
@@ -133,9 +133,9 @@
 	m.applyReports(u.Engines)
 }
 
-// joinLarge adds the addresses of live entries that a neighbour told of. An entry that knows few
+// addAddrs adds the addresses of live entries that a neighbour told of. An entry that knows few
 // others itself, for it has just started, learns in this way that the fleet is large.
-func (m *Mesh) joinLarge(now time.Time, addrs []string) {
+func (m *Mesh) addAddrs(now time.Time, addrs []string) {
 	m.gossipTimes.heard = now
 	for _, addr := range addrs {
 		if _, live := m.records.Member(addr); live {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -255,9 +255,9 @@
 		return
 	}
 	x := &member{Presence: p, vouched: live}
-	if old != nil && (old.Incarnation == p.Incarnation || m.heardLately(now, old)) {
+	if old != nil && (old.Incarnation == p.Incarnation || m.heardRecently(now, old)) {
 		x = old
-		if !m.heardLately(now, old) {
+		if !m.heardRecently(now, old) {
 			x.Host, x.Domain, x.LinkMbps, x.Leaving, x.Store.Failing = p.Host, p.Domain, p.LinkMbps, p.Leaving, p.Store.Failing
 		}
 		x.vouched = live
@@ -284,27 +284,27 @@
 	}
 }
 
-// heardLately reports whether the entry itself has sent something within the time after which it
+// heardRecently reports whether the entry itself has sent something within the time after which it
 // counts as lost otherwise.
-func (m *Members) heardLately(now time.Time, x *member) bool {
+func (m *Members) heardRecently(now time.Time, x *member) bool {
 	return !x.receivedAt.IsZero() && now.Sub(x.receivedAt) <= m.expireAfter
 }
 
 // Silent reports whether an entry has sent nothing for longer than that.
 func (m *Members) Silent(now time.Time, addr string) bool {
 	x := m.byAddr[addr]
-	return x != nil && !x.receivedAt.IsZero() && !m.heardLately(now, x)
+	return x != nil && !x.receivedAt.IsZero() && !m.heardRecently(now, x)
 }
 
 func (m *Members) isLive(now time.Time, x *member) bool {
-	return !x.Leaving && (m.heardLately(now, x) || x.vouched && !now.Before(x.distrustedUntil))
+	return !x.Leaving && (m.heardRecently(now, x) || x.vouched && !now.Before(x.distrustedUntil))
 }
 
 // mayChangeAt returns until when isLive holds or, if it does not, does not hold unless something
 // is recorded.
 func (m *Members) mayChangeAt(now time.Time, x *member) time.Time {
 	at := now.Add(m.expireAfter)
-	if m.heardLately(now, x) {
+	if m.heardRecently(now, x) {
 		at = earlier(at, x.receivedAt.Add(m.expireAfter))
 	}
 	if x.vouched && now.Before(x.distrustedUntil) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -67,7 +67,7 @@
 	inbound         map[string]int // open streams of other entries, by address
 	links           map[string]*link
 	accounts        map[string]*link // to homes of targets that are not in links
-	owed            map[string]bool  // homes that granted a place since the last report to them
+	reportsDue      map[string]bool  // homes that may have granted a place since the last report to them
 	live            []peer.Presence
 	liveChanged     chan struct{} // closed when live changes
 	leaving         bool
@@ -121,7 +121,7 @@
 		o.TargetDomain = func(string) string { return "" }
 	}
 	m := &Mesh{cfg: cfg, seeds: o.Seeds, targetDomain: o.TargetDomain, overlay: overlay.New([]peer.Presence{o.Self}, true),
-		records: gossip.NewTable(clock.Now(), o.Self), inbound: map[string]int{}, accounts: map[string]*link{}, owed: map[string]bool{}, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, onAssignment: o.OnAssignment, onEntryLost: o.OnEntryLost, table: o.Table,
+		records: gossip.NewTable(clock.Now(), o.Self), inbound: map[string]int{}, accounts: map[string]*link{}, reportsDue: map[string]bool{}, self: o.Self, pool: o.Pool, log: o.Log, listener: o.Listener, onAssignment: o.OnAssignment, onEntryLost: o.OnEntryLost, table: o.Table,
 		metrics: o.Metrics, startedAt: clock.Now(), sourceChanges: metrics.NewRegisteredCounter("mesh.source_changes", o.Metrics),
 		members: NewMembers(o.Self.Addr, o.Seeds, cfg.ExpireAfter), links: map[string]*link{},
 		engines: newReportRegistry(o.Listener), isSeed: slices.Contains(o.Seeds, o.Self.Addr), forwarded: map[string]forwardedReport{},
@@ -373,13 +373,13 @@
 // sendLoads queues a load report on all links if one is due or the store state changed.
 func (m *Mesh) sendLoads(ctx context.Context, now time.Time, r *loadReporter, loads func() []peer.TargetLoad) {
 	storeAt, _ := m.table.LastStoreRead()
-	urgent, owed := r.urgent(now, storeAt, m.failing()), m.owesReports()
-	if !urgent && !owed && !r.due(now, m.cfg.roundInterval(len(m.Entries()), true)) {
+	urgent, required := r.urgent(now, storeAt, m.failing()), m.hasDueReports()
+	if !urgent && !required && !r.due(now, m.cfg.roundInterval(len(m.Entries()), true)) {
 		return
 	}
 	current := loads()
 	msg := r.next(now, current)
-	if msg == nil && (urgent || owed) {
+	if msg == nil && (urgent || required) {
 		msg = &peer.Loads{}
 	}
 	if msg == nil {
@@ -392,6 +392,7 @@
 		m.sendAccounts(ctx, now, msg, current, urgent)
 		return
 	}
+	clear(m.reportsDue) // all reports go to all entries
 	for _, l := range m.links {
 		l.queueLoads(msg)
 	}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -54,6 +54,8 @@
 // Place is a Reserve of an entry that does not receive the loads of all other entries.
 type Place struct {
 	Reserve Reserve
+	// Requests and Prefill are the requester's own load at the target without this request.
+	Requests, Prefill int
 	// LastResort is true if the requester knows no target that it expects to answer.
 	LastResort bool
 }
