--- a/mesh/updates.go
+++ b/mesh/updates.go
@@ -95,39 +95,40 @@
 // entry has many agents.
 func (u *memberUpdates) mayChoose(live []peer.Presence) bool {
 	lost, found := differingMembers(u.live, live)
-	for _, p := range lost {
-		if u.announced[p.Addr] {
-			return true
-		}
-	}
-	if len(found) == 0 {
+	if len(lost)+len(found) == 0 {
 		return false
 	}
-	for _, near := range []bool{true, false} {
-		limit := farLinks
-		if near {
-			limit = nearLinks
-		}
-		if u.maySupersede(found, near, limit) {
+	for _, p := range lost {
+		if u.announced[p.Addr] {
 			return true
 		}
 	}
-	return false
+	return u.mayChooseAmong(true, nearLinks, lost, found, live) || u.mayChooseAmong(false, farLinks, lost, found, live)
 }
 
-// maySupersede reports whether one of the entries found ranks before one of those announced, in the
-// own failure domain or others.
-func (u *memberUpdates) maySupersede(found []peer.Presence, near bool, limit int) bool {
+// mayChooseAmong is mayChoose for the entries of the own failure domain, or for those of others,
+// of which limit are linked to. lost are entries that were not announced.
+func (u *memberUpdates) mayChooseAmong(near bool, limit int, lost, found, live []peer.Presence) bool {
 	inGroup := func(p peer.Presence) bool { return (p.Domain == u.to.Domain) == near }
-	announced, lowest := 0, uint64(math.MaxUint64)
-	for _, p := range u.live {
-		if inGroup(p) && u.announced[p.Addr] {
+	announced, lowestScore := 0, uint64(math.MaxUint64)
+	slowest, fastest := math.Inf(1), 0.0 // links of the announced entries, of all that are live
+	for _, p := range live {
+		if !inGroup(p) {
+			continue
+		}
+		fastest = max(fastest, p.LinkMbps)
+		if u.announced[p.Addr] {
 			announced++
-			lowest = min(lowest, membership.Score(u.to.Host, p.Addr))
+			lowestScore = min(lowestScore, membership.Score(u.to.Host, p.Addr))
+			slowest = min(slowest, p.LinkMbps)
 		}
 	}
+	// What counts as a fast link depends on the fastest one.
+	if slices.ContainsFunc(lost, func(p peer.Presence) bool { return inGroup(p) && p.LinkMbps > fastest }) {
+		return true
+	}
 	return slices.ContainsFunc(found, func(p peer.Presence) bool {
-		return inGroup(p) && (announced < limit || membership.Score(u.to.Host, p.Addr) > lowest)
+		return inGroup(p) && (announced < limit || p.LinkMbps > slowest || membership.Score(u.to.Host, p.Addr) > lowestScore)
 	})
 }
 
