--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -14,16 +14,22 @@
 	// syncInterval is the mean time between two comparisons of all records with those of a
 	// neighbour, which make up for what was lost with a broken link.
 	syncInterval = 3 * time.Second
-	// soonSyncInterval is that time during the first startPeriod, in which the neighbours may
-	// know little themselves, and after a link has opened.
+	// soonSyncInterval is that time during the startPeriod after this entry has learned that
+	// the fleet is large, in which the neighbours may know little themselves, and after a link
+	// has opened.
 	soonSyncInterval = 500 * time.Millisecond
 	startPeriod      = 10 * time.Second
 	// recentChanges is how far back changes are sent on a link that opens.
 	recentChanges = 3 * time.Second
 )
 
-// gossipTimes are the times of the next steps.
-type gossipTimes struct{ heard, becameLarge, nextSync, nextProbe time.Time }
+// gossipTimes are times that decide on the next steps.
+type gossipTimes struct {
+	heard       time.Time // last gossip that arrived while this entry thought the fleet small
+	becameLarge time.Time // when this entry learned that the fleet is large
+	nextSync    time.Time // earliest time of the next comparison with a neighbour
+	nextProbe   time.Time // earliest time of the next attempt to contact a lost entry
+}
 
 // refreshRecords applies what follows from the records by the passing of time. The lock must be
 // held.
@@ -159,8 +165,8 @@
 	}
 }
 
-// vouchAll applies all records to the members or, if the links are complete and each entry is
-// heard by itself, none.
+// vouchAll applies all records to the members or, if believe is false, none: in a small fleet each
+// entry counts as live only if it is heard itself.
 func (m *Mesh) vouchAll(now time.Time, believe bool) {
 	for _, addr := range m.records.Members() {
 		r, live := m.records.Member(addr)
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -284,13 +284,12 @@
 	}
 }
 
-// heardRecently reports whether the entry itself has sent something within the time after which it
-// counts as lost otherwise.
+// heardRecently reports whether the entry itself has sent something within expireAfter.
 func (m *Members) heardRecently(now time.Time, x *member) bool {
 	return !x.receivedAt.IsZero() && now.Sub(x.receivedAt) <= m.expireAfter
 }
 
-// Silent reports whether an entry has sent nothing for longer than that.
+// Silent reports whether an entry that has sent something before has sent nothing for expireAfter.
 func (m *Members) Silent(now time.Time, addr string) bool {
 	x := m.byAddr[addr]
 	return x != nil && !x.receivedAt.IsZero() && !m.heardRecently(now, x)
@@ -300,8 +299,7 @@
 	return !x.Leaving && (m.heardRecently(now, x) || x.vouched && !now.Before(x.distrustedUntil))
 }
 
-// mayChangeAt returns until when isLive holds or, if it does not, does not hold unless something
-// is recorded.
+// mayChangeAt returns until when the result of isLive stays the same unless something is recorded.
 func (m *Members) mayChangeAt(now time.Time, x *member) time.Time {
 	at := now.Add(m.expireAfter)
 	if m.heardRecently(now, x) {
