--- a/mesh/size_test.go
+++ b/mesh/size_test.go
@@ -82,8 +82,9 @@
 	}
 	var loads func() []peer.TargetLoad
 	if m.self.Addr != "" {
-		m.balancer = dispatch.NewBalancer(dispatch.Config{}, rand.New(rand.NewPCG(1, 2)))
-		o.Listener, o.Table, o.TargetDomain = m, mirror.NewTable(""), m.balancer.DomainOf
+		balancer := dispatch.NewBalancer(dispatch.Config{}, rand.New(rand.NewPCG(1, 2)))
+		m.locked(func() { m.balancer = balancer })
+		o.Listener, o.Table, o.TargetDomain = m, mirror.NewTable(""), balancer.DomainOf
 		loads = m.ownLoads
 	} else {
 		o.OnAssignment = func(a peer.Assignment) {
@@ -115,10 +116,16 @@
 	}
 }
 
+// currentBalancer returns the balancer, which is replaced at a restart.
+func (m *process) currentBalancer() (b *dispatch.Balancer) {
+	m.locked(func() { b = m.balancer })
+	return b
+}
+
 // ownLoads returns the loads of an entry as package gateway reports them.
 func (m *process) ownLoads() []peer.TargetLoad {
 	var out []peer.TargetLoad
-	for id, l := range m.balancer.OwnLoads() {
+	for id, l := range m.currentBalancer().OwnLoads() {
 		out = append(out, peer.TargetLoad{Instance: id, Requests: l.Requests, PendingPrefill: l.PendingPrefill})
 	}
 	return out
@@ -164,12 +171,12 @@
 		loads[t.Instance] = dispatch.Load{Requests: t.Requests, PendingPrefill: t.PendingPrefill}
 	}
 	if l.Full {
-		m.balancer.SetLoads(from, loads)
+		m.currentBalancer().SetLoads(from, loads)
 	} else {
-		m.balancer.UpdateLoads(from, loads)
+		m.currentBalancer().UpdateLoads(from, loads)
 	}
 }
-func (m *process) EntryLost(addr string)                    { m.balancer.SetLoads(addr, nil) }
+func (m *process) EntryLost(addr string)                    { m.currentBalancer().SetLoads(addr, nil) }
 func (*process) Announced(time.Time) []peer.ObservedVersion { return nil }
 func (*process) Notices() []peer.TargetNotice               { return nil }
 func (m *process) EngineState(a peer.Presence, s *peer.EngineState) {
