--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -153,8 +153,8 @@
 	return m.overlay.Relays(m.self.Domain)
 }
 
-// chooseRole returns the role of self, the first of candidates; relays are those of storeRelays. Readers are chosen among the
-// entries that reach the store: a reader that does not reach it would still answer its followers,
+// chooseRole returns the role of self, the first of candidates; relays are those of storeRelays.
+// Readers are chosen among the entries that reach the store: a reader that does not reach it would still answer its followers,
 // and so keep them from the changes that other readers receive. Entries with the same view of the
 // candidates make the same choice.
 func chooseRole(self peer.Presence, candidates []readerCandidate, relays []string) role {
