--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -70,6 +70,13 @@
 	return len(m.links) + len(m.accounts)
 }
 
+// relaysOf returns the relays of a failure domain.
+func (m *Mesh) relaysOf(domain string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.overlay.Relays(domain)
+}
+
 // knownBy returns how many of the given entries count one as live.
 func knownBy(list []*process, addr string) int {
 	n := 0
@@ -88,7 +95,7 @@
 		"an entry":  func(c *processes) []*process { return c.members[largeFleet-1 : largeFleet] },
 		"the seeds": func(c *processes) []*process { return c.members[:3] },
 		"all relays of a failure domain": func(c *processes) []*process {
-			relays := c.members[0].mesh.overlay.Relays(c.members[0].self.Domain)
+			relays := c.members[0].mesh.relaysOf(c.members[0].self.Domain)
 			return slices.DeleteFunc(slices.Clone(c.members[:c.entries]), func(m *process) bool { return !slices.Contains(relays, m.self.Addr) })
 		},
 		"half of the entries": func(c *processes) []*process { return c.members[c.entries/2 : c.entries] },
