mirror: followers of a copy need no whole copy when it was read anew

Cause: a copy that was replaced by a whole one, because the store had forgotten its history, dropped the history that it kept for its followers. These read whole copies too, and theirs, with each such read of the three readers. Change: the history gets the differences between the two copies and a mark of the gap. A follower from before the gap needs no more; one within it may have a key that was created and deleted there and still reads all. A copy that reflected later changes when it was read (pages) counts as before its last exact revision. Removed keys that a follower read ahead are found by that they are not mentioned. The gauge mirror.full_copies counts whole copies. The harness's store forgot its history by reading a whole copy of itself, which no longer does that; it now has a revision up to which it has forgotten, and refuses watches from before it. The oracle's reads in pages state the revision of the last page, as the store's do.

--- a/mesh/copies_test.go
+++ b/mesh/copies_test.go
@@ -83,11 +83,7 @@
 }
 
 // compact discards the store's history.
-func (f *entries) compact() {
-	b, err := f.store.Range(time.Now())
-	assert.NilError(f.t, err)
-	f.store.Replace(time.Now(), b)
-}
+func (f *entries) compact() { f.compacted.Store(f.store.Revision()) }
 
 // restart kills the entry and starts it again without its former state.
 func (e *entry) restart() {
--- a/mesh/entries_test.go
+++ b/mesh/entries_test.go
@@ -25,6 +25,8 @@
 	store *mirror.Table
 	all   []*entry
 	cuts  sync.RWMutex // guards unreachable of all entries
+	// compacted is the revision up to which the store has forgotten its history.
+	compacted atomic.Int64
 }
 
 // reaches reports whether two entries can connect.
@@ -179,7 +181,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e.table = mirror.NewTable("")
-	e.view = &storeView{store: e.fleet.store, changed: make(chan struct{})}
+	e.view = &storeView{store: e.fleet.store, compacted: &e.fleet.compacted, changed: make(chan struct{})}
 	hello := peer.Hello{Host: "host of " + e.addr}
 	e.pool = peer.NewPoolWithDialer(e.dial, hello, e.serve, &peer.Meter{})
 	e.crashes = quarantine.NewTable()
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -206,6 +207,39 @@
 	})
 }
 
+// While the store forgets its history, its readers read whole copies, and their followers need not:
+// a whole copy of a fleet has some 100 kB, and all entries would read it with each change.
+func TestOnlyReadersReadWholeCopiesWhileTheStoreForgetsItsHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startEntries(t, largeFleet)
+		defer all.stop()
+		time.Sleep(8 * time.Second)
+		readers := all.readers(time.Now().Add(-2 * time.Second))
+		followers := all.except(readers)
+		before := fullCopies(followers)
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 100 {
+			all.write("servers/01", false)
+			all.write("servers/02", rng.IntN(2) == 0)
+			all.compact()
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Check(t, fullCopies(readers) > readerCount, "the readers must have read whole copies")
+		assert.Check(t, fullCopies(followers) == before, "%d whole copies read by followers in 5 s", fullCopies(followers)-before)
+		time.Sleep(time.Second)
+		for _, e := range all.all {
+			assert.DeepEqual(t, contentsOf(e.table), contentsOf(all.store))
+		}
+	})
+}
+
+func fullCopies(list []*entry) (n int64) {
+	for _, e := range list {
+		n += e.table.FullCopies()
+	}
+	return n
+}
+
 // split closes the connections between two groups of entries, and lets none open until join.
 func (f *entries) split(a, b []*entry) {
 	hosts := map[string]bool{}
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/springgate/springgate/mirror"
@@ -26,7 +27,8 @@
 
 // storeView is the store as one entry reaches it. It implements mirror.Source.
 type storeView struct {
-	store *mirror.Table
+	store     *mirror.Table
+	compacted *atomic.Int64 // see entries.compacted
 
 	mu          sync.Mutex
 	fault       fault
@@ -148,5 +150,10 @@
 const secondPage = "servers/10"
 
 func (v *storeView) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (mirror.Batch, error) {
-	return v.call(ctx, func(ctx context.Context) (mirror.Batch, error) { return v.store.Watch(ctx, after, wait) })
+	return v.call(ctx, func(ctx context.Context) (mirror.Batch, error) {
+		if after < v.compacted.Load() {
+			return mirror.Batch{}, mirror.ErrCompacted
+		}
+		return v.store.Watch(ctx, after, wait)
+	})
 }
--- a/mirror/digest.go
+++ b/mirror/digest.go
@@ -29,6 +29,13 @@
 	return t.digest, t.revision
 }
 
+// FullCopies returns how often the copy was replaced by a whole one.
+func (t *Table) FullCopies() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fullCopies
+}
+
 // LateEvents returns the number of events that were ignored because their revision was
 // not above the copy's revision: they came in responses that arrived out of order.
 func (t *Table) LateEvents() int64 {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -110,6 +110,7 @@
 		createdAt: clock.Now()}
 	f.stats.registerAge(func() int64 { return f.age(clock.Now()).Milliseconds() })
 	f.stats.registerLateEvents(f.table.LateEvents)
+	f.stats.registerFullCopies(f.table.FullCopies)
 	return f
 }
 
--- a/mirror/oracle_test.go
+++ b/mirror/oracle_test.go
@@ -121,7 +121,7 @@
 					t.Skip()
 				}
 				r := rapid.SampledFrom(pagedReads).Draw(t, "reading")
-				b := Batch{Revision: r.first.Revision, Events: append(slices.Clone(r.first.Events), store.page(r.split, "")...)}
+				b := Batch{Revision: r.first.Revision, MaxRevision: store.revision(), Events: append(slices.Clone(r.first.Events), store.page(r.split, "")...)}
 				copies[pick(t)].Replace(start, b)
 			},
 			"watch with a late answer": func(t *rapid.T) {
--- a/mirror/stats.go
+++ b/mirror/stats.go
@@ -23,3 +23,9 @@
 func (s *Stats) registerLateEvents(f func() int64) {
 	metrics.NewRegisteredFunctionalGauge("mirror.events_late", s.registry, f)
 }
+
+// registerFullCopies registers the gauge of the number of whole copies read (see
+// Table.FullCopies).
+func (s *Stats) registerFullCopies(f func() int64) {
+	metrics.NewRegisteredFunctionalGauge("mirror.full_copies", s.registry, f)
+}
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -65,16 +65,6 @@
 // Paid is implemented by sources whose calls may be billed.
 type Paid interface{ Paid() bool }
 
-// Bounds of the history of changes that a table keeps for peers that follow it. A
-// follower that is further behind reads the full copy, about 1 MB at 3,000 targets. When
-// many targets register at once, a few hundred changes come between two watches, and all
-// followers would read the full copy if the history were shorter than that. A change of a
-// target has a few hundred bytes, one of a configuration tens of thousands.
-const (
-	maxHistoryLength = 4096
-	maxHistoryBytes  = 1 << 20
-)
-
 // Table is the copy of one prefix. Its methods may be called concurrently.
 //
 // A copy reflects all changes up to its revision. It may also reflect some later changes,
@@ -87,11 +77,10 @@
 
 	mu            sync.Mutex
 	items         map[string]Item
-	history       []Event // ordered by revision
-	historySize   int     // in bytes
-	historyStart  int64   // the history is complete after this revision
+	history       history
 	revision      int64
 	maxRevision   int64     // the copy may reflect some changes between revision and maxRevision
+	exactRevision int64     // last revision at which the copy reflected no later changes
 	firstRevision int64     // revision of the first read
 	confirmedAt   time.Time // when the copy was last confirmed to agree with the store
 	storeReadAt   time.Time // like confirmedAt, but by this process's own reads of the store only
@@ -100,6 +89,7 @@
 	signalledAt   time.Time     // confirmedAt when confirmed was last closed
 	digest        uint64        // of all items
 	lateEvents    int64         // events ignored because their revision was not above the copy's
+	fullCopies    int64         // see FullCopies
 }
 
 // NewTable returns an empty copy of prefix.
@@ -136,21 +126,74 @@
 // Apply applies the changes after the revision that the copy had when they were requested.
 // Events up to the revision that the copy has reached since then are skipped: responses may
 // arrive out of order, and a late one would add a target again after its removal was applied.
+// A batch is ignored if the copy has reached a revision within one of its gaps (see history).
 func (t *Table) Apply(now time.Time, b Batch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := false
+	if b.hasGapAround(t.revision) {
+		return
+	}
+	changed := t.removeLostInGaps(b)
 	for _, e := range b.Events {
 		if e.Revision <= t.revision {
 			t.lateEvents++
 			continue
 		}
 		changed = t.set(e) || changed
-		t.record(e)
+		t.history.record(e)
+		t.readAhead(b, e)
 	}
+	t.maxRevision = max(t.maxRevision, b.MaxRevision)
 	t.advance(now, b, changed)
 }
 
+// readAhead notes that the copy reflects a change that is later than the batch.
+func (t *Table) readAhead(b Batch, e Event) {
+	if e.Revision > b.Revision {
+		t.maxRevision = max(t.maxRevision, e.Revision)
+	}
+}
+
+// removeLostInGaps removes the keys that were created and deleted within a gap of the source's
+// history, and reports whether there were any. The copy has such a key if it was read in pages and
+// reflects changes beyond its revision. The source does not mention the key, because it never had
+// it.
+func (t *Table) removeLostInGaps(b Batch) bool {
+	if t.maxRevision <= t.revision {
+		return false
+	}
+	changed := false
+	for _, e := range b.Events {
+		if after, ok := e.gap(); ok && e.Revision > t.revision {
+			changed = t.removeUnmentioned(b, max(after, t.revision), e.Revision) || changed
+		}
+	}
+	return changed
+}
+
+// removeUnmentioned removes the keys that changed after one revision, up to another, if the batch
+// has no such change of them.
+func (t *Table) removeUnmentioned(b Batch, after, until int64) bool {
+	mentioned := make(map[string]int64, len(b.Events)) // latest revisions
+	for _, e := range b.Events {
+		mentioned[e.Key] = max(mentioned[e.Key], e.Revision)
+	}
+	changed := false
+	for key, i := range t.items {
+		if i.Revision > after && i.Revision <= until && mentioned[key] < i.Revision {
+			changed = t.remove(key, until) || changed
+		}
+	}
+	return changed
+}
+
+// remove deletes a key that the store does not have at a revision.
+func (t *Table) remove(key string, revision int64) bool {
+	e := Event{Item: Item{Key: key, Revision: revision}, Deleted: true}
+	t.history.record(e)
+	return t.set(e)
+}
+
 // Replace replaces the copy by a batch with all items of the prefix. Keys that are missing
 // from the batch are removed, unless they changed after the batch's revision. A batch older than
 // the copy is ignored.
@@ -160,25 +203,45 @@
 	if b.Revision < t.revision {
 		return
 	}
-	present := make(map[string]bool, len(b.Events))
+	t.fullCopies++
+	if t.revision == 0 {
+		t.firstRevision = b.Revision
+		t.history.reset(b.Revision)
+	}
 	changed := t.revision == 0
+	changed = t.replaceItems(b) || changed
+	if b.Revision > t.revision && t.revision > 0 {
+		t.history.record(gapMarker(t.exactRevision, b.Revision))
+	}
+	t.maxRevision = max(t.maxRevision, b.MaxRevision)
+	t.advance(now, b, changed)
+}
+
+// replaceItems changes the items to those of a batch, records the differences for followers, and
+// reports whether there were any.
+func (t *Table) replaceItems(b Batch) bool {
+	changed := false
+	present := make(map[string]bool, len(b.Events))
 	for _, e := range b.Events {
 		present[e.Key] = true
-		changed = t.set(e) || changed
+		isNew := t.set(e)
+		changed = changed || isNew
+		t.readAhead(b, e)
+		switch {
+		case t.revision == 0: // no follower had an earlier copy
+		case e.Revision > t.revision:
+			t.history.record(e)
+		case isNew:
+			// The copy had missed this change, and so have its followers.
+			t.history.reset(b.Revision)
+		}
 	}
 	for key, i := range t.items {
 		if !present[key] && i.Revision <= b.Revision {
-			changed = t.set(Event{Item: Item{Key: key, Revision: b.Revision}, Deleted: true}) || changed
+			changed = t.remove(key, b.Revision) || changed
 		}
 	}
-	if t.revision == 0 {
-		t.firstRevision = b.Revision
-	}
-	t.maxRevision = max(t.maxRevision, b.MaxRevision)
-	// Keys that were created and deleted since the last read are missing from the
-	// batch, so a peer that is behind must read the full copy too.
-	t.historyStart, t.history, t.historySize = b.Revision, nil, 0
-	t.advance(now, b, changed)
+	return changed
 }
 
 // set applies an event to its key, unless the copy has a later state of the key, and
@@ -203,38 +266,14 @@
 	return true
 }
 
-// record adds a change to the history for followers, even if the copy already reflects
-// it. When changes that the copy already reflected were left out, half of 14 entries kept a
-// permanently outdated state of three targets after one full read.
-func (t *Table) record(e Event) {
-	t.history = append(t.history, e)
-	t.historySize += e.size()
-	t.trim()
-}
-
-// eventOverhead is the memory of an event without its key and value, in bytes.
-const eventOverhead = 64
-
-func (e Event) size() int { return len(e.Key) + len(e.Value) + eventOverhead }
-
-// trim drops the oldest half of the history when it exceeds its bounds. Dropping half at
-// once avoids a copy of the history at each change.
-func (t *Table) trim() {
-	if len(t.history) < 2 || len(t.history) <= maxHistoryLength && t.historySize <= maxHistoryBytes {
-		return
-	}
-	keep := t.history[len(t.history)/2:]
-	t.historyStart = max(t.historyStart, t.history[len(t.history)/2-1].Revision)
-	t.history = append([]Event(nil), keep...)
-	t.historySize = 0
-	for _, e := range t.history {
-		t.historySize += e.size()
-	}
-}
-
 func (t *Table) advance(now time.Time, b Batch, changed bool) {
 	advanced := b.Revision > t.revision
 	t.revision = max(t.revision, b.Revision)
+	if t.maxRevision <= t.revision {
+		t.exactRevision = t.revision
+	} else {
+		t.exactRevision = min(t.exactRevision, t.revision-1)
+	}
 	at := now.Add(-b.Age)
 	t.confirm(at)
 	if b.FromStore {
@@ -356,14 +395,13 @@
 	if t.revision == 0 {
 		return Batch{}, nil, ErrUnavailable
 	}
-	if after < t.historyStart {
+	events, ok := t.history.since(after)
+	if !ok {
 		return Batch{}, nil, ErrCompacted
 	}
-	b := Batch{Revision: max(after, t.revision), Age: now.Sub(t.confirmedAt), AgeMeasuredAt: now}
-	for _, e := range t.history {
-		if e.Revision > after {
-			b.Events = append(b.Events, e)
-		}
+	if after >= t.revision {
+		events = nil // what the copy reflects beyond its revision comes again, with the change
 	}
+	b := Batch{Events: events, Revision: max(after, t.revision), MaxRevision: t.maxRevision, Age: now.Sub(t.confirmedAt), AgeMeasuredAt: now}
 	return b, t.changed, nil
 }
--- a/mirror/table_test.go
+++ b/mirror/table_test.go
@@ -103,7 +103,7 @@
 		e := set("config", r)
 		e.Value = make([]byte, maxHistoryBytes)
 		table.Apply(start, Batch{Events: []Event{e}, Revision: r})
-		assert.Assert(t, table.historySize <= 2*maxHistoryBytes)
+		assert.Assert(t, table.history.size <= 2*maxHistoryBytes)
 	}
 	b, err := table.Watch(t.Context(), 10, 0)
 	assert.NilError(t, err)
