--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -48,6 +48,7 @@
 	policy     *residency.Policy
 	services   map[string][]*Target
 	byID       map[string]*Target
+	used       map[*Target]bool           // targets of which OwnLoads, SilentTargets or ResponsiveTargets may tell
 	addrs      map[string]bool            // of all targets
 	reported   map[string]map[string]bool // targets at which other entries reported loads, by entry and target ID
 	homeLoads  []homeLoad                 // loads told by home entries, oldest first
@@ -61,7 +62,7 @@
 
 // NewBalancer returns a Balancer without targets.
 func NewBalancer(cfg Config, rng *rand.Rand) *Balancer {
-	return &Balancer{cfg: cfg.applyDefaults(), policy: residency.New(cfg.Regions, nil), services: map[string][]*Target{}, byID: map[string]*Target{}, reported: map[string]map[string]bool{},
+	return &Balancer{cfg: cfg.applyDefaults(), policy: residency.New(cfg.Regions, nil), services: map[string][]*Target{}, byID: map[string]*Target{}, reported: map[string]map[string]bool{}, used: map[*Target]bool{},
 		objectives: map[string]*objectiveStats{}, states: map[string]EngineState{}, versions: map[string]wantedVersions{}, notices: notice.NewTable(), rng: rng, changed: make(chan struct{})}
 }
 
@@ -142,7 +143,7 @@
 
 func (b *Balancer) recordSend(now time.Time, t *Target, d Demand) {
 	l := Load{Requests: 1, PendingPrefill: d.Prompt}
-	t.own, t.load = t.own.add(l), t.load.add(l)
+	b.addOwn(t, l)
 	t.pace.count(now, t.rate(now, b.stateOf(t).Limit))
 	b.notices.RecordSend(now, notice.IncarnationOf(&t.Instance))
 	if t.health.waitingSince.IsZero() {
@@ -165,7 +166,7 @@
 	defer b.mu.Unlock()
 	t.health.recordActivity(now)
 	l := Load{PendingPrefill: -first}
-	t.own, t.load = t.own.add(l), t.load.add(l)
+	b.addOwn(t, l)
 }
 
 // Result describes how a request ended at a target.
@@ -184,7 +185,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := Load{Requests: -1, PendingPrefill: -r.PendingPrefill}
-	t.own, t.load = t.own.add(l), t.load.add(l)
+	b.addOwn(t, l)
 	switch {
 	case t.own.Requests == 0:
 		t.health.waitingSince = time.Time{}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -90,7 +90,13 @@
 
 // reportSilent reports whether to report the target to other entries as silent.
 func (h *health) reportSilent(now time.Time, limit time.Duration) bool {
-	return h.silent(now, limit) || h.activeAt.Before(h.abandonedAt) && now.Sub(h.abandonedAt) < silenceReportDuration
+	return h.silent(now, limit) || h.recentlyAbandoned(now)
+}
+
+// recentlyAbandoned reports whether this entry abandoned a request within silenceReportDuration
+// and has received nothing from the target since.
+func (h *health) recentlyAbandoned(now time.Time) bool {
+	return h.activeAt.Before(h.abandonedAt) && now.Sub(h.abandonedAt) < silenceReportDuration
 }
 
 // suspected reports whether another entry reported the target silent within suspectDuration and
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -118,14 +118,20 @@
 	return ""
 }
 
+// addOwn changes the load that this entry has in flight at a target.
+func (b *Balancer) addOwn(t *Target, l Load) {
+	t.own, t.load = t.own.add(l), t.load.add(l)
+	b.used[t] = true
+}
+
 // OwnLoads returns the loads that this entry has in flight, by target ID.
 func (b *Balancer) OwnLoads() map[string]Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := map[string]Load{}
-	for id, t := range b.byID {
-		if t.own != (Load{}) {
-			out[id] = t.own
+	for t := range b.used {
+		if b.byID[t.ID] == t && t.own != (Load{}) {
+			out[t.ID] = t.own
 		}
 	}
 	return out
@@ -145,25 +151,36 @@
 func (b *Balancer) SilentTargets(now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forgetUnused(now)
 	var out []string
-	for id, t := range b.byID {
+	for t := range b.used {
 		if len(t.responsiveTo) == 0 && t.health.reportSilent(now, t.silenceLimit()) {
-			out = append(out, id)
+			out = append(out, t.ID)
 		}
 	}
 	slices.Sort(out)
 	return out
 }
 
+// forgetUnused removes the targets from b.used of which there is nothing to report.
+func (b *Balancer) forgetUnused(now time.Time) {
+	for t := range b.used {
+		idle := t.own == (Load{}) && t.health.waitingSince.IsZero() && !t.health.recentlyAbandoned(now)
+		if idle || b.byID[t.ID] != t {
+			delete(b.used, t)
+		}
+	}
+}
+
 // ResponsiveTargets returns the IDs of the targets that process requests of this entry and sent
 // it data within activityWindow.
 func (b *Balancer) ResponsiveTargets(now time.Time) map[string]bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := map[string]bool{}
-	for id, t := range b.byID {
-		if t.own.Requests > 0 && now.Sub(t.health.activeAt) < activityWindow {
-			out[id] = true
+	for t := range b.used {
+		if b.byID[t.ID] == t && t.own.Requests > 0 && now.Sub(t.health.activeAt) < activityWindow {
+			out[t.ID] = true
 		}
 	}
 	return out
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -77,7 +77,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := Load{Requests: -1, PendingPrefill: -d.Prompt}
-	t.own, t.load = t.own.add(l), t.load.add(l)
+	b.addOwn(t, l)
 	t.pace.undo()
 	b.notices.CancelSend(notice.IncarnationOf(&t.Instance))
 	if t.own.Requests == 0 {
