mesh: entries that start in a large fleet get their first copy from other entries

Change: an entry with seeds waits up to 250 ms until it knows whom to follow: many entries of a large fleet, or one that has a copy. The entry followed, if it has just started too, answers a read of the whole copy once it has one, within 1 s; then the store is read as before. An entry whose seeds are lost reads the store after 250 ms.

--- a/mesh/copies_test.go
+++ b/mesh/copies_test.go
@@ -88,6 +88,11 @@
 // restart kills the entry and starts it again without its former state.
 func (e *entry) restart() {
 	e.kill()
+	e.revive()
+}
+
+// revive starts a killed entry again without its former state.
+func (e *entry) revive() {
 	e.mu.Lock()
 	e.down, e.conns = false, nil
 	e.mu.Unlock()
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -68,6 +68,7 @@
 // to date, from the store or from other entries. It must be called once, before Run.
 func (m *Mesh) NewFollower(cfg mirror.Config, store mirror.Source, log logrus.FieldLogger) *mirror.Follower {
 	m.store = mirror.NewMonitoredStore(store, log)
+	m.startHeld = len(m.otherSeeds()) > 0
 	return mirror.NewFollower(mirror.Options{Config: cfg, Table: m.table, Store: m.store, Route: m, Log: log,
 		Stats: mirror.NewStats(m.metrics)})
 }
@@ -80,6 +81,9 @@
 func (m *Mesh) Source() (mirror.Source, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.startHeld {
+		return undecided{}, m.sourceChanged
+	}
 	if m.role.follows == "" {
 		return nil, m.sourceChanged
 	}
@@ -120,12 +124,17 @@
 	if old.follows == m.role.follows {
 		return
 	}
-	close(m.sourceChanged)
-	m.sourceChanged = make(chan struct{})
+	m.signalSourceChanged()
 	m.sourceChanges.Inc(1)
 	m.logSourceChange(now, old)
 }
 
+// signalSourceChanged ends calls to the former source. The lock must be held.
+func (m *Mesh) signalSourceChanged() {
+	close(m.sourceChanged)
+	m.sourceChanged = make(chan struct{})
+}
+
 func (m *Mesh) logSourceChange(now time.Time, old role) {
 	level := logrus.InfoLevel
 	if now.Sub(m.sourceLoggedAt) < sourceLogInterval {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -76,6 +76,7 @@
 	forwarded       map[string]forwardedReport // reports that this entry forwards, by engine
 	behindSince     time.Time
 	catchingUp      bool
+	startHeld       bool // see startHold
 	role            role
 	roleBasis       roleBasis
 	crashMismatches map[string]time.Time // since when the crash digests of other entries differ, by address
@@ -83,7 +84,7 @@
 	nextRepairAt    time.Time            // earliest time of the next full read because of a difference
 	copiesDiffered  metrics.Counter
 	repairs         metrics.Counter
-	sourceChanged   chan struct{} // closed when role.follows changes
+	sourceChanged   chan struct{} // closed when the source changes
 	sourceLoggedAt  time.Time     // when a change of the source was last logged at level info
 
 	refreshedVersion uint64        // version of the members at the last refresh
@@ -239,6 +240,7 @@
 	m.gossipRound(now)
 	m.table.Confirm(m.members.ConfirmedAt(m.table.Revision()))
 	m.updateRole(now, m.refreshedVersion)
+	m.endStartHold(now)
 	m.catchUpIfBehind(ctx, now)
 	m.repair(ctx, now)
 }
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -22,7 +22,7 @@
 
 // Range implements mirror.Source.
 func (s *peerSource) Range(ctx context.Context, _ string) (mirror.Batch, error) {
-	return s.read(ctx, &peer.MirrorRead{All: true})
+	return s.read(ctx, &peer.MirrorRead{All: true, WaitMs: s.mesh.firstCopyWaitMs()})
 }
 
 // Watch implements mirror.Source.
@@ -72,6 +72,7 @@
 	wait := time.Duration(q.WaitMs) * time.Millisecond
 	switch {
 	case q.All:
+		m.table.AwaitFirst(ctx, wait)
 		b, err = m.table.Range(clock.Now())
 	case m.isLarge():
 		b, err = m.table.WatchConfirmed(ctx, q.After, wait, m.told.last(follower))
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -32,8 +32,9 @@
 
 	mu          sync.Mutex
 	fault       fault
-	changed     chan struct{}        // closed when fault changes
-	calls       []time.Time          // start times of the calls
+	changed     chan struct{} // closed when fault changes
+	calls       []time.Time   // start times of the calls
+	ranges      int
 	answerDelay func() time.Duration // delay between making and returning an answer; nil for none
 }
 
@@ -126,7 +127,20 @@
 	}
 }
 
+// storeRanges returns how many whole copies entries have read from the store since they started.
+func storeRanges(list []*entry) (n int) {
+	for _, e := range list {
+		e.view.mu.Lock()
+		n += e.view.ranges
+		e.view.mu.Unlock()
+	}
+	return n
+}
+
 func (v *storeView) Range(ctx context.Context, _ string) (mirror.Batch, error) {
+	v.mu.Lock()
+	v.ranges++
+	v.mu.Unlock()
 	return v.call(ctx, func(context.Context) (mirror.Batch, error) { return v.pages() })
 }
 
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -343,6 +343,23 @@
 	return b, nil
 }
 
+// AwaitFirst waits until the table has been read for the first time, wait expires or ctx ends.
+func (t *Table) AwaitFirst(ctx context.Context, wait time.Duration) {
+	t.mu.Lock()
+	isRead, changed := t.revision > 0, t.changed
+	t.mu.Unlock()
+	if isRead || wait <= 0 {
+		return
+	}
+	timer := clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Watch waits for changes after a revision on behalf of a peer. It returns an empty batch
 // when wait expires or ctx ends first.
 func (t *Table) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
