mesh: an entry counts as unreachable after three failed dials

Cause: in a large fleet the first dial that missed its timeout of 60 ms made a suspicion, which goes to all entries.

--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -342,3 +342,30 @@
 		}
 	})
 }
+
+// Entries that are slow to answer when a fleet starts, or always, are not suspected.
+func TestSlowEntriesAreNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const transit = 70 * time.Millisecond // the first attempts to dial take longer than their timeouts
+		all := startEntriesStaggered(t, largeFleet, transit, time.Millisecond)
+		defer all.stop()
+		time.Sleep(8 * time.Second)
+		for _, e := range all.all {
+			assert.Equal(t, len(e.mesh.Entries()), largeFleet-1, e.addr)
+		}
+		assert.Check(t, all.refutations() == 0, "%d suspicions refuted", all.refutations())
+	})
+}
+
+// refutations returns how many suspicions entries have refuted. Each raises the generation of the
+// entry's record, which begins with its incarnation.
+func (f *entries) refutations() (n uint64) {
+	for i, e := range f.all {
+		m := f.all[(i+1)%len(f.all)].mesh
+		m.mu.Lock()
+		r, _ := m.records.Member(e.addr)
+		m.mu.Unlock()
+		n += r.Generation - r.Incarnation
+	}
+	return n
+}
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -122,6 +122,12 @@
 	return out
 }
 
+// dialsUntilLost is how often dialling an entry of a large fleet must fail in a row for it to count
+// as unreachable. The first timeouts are short, and a busy process misses them: when a fleet
+// starts, the suspicions of all of them would go to all entries.
+const dialsUntilLost = 3
+
+// run keeps the link up until ctx ends.
 func (l *link) run(ctx context.Context) {
 	for attempts := 0; ctx.Err() == nil; attempts++ {
 		timeout, pause := l.mesh.cfg.dialAttempt(attempts)
@@ -129,7 +135,7 @@
 		if reached {
 			attempts, pause = 0, l.mesh.cfg.RetryAfter
 		}
-		l.mesh.linkLost(ctx, l, reached)
+		l.mesh.linkLost(ctx, l, !reached && attempts >= dialsUntilLost-1)
 		if !loop.Sleep(ctx, pause) {
 			return
 		}
@@ -250,17 +256,18 @@
 	return crashCursor{table: m.crashes}
 }
 
-// linkLost records that an entry is unreachable, unless another link to it has replaced l.
-// reached is true if the link was up.
-func (m *Mesh) linkLost(ctx context.Context, l *link, reached bool) {
-	if m.markBroken(ctx, l, reached) && m.onEntryLost != nil {
+// linkLost records that a link is not up, unless another link to the entry has replaced l.
+// unreachable is true if dialling the entry has failed dialsUntilLost times.
+func (m *Mesh) linkLost(ctx context.Context, l *link, unreachable bool) {
+	if m.markBroken(ctx, l, unreachable) && m.onEntryLost != nil {
 		m.onEntryLost(l.addr)
 	}
 }
 
-// markBroken marks the entry of a link as unreachable. It returns false if another link to
-// the entry has replaced l.
-func (m *Mesh) markBroken(ctx context.Context, l *link, reached bool) bool {
+// markBroken marks the entry of a link as unreachable; in a large fleet, where others tell of it as
+// well, only if it is found unreachable. It returns false if another link to the entry has replaced
+// l.
+func (m *Mesh) markBroken(ctx context.Context, l *link, unreachable bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l.up = false
@@ -268,7 +275,7 @@
 		return false
 	}
 	if m.large() {
-		if !reached && ctx.Err() == nil { // if it was up, it is opened again first
+		if unreachable && ctx.Err() == nil {
 			m.lostContact(l.addr)
 		}
 		return true
