mesh: an entry chooses the links of its agents without sorting all entries

Change: a ranking of the best few, without lists of all; the hash of a pair is taken only for those that could still be among them, and from the stack. The shortcut, which was right only while no announced entry was lost, is gone.

--- a/membership/rank.go
+++ b/membership/rank.go
@@ -10,12 +10,9 @@
 // Score returns the weight of a node for a key in rendezvous hashing. All
 // processes compute the same value.
 func Score(key, node string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(node)
-	return mix(d.Sum64())
+	var buf [128]byte // on the stack, for keys and nodes of usual length
+	b := append(append(buf[:0], key...), 0)
+	return mix(xxhash.Sum64(append(b, node...)))
 }
 
 // mix hashes a hash again, so that related keys rank the nodes in different
--- a/mesh/forwarder.go
+++ b/mesh/forwarder.go
@@ -50,9 +50,5 @@
 // nearestLive returns a live entry, preferably of the own failure domain. The lock must be
 // held.
 func (m *Mesh) nearestLive() string {
-	var live []candidate
-	for _, p := range m.live {
-		live = append(live, candidate{p, true})
-	}
-	return chooseLinks(m.self, live)[0]
+	return chooseLinks(m.self, liveCandidates(m.live))[0]
 }
--- a/mesh/linkchoice_test.go
+++ b/mesh/linkchoice_test.go
@@ -10,7 +10,7 @@
 )
 
 func entryCandidate(addr, domain string, mbps float64, live bool) candidate {
-	return candidate{peer.Presence{Addr: addr, Domain: domain, LinkMbps: mbps}, live}
+	return candidate{&peer.Presence{Addr: addr, Domain: domain, LinkMbps: mbps}, live}
 }
 
 // An agent links to entries of its own failure domain, fast ones first, and to a few others.
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -369,7 +369,7 @@
 	var out []candidate
 	for _, addr := range m.Addrs() {
 		x := m.byAddr[addr]
-		out = append(out, candidate{x.Presence, m.isLive(now, x)})
+		out = append(out, candidate{&x.Presence, m.isLive(now, x)})
 	}
 	return out
 }
--- a/mesh/updates.go
+++ b/mesh/updates.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"time"
 
@@ -27,7 +26,6 @@
 	to          peer.Presence
 	seed        bool            // this entry is a seed
 	announced   map[string]bool // by address
-	live        []peer.Presence // as of the last message to an agent
 	senderSent  bool
 	leavingSent bool
 }
@@ -68,18 +66,10 @@
 	if !u.senderSent || self.Leaving != u.leavingSent {
 		msg.Sender = self
 	}
-	if msg.Sender.Addr == "" && !u.mayChoose(live) {
-		return nil
-	}
-	u.live = live
-	known := []candidate{{self, true}}
-	for _, p := range live {
-		known = append(known, candidate{p, true})
-	}
-	chosen := chooseLinks(u.to, known)
-	for _, p := range live {
-		if slices.Contains(chosen, p.Addr) && u.markAnnounced(p.Addr) {
-			msg.Entries = append(msg.Entries, p)
+	chosen := chooseLinks(u.to, append(liveCandidates(live), candidate{&self, true}))
+	for _, addr := range chosen {
+		if addr != self.Addr && u.markAnnounced(addr) {
+			msg.Entries = append(msg.Entries, live[slices.IndexFunc(live, func(p peer.Presence) bool { return p.Addr == addr })])
 		}
 	}
 	if msg.Sender.Addr == "" && len(msg.Entries) == 0 {
@@ -89,49 +79,6 @@
 	return msg
 }
 
-// mayChoose reports whether the agent may have to link to an entry that was not announced to it,
-// because one of its links is lost, or an entry was found that it may prefer to one of them. It
-// costs little, as opposed to the choice itself: in a large fleet members change often, and an
-// entry has many agents.
-func (u *memberUpdates) mayChoose(live []peer.Presence) bool {
-	lost, found := differingMembers(u.live, live)
-	if len(lost)+len(found) == 0 {
-		return false
-	}
-	for _, p := range lost {
-		if u.announced[p.Addr] {
-			return true
-		}
-	}
-	return u.mayChooseAmong(true, nearLinks, lost, found, live) || u.mayChooseAmong(false, farLinks, lost, found, live)
-}
-
-// mayChooseAmong is mayChoose for the entries of the own failure domain, or for those of others,
-// of which limit are linked to. lost are entries that were not announced.
-func (u *memberUpdates) mayChooseAmong(near bool, limit int, lost, found, live []peer.Presence) bool {
-	inGroup := func(p peer.Presence) bool { return (p.Domain == u.to.Domain) == near }
-	announced, lowestScore := 0, uint64(math.MaxUint64)
-	slowest, fastest := math.Inf(1), 0.0 // links of the announced entries, of all that are live
-	for _, p := range live {
-		if !inGroup(p) {
-			continue
-		}
-		fastest = max(fastest, p.LinkMbps)
-		if u.announced[p.Addr] {
-			announced++
-			lowestScore = min(lowestScore, membership.Score(u.to.Host, p.Addr))
-			slowest = min(slowest, p.LinkMbps)
-		}
-	}
-	// What counts as a fast link depends on the fastest one.
-	if slices.ContainsFunc(lost, func(p peer.Presence) bool { return inGroup(p) && p.LinkMbps > fastest }) {
-		return true
-	}
-	return slices.ContainsFunc(found, func(p peer.Presence) bool {
-		return inGroup(p) && (announced < limit || p.LinkMbps > slowest || membership.Score(u.to.Host, p.Addr) > lowestScore)
-	})
-}
-
 // markAnnounced marks an address as announced and reports whether it was not before.
 func (u *memberUpdates) markAnnounced(addr string) bool {
 	known := u.announced[addr]
--- a/mesh/updates_test.go
+++ b/mesh/updates_test.go
@@ -88,10 +88,10 @@
 		u, told := newMemberUpdates(to, false), map[string]bool{"self": true}
 		for range rapid.IntRange(1, 10).Draw(t, "changes") {
 			var live []peer.Presence
-			known := []candidate{{self, true}}
+			known := []candidate{{&self, true}}
 			for _, p := range all {
 				if rapid.IntRange(0, 4).Draw(t, "up") > 0 {
-					live, known = append(live, p), append(known, candidate{p, true})
+					live, known = append(live, p), append(known, candidate{&p, true})
 				}
 			}
 			if msg := u.next(self, live); msg != nil {
