--- a/overlay/overlay.go
+++ b/overlay/overlay.go
@@ -41,8 +41,10 @@
 // other.
 func New(entries []peer.Presence, complete bool) *Overlay {
 	o := &Overlay{complete: complete, byDomain: map[string][]string{}, relays: map[string][]string{}}
-	domains := map[string][]peer.Presence{}
-	for _, e := range entries {
+	o.all = make([]string, 0, len(entries))
+	domains := map[string][]*peer.Presence{}
+	for i := range entries {
+		e := &entries[i]
 		o.all = append(o.all, e.Addr)
 		o.byDomain[e.Domain] = append(o.byDomain[e.Domain], e.Addr)
 		domains[e.Domain] = append(domains[e.Domain], e)
@@ -60,22 +62,22 @@
 // chooseRelays returns the relays of a failure domain, the square root of its entries in number:
 // then the links of a relay to the other relays and to the entries that it serves grow alike.
 // Entries with fast links come first.
-func chooseRelays(list []peer.Presence) []string {
+func chooseRelays(list []*peer.Presence) []string {
 	n := int(math.Ceil(math.Sqrt(float64(len(list)))))
-	fast := map[string]bool{}
-	for _, p := range peer.FastLinks(list) {
-		fast[p.Addr] = true
+	fastest := 0.0 // Mbit/s
+	for _, p := range list {
+		fastest = max(fastest, p.LinkMbps)
 	}
-	var first, second []string
+	var fast, slow []string
 	for _, p := range list {
-		if fast[p.Addr] {
-			first = append(first, p.Addr)
+		if p.LinkMbps >= peer.FastLinkRatio*fastest {
+			fast = append(fast, p.Addr)
 		} else {
-			second = append(second, p.Addr)
+			slow = append(slow, p.Addr)
 		}
 	}
-	out := membership.Rank(relayKey, first, n)
-	return append(out, membership.Rank(relayKey, second, n-len(out))...)
+	out := membership.Rank(relayKey, fast, n)
+	return append(out, membership.Rank(relayKey, slow, n-len(out))...)
 }
 
 // Complete reports whether all entries are linked to each other.
--- a/overlay/overlay_test.go
+++ b/overlay/overlay_test.go
@@ -123,3 +123,19 @@
 		assert.Assert(t, moved <= 100, "%d ends of links moved for entry %d", moved, lost)
 	}
 }
+
+// The overlay is computed anew whenever members change.
+func BenchmarkNew(b *testing.B) {
+	var entries []peer.Presence
+	for i := range 303 {
+		p := peer.Presence{Addr: fmt.Sprintf("10.%d.0.%d:8225", i%5, i), Host: fmt.Sprint("front-", i), Domain: fmt.Sprint("d-", i%5), LinkMbps: 40}
+		if i < 15 {
+			p.LinkMbps = 200
+		}
+		entries = append(entries, p)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		New(entries, false)
+	}
+}
