mesh: relays read the store before those that follow them

Cause: when all copies of a large fleet grow old together, because the readers hang or the tree of followers is slow, entries read the store in three groups: 6, 18, and all others 150 ms later. Change: the relays are in the second group; they confirm the copies of all others.

--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -24,8 +24,8 @@
 // Entries whose copies are old read the store in three groups, so that the reads of the first
 // group confirm the copies of the others. Entries are ranked by rendezvous hashing of readerKey.
 // Ranks below firstGroupRanks, the readers and as many again, read at once; those below
-// secondGroupRanks read after groupReadDelay, in case the first group is cut off from the store;
-// the rest after twice that time. An answer of the store and the load report about it take some
+// secondGroupRanks read after groupReadDelay, in case the first group is cut off from the store,
+// and so do the relays of a large fleet, which others follow; the rest after twice that time. An answer of the store and the load report about it take some
 // 10 ms.
 const (
 	firstGroupRanks  = 2 * readerCount
@@ -182,7 +182,7 @@
 		r.follows = chooseSource(self, candidates, readers, relays)
 	}
 	switch rank := slices.Index(ranked, self.Addr); {
-	case rank >= firstGroupRanks:
+	case rank >= firstGroupRanks, rank < 0 && slices.Contains(relays, self.Addr):
 		r.readDelay = groupReadDelay
 	case rank < 0:
 		r.readDelay, r.backup = 2*groupReadDelay, noneReaches
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -400,3 +400,27 @@
 	}
 	return n
 }
+
+// When the readers hang, few of the other entries read the store themselves: the relays, which
+// confirm the copies of those that follow them, and as many as in a smaller fleet.
+func TestFewReadTheStoreWhenTheReadersHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startEntriesStaggered(t, 2*largeFleet, 50*time.Millisecond, time.Millisecond)
+		defer all.stop()
+		time.Sleep(8 * time.Second)
+		relays := all.all[0].mesh.relaysOf("a")
+		lost := all.readers(time.Now().Add(-2 * time.Second))
+		begin := time.Now()
+		for _, e := range lost {
+			e.inject(frozen)
+		}
+		time.Sleep(lossKnown)
+		calling := 0
+		for _, e := range all.except(lost) {
+			if e.view.callsSince(begin) > 0 {
+				calling++
+			}
+		}
+		assert.Check(t, calling <= secondGroupRanks+len(relays), "%d entries called the store", calling)
+	})
+}
