mesh: log who suspects whom and why, and that a process is late

Cause: why 224 to 300 of 302 entries counted as live while a fleet started could not be told from the logs. Change: one record at level info for each suspicion that this entry makes, with the reason, and one when it begins to count as late.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -201,14 +201,16 @@
 	t.changedEngines[keyOf(rec)] = ""
 }
 
-// Suspect records that this entry has lost contact with another one.
-func (t *Table) Suspect(now time.Time, addr string) {
+// Suspect records that this entry has lost contact with another one. It reports whether the other
+// was live and not suspected yet.
+func (t *Table) Suspect(now time.Time, addr string) bool {
 	m := t.members[addr]
 	if m == nil || m.record.Suspected || !m.live() {
-		return
+		return false
 	}
 	m.record.Suspected, m.suspectedAt, m.changedAt = true, now, now
 	t.changedMembers[addr] = ""
+	return true
 }
 
 // Postpone gives all suspected entries more time to refute: for that long this process did not run,
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -230,8 +230,13 @@
 func (m *Mesh) recordRound(now, due time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if by := now.Sub(due); m.lateness.record(now, by) {
-		m.records.Postpone(by)
+	wasLate, by := m.lateness.late(now), now.Sub(due)
+	if !m.lateness.record(now, by) {
+		return
+	}
+	m.records.Postpone(by)
+	if !wasLate {
+		m.log.WithField("ms", by.Milliseconds()).Info("Late: this process gets too little processor time.")
 	}
 }
 
--- a/mesh/topology.go
+++ b/mesh/topology.go
@@ -6,6 +6,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/overlay"
@@ -169,7 +170,14 @@
 		return
 	}
 	for _, addr := range silent {
-		m.records.Suspect(now, addr)
+		m.suspect(now, addr, "silent")
+	}
+}
+
+// suspect makes a suspicion, which is passed on to all entries.
+func (m *Mesh) suspect(now time.Time, addr, reason string) {
+	if m.records.Suspect(now, addr) {
+		m.log.WithFields(logrus.Fields{"peer": addr, "reason": reason}).Info("Entry suspected.")
 	}
 }
 
@@ -181,7 +189,7 @@
 	m.members.Distrust(now, addr)
 	for _, l := range m.links {
 		if l.up {
-			m.records.Suspect(now, addr)
+			m.suspect(now, addr, "unreachable")
 			break
 		}
 	}
