--- a/mesh/firstcopy.go
+++ b/mesh/firstcopy.go
@@ -49,12 +49,12 @@
 }
 
 // knowsWhomToFollow reports whether this entry knows many others of a large fleet, or is in a small
-// one that runs already: an entry there has a copy.
+// one that runs already: it was told the members, and an entry there has a copy.
 func (m *Mesh) knowsWhomToFollow() bool {
 	if m.large() {
 		return len(m.live) >= overlay.CompleteUpTo
 	}
-	return slices.ContainsFunc(m.live, func(p peer.Presence) bool { return p.Revision > 0 })
+	return m.introduced && slices.ContainsFunc(m.live, func(p peer.Presence) bool { return p.Revision > 0 })
 }
 
 // firstCopyWaitMs returns for how many milliseconds an entry that this one follows may wait for
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -78,6 +78,7 @@
 	behindSince     time.Time
 	catchingUp      bool
 	startHeld       bool // see startHold
+	introduced      bool // another entry has told addresses of members
 	role            role
 	roleBasis       roleBasis
 	crashMismatches map[string]time.Time // since when the crash digests of other entries differ, by address
@@ -455,6 +456,7 @@
 	for _, addr := range msg.EntryAddrs {
 		m.members.AddAddr(addr)
 	}
+	m.introduced = m.introduced || len(msg.EntryAddrs) > 0
 	m.wakeIfMembersChanged()
 }
 
