--- a/mesh/link.go
+++ b/mesh/link.go
@@ -268,8 +268,8 @@
 }
 
 // markBroken marks the entry of a link as unreachable; in a large fleet, where others tell of it as
-// well, only after several failed dials. It returns false if another link to the entry has replaced
-// l.
+// well, only after several failed dials and if the link is still wanted. It returns false if another
+// link to the entry has replaced l.
 func (m *Mesh) markBroken(ctx context.Context, l *link, reached bool, dials int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -278,7 +278,7 @@
 		return false
 	}
 	if m.large() {
-		if !reached && dials >= m.dialsUntilLost() && ctx.Err() == nil {
+		if !reached && dials >= m.dialsUntilLost() && l.unwantedSince.IsZero() && ctx.Err() == nil {
 			m.lostContact(l.addr)
 		}
 		return true
