mesh: gaps of the history are told in large fleets only

Cause: a follower of an earlier release does not know the mark of a gap. Read off the code: it could keep a key that was created and deleted there, until copies are compared, and ask again and again for changes beyond its source's revision. Change: in a small fleet a batch with a gap is answered as before: read the whole copy. Result: TestGapsAreToldInLargeFleetsOnly.

--- a/mesh/follow_test.go
+++ b/mesh/follow_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overlay"
+	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
 )
 
@@ -356,3 +358,14 @@
 		})
 	}
 }
+
+// Followers in a small fleet may be of a release that knows no gaps in the history.
+func TestGapsAreToldInLargeFleetsOnly(t *testing.T) {
+	table := mirror.NewTable("")
+	table.Replace(time.Now(), mirror.Batch{Revision: 10})
+	table.Replace(time.Now(), mirror.Batch{Revision: 20})
+	m := New(Options{Self: peer.Presence{Addr: "self", Domain: "a"}, Table: table})
+	assert.Equal(t, m.readMirror(t.Context(), &peer.MirrorRead{After: 10}, "f").Status, peer.MirrorCompacted)
+	m.overlay = overlay.New([]peer.Presence{m.self}, false)
+	assert.Equal(t, m.readMirror(t.Context(), &peer.MirrorRead{After: 10}, "f").Status, peer.MirrorOK)
+}
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -79,6 +79,9 @@
 		m.told.record(follower, b)
 	default:
 		b, err = m.table.Watch(ctx, q.After, wait)
+		if err == nil && b.HasGap() {
+			err = mirror.ErrCompacted // earlier releases, which a small fleet may have, know no gaps
+		}
 	}
 	switch {
 	case errors.Is(err, mirror.ErrCompacted):
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -1,6 +1,9 @@
 package mirror
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"slices"
+)
 
 // Bounds of the history of changes that a table keeps for peers that follow it. A
 // follower that is further behind reads the full copy, about 1 MB at 3,000 targets. When
@@ -69,8 +72,7 @@
 }
 
 // gapMarker returns the event that marks a gap of the history after one revision up to another. It
-// is the removal of the empty key, which the store never has, so that releases that know no gaps
-// pass it on and change nothing.
+// is the removal of the empty key, which the store never has.
 func gapMarker(after, until int64) Event {
 	return Event{Deleted: true, Item: Item{Value: binary.BigEndian.AppendUint64(nil, uint64(after)), Revision: until}}
 }
@@ -84,6 +86,14 @@
 	return int64(binary.BigEndian.Uint64(e.Value)), true
 }
 
+// HasGap reports whether the batch has differences in place of the changes after some revision.
+func (b Batch) HasGap() bool {
+	return slices.ContainsFunc(b.Events, func(e Event) bool {
+		_, ok := e.gap()
+		return ok
+	})
+}
+
 // hasGapAround reports whether a revision is within a gap of the batch.
 func (b Batch) hasGapAround(revision int64) bool {
 	for _, e := range b.Events {
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -5,13 +5,14 @@
 type MirrorRead struct {
 	All    bool  // read all keys; otherwise the changes after revision After
 	After  int64 // store revision; used unless All is set
-	WaitMs int64 // longest wait for changes
+	WaitMs int64 // longest wait for changes; with All, for the peer's first copy
 }
 
 // Kind implements Message.
 func (*MirrorRead) Kind() Kind { return kindMirrorRead }
 
-// MirrorEvent is a change of one key in the store.
+// MirrorEvent is a change of one key in the store. The removal of the empty key marks a gap of the
+// peer's history (see package mirror).
 type MirrorEvent struct {
 	Key      string
 	Value    []byte
