mesh: the harness waits before a dial only if the entry is slow

New in that package's tests was a timer of length 0 for each dial of the harness. That it is the cause is a guess: the crash was seen once and not again. Change: no timer where there is nothing to wait for.

--- a/mesh/entries_test.go
+++ b/mesh/entries_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/quarantine"
@@ -243,9 +244,7 @@
 
 // dial connects to another entry.
 func (e *entry) dial(ctx context.Context, addr string) (net.Conn, error) {
-	select {
-	case <-time.After(time.Duration(e.slowness.Load())):
-	case <-ctx.Done():
+	if d := time.Duration(e.slowness.Load()); d > 0 && !loop.Sleep(ctx, d) {
 		return nil, ctx.Err()
 	}
 	to := e.fleet.all[slices.IndexFunc(e.fleet.all, func(e *entry) bool { return e.addr == addr })]
