gateway: count and log responses that the entry itself truncates

A response that had begun and was broken off by this process was counted under the reason of its last failure, together with refusals that the caller got whole. It could not be told how many answers an entry had cut. There is a counter now, gateway.truncated, and the field truncated in "Not answered.". No decision changes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -145,6 +145,7 @@
 	x.g.stats.recordFailure(reason)
 	x.logEnd(status, reason)
 	if x.started {
+		x.g.stats.truncated.Inc(1)
 		panic(http.ErrAbortHandler) // the response must not look complete
 	}
 	h := x.w.Header()
@@ -218,5 +219,8 @@
 		return
 	}
 	f["reason"] = reason
+	if x.started {
+		f["truncated"] = true
+	}
 	x.g.log.WithFields(f).Warn("Not answered.")
 }
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -21,6 +21,7 @@
 	firstEvent        metrics.Histogram
 	answerTime        metrics.Histogram
 	lostWithTarget    metrics.Counter // requests whose target ended while it ran them
+	truncated         metrics.Counter // responses that this process ended before they were complete
 	waitTime          metrics.Histogram
 	notices           metrics.Counter // changes in the notices of targets
 	unreadableNotices metrics.Counter // responses whose notice is not readable
@@ -32,6 +33,7 @@
 func NewStats(r metrics.Registry) *Stats {
 	s := &Stats{answered: metrics.NewRegisteredCounter("gateway.answered", r),
 		lostWithTarget: metrics.NewRegisteredCounter("gateway.lost_with_target", r),
+		truncated:      metrics.NewRegisteredCounter("gateway.truncated", r),
 		notices:        metrics.NewRegisteredCounter("gateway.notices", r), unreadableNotices: metrics.NewRegisteredCounter("gateway.notices_unreadable", r),
 		refused: map[Reason]metrics.Counter{}, retried: map[Reason]metrics.Counter{},
 		firstEvent: histogram("gateway.first_event_ms", r), answerTime: histogram("gateway.answer_ms", r),
