gateway: a silent target keeps its request until another one has begun to answer

Callers saw streams broken off, or 502, though the target that ran their request was about to go on after a pause of a second or so.

Cause: the timer of a late event cancelled the request at its target. Only then was it asked whether the route allowed another attempt, whether the retry budget did and whether a target had a place, and the next target could still refuse. Each "no" ended an answer that had been sound. The class of fault: something is given up before its substitute is certain.

Change: the request is sent to the other target as well (a hedge), and the attempt at the silent one goes on. Whoever is first to begin, with its first event or its complete response, is relayed; the other is cancelled. A pause within a stream is measured from its last event; it was measured from the send, so that old streams were left after any pause.

TestProbeAtASilentTargetIsNotSentToAnother fails without its condition (the probe reached a second target).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,7 +9,6 @@
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
-	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/targetconn"
 )
 
@@ -17,38 +16,77 @@
 type attempt struct {
 	x              *exchange
 	choice         dispatch.Choice
+	request        *targetconn.Request
+	parent         context.Context // of the exchange, or of the hedge that this attempt is
 	ctx            context.Context
 	cancel         context.CancelCauseFunc
 	sentAt         time.Time
 	pendingPrefill int // prompt tokens that the target has not processed yet
-	events         int
-	lastEventAt    time.Time // when the last event arrived
+	hedge          *hedge
 	// expiry cancels the request if it has not started when the target's version expires;
 	// nil if it may start at any time.
 	expiry *clock.Timer
+
+	resp        *targetconn.Response
+	stream      *eventReader      // set if the response is a stream
+	first       event             // first event of the stream, unless firstErr is set
+	firstErr    error             // io.EOF if the stream has no events
+	plain       *bufferedResponse // set if the response is complete
+	large       []byte            // beginning of a response that reached the buffer limit
+	events      int               // relayed to the caller
+	lastEventAt time.Time         // when the last event arrived
 }
 
 // Causes with which an attempt is cancelled by this process.
 var (
-	errFirstEventLate = errors.New("gateway: first event not received in time")
-	errStalled        = errors.New("gateway: stream stalled")
+	errSilent         = errors.New("gateway: target is silent and another one has answered")
 	errVersionExpired = errors.New("gateway: version of the target has expired")
 )
 
-func (a *attempt) do(r *targetconn.Request) result {
-	var watchdog *clock.Timer
-	if a.x.route.Idempotent() && !a.x.g.cfg.Off.Has(mechanism.LateFirstEvent) {
-		// Another target may be tried only if the request may be repeated.
-		watchdog = clock.AfterFunc(a.x.g.cfg.FirstEventTimeout, func() { a.checkLate(watchdog) })
-		defer watchdog.Stop()
+// newAttempt prepares a send of the request to the chosen target.
+func (x *exchange) newAttempt(parent context.Context, c dispatch.Choice) *attempt {
+	t := c.Instance
+	x.target, x.choice = t.ID, c
+	h := forwardHeader(x.r.Header)
+	x.g.dialect.EncodeForward(h, ForwardInfo{Instance: t.ID, Team: x.teamName(), Remaining: clock.Until(x.deadline), LastEvent: x.lastEvent})
+	x.logSending(c)
+	a := &attempt{x: x, choice: c, parent: parent, sentAt: clock.Now(), pendingPrefill: x.call.Prompt,
+		request: &targetconn.Request{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, ID: x.call.ID}}
+	a.ctx, a.cancel = context.WithCancelCause(parent)
+	a.hedge = newHedge(a)
+	x.inFlight++
+	x.avoid = append(x.avoid, t.ID)
+	return a
+}
+
+// open sends the request and waits until the target has begun to answer: until its complete
+// response has arrived, or the first event of a stream. It returns the attempt that is ready to be
+// relayed, which is another one if the target was silent and has been hedged; nil if there is
+// none.
+func (x *exchange) open(a *attempt) (ready *attempt, res result) {
+	a.hedge.await(x.g.cfg.FirstEventTimeout)
+	res = a.receive()
+	if winner := a.hedge.settle(res.reason == ReasonNone); winner != nil {
+		x.finish(a, a.supersededResult(res))
+		return winner, result{}
+	}
+	if res.reason != ReasonNone {
+		x.finish(a, res)
+		return nil, res
 	}
+	return a, result{}
+}
+
+// receive sends the request and reads the beginning of the response. The reason of the result is
+// ReasonNone if the response may be relayed.
+func (a *attempt) receive() result {
 	a.expireWithVersion()
 	defer a.stopExpiry()
-	resp, err := a.x.g.pool.Do(a.ctx, a.choice.Instance.Addr, r, a.idOf)
+	resp, err := a.x.g.pool.Do(a.ctx, a.choice.Instance.Addr, a.request, a.idOf)
 	if err != nil {
 		return a.failure(err)
 	}
-	defer resp.Close()
+	a.resp = resp
 	info := a.x.g.dialect.DecodeResponse(resp.StatusCode, resp.Header)
 	a.recordNotice(info)
 	if info.NotRun {
@@ -58,10 +96,40 @@
 		return result{reason: ReasonInvalidResponse, ran: true, sent: true}
 	}
 	if a.x.route.Kind == fleet.Streaming && resp.StatusCode == http.StatusOK {
-		return a.relayStream(resp, watchdog)
+		return a.receiveFirstEvent()
 	}
 	a.stopExpiry()
-	return a.relayPlain(resp, watchdog)
+	return a.receivePlain()
+}
+
+// relay relays an attempt that is ready. It returns the attempt that is to be relayed next, if the
+// target fell silent and was hedged.
+func (a *attempt) relay() (next *attempt, res result) {
+	switch {
+	case a.stream != nil:
+		return a.relayStream()
+	case a.large != nil:
+		return nil, a.relayLarge()
+	}
+	a.relayPlain()
+	return nil, result{ran: true, sent: true}
+}
+
+// supersededResult returns the result of an attempt whose hedge has won. res is how the attempt
+// itself ended meanwhile.
+func (a *attempt) supersededResult(res result) result {
+	if res.reason != ReasonNone {
+		return res
+	}
+	return result{reason: a.silenceReason(), ran: true, sent: true, silent: true}
+}
+
+// silenceReason is the reason of an attempt whose target is silent.
+func (a *attempt) silenceReason() Reason {
+	if a.events > 0 {
+		return ReasonStalled
+	}
+	return ReasonLateFirstEvent
 }
 
 // expireWithVersion cancels the request if the target serves an older version and has not
@@ -84,24 +152,6 @@
 	}
 }
 
-// lateRecheckInterval is the time between two checks of a target whose first event is
-// late.
-const lateRecheckInterval = 100 * time.Millisecond
-
-// checkLate decides about a request whose first event is late. A target that still sends
-// events of other streams is loaded, and sending the request elsewhere would only add
-// load, so the target gets more time, up to firstEventLimit. The attempt at a target that
-// sends nothing is cancelled. checkLate runs on the timer's goroutine.
-func (a *attempt) checkLate(watchdog *clock.Timer) {
-	x := a.x
-	now := clock.Now()
-	if now.Sub(a.sentAt) < a.firstEventLimit() && !x.g.balancer.Silent(now, a.choice.Target) {
-		watchdog.Reset(lateRecheckInterval)
-		return
-	}
-	a.cancel(errFirstEventLate)
-}
-
 func (a *attempt) idOf(h http.Header) string { return a.x.g.dialect.DecodeResponse(0, h).ID }
 
 func notRun(info ResponseInfo) result {
@@ -118,10 +168,8 @@
 		return result{reason: ReasonVersionExpired, ran: true, sent: true}
 	case errors.Is(err, targetconn.ErrDial):
 		return result{reason: ReasonDialFailed}
-	case errors.Is(context.Cause(a.ctx), errFirstEventLate):
-		return result{reason: ReasonLateFirstEvent, ran: true, sent: true, silent: true}
-	case errors.Is(context.Cause(a.ctx), errStalled):
-		return result{reason: ReasonStalled, ran: true, sent: true, silent: true}
+	case errors.Is(context.Cause(a.ctx), errSilent):
+		return result{reason: a.silenceReason(), ran: true, sent: true, silent: true}
 	case a.ctx.Err() != nil:
 		return result{reason: ReasonTimeout, ran: true, sent: true, silent: true}
 	case errors.Is(err, targetconn.ErrInvalidResponse):
@@ -135,7 +183,7 @@
 const firstEventFactor = 4
 
 // firstEventLimit is how long a target that sends events of other streams, or answers other
-// requests, may take for the first event or the response before another target is tried.
+// requests, may pause before another target is tried.
 func (a *attempt) firstEventLimit() time.Duration {
 	if a.x.route.Kind != fleet.Streaming {
 		return a.plainLimit()
@@ -148,11 +196,35 @@
 	return max(a.choice.Forecast.FirstEvent, a.x.route.Objective) + a.x.g.cfg.FirstEventTimeout
 }
 
-// finish reports to the balancer how the attempt ended.
-func (a *attempt) finish(res result) {
+// finish ends an attempt and records its result.
+func (x *exchange) finish(a *attempt, res result) {
+	a.hedge.stop()
+	if a.resp != nil {
+		a.resp.Close()
+	}
+	a.cancel(nil)
+	x.inFlight--
+	if res.sent {
+		x.sends++
+	}
+	x.ran, x.probing = x.ran || res.ran, false
+	if res.held != nil {
+		x.held = res.held
+	}
+	a.report(res)
+	switch {
+	case res.reason == ReasonConnLost || res.reason == ReasonBrokenStream:
+		x.recordLostConnection(a.parent, a.choice, a.sentAt)
+	case res.reason == ReasonNone || res.held != nil:
+		x.recordSuccess(a.choice, a.sentAt)
+	}
+}
+
+// report tells the balancer how the attempt ended.
+func (a *attempt) report(res result) {
 	r := dispatch.Result{PendingPrefill: a.pendingPrefill, Latency: clock.Since(a.sentAt)}
 	switch res.reason {
-	case ReasonNone, ReasonTimeout, ReasonCallerGone, ReasonVersionExpired:
+	case ReasonNone, ReasonTimeout, ReasonCallerGone, ReasonVersionExpired, ReasonOvertaken:
 	case ReasonTargetRefused:
 		r.Latency = 0
 	case ReasonOtherInstance:
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -35,12 +35,14 @@
 	start    time.Time
 	deadline time.Time
 
-	sends           int      // times that the request was sent to a target
-	denied          int      // reservations that were denied or deferred
-	dials           int      // targets that could not be reached
-	ran             bool     // a target may have run the request
-	avoid           []string // instances that were already tried
-	lastEvent       string   // ID of the last event relayed
+	sends           int               // times that the request was sent to a target, without those in flight
+	inFlight        int               // attempts that have not ended
+	denied          int               // reservations that were denied or deferred
+	dials           int               // targets that could not be reached
+	ran             bool              // a target may have run the request
+	held            *bufferedResponse // last error response of a target, relayed if no other target succeeds
+	avoid           []string          // instances that were already tried
+	lastEvent       string            // ID of the last event relayed
 	events          int
 	started         bool // the response header has been written to the caller
 	waited          time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,9 +114,9 @@
 	FirstEventLimit time.Duration
 	// FirstEventTimeout is how long a target that sends nothing at all may take for the
 	// first event of a stream, or for a non-streaming response, before another target is
-	// tried. Default 600 ms.
+	// tried as well. Default 600 ms.
 	FirstEventTimeout time.Duration
-	// StallTimeout is the least pause after which a stream is resumed at another target.
+	// StallTimeout is the least pause after which another target is asked to resume a stream.
 	// The pause allowed is the longest of StallTimeout, twice the route's MaxGap, and
 	// stallFactor times the forecast gap between events. Default 900 ms.
 	StallTimeout time.Duration
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -15,7 +15,7 @@
 func (x *exchange) place(ctx context.Context, d dispatch.Demand) (dispatch.Choice, Reason) {
 	start := clock.Now()
 	defer func() { x.waited += clock.Since(start) }()
-	if x.sends == 0 {
+	if x.sends+x.inFlight == 0 {
 		x.tightest = x.g.balancer.RecordArrival(start, x.service, d)
 	}
 	maxWait := x.maxWait()
@@ -94,16 +94,17 @@
 // unplaced records that no target could serve the request in time, and returns the reason.
 func (x *exchange) unplaced(v dispatch.Verdict, c dispatch.Choice, d dispatch.Demand) Reason {
 	x.logUnplaced(v, c, d)
-	switch v {
-	case dispatch.Saturated:
+	if v != dispatch.Saturated && v != dispatch.Paced {
+		return ReasonNoTarget
+	}
+	if x.inFlight == 0 { // otherwise the request is not refused
 		x.g.balancer.RecordRefusal(clock.Now(), x.service, d)
-		return ReasonSaturated
-	case dispatch.Paced:
+	}
+	if v == dispatch.Paced {
 		x.nextFreeAt = c.FreeAt
-		x.g.balancer.RecordRefusal(clock.Now(), x.service, d)
 		return ReasonPaced
 	}
-	return ReasonNoTarget
+	return ReasonSaturated
 }
 
 // demand returns what the request currently requires of a target.
@@ -144,7 +145,7 @@
 
 // maxWait is how long the request may currently wait for a target.
 func (x *exchange) maxWait() time.Duration {
-	if x.sends > 0 {
+	if x.sends+x.inFlight > 0 {
 		return min(x.g.cfg.RetryMaxWait, clock.Until(x.deadline))
 	}
 	if x.isRetry {
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -27,6 +27,7 @@
 	ReasonLateFirstEvent  Reason = "first_event_late"
 	ReasonStalled         Reason = "stream_stalled"
 	ReasonBrokenStream    Reason = "stream_broken"
+	ReasonOvertaken       Reason = "overtaken"    // a silent target went on before this one, which was tried as well, could answer
 	ReasonVersionExpired  Reason = "version_over" // the request had not started when the target's version expired
 	ReasonCrashesTargets  Reason = "ends_targets" // targets that run the request crash
 	ReasonTimeout         Reason = "timeout"
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -9,7 +9,6 @@
 	"strings"
 
 	"github.com/springgate/springgate/clock"
-	"github.com/springgate/springgate/targetconn"
 )
 
 // hopHeaders are header fields that apply to a single connection and are not forwarded.
@@ -51,42 +50,44 @@
 	}
 }
 
-// relayPlain buffers a response until it is complete, then relays it. A response that
-// reaches the buffer limit is relayed as it arrives.
-func (a *attempt) relayPlain(resp *targetconn.Response, watchdog *clock.Timer) result {
-	body, err := io.ReadAll(io.LimitReader(resp, a.x.g.cfg.MaxBufferedResponse))
-	if err == nil && int64(len(body)) == a.x.g.cfg.MaxBufferedResponse {
-		if watchdog != nil {
-			watchdog.Stop()
-		}
-		return a.relayLarge(resp, body)
-	}
+// receivePlain buffers a response until it is complete, or until it reaches the buffer limit.
+func (a *attempt) receivePlain() result {
+	limit := a.x.g.cfg.MaxBufferedResponse
+	body, err := io.ReadAll(io.LimitReader(a.resp, limit))
 	if err != nil {
 		return a.failure(err)
 	}
-	held := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if int64(len(body)) == limit {
+		a.large = body
+		return result{}
+	}
+	held := &bufferedResponse{status: a.resp.StatusCode, header: a.resp.Header, body: body}
+	if a.resp.StatusCode >= http.StatusInternalServerError {
 		return result{reason: ReasonTargetError, ran: true, sent: true, held: held}
 	}
 	if a.x.started { // a stream is being resumed; its remaining events were expected
 		return result{reason: ReasonTargetError, ran: true, sent: true}
 	}
+	a.plain = held
+	return result{}
+}
+
+func (a *attempt) relayPlain() {
 	a.x.firstEventDelay = clock.Since(a.x.start)
-	held.write(a.x.w)
-	return result{sent: true, ran: true}
+	a.plain.write(a.x.w)
 }
 
 // relayLarge relays a response that reached the buffer limit. Once it has started, the
 // request can no longer be retried.
-func (a *attempt) relayLarge(resp *targetconn.Response, head []byte) result {
-	copyHeader(a.x.w.Header(), resp.Header)
-	if resp.ContentLength >= 0 {
-		a.x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+func (a *attempt) relayLarge() result {
+	copyHeader(a.x.w.Header(), a.resp.Header)
+	if a.resp.ContentLength >= 0 {
+		a.x.w.Header().Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
-	a.x.w.WriteHeader(resp.StatusCode)
+	a.x.w.WriteHeader(a.resp.StatusCode)
 	a.x.started = true
-	if _, err := io.Copy(a.x.w, io.MultiReader(bytes.NewReader(head), resp)); err != nil {
+	if _, err := io.Copy(a.x.w, io.MultiReader(bytes.NewReader(a.large), a.resp)); err != nil {
 		return a.failure(err)
 	}
-	return result{sent: true, ran: true}
+	return result{ran: true, sent: true}
 }
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/springgate/springgate/dispatch"
+	"github.com/springgate/springgate/quarantine"
 	"gotest.tools/v3/assert"
 )
 
@@ -202,3 +204,25 @@
 	assert.Equal(t, a.status, http.StatusOK)
 	assert.Equal(t, refusing.count(), 1)
 }
+
+// A probe tests whether the content still crashes its target, so one target at a time runs it.
+func TestProbeAtASilentTargetIsNotSentToAnother(t *testing.T) {
+	pausing := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-after(testSilence):
+			okHandler(w, r)
+		case <-r.Context().Done():
+		}
+	})
+	other := newTarget(t, okHandler)
+	f := newImpatientGateway(t, pausing, other)
+	f.gateway.Config().Match("h.example", "/safe/x").Objective = testStallTimeout
+	content := f.gateway.cfg.Hasher.Fingerprint(quarantine.Content{Caller: "blue", Method: http.MethodPost, Host: "h.example", URI: "/safe/x", Body: []byte("b")})
+	for i := range 3 {
+		at := time.Now().Add(-time.Minute + time.Duration(i)*time.Second)
+		f.gateway.cfg.Crashes.RecordCrashes(time.Now(), quarantine.Crash{Content: content, Incarnation: quarantine.Incarnation{Target: fmt.Sprint(i)}, At: at})
+	}
+	assert.Equal(t, f.call(http.MethodPost, "/safe/x", "b").status, http.StatusOK)
+	assert.Equal(t, pausing.count(), 1)
+	assert.Equal(t, other.count(), 0)
+}
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -22,6 +22,8 @@
 	answerTime        metrics.Histogram
 	lostWithTarget    metrics.Counter // requests whose target ended while it ran them
 	truncated         metrics.Counter // responses that this process ended before they were complete
+	hedged            metrics.Counter // requests sent to another target because one was silent
+	hedgesWon         metrics.Counter // of these, those that the other target began to answer first
 	waitTime          metrics.Histogram
 	notices           metrics.Counter // changes in the notices of targets
 	unreadableNotices metrics.Counter // responses whose notice is not readable
@@ -34,7 +36,8 @@
 	s := &Stats{answered: metrics.NewRegisteredCounter("gateway.answered", r),
 		lostWithTarget: metrics.NewRegisteredCounter("gateway.lost_with_target", r),
 		truncated:      metrics.NewRegisteredCounter("gateway.truncated", r),
-		notices:        metrics.NewRegisteredCounter("gateway.notices", r), unreadableNotices: metrics.NewRegisteredCounter("gateway.notices_unreadable", r),
+		hedged:         metrics.NewRegisteredCounter("gateway.hedged", r), hedgesWon: metrics.NewRegisteredCounter("gateway.hedges_won", r),
+		notices: metrics.NewRegisteredCounter("gateway.notices", r), unreadableNotices: metrics.NewRegisteredCounter("gateway.notices_unreadable", r),
 		refused: map[Reason]metrics.Counter{}, retried: map[Reason]metrics.Counter{},
 		firstEvent: histogram("gateway.first_event_ms", r), answerTime: histogram("gateway.answer_ms", r),
 		waitTime: histogram("gateway.wait_ms", r), forecastError: histogram("gateway.forecast_error_ms", r)}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/springgate/springgate/clock"
-	"github.com/springgate/springgate/targetconn"
 )
 
 // maxEvent bounds the size of one event in bytes.
@@ -51,65 +50,79 @@
 	}
 }
 
+// receiveFirstEvent reads the first event of a stream, or the end of a stream without events.
+func (a *attempt) receiveFirstEvent() result {
+	a.stream = &eventReader{bufio.NewReader(a.resp)}
+	a.first, a.firstErr = a.stream.next()
+	return a.streamResult(a.firstErr)
+}
+
 // relayStream relays events, each as soon as it is complete.
-func (a *attempt) relayStream(resp *targetconn.Response, watchdog *clock.Timer) result {
-	x := a.x
-	events := eventReader{bufio.NewReader(resp)}
-	flush := http.NewResponseController(x.w)
-	for {
-		ev, err := events.next()
-		if err == io.EOF {
-			return a.endStream(resp)
-		}
-		if err != nil {
-			return a.streamFailure(err)
-		}
-		a.recordEvent()
-		if watchdog != nil {
-			watchdog.Reset(a.stallTimeout())
-		}
-		if !x.started {
-			copyHeader(x.w.Header(), resp.Header)
-			x.w.WriteHeader(resp.StatusCode)
-			x.started = true
-		}
-		_, err = x.w.Write(ev.raw)
-		if err == nil {
-			err = flush.Flush()
+func (a *attempt) relayStream() (next *attempt, res result) {
+	for ev, err := a.first, a.firstErr; err != io.EOF; {
+		if !a.relayEvent(ev) {
+			return nil, result{reason: ReasonCallerGone, ran: true, sent: true}
 		}
-		if err != nil {
-			return result{reason: ReasonCallerGone, ran: true, sent: true}
+		a.hedge.await(a.stallTimeout())
+		ev, err = a.stream.next()
+		res := a.streamResult(err)
+		if winner := a.hedge.settle(res.reason == ReasonNone); winner != nil {
+			return winner, a.supersededResult(res)
 		}
-		x.events++
-		if ev.id != "" {
-			x.lastEvent = ev.id
+		if res.reason != ReasonNone {
+			return nil, res
 		}
 	}
+	a.endStream()
+	return nil, result{ran: true, sent: true}
+}
+
+// relayEvent writes an event to the caller. It returns false if the caller has disconnected.
+func (a *attempt) relayEvent(ev event) bool {
+	x := a.x
+	a.recordEvent()
+	if !x.started {
+		copyHeader(x.w.Header(), a.resp.Header)
+		x.w.WriteHeader(a.resp.StatusCode)
+		x.started = true
+	}
+	if _, err := x.w.Write(ev.raw); err != nil {
+		return false
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return false
+	}
+	x.events++
+	if ev.id != "" {
+		x.lastEvent = ev.id
+	}
+	return true
 }
 
 // stallFactor is how many times the forecast gap between two events a stream may pause.
 const stallFactor = 3
 
-// stallTimeout is how long the stream may pause before it is resumed at another target.
+// stallTimeout is how long the stream may pause before another target is tried as well.
 func (a *attempt) stallTimeout() time.Duration {
 	return max(a.x.g.cfg.StallTimeout, 2*a.x.route.MaxGap, stallFactor*a.choice.Forecast.Gap)
 }
 
 // endStream completes the response. A stream without any event is relayed too.
-func (a *attempt) endStream(resp *targetconn.Response) result {
+func (a *attempt) endStream() {
 	if !a.x.started {
-		copyHeader(a.x.w.Header(), resp.Header)
-		a.x.w.WriteHeader(resp.StatusCode)
+		copyHeader(a.x.w.Header(), a.resp.Header)
+		a.x.w.WriteHeader(a.resp.StatusCode)
 	}
-	return result{sent: true, ran: true}
 }
 
-func (a *attempt) streamFailure(err error) result {
+// streamResult converts the error of a read from the stream into a result. The end of the stream
+// is no failure.
+func (a *attempt) streamResult(err error) result {
+	if err == nil || err == io.EOF {
+		return result{}
+	}
 	res := a.failure(err)
-	switch {
-	case res.reason == ReasonLateFirstEvent && a.events > 0:
-		res.reason = ReasonStalled
-	case res.reason == ReasonConnLost && a.events > 0:
+	if res.reason == ReasonConnLost && a.events > 0 {
 		res.reason = ReasonBrokenStream
 	}
 	return res
@@ -124,7 +137,6 @@
 		observe(x.g.stats.firstEvent, x.firstEventDelay)
 	}
 	if a.events == 0 {
-		a.stopExpiry()
 		observe(x.g.stats.forecastError, now.Sub(a.sentAt)-a.choice.Forecast.FirstEvent)
 	}
 	if !a.lastEventAt.IsZero() {
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -75,6 +75,13 @@
 	return true
 }
 
+// Empty reports whether the budget is exhausted, apart from what time adds to it.
+func (b *Budget) Empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cfg.NoRefill && b.tokens < 1
+}
+
 // Backoff limits.
 const (
 	backoffBase = 5 * time.Millisecond
