--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"github.com/springgate/springgate/revision"
 	"slices"
 	"time"
 
@@ -33,9 +34,9 @@
 	// Instance is a copy of Target.Instance at the time of the choice; Target.Instance changes
 	// with the list.
 	Instance      fleet.Instance
-	EntryRevision int64 // revision of the target's list entry at the time of the choice
-	Unlisted      bool  // the target's list entry had recently disappeared
-	LastResort    bool  // no other target is expected to answer
+	EntryRevision revision.Revision // revision of the target's list entry at the time of the choice
+	Unlisted      bool              // the target's list entry had recently disappeared
+	LastResort    bool              // no other target is expected to answer
 	// StartBy is when the request must have started at the target, because the version that it
 	// serves expires then; zero for no limit.
 	StartBy   time.Time
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "github.com/springgate/springgate/revision"
+
 import "time"
 
 // ModelVersion identifies the weights of a model that an engine holds. Its field names appear in
@@ -21,8 +23,8 @@
 	Addr         string
 	Domain       string
 	Slots        int
-	Revision     int64 // of its list entry
-	HeartbeatSeq int64 // sequence number of the heartbeat that wrote the list entry, counted from the instance's start
+	Revision     revision.Revision // of its list entry
+	HeartbeatSeq int64             // sequence number of the heartbeat that wrote the list entry, counted from the instance's start
 	Draining     bool
 	Unlisted     bool // its list entry disappeared recently
 	// ColdFor is how long the instance stays cold after its list entry was written: it then
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -74,11 +74,11 @@
 	endedWithRequests metrics.Counter
 	roster            Roster
 	decoded           map[string]decodedInstance
-	configRev         int64
+	configRev         mirror.Revision
 	// mirrorRevision is the revision of the mirror. It may exceed the revision of the items
 	// by changes that arrived just after they were read.
-	mirrorRevision int64
-	versionRev     map[string]int64 // last revision applied of each version item, by key
+	mirrorRevision mirror.Revision
+	versionRev     map[string]mirror.Revision // last revision applied of each version item, by key
 	list           []*fleet.Instance
 
 	mu          sync.Mutex
@@ -89,7 +89,7 @@
 
 // decodedInstance is a decoded item of the target list.
 type decodedInstance struct {
-	revision int64
+	revision mirror.Revision
 	instance *fleet.Instance // nil if the item describes no target
 }
 
@@ -117,7 +117,7 @@
 	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
 		addr: o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
-		decoded: map[string]decodedInstance{}, versionRev: map[string]int64{}, assignments: map[string]*assignment{},
+		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, assignments: map[string]*assignment{},
 		holders: map[string]holder{},
 		changed: make(chan struct{})}
 }
--- a/gateway/foreign_test.go
+++ b/gateway/foreign_test.go
@@ -51,7 +51,7 @@
 		}
 		return ids
 	}
-	item := func(key, value string, revision int64) mirror.Item {
+	item := func(key, value string, revision mirror.Revision) mirror.Item {
 		return mirror.Item{Key: key, Value: []byte(value), Revision: revision}
 	}
 	good, other := item("i-1", "s 10.0.0.1:80", 1), item("i-2", "s 10.0.0.2:80", 2)
@@ -61,7 +61,7 @@
 	assert.DeepEqual(t, usable(good, other, item("x", "unknown 10.0.0.1:80", 3)), []string{"i-1", "i-2"})
 	assert.Equal(t, c.foreign.Value(), int64(1))
 	lines.Reset()
-	for r := int64(4); r < 40; r++ {
+	for r := mirror.Revision(4); r < 40; r++ {
 		assert.DeepEqual(t, usable(good, item("i-2", "?", r), item("y", "", r)), []string{"i-1"})
 	}
 	assert.Equal(t, c.foreign.Value(), int64(2))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"context"
+	"github.com/springgate/springgate/revision"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -76,8 +77,8 @@
 
 // MirrorState describes the state of this entry's mirror, its copy of the store.
 type MirrorState struct {
-	Revision int64         // the store's revision that the mirror has reached
-	Age      time.Duration // time since the mirror was last confirmed to be current
+	Revision revision.Revision // the store's revision that the mirror has reached
+	Age      time.Duration     // time since the mirror was last confirmed to be current
 }
 
 // Config holds the limits of a Gateway.
--- a/mesh/copies_test.go
+++ b/mesh/copies_test.go
@@ -83,7 +83,7 @@
 }
 
 // compact discards the store's history.
-func (f *entries) compact() { f.compacted.Store(f.store.Revision()) }
+func (f *entries) compact() { f.compacted.Store(int64(f.store.Revision())) }
 
 // restart kills the entry and starts it again without its former state.
 func (e *entry) restart() {
@@ -107,8 +107,8 @@
 }
 
 // contentsOf returns the revisions of a copy's items.
-func contentsOf(t *mirror.Table) map[string]int64 {
-	out := map[string]int64{}
+func contentsOf(t *mirror.Table) map[string]mirror.Revision {
+	out := map[string]mirror.Revision{}
 	items, _ := t.Items()
 	for _, i := range items {
 		out[i.Key] = i.Revision
--- a/mesh/differ_test.go
+++ b/mesh/differ_test.go
@@ -26,7 +26,7 @@
 
 // The digest depends on the keys and revisions only, not on the order of the changes.
 func TestDigestDistinguishesCopies(t *testing.T) {
-	item := func(key string, revision int64) mirror.Event {
+	item := func(key string, revision mirror.Revision) mirror.Event {
 		return mirror.Event{Item: mirror.Item{Key: key, Value: []byte("v"), Revision: revision}}
 	}
 	one, other := mirror.NewTable(""), mirror.NewTable("")
@@ -39,5 +39,5 @@
 	other.Apply(start, mirror.Batch{Events: []mirror.Event{removed}, Revision: 4})
 	second, revision := other.Digest()
 	assert.Equal(t, first, second)
-	assert.Equal(t, revision, int64(4))
+	assert.Equal(t, revision, mirror.Revision(4))
 }
--- a/mesh/entries_test.go
+++ b/mesh/entries_test.go
@@ -290,7 +290,7 @@
 }
 
 // change writes to the store and returns its new revision.
-func (f *entries) change() int64 {
+func (f *entries) change() mirror.Revision {
 	r := f.store.Revision() + 1
 	f.store.Apply(time.Now(), mirror.Batch{Revision: r,
 		Events: []mirror.Event{{Item: mirror.Item{Key: "config", Value: fmt.Append(nil, r), Revision: r}}}})
@@ -306,7 +306,7 @@
 
 // lag returns how long each copy of list takes to reach a revision, at most limit. It always
 // runs for limit.
-func lag(list []*entry, revision int64, limit time.Duration) map[string]time.Duration {
+func lag(list []*entry, revision mirror.Revision, limit time.Duration) map[string]time.Duration {
 	begin := time.Now()
 	out := map[string]time.Duration{}
 	for time.Since(begin) < limit {
--- a/mesh/firstcopy.go
+++ b/mesh/firstcopy.go
@@ -34,7 +34,7 @@
 }
 
 // Watch implements mirror.Source.
-func (u undecided) Watch(ctx context.Context, prefix string, _ int64, _ time.Duration) (mirror.Batch, error) {
+func (u undecided) Watch(ctx context.Context, prefix string, _ mirror.Revision, _ time.Duration) (mirror.Batch, error) {
 	return u.Range(ctx, prefix)
 }
 
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"github.com/springgate/springgate/revision"
 	"maps"
 	"slices"
 	"time"
@@ -381,7 +382,7 @@
 
 // MostAdvanced returns the live entry whose copy of the store has the highest revision
 // beyond revision, preferring entries in domain among equals; ok is false if there is none.
-func (m *Members) MostAdvanced(now time.Time, revision int64, domain string) (addr string, ok bool) {
+func (m *Members) MostAdvanced(now time.Time, revision revision.Revision, domain string) (addr string, ok bool) {
 	near := false
 	for _, x := range m.byAddr {
 		if x.Revision < revision || !ok && x.Revision == revision || !m.isLive(now, x) {
@@ -399,7 +400,7 @@
 // beyond revision, or zero. Confirmations that entries received from others do not count: if
 // they were passed around a cycle of entries, the error of the transit time would make them
 // seem younger after each round.
-func (m *Members) ConfirmedAt(revision int64) (at time.Time) {
+func (m *Members) ConfirmedAt(revision revision.Revision) (at time.Time) {
 	for _, x := range m.byAddr {
 		if x.Revision <= revision && x.storeSeenAt.After(at) {
 			at = x.storeSeenAt
--- a/mesh/members_test.go
+++ b/mesh/members_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
 )
@@ -12,7 +13,7 @@
 
 const expire = 1600 * time.Millisecond
 
-func presence(addr string, incarnation uint64, revision int64) peer.Presence {
+func presence(addr string, incarnation uint64, revision mirror.Revision) peer.Presence {
 	return peer.Presence{Addr: addr, Incarnation: incarnation, Revision: revision}
 }
 
@@ -43,7 +44,7 @@
 	m := NewMembers("a:1", nil, expire)
 	m.Observe(start, presence("b:1", 2, 9))
 	assert.Assert(t, !m.Observe(start, presence("b:1", 1, 50)))
-	assert.Equal(t, m.Live(start)[0].Revision, int64(9))
+	assert.Equal(t, m.Live(start)[0].Revision, mirror.Revision(9))
 	assert.Assert(t, m.Observe(start, presence("b:1", 3, 0)), "a new incarnation counts as new")
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -164,7 +164,7 @@
 
 // storeStatus returns the revision of the own copy of the store, and what this process's own
 // calls to the store show about the store.
-func (m *Mesh) storeStatus(now time.Time) (int64, peer.StoreStatus) {
+func (m *Mesh) storeStatus(now time.Time) (mirror.Revision, peer.StoreStatus) {
 	at, revision := m.table.LastStoreRead()
 	c := peer.StoreStatus{Known: !at.IsZero(), Failing: m.failing(), UptimeMs: now.Sub(m.startedAt).Milliseconds()}
 	if c.Known {
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -26,7 +26,7 @@
 }
 
 // Watch implements mirror.Source.
-func (s *peerSource) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (mirror.Batch, error) {
+func (s *peerSource) Watch(ctx context.Context, _ string, after mirror.Revision, wait time.Duration) (mirror.Batch, error) {
 	return s.read(ctx, &peer.MirrorRead{After: after, WaitMs: wait.Milliseconds()})
 }
 
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -163,9 +163,9 @@
 // secondPage is the first key of the second page.
 const secondPage = "servers/10"
 
-func (v *storeView) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (mirror.Batch, error) {
+func (v *storeView) Watch(ctx context.Context, _ string, after mirror.Revision, wait time.Duration) (mirror.Batch, error) {
 	return v.call(ctx, func(ctx context.Context) (mirror.Batch, error) {
-		if after < v.compacted.Load() {
+		if after < mirror.Revision(v.compacted.Load()) {
 			return mirror.Batch{}, mirror.ErrCompacted
 		}
 		return v.store.Watch(ctx, after, wait)
--- a/mirror/digest.go
+++ b/mirror/digest.go
@@ -20,7 +20,7 @@
 // Digest returns a hash of all items of the copy, and the copy's revision. If two copies
 // at the same revision have different digests, one of them missed a change. The digest
 // is 0 (unknown) while the copy reflects some changes beyond its revision.
-func (t *Table) Digest() (digest uint64, revision int64) {
+func (t *Table) Digest() (digest uint64, revision Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.revision < t.maxRevision {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -300,7 +300,7 @@
 	return nil
 }
 
-func catchUpChanges(ctx context.Context, src Source, t *Table, after int64) error {
+func catchUpChanges(ctx context.Context, src Source, t *Table, after Revision) error {
 	ctx, cancel := clock.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	b, err := src.Watch(ctx, t.prefix, after, 0)
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -20,9 +20,9 @@
 // follower from before the gap needs no more than these. A follower whose revision is within the
 // gap may have a key that was created and deleted there, which the differences do not show.
 type history struct {
-	events []Event // in order of recording; gaps are marked by gapMarker
-	size   int     // in bytes
-	start  int64   // the history is complete after this revision
+	events []Event  // in order of recording; gaps are marked by gapMarker
+	size   int      // in bytes
+	start  Revision // the history is complete after this revision
 }
 
 // record adds a change, even if the copy already reflects it. When changes that the copy already
@@ -35,10 +35,10 @@
 }
 
 // reset drops all changes up to a revision.
-func (h *history) reset(revision int64) { *h = history{start: revision} }
+func (h *history) reset(revision Revision) { *h = history{start: revision} }
 
 // since returns the changes after a revision; ok is false if the history does not have all of them.
-func (h *history) since(after int64) (events []Event, ok bool) {
+func (h *history) since(after Revision) (events []Event, ok bool) {
 	if after < h.start {
 		return nil, false
 	}
@@ -73,17 +73,17 @@
 
 // gapMarker returns the event that marks a gap of the history after one revision up to another. It
 // is the removal of the empty key, which the store never has.
-func gapMarker(after, until int64) Event {
+func gapMarker(after, until Revision) Event {
 	return Event{Deleted: true, Item: Item{Value: binary.BigEndian.AppendUint64(nil, uint64(after)), Revision: until}}
 }
 
 // gap returns the revision after which the gap begins that an event marks; ok is false for other
 // events. The gap ends at the event's revision.
-func (e Event) gap() (after int64, ok bool) {
+func (e Event) gap() (after Revision, ok bool) {
 	if e.Key != "" || !e.Deleted || len(e.Value) != 8 {
 		return 0, false
 	}
-	return int64(binary.BigEndian.Uint64(e.Value)), true
+	return Revision(binary.BigEndian.Uint64(e.Value)), true
 }
 
 // HasGap reports whether the batch has differences in place of the changes after some revision.
@@ -95,7 +95,7 @@
 }
 
 // hasGapAround reports whether a revision is within a gap of the batch.
-func (b Batch) hasGapAround(revision int64) bool {
+func (b Batch) hasGapAround(revision Revision) bool {
 	for _, e := range b.Events {
 		if after, ok := e.gap(); ok && after < revision && revision < e.Revision {
 			return true
--- a/mirror/history_test.go
+++ b/mirror/history_test.go
@@ -28,7 +28,7 @@
 	follow(t, follower, second)
 	for _, c := range []*Table{follower, second} {
 		assert.DeepEqual(t, contents(c), map[string]string{"a": "5", "c": "14", "d": "15"})
-		assert.Equal(t, c.Revision(), int64(20))
+		assert.Equal(t, c.Revision(), Revision(20))
 		assert.Equal(t, c.FullCopies(), int64(1))
 	}
 }
@@ -46,7 +46,7 @@
 	_, err = source.Watch(t.Context(), follower.Revision(), 0)
 	assert.ErrorIs(t, err, ErrCompacted)
 	follower.Apply(start, late)
-	assert.Equal(t, follower.Revision(), int64(15), "a late answer that skips a gap says nothing to this copy")
+	assert.Equal(t, follower.Revision(), Revision(15), "a late answer that skips a gap says nothing to this copy")
 }
 
 // A copy that was read in pages reflects changes beyond its revision. A follower at that revision
--- a/mirror/lateanswer_test.go
+++ b/mirror/lateanswer_test.go
@@ -24,7 +24,7 @@
 	table.Apply(start, Batch{Events: []Event{set("target", 11), removal("target", 12)}, Revision: 12})
 	table.Apply(start, Batch{Events: []Event{set("target", 11)}, Revision: 11})
 	assert.DeepEqual(t, contents(table), map[string]string{})
-	assert.Equal(t, table.Revision(), int64(12))
+	assert.Equal(t, table.Revision(), Revision(12))
 }
 
 // An entry read the full copy in two pages; between them one target announced that it
@@ -42,6 +42,6 @@
 	b, err := source.Watch(t.Context(), follower.Revision(), 0)
 	assert.NilError(t, err)
 	follower.Apply(start, b)
-	assert.Equal(t, follower.Revision(), int64(12))
+	assert.Equal(t, follower.Revision(), Revision(12))
 	assert.DeepEqual(t, contents(follower), map[string]string{"a leaving target": "11", "config": "9"})
 }
--- a/mirror/monitoredstore.go
+++ b/mirror/monitoredstore.go
@@ -83,7 +83,7 @@
 // Watch implements Source. A response without changes was created by the store at the end of
 // the wait or later, so its age is less by the wait. One with changes may have been created at
 // any time since the call started.
-func (s *MonitoredStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error) {
+func (s *MonitoredStore) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Batch, error) {
 	call := s.begin()
 	overdue := clock.AfterFunc(wait+watchOverdueAfter, func() { s.recordFailure(call, errors.New("mirror: watch of the store is overdue")) })
 	b, err := s.store.Watch(ctx, prefix, after, wait)
--- a/mirror/monitoredstore_test.go
+++ b/mirror/monitoredstore_test.go
@@ -24,9 +24,9 @@
 	return Batch{Revision: 1}, nil
 }
 
-func (s slowStore) Watch(_ context.Context, _ string, after int64, _ time.Duration) (Batch, error) {
+func (s slowStore) Watch(_ context.Context, _ string, after Revision, _ time.Duration) (Batch, error) {
 	time.Sleep(s.delay)
-	return Batch{Events: s.events, Revision: after + int64(len(s.events))}, nil
+	return Batch{Events: s.events, Revision: after + Revision(len(s.events))}, nil
 }
 
 // The age that is stated for a response is an upper bound: the response may have been created
@@ -105,7 +105,7 @@
 	return p.Table.Range(time.Now())
 }
 
-func (p *paidTable) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+func (p *paidTable) Watch(ctx context.Context, _ string, after Revision, wait time.Duration) (Batch, error) {
 	p.calls.Add(1)
 	return p.Table.Watch(ctx, after, wait)
 }
--- a/mirror/oracle_test.go
+++ b/mirror/oracle_test.go
@@ -16,7 +16,7 @@
 	changes []Event
 }
 
-func (m *model) revision() int64 { return int64(len(m.changes)) + 1 }
+func (m *model) revision() Revision { return Revision(len(m.changes)) + 1 }
 
 func (m *model) all() Batch {
 	b := Batch{Revision: m.revision()}
@@ -26,7 +26,7 @@
 	return b
 }
 
-func (m *model) since(after int64, limit int) Batch {
+func (m *model) since(after Revision, limit int) Batch {
 	b := Batch{Revision: after}
 	for _, e := range m.changes {
 		if e.Revision > after && len(b.Events) < limit {
@@ -78,7 +78,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := &model{items: map[string]Event{}}
 		copies := []*Table{NewTable(""), NewTable(""), NewTable("")}
-		lastRevision := make([]int64, len(copies))
+		lastRevision := make([]Revision, len(copies))
 		lateReads := []Batch{}
 		var pagedReads []pagedRead
 		var watches []lateWatch
--- a/mirror/staleread_test.go
+++ b/mirror/staleread_test.go
@@ -14,9 +14,9 @@
 // storeAt returns a source that answers at once; its only key was last changed at the current
 // value of revision.
 func storeAt(revision *atomic.Int64) *scripted {
-	return &scripted{name: "store", all: func() (Batch, error) { return Batch{Revision: revision.Load()}, nil },
-		watch: func(after int64) (Batch, error) {
-			if r := revision.Load(); after < r {
+	return &scripted{name: "store", all: func() (Batch, error) { return Batch{Revision: Revision(revision.Load())}, nil },
+		watch: func(after Revision) (Batch, error) {
+			if r := Revision(revision.Load()); after < r {
 				return Batch{Events: []Event{set("a", r)}, Revision: r}, nil
 			}
 			return Batch{Revision: after}, nil
@@ -34,11 +34,11 @@
 		f := newFollower(table, NewMonitoredStore(storeAt(&revision), discardLogger()), func() Source { return &hanging{} })
 		go f.Run(ctx)
 		time.Sleep(1400 * time.Millisecond)
-		assert.Equal(t, table.Revision(), int64(7))
+		assert.Equal(t, table.Revision(), Revision(7))
 		assert.Equal(t, f.stats.staleReads.Count(), int64(1))
 		revision.Store(8)
 		time.Sleep(1400 * time.Millisecond)
-		assert.Equal(t, table.Revision(), int64(8))
+		assert.Equal(t, table.Revision(), Revision(8))
 		down, ended := f.Outage()
 		assert.Assert(t, !down && ended.IsZero())
 	})
@@ -53,12 +53,12 @@
 		var revision atomic.Int64
 		revision.Store(7)
 		none := func() (Batch, error) { return Batch{}, ErrUnavailable }
-		peer := &scripted{name: "peer", all: none, watch: func(int64) (Batch, error) { return none() }}
+		peer := &scripted{name: "peer", all: none, watch: func(Revision) (Batch, error) { return none() }}
 		table := NewTable("")
 		f := newFollower(table, NewMonitoredStore(storeAt(&revision), discardLogger()), func() Source { return peer })
 		go f.Run(ctx)
 		synctest.Wait()
-		assert.Equal(t, table.Revision(), int64(7))
+		assert.Equal(t, table.Revision(), Revision(7))
 		cancel()
 		synctest.Wait()
 	})
@@ -71,12 +71,12 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var calls atomic.Int64
-		store := &scripted{name: "store", watch: func(int64) (Batch, error) {
+		store := &scripted{name: "store", watch: func(Revision) (Batch, error) {
 			calls.Add(1)
 			return Batch{}, errors.New("refused")
 		}}
 		peer := &scripted{name: "peer", all: func() (Batch, error) { return Batch{Revision: 1}, nil },
-			watch: func(after int64) (Batch, error) { return Batch{Revision: after}, nil }}
+			watch: func(after Revision) (Batch, error) { return Batch{Revision: after}, nil }}
 		monitored := NewMonitoredStore(store, discardLogger())
 		_, err := monitored.Watch(ctx, "", 1, 0)
 		assert.ErrorContains(t, err, "refused")
@@ -98,7 +98,7 @@
 		var first atomic.Bool
 		first.Store(true)
 		answer := make(chan struct{})
-		store.watch = func(after int64) (Batch, error) {
+		store.watch = func(after Revision) (Batch, error) {
 			if !first.Swap(false) {
 				return succeed(after)
 			}
@@ -151,7 +151,7 @@
 		revision.Store(2)
 		close(r.switched)
 		synctest.Wait()
-		assert.Equal(t, table.Revision(), int64(2))
+		assert.Equal(t, table.Revision(), Revision(2))
 		assert.Assert(t, !f.sourceLost)
 	})
 }
--- a/mirror/suspension_test.go
+++ b/mirror/suspension_test.go
@@ -28,14 +28,14 @@
 			table := NewTable("")
 			store := storeAt(&revision)
 			answer := store.watch
-			store.watch = func(after int64) (Batch, error) {
+			store.watch = func(after Revision) (Batch, error) {
 				time.Sleep(time.Millisecond) // no response arrives at the moment of the resume
 				return answer(after)
 			}
 			f := newFollower(table, NewMonitoredStore(store, discardLogger()), func() Source { return &hanging{} })
 			go f.Run(ctx)
 			time.Sleep(1400 * time.Millisecond)
-			assert.Equal(t, table.Revision(), int64(7))
+			assert.Equal(t, table.Revision(), Revision(7))
 			revision.Store(8)
 			machine.Suspend(d)
 			b, err := table.Range(clock.Now())
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -13,8 +13,12 @@
 
 	"github.com/pkg/errors"
 	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/revision"
 )
 
+// Revision identifies a state of the store.
+type Revision = revision.Revision
+
 // Errors of sources.
 var (
 	// ErrCompacted says that the source no longer has the history after the requested
@@ -31,7 +35,7 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64 // store revision of the key's last change
+	Revision Revision // store revision of the key's last change
 }
 
 // Event is a change of one key.
@@ -44,8 +48,8 @@
 // revision.
 type Batch struct {
 	Events        []Event
-	Revision      int64         // the next watch continues after this revision
-	MaxRevision   int64         // of a full copy: some changes between Revision and MaxRevision may be included
+	Revision      Revision      // the next watch continues after this revision
+	MaxRevision   Revision      // of a full copy: some changes between Revision and MaxRevision may be included
 	Age           time.Duration // upper bound of the time since the source was confirmed to agree with the store
 	AgeMeasuredAt time.Time     // when Age was measured; set by Table only
 	// FromStore says that this process read the batch from the store, not from a peer.
@@ -59,7 +63,7 @@
 	// Range returns all items of prefix.
 	Range(ctx context.Context, prefix string) (Batch, error)
 	// Watch waits up to wait for changes after a revision.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Batch, error)
 }
 
 // Paid is implemented by sources whose calls may be billed.
@@ -78,10 +82,10 @@
 	mu            sync.Mutex
 	items         map[string]Item
 	history       history
-	revision      int64
-	maxRevision   int64     // the copy may reflect some changes between revision and maxRevision
-	exactRevision int64     // last revision at which the copy reflected no later changes
-	firstRevision int64     // revision of the first read
+	revision      Revision
+	maxRevision   Revision  // the copy may reflect some changes between revision and maxRevision
+	exactRevision Revision  // last revision at which the copy reflected no later changes
+	firstRevision Revision  // revision of the first read
 	confirmedAt   time.Time // when the copy was last confirmed to agree with the store
 	storeReadAt   time.Time // like confirmedAt, but by this process's own reads of the store only
 	changed       chan struct{}
@@ -98,7 +102,7 @@
 }
 
 // Revision returns the store revision of the copy; zero before the first read.
-func (t *Table) Revision() int64 {
+func (t *Table) Revision() Revision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.revision
@@ -106,7 +110,7 @@
 
 // FirstRevision returns the revision of the first read. It is not known how long ago changes up
 // to that revision were made.
-func (t *Table) FirstRevision() int64 {
+func (t *Table) FirstRevision() Revision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.firstRevision
@@ -173,8 +177,8 @@
 
 // removeUnmentioned removes the keys that changed after one revision, up to another, if the batch
 // has no such change of them.
-func (t *Table) removeUnmentioned(b Batch, after, until int64) bool {
-	mentioned := make(map[string]int64, len(b.Events)) // latest revisions
+func (t *Table) removeUnmentioned(b Batch, after, until Revision) bool {
+	mentioned := make(map[string]Revision, len(b.Events)) // latest revisions
 	for _, e := range b.Events {
 		mentioned[e.Key] = max(mentioned[e.Key], e.Revision)
 	}
@@ -188,7 +192,7 @@
 }
 
 // remove deletes a key that the store does not have at a revision.
-func (t *Table) remove(key string, revision int64) bool {
+func (t *Table) remove(key string, revision Revision) bool {
 	e := Event{Item: Item{Key: key, Revision: revision}, Deleted: true}
 	t.history.record(e)
 	return t.set(e)
@@ -302,7 +306,7 @@
 
 // LastStoreRead returns when this process's own reads of the store last confirmed the
 // copy, and the copy's revision. The copy reflects all changes that the store had then.
-func (t *Table) LastStoreRead() (at time.Time, revision int64) {
+func (t *Table) LastStoreRead() (at time.Time, revision Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.storeReadAt, t.revision
@@ -362,14 +366,14 @@
 
 // Watch waits for changes after a revision on behalf of a peer. It returns an empty batch
 // when wait expires or ctx ends first.
-func (t *Table) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (t *Table) Watch(ctx context.Context, after Revision, wait time.Duration) (Batch, error) {
 	return t.watch(ctx, after, wait, nil)
 }
 
 // WatchConfirmed is Watch for peers that pass the copy on: it also returns as soon as the copy has
 // been confirmed by confirmationStep later than at the time that the peer was last told, so that
 // confirmations reach a chain of peers without a wait at each.
-func (t *Table) WatchConfirmed(ctx context.Context, after int64, wait time.Duration, told time.Time) (Batch, error) {
+func (t *Table) WatchConfirmed(ctx context.Context, after Revision, wait time.Duration, told time.Time) (Batch, error) {
 	t.mu.Lock()
 	confirmed, news := t.confirmed, t.confirmedAt.Sub(told) >= confirmationStep
 	t.mu.Unlock()
@@ -379,7 +383,7 @@
 	return t.watch(ctx, after, wait, confirmed)
 }
 
-func (t *Table) watch(ctx context.Context, after int64, wait time.Duration, confirmed <-chan struct{}) (Batch, error) {
+func (t *Table) watch(ctx context.Context, after Revision, wait time.Duration, confirmed <-chan struct{}) (Batch, error) {
 	if wait <= 0 {
 		b, _, err := t.since(clock.Now(), after)
 		return b, err
@@ -406,7 +410,7 @@
 	}
 }
 
-func (t *Table) since(now time.Time, after int64) (Batch, <-chan struct{}, error) {
+func (t *Table) since(now time.Time, after Revision) (Batch, <-chan struct{}, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.revision == 0 {
--- a/mirror/table_test.go
+++ b/mirror/table_test.go
@@ -17,11 +17,11 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-func set(key string, revision int64) Event {
+func set(key string, revision Revision) Event {
 	return Event{Item: Item{Key: key, Value: fmt.Append(nil, revision), Revision: revision}}
 }
 
-func removal(key string, revision int64) Event {
+func removal(key string, revision Revision) Event {
 	return Event{Item: Item{Key: key, Revision: revision}, Deleted: true}
 }
 
@@ -41,7 +41,7 @@
 	table.Apply(start, Batch{Events: []Event{set("a", 4)}, Revision: 5})
 	table.Replace(start, Batch{Events: []Event{set("a", 3)}, Revision: 4})
 	assert.DeepEqual(t, contents(table), map[string]string{"a": "5"})
-	assert.Equal(t, table.Revision(), int64(6))
+	assert.Equal(t, table.Revision(), Revision(6))
 }
 
 func TestReplaceRemovesMissingKeys(t *testing.T) {
@@ -63,13 +63,13 @@
 	b, err := table.Watch(t.Context(), 6, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(b.Events), 2)
-	assert.Equal(t, b.Revision, int64(8))
+	assert.Equal(t, b.Revision, Revision(8))
 }
 
 func TestHistoryIsBounded(t *testing.T) {
 	table := NewTable("")
 	table.Replace(start, Batch{Revision: 1})
-	for r := int64(2); r < 2+2*maxHistoryLength; r++ {
+	for r := Revision(2); r < 2+2*maxHistoryLength; r++ {
 		table.Apply(start, Batch{Events: []Event{set("a", r)}, Revision: r})
 	}
 	_, err := table.Watch(t.Context(), 1, 0)
@@ -84,7 +84,7 @@
 func TestBurstOfChangesFitsIntoHistory(t *testing.T) {
 	table := NewTable("")
 	table.Replace(start, Batch{Revision: 1})
-	for r := int64(2); r < 1002; r++ {
+	for r := Revision(2); r < 1002; r++ {
 		e := set(fmt.Sprintf("servers/%d", r), r)
 		e.Value = make([]byte, 300)
 		table.Apply(start, Batch{Events: []Event{e}, Revision: r})
@@ -99,7 +99,7 @@
 func TestHistoryIsBoundedInBytes(t *testing.T) {
 	table := NewTable("")
 	table.Replace(start, Batch{Revision: 1})
-	for r := int64(2); r < 12; r++ {
+	for r := Revision(2); r < 12; r++ {
 		e := set("config", r)
 		e.Value = make([]byte, maxHistoryBytes)
 		table.Apply(start, Batch{Events: []Event{e}, Revision: r})
@@ -113,7 +113,7 @@
 // scripted is a source whose responses are computed by functions.
 type scripted struct {
 	name  string
-	watch func(after int64) (Batch, error)
+	watch func(after Revision) (Batch, error)
 	all   func() (Batch, error)
 }
 
@@ -121,7 +121,7 @@
 
 func (s *scripted) Range(context.Context, string) (Batch, error) { return s.all() }
 
-func (s *scripted) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+func (s *scripted) Watch(ctx context.Context, _ string, after Revision, wait time.Duration) (Batch, error) {
 	b, err := s.watch(after)
 	if err == nil && len(b.Events) == 0 {
 		select {
@@ -170,7 +170,7 @@
 			}
 			return Batch{Events: []Event{set("a", 9)}, Revision: 9}, nil
 		}
-		src.watch = func(after int64) (Batch, error) {
+		src.watch = func(after Revision) (Batch, error) {
 			if after < 9 {
 				return Batch{}, ErrCompacted
 			}
@@ -199,7 +199,7 @@
 			}
 			return Batch{Events: []Event{set("a", 7)}, Revision: 7}, nil
 		}}
-		store.watch = func(after int64) (Batch, error) {
+		store.watch = func(after Revision) (Batch, error) {
 			if down.Load() {
 				return Batch{}, errors.New("busy")
 			}
@@ -209,7 +209,7 @@
 			return Batch{Revision: after}, nil
 		}
 		peer := &scripted{name: "peer", all: func() (Batch, error) { return Batch{Events: []Event{set("a", 3)}, Revision: 3}, nil }}
-		peer.watch = func(after int64) (Batch, error) { return Batch{Revision: max(after, 3)}, nil }
+		peer.watch = func(after Revision) (Batch, error) { return Batch{Revision: max(after, 3)}, nil }
 		table := NewTable("")
 		monitored := NewMonitoredStore(store, discardLogger())
 		f := newFollower(table, monitored, func() Source {
@@ -236,7 +236,7 @@
 		defer cancel()
 		var down atomic.Bool
 		src := &scripted{name: "store", all: func() (Batch, error) { return Batch{Revision: 1}, nil }}
-		src.watch = func(after int64) (Batch, error) {
+		src.watch = func(after Revision) (Batch, error) {
 			if down.Load() {
 				return Batch{}, errors.New("down")
 			}
@@ -273,7 +273,7 @@
 		}
 		time.Sleep(4 * time.Second)
 		for _, table := range tables {
-			assert.Equal(t, table.Revision(), int64(7))
+			assert.Equal(t, table.Revision(), Revision(7))
 		}
 		cancel()
 		time.Sleep(5 * time.Second)
@@ -302,7 +302,7 @@
 	return Batch{Revision: 7}, nil
 }
 
-func (*sharedLink) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+func (*sharedLink) Watch(ctx context.Context, _ string, after Revision, wait time.Duration) (Batch, error) {
 	select {
 	case <-time.After(wait):
 		return Batch{Revision: after}, nil
@@ -332,7 +332,7 @@
 
 func (h *hanging) Range(context.Context, string) (Batch, error) { return Batch{Revision: 1}, nil }
 
-func (h *hanging) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (Batch, error) {
+func (h *hanging) Watch(ctx context.Context, _ string, _ Revision, _ time.Duration) (Batch, error) {
 	h.calls.Add(1)
 	<-ctx.Done()
 	return Batch{}, ctx.Err()
@@ -345,9 +345,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		peer := &scripted{name: "peer", all: func() (Batch, error) { return Batch{Events: []Event{set("a", 3)}, Revision: 3}, nil }}
-		peer.watch = func(after int64) (Batch, error) { return Batch{Revision: after, Age: 10 * time.Second}, nil }
+		peer.watch = func(after Revision) (Batch, error) { return Batch{Revision: after, Age: 10 * time.Second}, nil }
 		store := &scripted{name: "store"}
-		store.watch = func(after int64) (Batch, error) {
+		store.watch = func(after Revision) (Batch, error) {
 			if after < 7 {
 				return Batch{Events: []Event{set("a", 7)}, Revision: 7}, nil
 			}
@@ -372,7 +372,7 @@
 	return Batch{Revision: 1}, nil
 }
 
-func (p *paidSource) Watch(_ context.Context, _ string, after int64, _ time.Duration) (Batch, error) {
+func (p *paidSource) Watch(_ context.Context, _ string, after Revision, _ time.Duration) (Batch, error) {
 	p.calls = append(p.calls, time.Now())
 	return Batch{Events: []Event{{Item: Item{Key: "k", Revision: after + 1}}}, Revision: after + 1}, nil
 }
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -1,11 +1,13 @@
 package peer
 
+import "github.com/springgate/springgate/revision"
+
 // MirrorRead asks for a peer's copy of the store, the platform's key-value store (see package
 // mirror). The reply is a MirrorBatch.
 type MirrorRead struct {
-	All    bool  // read all keys; otherwise the changes after revision After
-	After  int64 // store revision; used unless All is set
-	WaitMs int64 // longest wait for changes; with All, for the peer's first copy
+	All    bool              // read all keys; otherwise the changes after revision After
+	After  revision.Revision // store revision; used unless All is set
+	WaitMs int64             // longest wait for changes; with All, for the peer's first copy
 }
 
 // Kind implements Message.
@@ -16,7 +18,7 @@
 type MirrorEvent struct {
 	Key      string
 	Value    []byte
-	Revision int64
+	Revision revision.Revision
 	Deleted  bool
 }
 
@@ -34,10 +36,10 @@
 type MirrorBatch struct {
 	Status      MirrorStatus
 	Events      []MirrorEvent
-	Revision    int64
-	MaxRevision int64 // a read of all keys may contain some, but not all, of the changes up to this revision
-	AgeMs       int64 // upper bound of the time since the copy was known to match the store
-	WaitedMs    int64 // lower bound of the time that the peer waited for changes
+	Revision    revision.Revision
+	MaxRevision revision.Revision // a read of all keys may contain some, but not all, of the changes up to this revision
+	AgeMs       int64             // upper bound of the time since the copy was known to match the store
+	WaitedMs    int64             // lower bound of the time that the peer waited for changes
 }
 
 // Kind implements Message.
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -1,5 +1,7 @@
 package peer
 
+import "github.com/springgate/springgate/revision"
+
 // Presence is the state that a process reports about itself when it opens a link (a stream to an
 // entry; see package mesh), and periodically after that.
 type Presence struct {
@@ -11,7 +13,7 @@
 	EngineAddr  string // address of the engine beside an agent
 	PiecesAddr  string // address on which an agent serves the pieces of weights that it has staged for its engine
 	Incarnation uint64
-	Revision    int64 // revision of the process's copy of the store
+	Revision    revision.Revision // revision of the process's copy of the store
 	Leaving     bool
 	// LinkMbps is the rate of the host's link; 0 if unknown.
 	LinkMbps float64
@@ -67,9 +69,9 @@
 // Loads reports the requests that an entry has in flight at targets. It is sent on the
 // stream that the entry opened with its Presence.
 type Loads struct {
-	Full     bool  // lists all targets; otherwise only those that changed
-	Leaving  bool  // the entry is leaving
-	Revision int64 // revision of the entry's copy of the store
+	Full     bool              // lists all targets; otherwise only those that changed
+	Leaving  bool              // the entry is leaving
+	Revision revision.Revision // revision of the entry's copy of the store
 	Store    StoreStatus
 	Digest   uint64 // digest of the entry's copy of the store at Revision; 0 if not sent
 	Targets  []TargetLoad
