mirror: copies follow a store that was restored from an older copy

Callers' requests reached a target 2.2 s after it had said that it leaves, and were handled by configuration 18 where 23 had been confirmed 2 s before; load orders for a new version did not come.

Cause: the store came back from an older copy of itself, with lower revisions that it gave out again. Copies compared revisions alone. The class of fault: an order that holds within one life of its source is taken for an order across its lives.

Change: a revision has the store's era and its number, in this order (package revision). Items that a restored store still has keep their revision, so that followers get the differences only. A full copy that is ignored while nothing else confirms the copy counts as a failure of the source, with its back-off. Restores are logged with both eras and counted; ignored full copies and compacted histories are counted, and the copy's era and revision have gauges.

--- a/mesh/members.go
+++ b/mesh/members.go
@@ -399,10 +399,10 @@
 // ConfirmedAt returns when an entry last saw by its own calls that the store had nothing
 // beyond revision, or zero. Confirmations that entries received from others do not count: if
 // they were passed around a cycle of entries, the error of the transit time would make them
-// seem younger after each round.
+// seem younger after each round. Nor does what was seen in an earlier era of the store.
 func (m *Members) ConfirmedAt(revision revision.Revision) (at time.Time) {
 	for _, x := range m.byAddr {
-		if x.Revision <= revision && x.storeSeenAt.After(at) {
+		if x.Revision <= revision && x.Revision.Era() == revision.Era() && x.storeSeenAt.After(at) {
 			at = x.storeSeenAt
 		}
 	}
--- a/mirror/digest.go
+++ b/mirror/digest.go
@@ -9,11 +9,12 @@
 // not 0 because 0 stands for an unknown digest.
 const emptyDigest = 14695981039346656037
 
-// digest returns a hash of the item's key and the revision of its last change. The value
-// is left out because a revision identifies one change.
+// digest returns a hash of the item's key and the number of its last change. The value
+// is left out because a revision identifies one change. So is the era: copies that outlasted a
+// restore have items of earlier eras, which other copies have read anew.
 func (i Item) digest() uint64 {
 	h := fnv.New64a()
-	h.Write(binary.BigEndian.AppendUint64([]byte(i.Key), uint64(i.Revision)))
+	h.Write(binary.BigEndian.AppendUint64([]byte(i.Key), uint64(i.Revision.Number())))
 	return h.Sum64()
 }
 
@@ -36,6 +37,13 @@
 	return t.fullCopies
 }
 
+// OutdatedCopies returns how many full copies were ignored because they were older than the copy.
+func (t *Table) OutdatedCopies() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.outdatedCopies
+}
+
 // LateEvents returns the number of events that were ignored because their revision was
 // not above the copy's revision: they came in responses that arrived out of order.
 func (t *Table) LateEvents() int64 {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -111,6 +111,8 @@
 	f.stats.registerAge(func() int64 { return f.age(clock.Now()).Milliseconds() })
 	f.stats.registerLateEvents(f.table.LateEvents)
 	f.stats.registerFullCopies(f.table.FullCopies)
+	f.stats.registerOutdatedCopies(f.table.OutdatedCopies)
+	f.stats.registerRevision(f.table.Revision)
 	return f
 }
 
@@ -209,10 +211,8 @@
 		}
 	}()
 	err := f.fetchChanges(ctx, src)
-	if errors.Is(err, ErrCompacted) {
-		f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix,
-			"revision": f.table.Revision()}).Info("Source compacted its history, reading the full copy.")
-		err = f.readAll(ctx, src)
+	if needsFullCopy(err) {
+		err = f.readInstead(ctx, src, err)
 	}
 	if err != nil && errors.Is(context.Cause(ctx), ErrSourceChanged) {
 		return ErrSourceChanged
@@ -240,10 +240,39 @@
 	if err != nil {
 		return err
 	}
+	before := f.table.Revision()
 	f.table.Apply(clock.Now(), b)
+	f.noteRestore(src, before)
 	return nil
 }
 
+// needsFullCopy reports whether a source cannot tell the changes since the copy's revision.
+func needsFullCopy(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored)
+}
+
+// readInstead reads the full copy after reading the changes failed with cause.
+func (f *Follower) readInstead(ctx context.Context, src Source, cause error) error {
+	if errors.Is(cause, ErrCompacted) {
+		f.stats.compacted.Inc(1)
+		f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix,
+			"revision": f.table.Revision()}).Info("Source compacted its history, reading the full copy.")
+	}
+	return f.readAll(ctx, src)
+}
+
+// noteRestore logs that the store was restored from an older copy if the era of the copy has
+// changed.
+func (f *Follower) noteRestore(src Source, before Revision) {
+	now := f.table.Revision()
+	if before == 0 || now.Era() == before.Era() {
+		return
+	}
+	f.stats.restores.Inc(1)
+	f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix, "from_era": before.Era(), "from_revision": before.Number(),
+		"to_era": now.Era(), "to_revision": now.Number()}).Warn("The store was restored from an older copy.")
+}
+
 // watchWait returns how long a watch that starts now waits for changes. A watch at the
 // store ends when Wait has passed since the time as of which this process's last read of the
 // store confirmed the copy. That may be longer ago than the end of the last watch: a response
@@ -264,9 +293,14 @@
 	if err != nil {
 		return err
 	}
-	f.table.Replace(clock.Now(), b)
+	before := f.table.Revision()
+	taken := f.table.Replace(clock.Now(), b)
 	f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix, "items": len(b.Events), "revision": b.Revision,
-		"up_to": b.MaxRevision, "ms": clock.Since(begun).Milliseconds()}).Info("Full copy read.")
+		"up_to": b.MaxRevision, "ms": clock.Since(begun).Milliseconds(), "taken": taken}).Info("Full copy read.")
+	f.noteRestore(src, before)
+	if !taken && f.table.ConfirmedAt().Before(begun) {
+		return ErrOutdated // back off: nothing else has brought the copy up to date either
+	}
 	return nil
 }
 
@@ -281,7 +315,7 @@
 func CatchUp(ctx context.Context, src Source, t *Table) error {
 	if after := t.Revision(); after > 0 {
 		err := catchUpChanges(ctx, src, t, after)
-		if !errors.Is(err, ErrCompacted) {
+		if !needsFullCopy(err) {
 			return err
 		}
 	}
--- a/mirror/monitoredstore.go
+++ b/mirror/monitoredstore.go
@@ -112,7 +112,7 @@
 // end records the result of a call. A call that the caller cancelled is ignored.
 func (s *MonitoredStore) end(ctx context.Context, call *storeCall, err error) {
 	switch {
-	case err == nil || errors.Is(err, ErrCompacted):
+	case err == nil || needsFullCopy(err):
 		s.recordSuccess(call.begun)
 	case !errors.Is(ctx.Err(), context.Canceled):
 		s.recordFailure(call, err)
--- a/mirror/staleread.go
+++ b/mirror/staleread.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/loop"
@@ -59,8 +58,8 @@
 func (f *Follower) readStore(ctx context.Context, stale bool) {
 	age := f.age(clock.Now())
 	err := f.readChanges(ctx)
-	if errors.Is(err, ErrCompacted) {
-		err = f.readAll(ctx, f.store)
+	if needsFullCopy(err) {
+		err = f.readInstead(ctx, f.store, err)
 	}
 	if !stale || ctx.Err() != nil {
 		return // MonitoredStore logs the result
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -7,6 +7,7 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -24,6 +25,11 @@
 	// ErrCompacted says that the source no longer has the history after the requested
 	// revision: the full copy must be read.
 	ErrCompacted = errors.New("mirror: history compacted")
+	// ErrRestored says that the store was restored from an older copy of itself since the
+	// requested revision: the full copy must be read.
+	ErrRestored = errors.New("mirror: store restored from an older copy")
+	// ErrOutdated says that a full copy is older than the copy that it was to replace.
+	ErrOutdated = errors.New("mirror: full copy is outdated")
 	// ErrUnavailable says that a source answered but has no copy to serve.
 	ErrUnavailable = errors.New("mirror: source unavailable")
 	// ErrSourceChanged says that a call was cancelled because the source to follow
@@ -94,6 +100,8 @@
 	digest        uint64        // of all items
 	lateEvents    int64         // events ignored because their revision was not above the copy's
 	fullCopies    int64         // see FullCopies
+	// outdatedCopies is the number of full copies that were ignored because the copy was newer.
+	outdatedCopies int64
 }
 
 // NewTable returns an empty copy of prefix.
@@ -118,13 +126,20 @@
 
 // Items returns the items of the copy, and a channel that is closed at the next change.
 func (t *Table) Items() ([]Item, <-chan struct{}) {
+	items, _, changed := t.Snapshot()
+	return items, changed
+}
+
+// Snapshot returns the items of the copy, its revision, and a channel that is closed at the next
+// change.
+func (t *Table) Snapshot() (items []Item, revision Revision, changed <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]Item, 0, len(t.items))
+	items = make([]Item, 0, len(t.items))
 	for _, i := range t.items {
-		out = append(out, i)
+		items = append(items, i)
 	}
-	return out, t.changed
+	return items, t.revision, t.changed
 }
 
 // Apply applies the changes after the revision that the copy had when they were requested.
@@ -200,12 +215,13 @@
 
 // Replace replaces the copy by a batch with all items of the prefix. Keys that are missing
 // from the batch are removed, unless they changed after the batch's revision. A batch older than
-// the copy is ignored.
-func (t *Table) Replace(now time.Time, b Batch) {
+// the copy is ignored; Replace then returns false.
+func (t *Table) Replace(now time.Time, b Batch) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if b.Revision < t.revision {
-		return
+		t.outdatedCopies++
+		return false
 	}
 	t.fullCopies++
 	if t.revision == 0 {
@@ -219,6 +235,7 @@
 	}
 	t.maxRevision = max(t.maxRevision, b.MaxRevision)
 	t.advance(now, b, changed)
+	return true
 }
 
 // replaceItems changes the items to those of a batch, records the differences for followers, and
@@ -228,6 +245,9 @@
 	present := make(map[string]bool, len(b.Events))
 	for _, e := range b.Events {
 		present[e.Key] = true
+		if t.outlasted(e) {
+			continue
+		}
 		isNew := t.set(e)
 		changed = changed || isNew
 		t.readAhead(b, e)
@@ -248,6 +268,14 @@
 	return changed
 }
 
+// outlasted reports whether an item of a later era is the one that the copy has from an earlier
+// era: the restored store still has it. It keeps its revision, so that it is no change to those who
+// use the copy and to followers.
+func (t *Table) outlasted(e Event) bool {
+	old, known := t.items[e.Key]
+	return known && !e.Deleted && e.Revision.Era() > old.Revision.Era() && e.Revision.Number() == old.Revision.Number() && bytes.Equal(e.Value, old.Value)
+}
+
 // set applies an event to its key, unless the copy has a later state of the key, and
 // reports whether the copy changed.
 func (t *Table) set(e Event) bool {
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -13,6 +13,9 @@
 // for a thousand changes a second for 34 years.
 const numberBits = 40
 
+// EraBits is the number of bits of a Revision for the era.
+const EraBits = 63 - numberBits
+
 // New returns the revision of the state with a number in an era. Stores that know no eras
 // have era 0.
 func New(era, number int64) Revision { return Revision(era<<numberBits | number) }
