gateway: what was in force stays so when the store is restored

A restored store lacks what it had acknowledged until operators and targets have written it again. Entries took its content for the present one: a target that had left got requests, the time of a version began anew, an evacuation ended or came back at once.

Targets that are missing since a restore are kept as after an outage. Versions that are not newer than the announced one are ignored. An older configuration no longer replaces the services' cost models.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -65,7 +65,8 @@
 	relay    Relay
 	log      logrus.FieldLogger
 
-	evacuated []string // failure domains, sorted
+	evacuations evacuations
+	evacuated   []string // failure domains, sorted
 	// unknownEvacuations counts evacuations of failure domains that are not configured.
 	unknownEvacuations metrics.Gauge
 	foreign            metrics.Gauge // items of the target list that describe no usable target
@@ -75,11 +76,12 @@
 	roster            Roster
 	decoded           map[string]decodedInstance
 	configRev         mirror.Revision
-	// mirrorRevision is the revision of the mirror. It may exceed the revision of the items
-	// by changes that arrived just after they were read.
-	mirrorRevision mirror.Revision
-	versionRev     map[string]mirror.Revision // last revision applied of each version item, by key
-	list           []*fleet.Instance
+	registrations     registrations
+	mirrorRevision    mirror.Revision            // when its items were last applied
+	restoredAt        time.Time                  // when the store was last found restored from an older copy
+	versions          map[string]int             // newest announced version, by model
+	versionRev        map[string]mirror.Revision // last revision applied of each version item, by key
+	list              []*fleet.Instance
 
 	mu          sync.Mutex
 	assignments map[string]*assignment // by service
@@ -117,7 +119,7 @@
 	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
 		addr: o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
-		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, assignments: map[string]*assignment{},
+		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, versions: map[string]int{}, evacuations: evacuations{catchUp: o.Roster.CatchUp}, assignments: map[string]*assignment{},
 		holders: map[string]holder{},
 		changed: make(chan struct{})}
 }
@@ -135,7 +137,7 @@
 				break wait
 			case <-ticker.C:
 				c.updateUnreadable()
-				if c.roster.Pending() {
+				if c.roster.Pending() || c.evacuations.holding {
 					break wait
 				}
 			case <-ctx.Done():
@@ -147,8 +149,9 @@
 
 // round applies the mirror's content. It returns a channel that is closed when that changes.
 func (c *Control) round(ctx context.Context) (changed <-chan struct{}) {
-	items, changed := c.table.Items()
-	c.mirrorRevision = c.table.Revision()
+	items, revision, changed := c.table.Snapshot()
+	c.noteRestore(revision)
+	c.mirrorRevision = revision
 	c.applyOperator(ctx, items)
 	c.applyInstances(items)
 	c.updateOrders()
@@ -156,6 +159,20 @@
 	return changed
 }
 
+// noteRestore notes that the store was restored from an older copy if its era has changed.
+func (c *Control) noteRestore(now mirror.Revision) {
+	if c.mirrorRevision == 0 || now.Era() == c.mirrorRevision.Era() {
+		return
+	}
+	c.restoredAt = clock.Now()
+	f := logrus.Fields{"from_era": c.mirrorRevision.Era(), "from_revision": c.mirrorRevision.Number(), "to_era": now.Era(),
+		"to_revision": now.Number(), "targets": len(c.list), "evacuated": c.evacuated, "versions": c.versions}
+	if cfg := c.gateway.Config(); cfg != nil {
+		f["config"] = cfg.Version
+	}
+	c.log.WithFields(f).Warn("The store was restored; keeping what is in force.")
+}
+
 func (c *Control) applyOperator(ctx context.Context, items []mirror.Item) {
 	for _, i := range items {
 		c.applyConfig(i)
@@ -180,9 +197,10 @@
 		return
 	}
 	c.configRev = i.Revision
-	if c.gateway.SetConfig(cfg) {
-		c.log.WithFields(logrus.Fields{"config": cfg.Version, "revision": i.Revision}).Info("Configuration applied.")
+	if !c.gateway.SetConfig(cfg) {
+		return
 	}
+	c.log.WithFields(logrus.Fields{"config": cfg.Version, "revision": i.Revision}).Info("Configuration applied.")
 	c.balancer.Apply(c.list, cfg.Services)
 }
 
@@ -203,6 +221,11 @@
 	if !ok || cfg == nil {
 		return
 	}
+	if v.Version <= c.versions[v.Model] {
+		c.versionRev[i.Key] = i.Revision // the store was restored, or the version was written again
+		return
+	}
+	c.versions[v.Model] = v.Version
 	now := clock.Now()
 	announced := i.Revision > c.table.FirstRevision() // announced since this process started
 	announcement := announcementAt(now, announced, c.cfg.VersionTimeout)
@@ -252,15 +275,23 @@
 	c.foreign.Update(int64(len(next) - len(list)))
 	c.logVanished(next)
 	c.decoded = next
+	list = c.registrations.update(clock.Now(), c.mirrorRevision.Era(), list)
 	c.gateway.crashDetector.compareListed(list)
 	down, ended := c.outage()
-	c.list = c.roster.Update(clock.Now(), list, down, ended)
+	c.list = c.roster.Update(clock.Now(), list, down, later(ended, c.restoredAt))
 	if cfg := c.gateway.Config(); cfg != nil {
 		c.balancer.Apply(c.list, cfg.Services)
 	}
 	c.balancer.UpdateNotices(clock.Now())
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // serves reports whether a target belongs to a configured service. Other targets are left
 // out, also so that they do not replace a target of a configured service at the same
 // address.
