mirror: the oracle of the copies restores the store, and what it found

TestMirrorOracle plays restores, and found ways to keep what a restored store had lost: a copy that reflected changes beyond its revision took the differences of another era, which do not mention them, and a full copy with items of an earlier era did not replace later writes that were lost. The first reads the full copy now (Apply says so), the second is told by the full copy's revision.

Items that a full copy has with equal value keep their revision across eras, whatever their number. So that copies of one revision agree, whichever eras their items are of, digests are of keys and values; they were of keys and revisions.

--- a/mesh/differ_test.go
+++ b/mesh/differ_test.go
@@ -24,7 +24,7 @@
 	assert.Assert(t, !d.any())
 }
 
-// The digest depends on the keys and revisions only, not on the order of the changes.
+// The digest depends on the keys and values only, not on the order of the changes.
 func TestDigestDistinguishesCopies(t *testing.T) {
 	item := func(key string, revision mirror.Revision) mirror.Event {
 		return mirror.Event{Item: mirror.Item{Key: key, Value: []byte("v"), Revision: revision}}
--- a/mirror/digest.go
+++ b/mirror/digest.go
@@ -9,12 +9,12 @@
 // not 0 because 0 stands for an unknown digest.
 const emptyDigest = 14695981039346656037
 
-// digest returns a hash of the item's key and the number of its last change. The value
-// is left out because a revision identifies one change. So is the era: copies that outlasted a
-// restore have items of earlier eras, which other copies have read anew.
+// digest returns a hash of the item's key and value. The revision is left out: after the store was
+// restored, copies have the same item from different eras.
 func (i Item) digest() uint64 {
 	h := fnv.New64a()
-	h.Write(binary.BigEndian.AppendUint64([]byte(i.Key), uint64(i.Revision.Number())))
+	h.Write(binary.BigEndian.AppendUint64([]byte(i.Key), uint64(len(i.Key))))
+	h.Write(i.Value)
 	return h.Sum64()
 }
 
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -241,7 +241,9 @@
 		return err
 	}
 	before := f.table.Revision()
-	f.table.Apply(clock.Now(), b)
+	if !f.table.Apply(clock.Now(), b) {
+		return ErrCompacted
+	}
 	f.noteRestore(src, before)
 	return nil
 }
@@ -341,6 +343,8 @@
 	if err != nil {
 		return err
 	}
-	t.Apply(clock.Now(), b)
+	if !t.Apply(clock.Now(), b) {
+		return ErrCompacted
+	}
 	return nil
 }
--- a/mirror/oracle_test.go
+++ b/mirror/oracle_test.go
@@ -3,20 +3,54 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
+	"github.com/springgate/springgate/revision"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-// model is the reference model of the store: its keys and all its changes.
+// model is the reference model of the store: its keys and all its changes. The revisions of both
+// are numbers within the present era.
 type model struct {
+	era     int64
 	items   map[string]Event
 	changes []Event
+	writes  int // of all eras
 }
 
-func (m *model) revision() Revision { return Revision(len(m.changes)) + 1 }
+func (m *model) revision() Revision { return revision.New(m.era, int64(len(m.changes))+1) }
+
+// write makes a change, the next one of its era.
+func (m *model) write(e Event) {
+	e.Revision = m.revision() + 1
+	m.writes++
+	m.changes = append(m.changes, e)
+	m.apply(e)
+}
+
+func (m *model) apply(e Event) {
+	if e.Deleted {
+		delete(m.items, e.Key)
+		return
+	}
+	m.items[e.Key] = e
+}
+
+// restore drops all but the first changes and begins the next era.
+func (m *model) restore(kept int) (lost []Event) {
+	m.era++
+	lost = slices.Clone(m.changes[kept:])
+	m.changes = slices.Clone(m.changes[:kept])
+	clear(m.items)
+	for i := range m.changes {
+		m.changes[i].Revision = revision.New(m.era, m.changes[i].Revision.Number())
+		m.apply(m.changes[i])
+	}
+	return lost
+}
 
 func (m *model) all() Batch {
 	b := Batch{Revision: m.revision()}
@@ -72,11 +106,13 @@
 
 // TestMirrorOracle lets three copies follow a store and each other with full reads, some
 // of them in pages with changes in between, and partial watches, in any order and with
-// late responses. No copy may go back to an older revision, and each agrees with the store
-// once it has reached the store's revision.
+// late responses; the store is restored from older copies of itself. No copy may go back to
+// an older revision, each agrees with the store once it has reached the store's revision,
+// and two copies of one revision that agree have equal digests.
 func TestMirrorOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &model{items: map[string]Event{}}
+		var lost []Event
 		copies := []*Table{NewTable(""), NewTable(""), NewTable("")}
 		lastRevision := make([]Revision, len(copies))
 		lateReads := []Batch{}
@@ -86,22 +122,32 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"change": func(t *rapid.T) {
 				key := fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key"))
-				e := Event{Item: Item{Key: key, Revision: store.revision() + 1}}
-				_, exists := store.items[key]
-				if exists && rapid.Bool().Draw(t, "delete") {
-					e.Deleted = true
-					delete(store.items, key)
-				} else {
-					e.Value = fmt.Append(nil, e.Revision)
-					store.items[key] = e
+				e := Event{Item: Item{Key: key, Value: fmt.Append(nil, store.writes)}}
+				if _, exists := store.items[key]; exists && rapid.Bool().Draw(t, "delete") {
+					e.Deleted, e.Value = true, nil
 				}
-				store.changes = append(store.changes, e)
+				store.write(e)
+			},
+			"restore": func(t *rapid.T) {
+				kept := rapid.IntRange(max(len(store.changes)-6, 0), len(store.changes)).Draw(t, "kept")
+				lost = store.restore(kept)
+				pagedReads = nil // a full read across a restore starts over
+			},
+			"write a lost change again": func(t *rapid.T) {
+				if len(lost) == 0 {
+					t.Skip()
+				}
+				e := rapid.SampledFrom(lost).Draw(t, "change")
+				if _, exists := store.items[e.Key]; e.Deleted && !exists {
+					t.Skip()
+				}
+				store.write(e)
 			},
 			"read all": func(t *rapid.T) { copies[pick(t)].Replace(start, store.all()) },
 			"watch": func(t *rapid.T) {
 				c := copies[pick(t)]
-				if c.Revision() == 0 {
-					t.Skip()
+				if c.Revision().Era() != store.era || c.Revision() == 0 {
+					t.Skip() // the full copy is read
 				}
 				c.Apply(start, store.since(c.Revision(), rapid.IntRange(1, 4).Draw(t, "most")))
 			},
@@ -126,7 +172,10 @@
 			},
 			"watch with a late answer": func(t *rapid.T) {
 				c, from := copies[pick(t)], copies[pick(t)]
-				b := store.since(c.Revision(), rapid.IntRange(1, 4).Draw(t, "most"))
+				b := Batch{Revision: c.Revision()}
+				if c.Revision().Era() == store.era {
+					b = store.since(c.Revision(), rapid.IntRange(1, 4).Draw(t, "most"))
+				}
 				if rapid.Bool().Draw(t, "of a peer") {
 					var err error
 					if b, err = from.Watch(t.Context(), c.Revision(), 0); err != nil {
@@ -147,10 +196,10 @@
 			"follow a peer": func(t *rapid.T) {
 				from, to := copies[pick(t)], copies[pick(t)]
 				b, err := from.Watch(t.Context(), to.Revision(), 0)
-				switch {
-				case err == nil:
-					to.Apply(start, b)
-				case errors.Is(err, ErrCompacted):
+				if err == nil && !to.Apply(start, b) {
+					err = ErrCompacted
+				}
+				if errors.Is(err, ErrCompacted) {
 					b, err = from.Range(start)
 					assert.NilError(t, err)
 					to.Replace(start, b)
@@ -164,7 +213,21 @@
 						assert.DeepEqual(t, contents(c), store.contents())
 					}
 				}
+				assertDigestsAgree(t, copies)
 			},
 		})
 	})
 }
+
+// assertDigestsAgree checks that copies of one revision with the same contents have equal digests.
+func assertDigestsAgree(t *rapid.T, copies []*Table) {
+	for i, c := range copies {
+		digest, revision := c.Digest()
+		for _, o := range copies[:i] {
+			other, otherRevision := o.Digest()
+			if digest != 0 && other != 0 && revision == otherRevision && maps.Equal(contents(c), contents(o)) {
+				assert.Equal(t, digest, other)
+			}
+		}
+	}
+}
--- a/mirror/staleread.go
+++ b/mirror/staleread.go
@@ -85,7 +85,9 @@
 	if err != nil {
 		return err
 	}
-	f.table.Apply(clock.Now(), b)
+	if !f.table.Apply(clock.Now(), b) {
+		return ErrCompacted
+	}
 	return nil
 }
 
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -145,12 +145,14 @@
 // Apply applies the changes after the revision that the copy had when they were requested.
 // Events up to the revision that the copy has reached since then are skipped: responses may
 // arrive out of order, and a late one would add a target again after its removal was applied.
-// A batch is ignored if the copy has reached a revision within one of its gaps (see history).
-func (t *Table) Apply(now time.Time, b Batch) {
+// Apply returns false, and ignores the batch, if the full copy must be read instead: if the copy
+// has reached a revision within a gap of the batch (see history), or reflects changes beyond its
+// revision that a restored store may have lost.
+func (t *Table) Apply(now time.Time, b Batch) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if b.hasGapAround(t.revision) {
-		return
+	if b.hasGapAround(t.revision) || b.Revision.Era() > t.revision.Era() && t.maxRevision > t.revision {
+		return false
 	}
 	changed := t.removeLostInGaps(b)
 	for _, e := range b.Events {
@@ -164,6 +166,7 @@
 	}
 	t.maxRevision = max(t.maxRevision, b.MaxRevision)
 	t.advance(now, b, changed)
+	return true
 }
 
 // readAhead notes that the copy reflects a change that is later than the batch.
@@ -245,9 +248,10 @@
 	present := make(map[string]bool, len(b.Events))
 	for _, e := range b.Events {
 		present[e.Key] = true
-		if t.outlasted(e) {
+		if t.outlasted(b, e) {
 			continue
 		}
+		t.dropLost(b, e)
 		isNew := t.set(e)
 		changed = changed || isNew
 		t.readAhead(b, e)
@@ -268,12 +272,25 @@
 	return changed
 }
 
-// outlasted reports whether an item of a later era is the one that the copy has from an earlier
-// era: the restored store still has it. It keeps its revision, so that it is no change to those who
-// use the copy and to followers.
-func (t *Table) outlasted(e Event) bool {
+// outlasted reports whether a full copy has the item that this copy has from another era: the
+// restored store still has it, or it was written again. It keeps its revision, so that it is no
+// change to those who use the copy and to followers.
+func (t *Table) outlasted(b Batch, e Event) bool {
 	old, known := t.items[e.Key]
-	return known && !e.Deleted && e.Revision.Era() > old.Revision.Era() && e.Revision.Number() == old.Revision.Number() && bytes.Equal(e.Value, old.Value)
+	if !known || e.Revision.Era() == old.Revision.Era() || !bytes.Equal(e.Value, old.Value) {
+		return false
+	}
+	return e.Revision <= b.Revision && (b.Revision.Era() > t.revision.Era() || e.Revision <= t.revision)
+}
+
+// dropLost removes the copy's item of an event's key if the full copy that the event is from has
+// an older one though it is as late: the store was restored and has lost the copy's.
+func (t *Table) dropLost(b Batch, e Event) {
+	old, known := t.items[e.Key]
+	if known && e.Revision < old.Revision && old.Revision <= b.Revision {
+		t.digest ^= old.digest()
+		delete(t.items, e.Key)
+	}
 }
 
 // set applies an event to its key, unless the copy has a later state of the key, and
