gateway: what a review of hedges found

- A target that hung without any other winning was no longer ejected or reported: silence is recorded when it is found now (Balancer.RecordSilence), not when another target wins.
- A dial that was cancelled, because the silent target went on or the caller left, ejected its target.
Cancelled dials count as neither sent nor failed.
The hedge does not wait for a place; it is tried again at the next check.
- Hedges went to targets that were silent, ejected or unlisted themselves, and doubled every run when all targets paused at once: a last resort is no hedge.
- Targets that could not be reached cost a retry each and were not bounded; the retry is returned and maxDials holds.
- A stream that stands still at a target that sends others is hedged after 1.5 s, before its caller leaves at 2 s; it was 2.2 s from the last event.
- A hedge could become the probe of a quarantined content that was already running.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -159,6 +159,17 @@
 	return t.health.silent(now, t.silenceLimit())
 }
 
+// RecordSilence records that a target with requests in flight was found silent, unless other
+// entries receive data from it. It gets no requests for a time, and one at a time after that
+// until it has answered.
+func (b *Balancer) RecordSilence(now time.Time, t *Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(t.responsiveTo) == 0 {
+		t.health.recordSilence(now)
+	}
+}
+
 // RecordActivity records that a target sent data. If the data was the first event of a request,
 // first is the number of prompt tokens of that request, and zero otherwise.
 func (b *Balancer) RecordActivity(now time.Time, t *Target, first int) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -163,31 +163,38 @@
 
 // failure converts an error of the attempt into a result.
 func (a *attempt) failure(err error) result {
+	sent := !errors.Is(err, targetconn.ErrDial)
+	res := result{ran: sent, sent: sent}
 	switch {
 	case errors.Is(context.Cause(a.ctx), errVersionExpired):
-		return result{reason: ReasonVersionExpired, ran: true, sent: true}
-	case errors.Is(err, targetconn.ErrDial):
-		return result{reason: ReasonDialFailed}
+		res.reason = ReasonVersionExpired
 	case errors.Is(context.Cause(a.ctx), errSilent):
-		return result{reason: a.silenceReason(), ran: true, sent: true, silent: true}
+		res.reason, res.silent = a.silenceReason(), sent
 	case a.ctx.Err() != nil:
-		return result{reason: ReasonTimeout, ran: true, sent: true, silent: true}
+		res.reason, res.silent = ReasonTimeout, sent
+	case !sent:
+		res.reason = ReasonDialFailed
 	case errors.Is(err, targetconn.ErrInvalidResponse):
-		return result{reason: ReasonInvalidResponse, ran: true, sent: true}
+		res.reason = ReasonInvalidResponse
+	default:
+		res.reason = ReasonConnLost
 	}
-	return result{reason: ReasonConnLost, ran: true, sent: true}
+	return res
 }
 
 // firstEventFactor is how many times the forecast delay the first event of a busy target
 // may take.
 const firstEventFactor = 4
 
-// firstEventLimit is how long a target that sends events of other streams, or answers other
-// requests, may pause before another target is tried.
-func (a *attempt) firstEventLimit() time.Duration {
+// responsiveLimit is how long a target that sends events of other streams, or answers other
+// requests, may send nothing before another target is tried.
+func (a *attempt) responsiveLimit() time.Duration {
 	if a.x.route.Kind != fleet.Streaming {
 		return a.plainLimit()
 	}
+	if a.events > 0 {
+		return max(a.x.g.cfg.StallLimit, stallFactor*a.choice.Forecast.Gap)
+	}
 	return max(a.x.g.cfg.FirstEventLimit, firstEventFactor*a.choice.Forecast.FirstEvent)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,9 @@
 	// The pause allowed is the longest of StallTimeout, twice the route's MaxGap, and
 	// stallFactor times the forecast gap between events. Default 900 ms.
 	StallTimeout time.Duration
+	// StallLimit is the least pause after which a stream is hedged whose target sends events of
+	// other streams. Callers abandon a stream after a pause of 2 s. Default 1.5 s.
+	StallLimit time.Duration
 	// MaxBufferedResponse bounds how much of a non-streaming response is buffered until it
 	// is complete, in bytes. Default 256 KiB.
 	MaxBufferedResponse int64
@@ -157,6 +160,7 @@
 	c.FirstEventLimit = cmp.Or(c.FirstEventLimit, 2200*time.Millisecond)
 	c.FirstEventTimeout = cmp.Or(c.FirstEventTimeout, 600*time.Millisecond)
 	c.StallTimeout = cmp.Or(c.StallTimeout, 900*time.Millisecond)
+	c.StallLimit = cmp.Or(c.StallLimit, 1500*time.Millisecond)
 	c.CancelLead = cmp.Or(c.CancelLead, 250*time.Millisecond)
 	c.MaxBufferedResponse = cmp.Or(c.MaxBufferedResponse, int64(256<<10))
 	c.RetryAfter = cmp.Or(c.RetryAfter, 1.0/3)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -475,10 +475,10 @@
 
 func TestTimeoutsFollowTheForecast(t *testing.T) {
 	a := &attempt{x: &exchange{g: &Gateway{cfg: Config{}.applyDefaults()}, route: &fleet.Route{Kind: fleet.Streaming, MaxGap: 300 * time.Millisecond}}}
-	assert.Equal(t, a.firstEventLimit(), 2200*time.Millisecond)
+	assert.Equal(t, a.responsiveLimit(), 2200*time.Millisecond)
 	assert.Equal(t, a.stallTimeout(), 900*time.Millisecond)
 	a.choice.Forecast = dispatch.Forecast{FirstEvent: 2 * time.Second, Gap: time.Second}
-	assert.Equal(t, a.firstEventLimit(), 8*time.Second)
+	assert.Equal(t, a.responsiveLimit(), 8*time.Second)
 	assert.Equal(t, a.stallTimeout(), 3*time.Second)
 }
 
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -37,6 +37,7 @@
 	timer   *clock.Timer
 	since   time.Time     // when the attempt began to wait
 	timeout time.Duration // after which a silent target is hedged
+	silent  bool          // the target has been found silent during this wait
 	cancel  context.CancelFunc
 	done    chan struct{} // closed when the second attempt has ended or won
 	winner  *attempt      // set if state is hedgeWon
@@ -57,7 +58,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.state, h.since, h.timeout = hedgeAwaiting, clock.Now(), timeout
+	h.state, h.since, h.timeout, h.silent = hedgeAwaiting, clock.Now(), timeout, false
 	if h.timer == nil {
 		h.timer = clock.AfterFunc(timeout, h.check)
 		return
@@ -86,6 +87,9 @@
 	}
 	winner = h.winner
 	h.state, h.winner = hedgeIdle, nil
+	if winner != nil {
+		h.a.x.g.stats.hedgesWon.Inc(1)
+	}
 	return winner
 }
 
@@ -118,6 +122,10 @@
 	if h.state != hedgeAwaiting {
 		return nil, false
 	}
+	if silent && !h.silent && now.Sub(h.since) >= h.timeout {
+		h.silent = true
+		h.a.x.g.balancer.RecordSilence(now, h.a.choice.Target)
+	}
 	if wait := h.remaining(now, silent); wait > 0 {
 		h.timer.Reset(wait)
 		return nil, false
@@ -129,13 +137,13 @@
 
 // remaining returns the time until the next check, or zero if the target is to be hedged now. A
 // target that still sends data of other requests is loaded, and sending the request elsewhere
-// would only add load, so it gets more time, up to firstEventLimit.
+// would only add load, so it gets more time, up to responsiveLimit.
 func (h *hedge) remaining(now time.Time, silent bool) time.Duration {
 	waited := now.Sub(h.since)
 	if waited < h.timeout {
 		return h.timeout - waited
 	}
-	if !silent && waited < h.a.firstEventLimit() {
+	if !silent && waited < h.a.responsiveLimit() {
 		return lateRecheckInterval
 	}
 	return 0
@@ -159,6 +167,7 @@
 	default:
 		h.cancel()
 		h.a.x.finish(winner, result{reason: ReasonOvertaken, ran: true, sent: true})
+		h.a.x.target, h.a.x.choice = h.a.choice.Instance.ID, h.a.choice
 	}
 }
 
@@ -178,36 +187,43 @@
 	x.g.stats.hedged.Inc(1)
 	x.g.log.WithFields(logrus.Fields{"request": x.call.ID, "target": silent.choice.Instance.ID, "reason": reason, "other": choice.Instance.ID,
 		"sends": x.sends + x.inFlight, "left_ms": clock.Until(x.deadline).Milliseconds()}).Info("Target is silent, trying another one as well.")
-	winner, _ := x.open(x.newAttempt(ctx, choice))
-	if winner == nil {
-		x.target, x.choice = silent.choice.Instance.ID, silent.choice
-		return nil
+	winner, res := x.open(x.newAttempt(ctx, choice))
+	if winner != nil {
+		return winner
 	}
-	x.g.stats.hedgesWon.Inc(1)
-	return winner
+	x.target, x.choice = silent.choice.Instance.ID, silent.choice
+	if !res.sent {
+		x.dials++
+		x.g.budget(x.service).Refund()
+	}
+	return nil
 }
 
 // chooseHedge selects a target for one more attempt while others are in flight; ok is false if
-// there must be none now.
+// there must be none now. A target that is only a last resort is no better than the silent one.
 func (x *exchange) chooseHedge(ctx context.Context) (choice dispatch.Choice, ok bool) {
 	if !x.mayHedge() {
 		return choice, false
 	}
-	choice, reason := x.choose(ctx)
+	d := x.demand()
+	choice, reason := x.place(ctx, d)
 	if reason != ReasonNone {
 		return choice, false
 	}
-	if !x.g.budget(x.service).Spend(clock.Now()) {
-		x.g.balancer.Cancel(choice.Target, x.demand())
+	if choice.LastResort || ctx.Err() != nil || !x.g.budget(x.service).Spend(clock.Now()) {
+		x.g.balancer.Cancel(choice.Target, d)
 		return choice, false
 	}
 	return choice, true
 }
 
-// mayHedge reports whether the request may be sent once more while attempts are in flight. A probe
-// of a quarantined content is sent only once.
+// mayHedge reports whether the request may be sent once more while attempts are in flight. One
+// whose content is quarantined may not, not even as a probe.
 func (x *exchange) mayHedge() bool {
-	if x.probing || x.started && x.g.cfg.Off.Has(mechanism.Resume) {
+	if x.probing || x.contentQuarantined() || x.dials >= maxDials {
+		return false
+	}
+	if x.started && x.g.cfg.Off.Has(mechanism.Resume) {
 		return false
 	}
 	return x.sends+x.inFlight < x.route.MaxAttempts && clock.Until(x.deadline) >= x.g.cfg.MinRemaining && !x.g.budget(x.service).Empty()
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -145,7 +145,10 @@
 
 // maxWait is how long the request may currently wait for a target.
 func (x *exchange) maxWait() time.Duration {
-	if x.sends+x.inFlight > 0 {
+	if x.inFlight > 0 {
+		return 0 // the hedge is tried again later
+	}
+	if x.sends > 0 {
 		return min(x.g.cfg.RetryMaxWait, clock.Until(x.deadline))
 	}
 	if x.isRetry {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -39,6 +39,16 @@
 	return verdict == quarantine.Refuse
 }
 
+// contentQuarantined reports whether the request's content is quarantined now. Unlike quarantined
+// it never makes the request a probe.
+func (x *exchange) contentQuarantined() bool {
+	if x.g.cfg.Off.Has(mechanism.Quarantine) {
+		return false
+	}
+	verdict, _ := x.g.cfg.Crashes.Judge(clock.Now(), x.content, func() bool { return false })
+	return verdict != quarantine.Send
+}
+
 // logFinding adds what is known about a quarantined request to a log record.
 func logFinding(f logrus.Fields, x *quarantine.Finding, now time.Time) {
 	f["ended"], f["first_age_ms"], f["last_age_ms"] = x.Crashes, now.Sub(x.First).Milliseconds(), now.Sub(x.Last).Milliseconds()
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -75,6 +75,13 @@
 	return true
 }
 
+// Refund returns a retry that was spent but not made.
+func (b *Budget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.cfg.Cap, b.tokens+1)
+}
+
 // Empty reports whether the budget is exhausted, apart from what time adds to it.
 func (b *Budget) Empty() bool {
 	b.mu.Lock()
