--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -477,3 +478,27 @@
 	assert.Equal(t, f.call(http.MethodPost, "/safe/x", "b").status, http.StatusOK)
 	assert.Equal(t, other.count(), 0)
 }
+
+// The other target begins to answer at the moment at which the silent one has gone on.
+func TestOvertakenHedgeIsFinished(t *testing.T) {
+	x, other := newTarget(t, okHandler), newTarget(t, okHandler)
+	f := newTestGateway(t, x, other)
+	r := httptest.NewRequest(http.MethodGet, "http://h.example/safe/x", nil)
+	route := f.gateway.Config().Match("h.example", "/safe/x")
+	e := &exchange{g: f.gateway, r: r, route: route, service: "s", deadline: time.Now().Add(testTimeout)}
+	attempts := make([]*attempt, 2)
+	for i := range attempts {
+		choice, reason := e.choose(t.Context())
+		assert.Equal(t, reason, ReasonNone)
+		attempts[i] = e.newAttempt(t.Context(), choice)
+	}
+	h := attempts[0].hedge
+	_, h.cancel = context.WithCancel(t.Context())
+	h.state, h.done = hedgeStopping, make(chan struct{})
+	h.end(attempts[1])
+	assert.Assert(t, h.settle(true) == nil)
+	assert.Equal(t, e.target, attempts[0].choice.Instance.ID)
+	e.finish(attempts[0], result{ran: true, sent: true})
+	assert.Equal(t, e.inFlight, 0)
+	f.expectNoLoad()
+}
