soak: targets pause, and sound targets' answers must arrive

Cause: an entry ends requests at targets that are silent for a second or so and then go on, and the soak neither made targets pause nor looked for it: a 502 of a request that ran broke no invariant, and truncations only under the name of a graceful stop. Change: the fault "targets pause" lets all or half of the engines, plain targets or both pause for 1.0 to 1.6 s, five times, beside configurations in quick succession. It has draws of its own and comes only where -soak.only selects it, since runs with all faults would fail on this code. The judge has the invariant that a request that a sound target runs is answered before its deadline. Whether targets were sound is decided after the run, as a request may reach a target after its end; faults of targets are kept as spans for this. FaultFree is computed as before.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -116,8 +116,9 @@
 	a.Answered = c.fleet.recorder.elapsed()
 	// The entry may have restarted after its incarnation was read.
 	same := a.Incarnation == c.entry.Incarnation()
-	a.FaultFree = same && !c.entry.FaultySince(began) && !c.fleet.ranOnFaultySince(a.ID, began)
+	a.FaultFree = same && !c.entry.FaultySince(began) && !c.fleet.anyFaulty(c.fleet.requestLog.Executions(a.ID), began, time.Now())
 	a.EntryFaultFree = same && !c.entry.FaultySince(began)
+	a.Undisturbed = a.EntryFaultFree && !c.entry.Stopping()
 	if !same {
 		a.Key, a.StoreReachable = -1, false
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -98,13 +98,22 @@
 var onceFaults = []fault{{"request crashes targets", sendCrashingRequests}, {"targets name limits", announceLimits},
 	{"targets say that they leave", announceLeaving}, {"targets ask for rest", requestBackoff}}
 
-// injectOnceFaults starts the onceFaults.
+// namedFaults are injected like onceFaults, but only in runs whose Config.Only is set and
+// selects them. Entries do not tolerate them yet (KNOWN-RED.txt), so that every run with all
+// faults would fail.
+var namedFaults = []fault{{"targets pause", pauseTargets}}
+
+// injectOnceFaults starts the onceFaults and the namedFaults.
 func (f *Fleet) injectOnceFaults(running *sync.WaitGroup, count map[string]int) {
 	if f.cfg.SkipOnceFaults {
 		return
 	}
 	rng := rand.New(rand.NewPCG(f.cfg.Seed, 2))
-	for _, x := range matching(f.cfg.Only, onceFaults) {
+	list := matching(f.cfg.Only, onceFaults)
+	if f.cfg.Only != nil && f.cfg.Only.String() != "" {
+		list = append(list, matching(f.cfg.Only, namedFaults)...)
+	}
+	for _, x := range list {
 		after := time.Duration(rng.Int64N(int64(f.cfg.Duration)))
 		own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		count[x.name]++
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -72,8 +72,8 @@
 	latestConfig  atomic.Int64 // number of the latest configuration
 	latestVersion atomic.Int64 // latest version of the model
 
-	mu          sync.Mutex
-	faultyUntil map[*fake.Target]time.Time // until when the target or the link to it may misbehave
+	mu           sync.Mutex
+	targetFaults map[*fake.Target][]timeSpan // when the target or the link to it may misbehave
 }
 
 func rotatingKey(n int) string { return fmt.Sprintf("key-%d", n) }
@@ -108,7 +108,7 @@
 // newFleet starts the fake platform, the targets and the programs.
 func newFleet(cfg Config) (*Fleet, error) {
 	f := &Fleet{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), requestLog: fake.NewRequestLog(), recorder: newFactRecorder(),
-		faultyUntil: map[*fake.Target]time.Time{}}
+		targetFaults: map[*fake.Target][]timeSpan{}}
 	var err error
 	if f.store, err = fake.NewStore(); err != nil {
 		return nil, err
@@ -275,26 +275,33 @@
 // targets returns all targets, in the order of targetLinks.
 func (f *Fleet) targets() []*fake.Target { return append(slices.Clone(f.engines), f.plainTargets...) }
 
+// timeSpan is a period of time.
+type timeSpan struct{ from, until time.Time }
+
 // markTargetFaulty records that a target or the link to it may misbehave for d.
 func (f *Fleet) markTargetFaulty(t *fake.Target, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if until := time.Now().Add(d); until.After(f.faultyUntil[t]) {
-		f.faultyUntil[t] = until
-	}
+	now := time.Now()
+	f.targetFaults[t] = append(f.targetFaults[t], timeSpan{now, now.Add(d)})
 }
 
-// ranOnFaultySince reports whether one of the targets that ran a request was faulty at
-// since or later, or crashed while running another request.
-func (f *Fleet) ranOnFaultySince(id string, since time.Time) bool {
+// targetFaulty reports whether a target was faulty between two times.
+func (f *Fleet) targetFaulty(t *fake.Target, from, until time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, incarnation := range f.requestLog.Executions(id) {
+	return slices.ContainsFunc(f.targetFaults[t], func(s timeSpan) bool { return s.from.Before(until) && s.until.After(from) })
+}
+
+// anyFaulty reports whether one of the target incarnations was faulty between two times, or
+// has crashed while running any request.
+func (f *Fleet) anyFaulty(incarnations []string, from, until time.Time) bool {
+	for _, incarnation := range incarnations {
 		if f.requestLog.Crashed(incarnation) {
 			return true
 		}
-		for t, until := range f.faultyUntil {
-			if t.Owns(incarnation) && until.After(since) {
+		for _, t := range f.targets() {
+			if t.Owns(incarnation) && f.targetFaulty(t, from, until) {
 				return true
 			}
 		}
@@ -302,6 +309,15 @@
 	return false
 }
 
+// markDisturbed clears Undisturbed of the attempts that reached a faulty target. It is called
+// after the run, since a request may still reach a target after its attempt has ended.
+func (f *Fleet) markDisturbed(attempts []Attempt) {
+	reached, start := f.requestLog.Reached(), f.recorder.start
+	for i, a := range attempts {
+		attempts[i].Undisturbed = a.Undisturbed && !f.anyFaulty(reached[a.ID], start.Add(a.Sent), start.Add(a.Answered))
+	}
+}
+
 // Result is the outcome of a run.
 type Result struct {
 	Violations      []Violation
@@ -349,6 +365,7 @@
 		return nil, err
 	}
 	attempts := f.attemptLog.attempts()
+	f.markDisturbed(attempts)
 	r.Violations = Judge(attempts, f.recorder.facts(f.requestLog))
 	r.Attempts = len(attempts)
 	for _, a := range attempts {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -20,6 +20,7 @@
 	Truncated        bool   // the response ended early, detectably for the caller
 	FaultFree        bool   // its entry and targets had no fault, except for a graceful stop of the entry
 	StoreReachable   bool   // its entry had been able to reach the store for storeReachableWindow when the request was sent
+	Undisturbed      bool   // its entry had no fault and was not stopping, and none of the targets that it ever reached had a fault during the attempt
 	EntryFaultFree   bool   // its entry had no fault during the attempt, nor in the settleTime before
 	Body             string // set if the same body is sent again with other IDs
 	AnnouncedLeaving string // target incarnation that announced in the response that it is leaving
@@ -49,6 +50,7 @@
 	InvariantResponseIntact   = "a response is complete and belongs to its request"
 	InvariantValidKeyAccepted = "a request with a valid key is not denied"
 	InvariantGracefulStop     = "a graceful stop truncates no response"
+	InvariantSoundTarget      = "a request that a sound target runs is answered"
 	InvariantConfigMonotonic  = "an entry never reverts to an older configuration"
 	InvariantConfigFresh      = "a configuration takes effect within the bound"
 	InvariantLeavingTarget    = "a leaving target receives no new request"
@@ -82,6 +84,8 @@
 			add(InvariantResponseIntact, a)
 		case a.Key == 0 && denied(a.Status):
 			add(InvariantValidKeyAccepted, a)
+		case facts.unansweredAtSoundTarget(a):
+			add(InvariantSoundTarget, a)
 		case a.FaultFree && ran > 0 && (a.Status == 0 || a.Truncated):
 			add(InvariantGracefulStop, a)
 		}
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -59,7 +59,7 @@
 	incarnation := t.AdvertiseLimit(strconv.FormatFloat(perS, 'f', -1, 64))
 	f.logf("%s announces a limit of %v/s for %v", incarnation, perS, d.Round(time.Millisecond))
 	time.Sleep(d)
-	if t.Incarnation() == incarnation && !f.targetFaultySince(t, began) {
+	if t.Incarnation() == incarnation && !f.targetFaulty(t, began, time.Now()) {
 		f.recorder.recordLimit(LimitSpan{Incarnation: incarnation, From: from, To: f.recorder.elapsed(), PerS: perS})
 	}
 }
@@ -70,13 +70,6 @@
 	r.limits = append(r.limits, s)
 }
 
-// targetFaultySince reports whether a target was faulty at since or later.
-func (f *Fleet) targetFaultySince(t *fake.Target, since time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.faultyUntil[t].After(since)
-}
-
 // overLimit returns the attempts through fault-free entries that exceeded a target's limit
 // within a sliding limitWindow, starting storeReachableWindow after the limit was
 // announced.
--- a/soak/process.go
+++ b/soak/process.go
@@ -155,6 +155,14 @@
 	return fmt.Sprintf("%s#%d", p.node.Name, p.starts)
 }
 
+// Stopping reports whether the process has been sent a signal to stop and has not been
+// started again.
+func (p *Process) Stopping() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopping
+}
+
 // MarkFaulty records that the process or its links may misbehave for d.
 func (p *Process) MarkFaulty(d time.Duration) {
 	p.mu.Lock()
