mirror: followers within a gap need no whole copy

A whole copy of the store is read in pages. If the store changes between two pages, the copy reflects changes beyond its revision (89, up to 91), and as the history is forgotten it never gets them as changes. The gap before the next whole copy then begins at the last revision at which the copy was exact (83 to 99), and all followers, which are at 89, are within it: each of the reader's relays and all that follow these read a whole copy, a third of the fleet. In the test the pages are read at one moment of virtual time, so a write between them is a race of goroutines: rare, and seen on a busy machine. In the product pages take time, and it is the rule.

Change: a source answers a follower within a gap with all differences from the gap's start on. The follower takes over those that it lacks, and drops the keys that changed since the start and are not mentioned, which were created and deleted in the gap. Batches look as before. In a small fleet such followers read whole copies, as before.

--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -253,6 +253,42 @@
 	})
 }
 
+// The same if the store changes between the pages of each copy that the readers read.
+func TestFollowersNeedNoWholeCopiesThatChangeWhileTheyAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval = 50 * time.Millisecond
+		const pageTime = interval + interval/5
+		all := startEntries(t, largeFleet)
+		defer func() {
+			all.stop()
+			time.Sleep(2 * pageTime) // until delayed answers have arrived
+		}()
+		time.Sleep(8 * time.Second)
+		readers := all.readers(time.Now().Add(-2 * time.Second))
+		followers := all.except(readers)
+		for _, e := range all.all {
+			e.view.mu.Lock()
+			e.view.answerDelay = func() time.Duration { return pageTime }
+			e.view.mu.Unlock()
+		}
+		before := fullCopies(followers)
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 100 {
+			all.write("servers/01", false)
+			all.write(fmt.Sprintf("servers/%02d", 2+rng.IntN(targetsListed)), rng.IntN(2) == 0) // on both pages
+			all.compact()
+			time.Sleep(interval)
+		}
+		assert.Check(t, fullCopies(readers) > readerCount, "the readers must have read whole copies")
+		assert.Check(t, fullCopies(followers) == before, "%d whole copies read by followers in 5 s", fullCopies(followers)-before)
+		time.Sleep(time.Second)
+		for _, e := range all.all {
+			assert.DeepEqual(t, contentsOf(e.table), contentsOf(all.store))
+			assert.Check(t, e.mesh.repairs.Count() == 0, "%s repaired its copy because it differed from a peer's", e.addr)
+		}
+	})
+}
+
 func fullCopies(list []*entry) (n int64) {
 	for _, e := range list {
 		n += e.table.FullCopies()
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -18,7 +18,8 @@
 // history holds the changes of a copy for peers that follow it. It may have gaps: where the copy
 // was replaced by a whole one, it has the differences between the two in place of the changes. A
 // follower from before the gap needs no more than these. A follower whose revision is within the
-// gap may have a key that was created and deleted there, which the differences do not show.
+// gap may have a key that was created and deleted there, which the differences do not show; it gets
+// all of them from the gap's start on, and drops what it has from there and they don't mention.
 type history struct {
 	events []Event // in order of recording; gaps are marked by gapMarker
 	size   int     // in bytes
@@ -37,18 +38,19 @@
 // reset drops all changes up to a revision.
 func (h *history) reset(revision int64) { *h = history{start: revision} }
 
-// since returns the changes after a revision; ok is false if the history does not have all of them.
+// since returns the changes after a revision or, if that is within a gap, after the gap's start (see
+// Table.Apply); ok is false if the history does not have all of them.
 func (h *history) since(after int64) (events []Event, ok bool) {
+	after = beforeGaps(h.events, after)
 	if after < h.start {
 		return nil, false
 	}
 	for _, e := range h.events {
-		if e.Revision <= after {
-			continue
+		if e.Revision > after {
+			events = append(events, e)
 		}
-		events = append(events, e)
 	}
-	return events, !Batch{Events: events}.hasGapAround(after)
+	return events, true
 }
 
 // eventOverhead is the memory of an event without its key and value, in bytes.
@@ -94,12 +96,13 @@
 	})
 }
 
-// hasGapAround reports whether a revision is within a gap of the batch.
-func (b Batch) hasGapAround(revision int64) bool {
-	for _, e := range b.Events {
+// beforeGaps returns the last revision up to the given one that is within no gap of the events. Gaps
+// are in the order of their ends, so one pass from the last one is enough.
+func beforeGaps(events []Event, revision int64) int64 {
+	for _, e := range slices.Backward(events) {
 		if after, ok := e.gap(); ok && after < revision && revision < e.Revision {
-			return true
+			revision = after
 		}
 	}
-	return false
+	return revision
 }
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -126,14 +126,18 @@
 // Apply applies the changes after the revision that the copy had when they were requested.
 // Events up to the revision that the copy has reached since then are skipped: responses may
 // arrive out of order, and a late one would add a target again after its removal was applied.
-// A batch is ignored if the copy has reached a revision within one of its gaps (see history).
+//
+// If the copy's revision is within a gap of the batch (see history), the batch has all differences
+// from the gap's start on: the copy takes over those that it lacks, and drops the keys that changed
+// since then and are not mentioned.
 func (t *Table) Apply(now time.Time, b Batch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if b.hasGapAround(t.revision) {
-		return
+	from := beforeGaps(b.Events, t.revision)
+	changed := t.removeLostInGaps(b, from)
+	if from < t.revision {
+		changed = t.mend(b, from) || changed
 	}
-	changed := t.removeLostInGaps(b)
 	for _, e := range b.Events {
 		if e.Revision <= t.revision {
 			t.lateEvents++
@@ -147,6 +151,30 @@
 	t.advance(now, b, changed)
 }
 
+// mend applies the differences from a gap's start up to the copy's revision, which is within the
+// gap, and reports whether there were any. Only the last state of a key counts.
+func (t *Table) mend(b Batch, from int64) bool {
+	last := make(map[string]Event, len(b.Events))
+	for _, e := range b.Events {
+		last[e.Key] = e
+	}
+	changed := false
+	for key, e := range last {
+		if _, isGap := e.gap(); isGap || e.Revision <= from || e.Revision > t.revision {
+			continue
+		}
+		i, known := t.items[key]
+		switch {
+		case e.Deleted && known && i.Revision <= e.Revision:
+			changed = t.remove(key, b.Revision) || changed
+		case !e.Deleted && t.set(e):
+			changed = true
+			t.history.reset(b.Revision) // the copy had missed this change, and so have its followers
+		}
+	}
+	return changed
+}
+
 // readAhead notes that the copy reflects a change that is later than the batch.
 func (t *Table) readAhead(b Batch, e Event) {
 	if e.Revision > b.Revision {
@@ -155,17 +183,18 @@
 }
 
 // removeLostInGaps removes the keys that were created and deleted within a gap of the source's
-// history, and reports whether there were any. The copy has such a key if it was read in pages and
-// reflects changes beyond its revision. The source does not mention the key, because it never had
-// it.
-func (t *Table) removeLostInGaps(b Batch) bool {
-	if t.maxRevision <= t.revision {
+// history, and reports whether there were any. The copy has such a key if its revision is within the
+// gap, or if it was read in pages and reflects changes beyond its revision. The source does not
+// mention the key, because it never had it. from is the copy's revision, or the start of the gap
+// that it is in.
+func (t *Table) removeLostInGaps(b Batch, from int64) bool {
+	if t.maxRevision <= t.revision && from == t.revision {
 		return false
 	}
 	changed := false
 	for _, e := range b.Events {
 		if after, ok := e.gap(); ok && e.Revision > t.revision {
-			changed = t.removeUnmentioned(b, max(after, t.revision), e.Revision) || changed
+			changed = t.removeUnmentioned(b, max(after, from), e.Revision) || changed
 		}
 	}
 	return changed
