mirror: copies do not mend a gap with revisions that a restore has made inexact

A copy knows now up to which revision its items may have older ones, and reads the full copy instead.

--- a/mirror/table.go
+++ b/mirror/table.go
@@ -92,6 +92,7 @@
 	maxRevision   Revision  // the copy may reflect some changes between revision and maxRevision
 	exactRevision Revision  // last revision at which the copy reflected no later changes
 	firstRevision Revision  // revision of the first read
+	inexactUntil  Revision  // items may have older revisions than the store's up to this one; see outlasted
 	confirmedAt   time.Time // when the copy was last confirmed to agree with the store
 	storeReadAt   time.Time // like confirmedAt, but by this process's own reads of the store only
 	changed       chan struct{}
@@ -151,12 +152,13 @@
 // since then and are not mentioned.
 //
 // Apply returns false, and ignores the batch, if the full copy must be read instead: if the store was
-// restored in such a gap, or since the copy's revision while the copy reflects later changes.
+// restored in such a gap, or since the copy's revision while the copy reflects later changes, or if
+// the revisions of the copy's items do not tell which of them changed since the gap's start.
 func (t *Table) Apply(now time.Time, b Batch) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	from, ok := beforeGaps(b.Events, t.revision)
-	if !ok || b.Revision.Era() > t.revision.Era() && t.maxRevision > t.revision {
+	if !ok || b.Revision.Era() > t.revision.Era() && t.maxRevision > t.revision || from < t.revision && from < t.inexactUntil {
 		return false
 	}
 	changed := t.removeLostInGaps(b, from)
@@ -281,6 +283,9 @@
 	present := make(map[string]bool, len(b.Events))
 	for _, e := range b.Events {
 		present[e.Key] = true
+		if e.Revision.Era() < b.Revision.Era() {
+			t.inexactUntil = b.Revision
+		}
 		if t.outlasted(b, e) {
 			continue
 		}
@@ -307,7 +312,8 @@
 
 // outlasted reports whether a full copy has the item that this copy has from another era: the
 // restored store still has it, or it was written again. It keeps its revision, so that it is no
-// change to those who use the copy and to followers.
+// change to those who use the copy and to followers. The store's may be later, but not later than
+// inexactUntil.
 func (t *Table) outlasted(b Batch, e Event) bool {
 	old, known := t.items[e.Key]
 	if !known || e.Revision.Era() == old.Revision.Era() || !bytes.Equal(e.Value, old.Value) {
@@ -349,6 +355,9 @@
 }
 
 func (t *Table) advance(now time.Time, b Batch, changed bool) {
+	if t.revision > 0 && b.Revision.Era() > t.revision.Era() {
+		t.inexactUntil = b.Revision
+	}
 	advanced := b.Revision > t.revision
 	t.revision = max(t.revision, b.Revision)
 	if t.maxRevision <= t.revision {
