dispatch: an ejection for silence ends with the target's next data

A target that had been silent for 0.6 s stayed out for 0.8 s after that moment, and for 1.6, 3.2 and 6 s if it paused again within 15 s, though it had gone on meanwhile: a pause of a second is no failure, and its places were missing under load. The next data ends the ejection now, and it does not lengthen the next. Ejections for other reasons last as before.

TestEjectionForSilenceEndsWithTheNextData failed before.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -204,7 +204,7 @@
 		t.health.waitingSince = now
 	}
 	if r.Latency > 0 {
-		t.health.activeAt = now
+		t.health.endSilence(now)
 	}
 	if r.ConnectionLost {
 		t.connectionsLost++
--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -406,3 +406,27 @@
 		}
 	})
 }
+
+// A target that pauses is ejected while it is silent, and used again as soon as it goes on. Other
+// failures, and silence that lasts, eject it as before.
+func TestEjectionForSilenceEndsWithTheNextData(t *testing.T) {
+	b := newTestBalancer(nil, Config{}, plain(1), plain(2))
+	for pause := range 4 {
+		now := start.Add(time.Duration(pause) * 3 * time.Second)
+		c, v := b.Pick(now, testService, demand(), []string{"p-2"})
+		assert.Equal(t, v, Chosen)
+		b.RecordSilence(now.Add(700*time.Millisecond), c.Target)
+		assert.Equal(t, picked(b, now.Add(800*time.Millisecond)), "p-2")
+		b.RecordActivity(now.Add(1300*time.Millisecond), c.Target, 0)
+		assert.Assert(t, !c.Target.health.ejected(now.Add(1301*time.Millisecond)))
+		b.Finish(now.Add(1400*time.Millisecond), c.Target, Result{Latency: 1400 * time.Millisecond})
+	}
+	now := start.Add(20 * time.Second)
+	c, v := b.Pick(now, testService, demand(), []string{"p-2"})
+	assert.Equal(t, v, Chosen)
+	b.Finish(now, c.Target, Result{ConnectFailed: true})
+	b.RecordActivity(now.Add(time.Millisecond), c.Target, 0)
+	assert.Assert(t, c.Target.health.ejected(now.Add(2*time.Millisecond)), "data does not end an ejection for other reasons")
+	b.RecordSilence(now.Add(3*time.Second), c.Target)
+	assert.Assert(t, c.Target.health.ejected(now.Add(3*time.Second+ejectBase/2)))
+}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -44,11 +44,13 @@
 	ejections    int
 	ejectedUntil time.Time
 	ejectedAt    time.Time
-	waitingSince time.Time // since when the target has had requests in flight and sent nothing; zero if idle
-	activeAt     time.Time // when the target last sent data to this entry
-	abandonedAt  time.Time // when this entry last abandoned a request because the target was silent
-	suspectedAt  time.Time // when another entry last reported the target silent
-	latency      time.Duration
+	// ejectedSilent is set while the target is ejected only because it was silent.
+	ejectedSilent bool
+	waitingSince  time.Time // since when the target has had requests in flight and sent nothing; zero if idle
+	activeAt      time.Time // when the target last sent data to this entry
+	abandonedAt   time.Time // when this entry last abandoned a request because the target was silent
+	suspectedAt   time.Time // when another entry last reported the target silent
+	latency       time.Duration
 }
 
 func (h *health) observe(now time.Time, ok bool) {
@@ -70,7 +72,7 @@
 	if now.Before(h.ejectedUntil) {
 		return
 	}
-	h.ejectedAt = now
+	h.ejectedAt, h.ejectedSilent = now, false
 	h.ejectedUntil = now.Add(min(ejectBase<<min(h.ejections, 4), ejectMax))
 	h.ejections++
 	h.failures = maxFailureRate / 2 // two more failures after the return eject it again
@@ -79,13 +81,30 @@
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
 // recordActivity records that the target sent data.
-func (h *health) recordActivity(now time.Time) { h.waitingSince, h.activeAt = now, now }
+func (h *health) recordActivity(now time.Time) {
+	h.waitingSince = now
+	h.endSilence(now)
+}
+
+// endSilence records that the target sent data that was awaited. It ends an ejection because of
+// silence, and that ejection does not make the next one longer: a pause is no failure.
+func (h *health) endSilence(now time.Time) {
+	h.activeAt = now
+	if h.ejectedSilent {
+		h.ejectedUntil, h.ejectedSilent = now, false
+		h.ejections--
+	}
+}
 
-// recordSilence records that a request was given up because the target sent nothing. The target
-// is ejected at once: waiting for the failure rate to rise would lose further requests.
+// recordSilence records that a request waits for a target that sends nothing, or was given up
+// there. The target is ejected at once: waiting for the failure rate to rise would lose further
+// requests.
 func (h *health) recordSilence(now time.Time) {
 	h.abandonedAt = now
-	h.eject(now)
+	if !h.ejected(now) {
+		h.eject(now)
+		h.ejectedSilent = true
+	}
 }
 
 // reportSilent reports whether to report the target to other entries as silent.
