--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -32,8 +32,8 @@
 // what the store has lost.
 const rewriteBound = 2 * time.Second
 
-// nextEra is added to all revisions at each restore: revisions are in order of the store's era,
-// and then of its revision number.
+// nextEra is the difference between revisions of the same number in an era of the store and
+// the next: revisions are in order of the era, and then of the number.
 const nextEra = 1 << 40
 
 // restorableStore is the content of a store as its clients see it.
@@ -59,11 +59,10 @@
 
 // restore returns to the content of an earlier snapshot and begins the next era.
 func (s *restorableStore) restore(earlier mirror.Batch) {
-	for earlier.Revision < s.all.Revision {
-		earlier.Revision += nextEra
-		for i := range earlier.Events {
-			earlier.Events[i].Revision += nextEra
-		}
+	era := s.all.Revision/nextEra + 1
+	earlier.Revision = era*nextEra + earlier.Revision%nextEra
+	for i, e := range earlier.Events {
+		earlier.Events[i].Revision = era*nextEra + e.Revision%nextEra
 	}
 	s.all = earlier
 }
--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -27,10 +27,10 @@
 
 // storeView is the store as one entry reaches it. It implements mirror.Source.
 type storeView struct {
-	store     *mirror.Table
 	compacted *atomic.Int64 // see entries.compacted
 
 	mu          sync.Mutex
+	store       *mirror.Table
 	fault       fault
 	changed     chan struct{} // closed when fault changes
 	calls       []time.Time   // start times of the calls
@@ -47,6 +47,13 @@
 	return v.fault, v.changed
 }
 
+// current returns the store's content, which is another after a restore.
+func (v *storeView) current() *mirror.Table {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.store
+}
+
 func (v *storeView) set(f fault) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -147,12 +154,13 @@
 // pages reads all items in two pages, the second later than the first, because the store's
 // pages are not a snapshot.
 func (v *storeView) pages() (mirror.Batch, error) {
-	first, err := v.store.Range(time.Now())
+	store := v.current()
+	first, err := store.Range(time.Now())
 	if err != nil {
 		return mirror.Batch{}, err
 	}
 	v.delayAnswer()
-	second, err := v.store.Range(time.Now())
+	second, err := store.Range(time.Now())
 	onFirst := func(e mirror.Event) bool { return e.Key < secondPage }
 	out := mirror.Batch{Revision: first.Revision, MaxRevision: second.Revision}
 	out.Events = append(out.Events, slices.DeleteFunc(first.Events, func(e mirror.Event) bool { return !onFirst(e) })...)
@@ -168,6 +176,6 @@
 		if after < v.compacted.Load() {
 			return mirror.Batch{}, mirror.ErrCompacted
 		}
-		return v.store.Watch(ctx, after, wait)
+		return v.current().Watch(ctx, after, wait)
 	})
 }
