--- a/mirror/table.go
+++ b/mirror/table.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -268,7 +269,11 @@
 	}
 	changed := t.revision == 0
 	changed = t.replaceItems(b) || changed
-	if b.Revision > t.revision && t.revision > 0 {
+	switch {
+	case t.revision == 0 || b.Revision == t.revision:
+	case b.hasEarlierEras() && b.Revision.Era() == t.revision.Era():
+		t.history.reset(b.Revision) // the batch does not tell all that changed
+	default:
 		t.history.record(gapMarker(t.exactRevision, b.Revision))
 	}
 	t.maxRevision = max(t.maxRevision, b.MaxRevision)
@@ -281,11 +286,11 @@
 func (t *Table) replaceItems(b Batch) bool {
 	changed := false
 	present := make(map[string]bool, len(b.Events))
+	if b.hasEarlierEras() {
+		t.inexactUntil = b.Revision
+	}
 	for _, e := range b.Events {
 		present[e.Key] = true
-		if e.Revision.Era() < b.Revision.Era() {
-			t.inexactUntil = b.Revision
-		}
 		if t.outlasted(b, e) {
 			continue
 		}
@@ -310,6 +315,11 @@
 	return changed
 }
 
+// hasEarlierEras reports whether a full copy has items that outlasted a restore of the store.
+func (b Batch) hasEarlierEras() bool {
+	return slices.ContainsFunc(b.Events, func(e Event) bool { return e.Revision.Era() < b.Revision.Era() })
+}
+
 // outlasted reports whether a full copy has the item that this copy has from another era: the
 // restored store still has it, or it was written again. It keeps its revision, so that it is no
 // change to those who use the copy and to followers. The store's may be later, but not later than
