gateway, mirror: what a review of restores found

- An entry took its first copy for a restore if the store names an era, and ignored evacuations for 2.5 s.
- A copy may get an item with the revision of an earlier era; the control took a configuration or version with such a revision for known, until its next write.
It compares for equality now.
- A target whose entry had expired before a restore stayed unused for good if its heartbeat had not changed; it is used once its restored entry has outlived what the store keeps of a dead one, 10 s.
Targets of a service that a configuration drops no longer count as gone.
- A copy kept the later write that a full copy of a peer did not have, and told followers.
- Watches that asked for a full copy counted as a working store, so that failing full reads had no back-off: 401 in 30 s from one entry, at most 60 now.

TestMirrorOracle compares copies with the store's state at their revision, not only at its newest; with that it failed after 7,225 checks on the code before (review's trial), and passes 30,000.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -137,7 +137,7 @@
 				break wait
 			case <-ticker.C:
 				c.updateUnreadable()
-				if c.roster.Pending() || c.evacuations.holding {
+				if c.roster.Pending() || c.evacuations.holding || c.registrations.pending() {
 					break wait
 				}
 			case <-ctx.Done():
@@ -184,7 +184,7 @@
 }
 
 func (c *Control) applyConfig(i mirror.Item) {
-	if i.Revision <= c.configRev {
+	if i.Revision == c.configRev {
 		return
 	}
 	cfg, err := c.decoder.Config(i)
@@ -208,7 +208,7 @@
 // announced before this process started may be old: engines that lack it get no requests
 // until other entries report its age.
 func (c *Control) applyVersion(ctx context.Context, i mirror.Item) {
-	if i.Revision <= c.versionRev[i.Key] {
+	if i.Revision == c.versionRev[i.Key] {
 		return
 	}
 	v, ok, err := c.decoder.Version(i)
@@ -268,14 +268,14 @@
 			d = c.decodeInstance(i, d)
 		}
 		next[i.Key] = d
-		if d.instance != nil && c.serves(d.instance) {
+		if d.instance != nil {
 			list = append(list, d.instance)
 		}
 	}
-	c.foreign.Update(int64(len(next) - len(list)))
+	list = slices.DeleteFunc(c.registrations.update(clock.Now(), c.mirrorRevision.Era(), list), func(i *fleet.Instance) bool { return !c.serves(i) })
+	c.foreign.Update(int64(c.countForeign(next)))
 	c.logVanished(next)
 	c.decoded = next
-	list = c.registrations.update(clock.Now(), c.mirrorRevision.Era(), list)
 	c.gateway.crashDetector.compareListed(list)
 	down, ended := c.outage()
 	c.list = c.roster.Update(clock.Now(), list, down, later(ended, c.restoredAt))
@@ -292,6 +292,16 @@
 	return a
 }
 
+// countForeign returns how many items of the target list describe no usable target.
+func (c *Control) countForeign(items map[string]decodedInstance) (n int) {
+	for _, d := range items {
+		if d.instance == nil || !c.serves(d.instance) {
+			n++
+		}
+	}
+	return n
+}
+
 // serves reports whether a target belongs to a configured service. Other targets are left
 // out, also so that they do not replace a target of a configured service at the same
 // address.
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -19,7 +19,7 @@
 type evacuations struct {
 	catchUp time.Duration
 
-	era      int64
+	at       mirror.Revision // at the last update
 	inForce  map[string]bool
 	before   map[string]bool            // in force before the last restore
 	restored map[string]mirror.Revision // as the restored store had them
@@ -30,10 +30,10 @@
 // update applies the evacuations that the mirror has, at a revision of the store, and returns the
 // evacuated domains, sorted.
 func (e *evacuations) update(now time.Time, at mirror.Revision, listed map[string]mirror.Revision) []string {
-	if at.Era() > e.era && e.inForce != nil {
+	if at.Era() > e.at.Era() && e.at > 0 { // at revision 0 nothing has been read yet
 		e.before, e.restored, e.until = e.inForce, listed, now.Add(e.catchUp)
 	}
-	e.era, e.inForce = at.Era(), map[string]bool{}
+	e.at, e.inForce = at, map[string]bool{}
 	for domain := range listed {
 		e.inForce[domain] = true
 	}
--- a/gateway/registrations.go
+++ b/gateway/registrations.go
@@ -10,6 +10,11 @@
 // restored comes back from a copy that is some seconds old.
 const registrationRetention = time.Minute
 
+// restoredExpiry is how long the entry of a target that has left may be listed after a restore. The
+// store removes the entry of a target that sends no heartbeats after three heartbeat intervals,
+// about 4 s. One that stays longer lives: it had only been missing.
+const restoredExpiry = 10 * time.Second
+
 // registrations remembers the newest registration of each target, so that a store that was
 // restored from an older copy brings back neither targets that have left nor earlier states of
 // others. Within an era the store's order counts; across eras that of the target does: of its
@@ -25,6 +30,17 @@
 	era      int64     // the store's era when the registration was last listed
 	left     bool      // the target is no longer listed, and was removed from the list in that era
 	leftAt   time.Time // when it was found missing; zero while it is listed
+	listedAt time.Time // since when a store of a later era lists it though it has left
+}
+
+// pending reports whether targets are left out that are listed.
+func (r *registrations) pending() bool {
+	for _, k := range r.known {
+		if !k.listedAt.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
 // update returns the current registrations of the targets in a list that the store has in an era.
@@ -34,8 +50,11 @@
 	out := make([]*fleet.Instance, 0, len(list))
 	for _, i := range list {
 		old, known := r.known[i.ID]
+		if known && old.left && old.listedAt.IsZero() {
+			old.listedAt = now
+		}
 		switch {
-		case !known || era == old.era || !old.outdates(i):
+		case !known || era == old.era || !old.outdates(i) || old.left && now.Sub(old.listedAt) >= restoredExpiry:
 			next[i.ID] = registration{instance: i, era: era}
 		default:
 			next[i.ID] = old
@@ -56,6 +75,7 @@
 		if _, listed := next[id]; listed {
 			continue
 		}
+		old.listedAt = time.Time{}
 		if old.leftAt.IsZero() {
 			old.left, old.leftAt = !restored, now
 		}
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -152,6 +152,14 @@
 // newRestoreTest starts a control with configuration 1, version 1 and two targets, of which
 // the entry knows as long as it can.
 func newRestoreTest(t *testing.T) *restoreTest {
+	f := newUnreadRestoreTest(t)
+	f.read()
+	f.run()
+	return f
+}
+
+// newUnreadRestoreTest returns a control that has read nothing and does not run.
+func newUnreadRestoreTest(t *testing.T) *restoreTest {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	engine := *assignModel
@@ -166,15 +174,18 @@
 	f.store.put(keyTestVersion, 1)
 	f.putTarget("x", "a", func(*storedTarget) {})
 	f.putTarget("y", "b", func(*storedTarget) {})
-	f.read()
-	ctx, cancel := context.WithCancel(t.Context())
+	return f
+}
+
+// run runs the control until the test ends.
+func (f *restoreTest) run() {
+	ctx, cancel := context.WithCancel(f.t.Context())
 	go f.control.Run(ctx)
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		cancel()
 		synctest.Wait()
 	})
 	synctest.Wait()
-	return f
 }
 
 // putTarget lists a target, which holds version 1 and is ready unless change sets it otherwise.
@@ -477,3 +488,87 @@
 		assert.DeepEqual(t, f.used(), []string{"x"})
 	})
 }
+
+// An entry that starts reads its first copy while its control runs. That is no restore, whatever
+// the era.
+func TestEvacuationHoldsFromTheFirstCopyOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newUnreadRestoreTest(t)
+		f.store.put(prefixEvacuation+"b", nil)
+		f.store.restore(f.store.snapshot()) // begins an era
+		f.run()
+		f.read()
+		f.checkUsed("first copy", "x")
+	})
+}
+
+// A target was silent, and its entry had expired when the store was restored from a copy that has
+// it. It lives: the store does not remove the entry. Heartbeats alone change no entry.
+func TestExpiredTargetThatLivesIsUsedAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoreTest(t)
+		old := f.store.snapshot()
+		f.store.remove(prefixTarget + "y")
+		f.read()
+		f.wait(4 * time.Second)
+		f.restore(old)
+		f.wait(restoredExpiry + time.Second)
+		assert.DeepEqual(t, f.used(), []string{"x", "y"})
+	})
+}
+
+// withoutServices decodes one version of the configuration as having no services.
+type withoutServices struct {
+	storeDecoder
+	version int64
+}
+
+func (d withoutServices) Config(i mirror.Item) (*fleet.Config, error) {
+	c, err := d.storeDecoder.Config(i)
+	if c != nil && c.Version == d.version {
+		c.Services = map[string]*fleet.Service{}
+	}
+	return c, err
+}
+
+// Targets of a service that a configuration drops have not left.
+func TestTargetsOfAServiceThatIsAddedAgainAreUsedAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoreTest(t)
+		f.control.decoder = withoutServices{f.control.decoder.(storeDecoder), 2}
+		f.store.put(keyTestConfig, 2)
+		f.read()
+		f.wait(5 * time.Second)
+		f.restore(f.store.snapshot())
+		f.wait(time.Second)
+		f.store.put(keyTestConfig, 3)
+		f.read()
+		assert.DeepEqual(t, f.used(), []string{"x", "y"})
+	})
+}
+
+// An entry that started between a restore and the second writing reads the copy of a peer, in
+// which what was written again has the revision of an earlier era.
+func TestConfigurationOfAnEarlierEraIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newUnreadRestoreTest(t)
+		old := f.store.snapshot()
+		f.store.put(keyTestConfig, 4)
+		f.store.put(keyTestVersion, 2)
+		peerCopy := mirror.NewTable("")
+		peerCopy.Replace(time.Now(), f.store.snapshot())
+		f.store.restore(old)
+		f.read()
+		f.run()
+		assert.Equal(t, f.gateway.Config().Version, int64(1))
+		f.store.put(keyTestConfig, 4)
+		f.store.put(keyTestVersion, 2)
+		peerCopy.Replace(time.Now(), f.store.snapshot())
+		whole, err := peerCopy.Range(time.Now())
+		assert.NilError(t, err)
+		f.table.Replace(time.Now(), whole)
+		synctest.Wait()
+		assert.Equal(t, f.gateway.Config().Version, int64(4))
+		assert.Equal(t, f.control.versions["m"], 2)
+	})
+}
--- a/mirror/monitoredstore.go
+++ b/mirror/monitoredstore.go
@@ -112,8 +112,9 @@
 // end records the result of a call. A call that the caller cancelled is ignored.
 func (s *MonitoredStore) end(ctx context.Context, call *storeCall, err error) {
 	switch {
-	case err == nil || needsFullCopy(err):
+	case err == nil:
 		s.recordSuccess(call.begun)
+	case needsFullCopy(err): // the full read that follows tells whether the store works
 	case !errors.Is(ctx.Err(), context.Canceled):
 		s.recordFailure(call, err)
 	}
--- a/mirror/monitoredstore_test.go
+++ b/mirror/monitoredstore_test.go
@@ -151,3 +151,47 @@
 		})
 	}
 }
+
+// unreadableStore answers each watch with an error that asks for the full copy, which it does not
+// give.
+type unreadableStore struct {
+	err           error
+	watches, full atomic.Int64
+}
+
+func (*unreadableStore) Name() string { return "store" }
+
+func (s *unreadableStore) Range(context.Context, string) (Batch, error) {
+	s.full.Add(1)
+	time.Sleep(5 * time.Millisecond)
+	return Batch{}, ErrUnavailable
+}
+
+func (s *unreadableStore) Watch(context.Context, string, Revision, time.Duration) (Batch, error) {
+	s.watches.Add(1)
+	time.Sleep(5 * time.Millisecond)
+	return Batch{}, s.err
+}
+
+// A watch that asks for the full copy does not show that the store works: without back-off, all
+// entries would call it several times a second while it is overloaded by their full reads.
+func TestFullReadsThatFailBackOff(t *testing.T) {
+	for _, err := range []error{ErrCompacted, ErrRestored} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			table := NewTable("")
+			table.Replace(time.Now(), Batch{Events: []Event{set("a", 5)}, Revision: 10})
+			store := &unreadableStore{err: err}
+			f := newFollower(table, NewMonitoredStore(store, discardLogger()), nil)
+			go f.Run(ctx)
+			time.Sleep(30 * time.Second)
+			cancel()
+			synctest.Wait()
+			// One call each second at least half of the time: the longest back-off is 2 s, and
+			// the follower and its reads for a stale copy share it.
+			const most = 60
+			assert.Check(t, store.full.Load() <= most, "%v: %d full reads in 30 s", err, store.full.Load())
+		})
+	}
+}
--- a/mirror/oracle_test.go
+++ b/mirror/oracle_test.go
@@ -107,11 +107,11 @@
 // TestMirrorOracle lets three copies follow a store and each other with full reads, some
 // of them in pages with changes in between, and partial watches, in any order and with
 // late responses; the store is restored from older copies of itself. No copy may go back to
-// an older revision, each agrees with the store once it has reached the store's revision,
-// and two copies of one revision that agree have equal digests.
+// an older revision, each agrees with what the store had at the copy's revision, and two copies of one revision that agree have equal digests.
 func TestMirrorOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &model{items: map[string]Event{}}
+		states := map[Revision]map[string]string{} // contents of the store by revision
 		var lost []Event
 		copies := []*Table{NewTable(""), NewTable(""), NewTable("")}
 		lastRevision := make([]Revision, len(copies))
@@ -206,7 +206,11 @@
 				}
 			},
 			"": func(t *rapid.T) {
+				states[store.revision()] = store.contents()
 				for i, c := range copies {
+					if state := states[c.Revision()]; state != nil && c.maxRevision <= c.revision {
+						assert.DeepEqual(t, contents(c), state)
+					}
 					assert.Assert(t, c.Revision() >= lastRevision[i])
 					lastRevision[i] = c.Revision()
 					if c.Revision() == store.revision() {
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -294,7 +294,9 @@
 		if t.outlasted(b, e) {
 			continue
 		}
-		t.dropLost(b, e)
+		if t.dropLost(b, e) {
+			t.history.reset(b.Revision)
+		}
 		isNew := t.set(e)
 		changed = changed || isNew
 		t.readAhead(b, e)
@@ -334,12 +336,14 @@
 
 // dropLost removes the copy's item of an event's key if the full copy that the event is from has
 // an older one though it is as late: the store was restored and has lost the copy's.
-func (t *Table) dropLost(b Batch, e Event) {
+func (t *Table) dropLost(b Batch, e Event) bool {
 	old, known := t.items[e.Key]
-	if known && e.Revision < old.Revision && old.Revision <= b.Revision {
-		t.digest ^= old.digest()
-		delete(t.items, e.Key)
+	if !known || e.Revision >= old.Revision || old.Revision > b.Revision {
+		return false
 	}
+	t.digest ^= old.digest()
+	delete(t.items, e.Key)
+	return true
 }
 
 // set applies an event to its key, unless the copy has a later state of the key, and
