--- a/soak/pause_test.go
+++ b/soak/pause_test.go
@@ -26,6 +26,14 @@
 	}
 }
 
+// Guards against a request that crashes targets and is not recognized in time because the target
+// paused before: up to 64 other requests were lost with it, and each of them is suspected too.
+func TestSoakCrashingRequestIsRecognizedBesidePauses(t *testing.T) {
+	cfg := soakConfig(t, buildPrograms(t), 41305)
+	cfg.Duration = 3 * time.Second
+	runAndCheck(t, cfg)
+}
+
 // A request that ran must get a complete response before its deadline, unless its entry or
 // a target that it reached was disturbed or leaving.
 func TestJudgeSoundTarget(t *testing.T) {
