gateway: of two incarnations at an address the one that started later replaces the other

Cause: which of two targets at an address is used, and whether a target under whose requests connections broke has been replaced, went by the revision of their entries. A restored store lists an earlier incarnation at a later revision: at an entry that had not known it, requests went to the dead one, and the live one counted as crashed. Found by the review of restores.

Change: starts decide where they are known (fleet.Instance.NewerThan), revisions otherwise.

TestRestoredIncarnationDoesNotReplaceALaterOne and TestRestoredIncarnationIsNoCrash failed before.

--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -39,6 +39,16 @@
 	return startMs == other || startMs == 0 || other == 0
 }
 
+// NewerThan reports whether an instance replaces another one at its address: whether it started
+// later or, if the starts are not known, was listed later. A list that is restored from an older
+// copy lists earlier instances later.
+func (i *Instance) NewerThan(o *Instance) bool {
+	if !SameIncarnation(i.StartMs, o.StartMs) {
+		return i.StartMs > o.StartMs
+	}
+	return i.Revision > o.Revision
+}
+
 // LoadedVersion returns the newest version of m's model of which the instance holds all layers,
 // or zero.
 func (i *Instance) LoadedVersion(m *EngineModel) int {
--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -157,7 +157,7 @@
 	for _, i := range list {
 		for incarnation, x := range e.suspects {
 			same := i.ID == incarnation.Target && fleet.SameIncarnation(i.StartMs, incarnation.StartMs)
-			if !same && (i.ID == incarnation.Target || i.Addr == x.target.Addr) && i.Revision > x.target.Revision {
+			if !same && (i.ID == incarnation.Target || i.Addr == x.target.Addr) && i.NewerThan(&x.target) {
 				e.markEnded(x, "another incarnation is listed")
 			}
 		}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/quarantine"
+	"github.com/springgate/springgate/revision"
 	"gotest.tools/v3/assert"
 )
 
@@ -221,6 +222,21 @@
 	assert.Equal(t, totalRequests(targets), 13)
 }
 
+// An incarnation that a restored list shows again is earlier than the one whose connections broke,
+// and does not show that this one has ended.
+func TestRestoredIncarnationIsNoCrash(t *testing.T) {
+	x := newTarget(t, abortHandler)
+	f := newTestGateway(t, x)
+	f.gateway.balancer.Apply([]*fleet.Instance{{ID: "i-0", StartMs: 9000, Service: "s", Addr: x.addr(), Slots: 100, Revision: 9}}, f.gateway.Config().Services)
+	f.call(http.MethodPost, "/unsafe/x", "the one")
+	restored := &fleet.Instance{ID: "earlier", StartMs: 1000, Service: "s", Addr: x.addr(), Slots: 100, Revision: revision.New(1, 5)}
+	f.gateway.crashDetector.compareListed([]*fleet.Instance{restored})
+	for _, suspect := range f.gateway.crashDetector.suspects {
+		assert.Assert(t, !suspect.ended)
+	}
+	assert.Equal(t, len(f.gateway.crashDetector.suspects), 1)
+}
+
 // The address of a target refused a connection, but the same incarnation (run of the
 // target's process) answers again. The crash recorded for it must be retracted.
 func TestTargetThatAnswersAgainHadNotCrashed(t *testing.T) {
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -70,7 +70,7 @@
 func newestAtEachAddr(list []*fleet.Instance) []*fleet.Instance {
 	newest := make(map[string]*fleet.Instance, len(list))
 	for _, i := range list {
-		if n := newest[i.Addr]; n == nil || i.Revision > n.Revision {
+		if n := newest[i.Addr]; n == nil || i.NewerThan(n) {
 			newest[i.Addr] = i
 		}
 	}
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/revision"
 	"gotest.tools/v3/assert"
 )
 
@@ -43,6 +44,17 @@
 	assert.DeepEqual(t, state(got), map[string]bool{"new": false, "other": true}) // the older incarnation is not retained
 }
 
+// A restored list shows the incarnation of before as if it were new. The next one, at the same
+// address, is missing until it registers again.
+func TestRestoredIncarnationDoesNotReplaceALaterOne(t *testing.T) {
+	r := Roster{RetainFor: time.Second}
+	later := &fleet.Instance{ID: "later", Addr: "x", StartMs: 9000, Revision: revision.New(1, 30)}
+	r.Update(start, []*fleet.Instance{later}, false, time.Time{})
+	restored := &fleet.Instance{ID: "restored", Addr: "x", StartMs: 1000, Revision: revision.New(2, 10)}
+	got := r.Update(start, []*fleet.Instance{restored}, false, time.Time{})
+	assert.DeepEqual(t, state(got), map[string]bool{"later": true})
+}
+
 func TestVanishedInstanceIsRetained(t *testing.T) {
 	r := Roster{RetainFor: time.Second, CatchUp: 3 * time.Second}
 	r.Update(start, listed("a", "b"), false, time.Time{})
