platform, fleet: unusable priorities and keys of teams have defaults and are logged

Cause: a priority of another type made the whole configuration unreadable, one out of range counted as it was, and a key in two teams belonged to whichever was listed last, without a word. Control logs the faults of a configuration, ten at most, and counts them.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -109,6 +109,7 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
+	Faults   []Fault // values that are not usable; the defaults that they name apply
 
 	hasTeams bool
 	teams    map[string]*Team    // by API key
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -70,6 +70,7 @@
 	// unknownEvacuations counts evacuations of failure domains that are not configured.
 	unknownEvacuations metrics.Gauge
 	foreign            metrics.Gauge // items of the target list that describe no usable target
+	configFaults       metrics.Gauge // values of the configuration that are not usable
 	// endedWithRequests counts targets that disappeared from the list after requests of
 	// this entry had lost their connections to them.
 	endedWithRequests metrics.Counter
@@ -116,7 +117,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
-	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
+	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), configFaults: metrics.NewRegisteredGauge("control.config_faults", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
 		addr: o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, versions: map[string]int{}, evacuations: evacuations{catchUp: o.Roster.CatchUp}, assignments: map[string]*assignment{},
@@ -201,9 +202,26 @@
 		return
 	}
 	c.log.WithFields(logrus.Fields{"config": cfg.Version, "revision": i.Revision}).Info("Configuration applied.")
+	c.logFaults(cfg)
 	c.balancer.Apply(c.list, cfg.Services)
 }
 
+// maxFaultsLogged bounds how many faults of a configuration are listed in its log record.
+const maxFaultsLogged = 10
+
+// logFaults logs values of a configuration that are not usable.
+func (c *Control) logFaults(cfg *fleet.Config) {
+	c.configFaults.Update(int64(len(cfg.Faults)))
+	if len(cfg.Faults) == 0 {
+		return
+	}
+	first := make([]string, 0, maxFaultsLogged)
+	for _, f := range cfg.Faults[:min(len(cfg.Faults), maxFaultsLogged)] {
+		first = append(first, f.String())
+	}
+	c.log.WithFields(logrus.Fields{"config": cfg.Version, "faults": len(cfg.Faults), "first": first}).Warn("Values of the configuration are not usable; defaults apply.")
+}
+
 // applyVersion applies the version that the operators announced for a model. A version
 // announced before this process started may be old: engines that lack it get no requests
 // until other entries report its age.
