fleet: ranks of a service

Priorities of routes and teams were read by nothing. Config now indexes, once per configuration, the distinct ranks of the requests that may reach each service, so that the admission level and other decisions by rank can ask whether a service has more than one, and for the index of a request's rank.

Tests: go test -race ./fleet passes.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -113,6 +113,7 @@
 	hasTeams bool
 	teams    map[string]*Team    // by API key
 	routes   map[string][]*Route // by host, longest prefix first
+	ranks    map[string][]int    // sorted distinct ranks of requests, by service
 }
 
 // NewConfig indexes routes and teams. teams is keyed by API key and nil if the configuration
@@ -126,6 +127,7 @@
 	for _, r := range routes {
 		c.routes[r.Host] = append(c.routes[r.Host], r)
 	}
+	c.indexRanks(routes)
 	for _, rs := range c.routes {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
