gateway: ranks order retries, hedges, returns and the waiting requests of targets

Cause: priorities of routes and teams were read and used by nothing; any request took the last of the retry budget, and all refused callers returned alike. Change: where requests of a service differ in rank, the target is told the rank, a request leaves a part of the retry budget to more urgent ones (half at the least urgent rank, of whole retries), and Retry-After lies in the part of its spread that belongs to the rank. With one rank nothing changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,7 +48,8 @@
 	t := c.Instance
 	x.target, x.choice = t.ID, c
 	h := forwardHeader(x.r.Header)
-	x.g.dialect.EncodeForward(h, ForwardInfo{Instance: t.ID, Team: x.teamName(), Remaining: clock.Until(x.deadline), LastEvent: x.lastEvent})
+	x.g.dialect.EncodeForward(h, ForwardInfo{Instance: t.ID, Team: x.teamName(), Remaining: clock.Until(x.deadline), LastEvent: x.lastEvent,
+		Rank: x.urgency.rank, Ranked: x.urgency.differs()})
 	x.logSending(c)
 	a := &attempt{x: x, choice: c, parent: parent, sentAt: clock.Now(), pendingPrefill: x.call.Prompt,
 		request: &targetconn.Request{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, ID: x.call.ID}}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -28,6 +28,7 @@
 	route    *fleet.Route
 	service  string
 	team     *fleet.Team
+	urgency  urgency
 	body     []byte
 	content  quarantine.Fingerprint
 	finding  *quarantine.Finding // set if the request is quarantined
@@ -97,6 +98,7 @@
 	x.deadline = x.start.Add(left)
 	x.isRetry = x.g.retryDetector.IsRetry(x.route.Name, x.call.Remaining)
 	x.service = x.route.Shares[pickShare(x.route.Shares)].Service
+	x.urgency = x.urgencyOf()
 	return x.readBody()
 }
 
@@ -176,7 +178,7 @@
 	if !x.nextFreeAt.IsZero() {
 		free = max(clock.Until(x.nextFreeAt), 0)
 	}
-	return dispatch.RetryAfter(left, free, x.g.cfg.RetryAfter, x.g.cfg.RetrySpread, rand.Float64())
+	return dispatch.RetryAfter(left, free, x.g.cfg.RetryAfter, x.g.cfg.RetrySpread, x.urgency.returnOrder(rand.Float64()))
 }
 
 // retryAfterUnknown is the retry delay if the caller's remaining time is not known.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,10 @@
 	Team      string
 	Remaining time.Duration
 	LastEvent string // ID of the event after which a stream resumes
+	// Rank is the order in which the target serves waiting requests, 0 first. It is stated only if
+	// Ranked, that is, if the requests of the service differ in rank.
+	Rank   int
+	Ranked bool
 }
 
 // ResponseInfo is the metadata in the header of a target's response.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,9 @@
 	h.Set("Instance", s.Instance)
 	h.Set("Left-Ms", fmt.Sprint(s.Remaining.Milliseconds()))
 	h.Set("Last", s.LastEvent)
+	if s.Ranked {
+		h.Set("Rank", strconv.Itoa(s.Rank))
+	}
 }
 
 func (testDialect) DecodeResponse(status int, h http.Header) ResponseInfo {
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -210,7 +210,7 @@
 	if reason != ReasonNone {
 		return choice, false
 	}
-	if choice.LastResort || ctx.Err() != nil || !x.g.budget(x.service).Spend(clock.Now()) {
+	if choice.LastResort || ctx.Err() != nil || !x.g.budget(x.service).SpendLeaving(clock.Now(), x.urgency.retryReserve()) {
 		x.g.balancer.Cancel(choice.Target, d)
 		return choice, false
 	}
@@ -226,5 +226,5 @@
 	if x.started && x.g.cfg.Off.Has(mechanism.Resume) {
 		return false
 	}
-	return x.sends+x.inFlight < x.route.MaxAttempts && clock.Until(x.deadline) >= x.g.cfg.MinRemaining && !x.g.budget(x.service).Empty()
+	return x.sends+x.inFlight < x.route.MaxAttempts && clock.Until(x.deadline) >= x.g.cfg.MinRemaining && !x.g.budget(x.service).Empty(x.urgency.retryReserve())
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -111,7 +111,7 @@
 	if x.sends >= x.route.MaxAttempts {
 		return res.reason
 	}
-	if !x.g.budget(x.service).Spend(clock.Now()) {
+	if !x.g.budget(x.service).SpendLeaving(clock.Now(), x.urgency.retryReserve()) {
 		return ReasonBudget
 	}
 	return ReasonNone
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -61,20 +62,28 @@
 
 // Spend takes one retry from the budget, or returns false if the budget is
 // exhausted.
-func (b *Budget) Spend(now time.Time) bool {
+func (b *Budget) Spend(now time.Time) bool { return b.SpendLeaving(now, 0) }
+
+// SpendLeaving is Spend for a request that leaves a part of the budget, from 0 to 1, to more
+// urgent ones.
+func (b *Budget) SpendLeaving(now time.Time, part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.tokens < b.cfg.Reserve && !b.lastSpend.IsZero() && !b.cfg.NoRefill {
 		b.tokens = min(b.cfg.Reserve, b.tokens+now.Sub(b.lastSpend).Seconds())
 	}
 	b.lastSpend = now
-	if b.tokens < 1 {
+	if !b.covers(part) {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
+// covers reports whether a retry leaves a part of the budget, in whole retries: of a budget of one
+// retry nothing is left to others.
+func (b *Budget) covers(part float64) bool { return b.tokens >= 1+math.Floor(part*b.cfg.Cap) }
+
 // Refund returns a retry that was spent but not made.
 func (b *Budget) Refund() {
 	b.mu.Lock()
@@ -82,11 +91,11 @@
 	b.tokens = min(b.cfg.Cap, b.tokens+1)
 }
 
-// Empty reports whether the budget is exhausted, apart from what time adds to it.
-func (b *Budget) Empty() bool {
+// Empty reports whether SpendLeaving would fail, apart from what time adds to the budget.
+func (b *Budget) Empty(part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.cfg.NoRefill && b.tokens < 1
+	return b.cfg.NoRefill && !b.covers(part)
 }
 
 // Backoff limits.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -105,6 +105,19 @@
 	assert.Assert(t, !j.Ejected(start.Add(cfg.EjectFor), eps[0].Host))
 }
 
+func TestBudgetLeavesAPart(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBudget(BudgetConfig{Reserve: 4, Cap: 4, NoRefill: true})
+	assert.Assert(t, b.SpendLeaving(now, 0.5))
+	assert.Assert(t, b.SpendLeaving(now, 0.5))
+	assert.Assert(t, b.Empty(0.5) && !b.SpendLeaving(now, 0.5), "two of four are left to others")
+	assert.Assert(t, !b.Empty(0) && b.Spend(now))
+	assert.Assert(t, b.Spend(now))
+	assert.Assert(t, b.Empty(0) && !b.Spend(now))
+	single := NewBudget(BudgetConfig{Reserve: 1, Cap: 1, NoRefill: true})
+	assert.Assert(t, single.SpendLeaving(now, 0.5), "a single retry is left to nobody")
+}
+
 func TestBudget(t *testing.T) {
 	b := NewBudget(BudgetConfig{Ratio: 0.5, Reserve: 2, Cap: 4})
 	spend := func(now time.Time) (n int) {
