--- /dev/null
+++ b/overload/main_test.go
@@ -0,0 +1,11 @@
+package overload
+
+import (
+	"testing"
+
+	"github.com/springgate/springgate/internal/fixedseed"
+)
+
+const checks = 50
+
+func TestMain(m *testing.M) { fixedseed.Main(m, checks) }
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -8,12 +8,12 @@
 // target is asked. Package dispatch decides at which target an admitted request runs.
 package overload
 
-import "time"
+import "math"
 
 // Class identifies requests that are admitted alike.
 type Class struct {
-	Rank int    // 0 is the most urgent
-	Team string // empty for callers without a team
+	Rank int    `msgpack:"r"`           // 0 is the most urgent
+	Team string `msgpack:"t,omitempty"` // empty for callers without a team
 }
 
 // Standing is what a request can still achieve.
@@ -43,15 +43,22 @@
 
 // ClassDemand is the work that a class offers to one entry.
 type ClassDemand struct {
-	Class Class
-	Work  float64 // seconds of target time per second
+	Class Class   `msgpack:"c"`
+	Work  float64 `msgpack:"w"` // seconds of target time per second
+	// Teams is positive if the demand is that of several teams of the rank, which are too small
+	// to be listed one by one. The class's team is then empty.
+	Teams int `msgpack:"n,omitempty"`
 }
 
-// Report is what one entry tells the others about a service that is short of room.
+// Report is what one entry tells the others about a service that is short of room. Rates are in
+// seconds of target time per second.
 type Report struct {
-	Placed  float64       // work placed at targets, in seconds of target time per second
-	Short   bool          // admitted requests found no place lately
-	Offered []ClassDemand // by fresh requests
+	Placed   float64       `msgpack:"p"` // placed at targets
+	Unplaced float64       `msgpack:"u"` // admitted, but no place found
+	Refusals float64       `msgpack:"r"` // requests per second that found no place
+	Level    float64       `msgpack:"l"` // room over the demand of all entries, at most 1; 1 if it holds no level
+	Short    bool          `msgpack:"s"` // admitted requests found no place lately
+	Offered  []ClassDemand `msgpack:"o"` // by fresh requests
 }
 
 // ClassLevel is the level of one class.
@@ -72,39 +79,23 @@
 // Config holds the parameters of a Controller.
 type Config struct {
 	// Keep is the part of its proportional share of the room that each rank keeps, however much
-	// more urgent ranks ask for. Default a third: each rank is served at least a third as often
-	// as all requests.
+	// more urgent ranks ask for, at most half. Default a third: each rank is served at least a
+	// third as often as all requests. Negative for none.
 	Keep float64
 }
 
-// Controller keeps the admission levels of an entry. Its methods may be called concurrently.
-type Controller struct{}
-
-// NewController returns a controller without demand, which admits all requests.
-func NewController(Config) *Controller { return &Controller{} }
-
-// Admit counts a request that has arrived and decides whether it may ask for a place.
-func (*Controller) Admit(time.Time, Request) Decision { return Decision{Admitted: true, Fraction: 1} }
-
-// RecordPlaced records that an admitted request has a place at a target.
-func (*Controller) RecordPlaced(time.Time, Request) {}
-
-// RecordUnplaced records that an admitted request found no place in time.
-func (*Controller) RecordUnplaced(time.Time, Request) {}
-
-// SetUtilization records which part of the capacity of a service's targets is in use, as far as
-// this entry knows. No level is held while a considerable part is idle.
-func (*Controller) SetUtilization(now time.Time, service string, utilization float64) {}
-
-// Reports returns what to tell other entries, by service. It is empty unless a service has been
-// short of room lately.
-func (*Controller) Reports(time.Time) map[string]Report { return nil }
-
-// SetReports replaces what another entry has told. A report is forgotten if it is not repeated.
-func (*Controller) SetReports(now time.Time, from string, reports map[string]Report) {}
-
-// Forget drops what an entry has told that is gone.
-func (*Controller) Forget(from string) {}
+const (
+	defaultKeep = 1.0 / 3
+	maxKeep     = 0.5 // the kept parts of all ranks fit in the room
+)
 
-// Levels returns the levels in force, sorted by service, for logs, metrics and operators.
-func (*Controller) Levels(time.Time) []Level { return nil }
+func (c Config) withDefaults() Config {
+	switch {
+	case c.Keep < 0:
+		c.Keep = 0
+	case c.Keep == 0 || math.IsNaN(c.Keep):
+		c.Keep = defaultKeep
+	}
+	c.Keep = min(c.Keep, maxKeep)
+	return c
+}
--- /dev/null
+++ b/overload/returns.go
@@ -0,0 +1,25 @@
+package overload
+
+// ReturnOrder maps a uniform random number in [0, 1) to the part of the usual spread of return
+// times that belongs to a rank. A higher result stands for an earlier return: more urgent ranks
+// return before less urgent ones, and the returns within a rank are spread.
+func ReturnOrder(rank, ranks int, random float64) float64 {
+	if ranks <= 1 {
+		return random
+	}
+	rank = min(max(rank, 0), ranks-1)
+	return (float64(ranks-1-rank) + random) / float64(ranks)
+}
+
+// maxRetryReserve is the part of the retry budget that the least urgent rank leaves to others.
+const maxRetryReserve = 0.5
+
+// RetryReserve returns the part of the retry budget that a request of the rank leaves to more
+// urgent ones.
+func RetryReserve(rank, ranks int) float64 {
+	if ranks <= 1 {
+		return 0
+	}
+	rank = min(max(rank, 0), ranks-1)
+	return maxRetryReserve * float64(rank) / float64(ranks-1)
+}
