overload, dispatch: less urgent requests leave a part of the wait at targets

Cause: what an admission level lets in beyond the room is refused by placement in the order of arrival, whatever the rank. Change: overload.Yield is the part of the longest wait that a rank leaves to more urgent ones; dispatch subtracts it, and the home applies it as part of the limits that the requester states. returns.go is precedence.go now. Not used by the gateway yet.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -61,6 +61,8 @@
 func (b *Balancer) admission(now time.Time, t *Target, stats *objectiveStats, d Demand) Admission {
 	a := Admission{MaxWait: b.commonWait(t, stats, d), MaxGap: time.Duration(b.cfg.AdmitGapFraction * float64(d.MaxGap))}
 	switch d.Standing {
+	case Fresh:
+		a.MaxWait -= time.Duration(d.Yield * float64(a.MaxWait))
 	case Overdue:
 		if stats.overloaded(now) {
 			a.MaxWait = time.Duration(overdueWaitFraction * float64(a.MaxWait))
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -32,6 +32,7 @@
 	MaxGap      time.Duration // longest gap between events; zero for no limit
 	Domain      string        // failure domain of the entry
 	Standing    Standing
+	Yield       float64 // part of the longest wait at a target that the request leaves to more urgent ones, 0 to 1
 	HomeRegions residency.HomeRegions
 }
 
--- a/overload/returns.go
+++ b/overload/precedence.go
@@ -23,3 +23,18 @@
 	rank = min(max(rank, 0), ranks-1)
 	return maxRetryReserve * float64(rank) / float64(ranks-1)
 }
+
+// maxYield is the part of the longest wait at a target that the least urgent rank leaves to others.
+// More urgent requests find places there that others may no longer use; a larger part would leave
+// targets idle between passes.
+const maxYield = 0.25
+
+// Yield returns the part of the longest wait at a target that requests of the rank leave to more
+// urgent ones while the service is short of room.
+func Yield(rank, ranks int) float64 {
+	if ranks <= 1 {
+		return 0
+	}
+	rank = min(max(rank, 0), ranks-1)
+	return maxYield * float64(rank) / float64(ranks-1)
+}
--- a/overload/returns_test.go
+++ b/overload/precedence_test.go
@@ -37,3 +37,10 @@
 	assert.Equal(t, RetryReserve(2, 3), maxRetryReserve)
 	assert.Equal(t, RetryReserve(9, 3), maxRetryReserve)
 }
+
+func TestYield(t *testing.T) {
+	assert.Equal(t, Yield(0, 1), 0.0)
+	assert.Equal(t, Yield(0, 3), 0.0)
+	assert.Assert(t, Yield(1, 3) > 0 && Yield(2, 3) > Yield(1, 3) && Yield(2, 3) < 1)
+	assert.Equal(t, Yield(7, 3), Yield(2, 3), "a rank that the configuration no longer has")
+}
