--- a/overload/controller.go
+++ b/overload/controller.go
@@ -36,6 +36,7 @@
 	defer c.mu.Unlock()
 	s := c.service(now, r.Service)
 	s.usedAt = now
+	r.Class = r.Class.normalized()
 	cl := s.class(now, r)
 	if r.Standing == Fresh {
 		cl.offered.add(now, amount(r.Work))
@@ -77,7 +78,9 @@
 func (c *Controller) SetUtilization(now time.Time, service string, utilization float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.service(now, service).setUtilization(now, utilization)
+	if !math.IsNaN(utilization) {
+		c.service(now, service).setUtilization(now, utilization)
+	}
 }
 
 // Reports returns what to tell other entries, by service. It is empty unless a service has been
@@ -168,6 +171,7 @@
 	estimate  roomEstimate
 	alloc     allocator
 	claims    []claim // in the order of demand.list, then demand.rests
+	counted   int     // classes of demand.list that have claims
 	total     float64 // work that all claims ask for
 	updatedAt time.Time
 }
@@ -215,6 +219,7 @@
 	s.heard.expire(now)
 	s.demand.prune(now)
 	s.claims = s.demand.claims(now, s.claims[:0])
+	s.counted = len(s.demand.list)
 	supply := s.supply(now)
 	s.total = supply.demand
 	s.estimate.keepFraction(now, supply.demand, s.heard.joined, s.heard.gone)
@@ -316,7 +321,7 @@
 	l := Level{Service: name, Room: s.estimate.room, Entries: 1 + len(s.heard.reports)}
 	for i, c := range s.claims {
 		cl := ClassLevel{Offered: c.work, Fraction: c.fraction}
-		if i < len(s.demand.list) {
+		if i < s.counted {
 			cl.Class = s.demand.list[i].Class
 		} else {
 			cl.Class = Class{Rank: c.rank}
--- a/overload/demand.go
+++ b/overload/demand.go
@@ -17,6 +17,8 @@
 	classRetention = 10 * time.Second
 	// maxClasses bounds the classes of a service that are counted one by one.
 	maxClasses = 1024
+	// maxRank is the least urgent rank that is told from others.
+	maxRank = 9
 )
 
 // meter measures a rate by an exponentially decaying sum.
@@ -86,6 +88,12 @@
 	return true
 }
 
+// normalized returns the class with a rank from 0 to maxRank.
+func (c Class) normalized() Class {
+	c.Rank = min(max(c.Rank, 0), maxRank)
+	return c
+}
+
 // demandTable holds the classes of a service. Beyond maxClasses, the smallest are counted
 // together by rank.
 type demandTable struct {
@@ -120,7 +128,7 @@
 
 // rest returns the state of the teams of a rank that are not counted one by one.
 func (t *demandTable) rest(now time.Time, rank int) *class {
-	i, ok := slices.BinarySearchFunc(t.rests, rank, func(r *class, rank int) int { return r.Rank - rank })
+	i, ok := slices.BinarySearchFunc(t.rests, rank, func(r *class, rank int) int { return cmp.Compare(r.Rank, rank) })
 	if !ok {
 		t.rests = slices.Insert(t.rests, i, t.newClass(now, Class{Rank: rank}))
 	}
--- a/overload/level.go
+++ b/overload/level.go
@@ -112,16 +112,25 @@
 	}
 }
 
-// startsLevel reports whether a level is needed.
+// startsLevel reports whether a level is needed. While most entries hold one, any shortage is enough,
+// so that an entry that has restarted joins them.
 func (s supply) startsLevel() bool {
-	return s.unplaced >= startShare && s.refusals >= startRefusals && s.measured >= startTime && s.idle == 0
+	least := startShare
+	if s.othersLimit() {
+		least = shortShare
+	}
+	return s.unplaced >= least && s.refusals >= startRefusals && s.measured >= startTime && s.idle == 0
 }
 
-// firstLevel returns the part of the demand that is admitted at first: what could be placed, or
-// the mean with entries that hold a level already.
+func (s supply) othersLimit() bool { return 2*s.limiting > s.entries }
+
+// firstLevel returns the part of the demand that is admitted at first: the mean of the other
+// entries if most hold a level, or what could be placed.
 func (s supply) firstLevel() float64 {
-	own := (1 - s.unplaced) * (1 + minHeadroom)
-	return (own + s.limits) / float64(1+s.limiting)
+	if s.othersLimit() {
+		return s.limits / float64(s.limiting)
+	}
+	return (1 - s.unplaced) * (1 + minHeadroom)
 }
 
 // adjust changes the room as the measurements since the latest change call for.
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -12,7 +12,7 @@
 
 // Class identifies requests that are admitted alike.
 type Class struct {
-	Rank int    `msgpack:"r"`           // 0 is the most urgent
+	Rank int    `msgpack:"r"`           // 0 is the most urgent, 9 the least
 	Team string `msgpack:"t,omitempty"` // empty for callers without a team
 }
 
--- a/overload/reports.go
+++ b/overload/reports.go
@@ -107,14 +107,15 @@
 // addHeard adds the demand that another entry has told.
 func (t *demandTable) addHeard(now time.Time, d ClassDemand) listedDemand {
 	l := listedDemand{work: amount(d.Work)}
+	name := d.Class.normalized()
 	if d.Teams <= 0 {
-		l.class = t.lookup(d.Class)
+		l.class = t.lookup(name)
 		if l.class == nil && len(t.list) < maxClasses {
-			l.class = t.insert(now, d.Class)
+			l.class = t.insert(now, name)
 		}
 	}
 	if l.class == nil {
-		l.class = t.rest(now, d.Class.Rank)
+		l.class = t.rest(now, name.Rank)
 		l.mean = l.work / float64(max(d.Teams, 1))
 	}
 	l.class.heard += l.work
--- a/overload/share.go
+++ b/overload/share.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -57,19 +58,21 @@
 }
 
 func (a *allocator) find(rank int) *rankShare {
-	i, ok := slices.BinarySearchFunc(a.ranks, rank, func(r rankShare, rank int) int { return r.rank - rank })
+	i, ok := slices.BinarySearchFunc(a.ranks, rank, compareRank)
 	if !ok {
 		return nil
 	}
 	return &a.ranks[i]
 }
 
+func compareRank(r rankShare, rank int) int { return cmp.Compare(r.rank, rank) }
+
 func (a *allocator) sumRanks(claims []claim) {
 	a.ranks = a.ranks[:0]
 	for _, c := range claims {
 		r := a.find(c.rank)
 		if r == nil {
-			i, _ := slices.BinarySearchFunc(a.ranks, c.rank, func(r rankShare, rank int) int { return r.rank - rank })
+			i, _ := slices.BinarySearchFunc(a.ranks, c.rank, compareRank)
 			a.ranks = slices.Insert(a.ranks, i, rankShare{rank: c.rank})
 			r = &a.ranks[i]
 		}
