overload: interface: Request.Waited, so that changes of a level are measured after their effect

Cause: requests that were admitted before a change of the level still wait for a place. Where they wait longer than 200 ms (objectives over 2 s), their refusals were taken for an effect of the new level.

Change: RecordUnplaced takes how long the request has waited; the next measurement begins after that (200 ms to 1 s; 200 ms if unknown). Callers that leave it out are served as before.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -71,6 +71,7 @@
 	s.unplaced.add(now, amount(r.Work))
 	s.refusals.add(now, 1)
 	s.unplacedAt = now
+	s.observeWait(r.Waited)
 }
 
 // SetUtilization records which part of the capacity of a service's targets is in use, as far as
@@ -160,7 +161,8 @@
 	placed     meter
 	unplaced   meter
 	refusals   meter
-	unplacedAt time.Time // zero if never
+	unplacedAt time.Time     // zero if never
+	wait       time.Duration // after which requests are given up
 	heard      heard
 	usedAt     time.Time
 
@@ -241,7 +243,7 @@
 }
 
 func (s *service) supply(now time.Time) supply {
-	u := supply{measured: now.Sub(s.placed.since), divided: len(s.claims) > 1}
+	u := supply{settle: s.settle(), measured: now.Sub(s.placed.since), divided: len(s.claims) > 1}
 	for _, c := range s.claims {
 		u.demand += c.work
 	}
@@ -269,9 +271,17 @@
 	return u
 }
 
+// observeWait adapts wait to how long a request has waited in vain: at once if longer, slowly if
+// shorter.
+func (s *service) observeWait(waited time.Duration) {
+	s.wait = max(waited, s.wait+(waited-s.wait)/16)
+}
+
+func (s *service) settle() time.Duration { return min(max(s.wait, minSettle), maxSettle) }
+
 // measuredFrom returns from when on placed and unplaced work shows the effect of the latest change
 // of the room.
-func (s *service) measuredFrom() time.Time { return s.estimate.changed.Add(settleTime) }
+func (s *service) measuredFrom() time.Time { return s.estimate.changed.Add(s.settle()) }
 
 // measure starts the measurement of placed and unplaced work anew once the latest change of the
 // room has taken effect.
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -87,6 +87,25 @@
 	assert.Assert(t, d.Fraction > 0.5, "%+v", d)
 }
 
+func TestSettleTimeFollowsWaits(t *testing.T) {
+	c := NewController(Config{})
+	r := request(urgent, Fresh)
+	c.RecordUnplaced(simStart, r)
+	s := c.services[testService]
+	assert.Equal(t, s.settle(), minSettle)
+	r.Waited = 400 * time.Millisecond
+	c.RecordUnplaced(simStart, r)
+	assert.Equal(t, s.settle(), r.Waited)
+	r.Waited = time.Hour
+	c.RecordUnplaced(simStart, r)
+	assert.Equal(t, s.settle(), maxSettle)
+	r.Waited = 300 * time.Millisecond
+	for range 1000 {
+		c.RecordUnplaced(simStart, r)
+	}
+	assert.Assert(t, s.settle() < 310*time.Millisecond, "%v", s.settle())
+}
+
 func TestLevels(t *testing.T) {
 	c := NewController(Config{})
 	now := offer(c, simStart, time.Second, half, urgent, late)
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -10,7 +10,6 @@
 const (
 	testService = "svc"
 	simTick     = 2 * time.Millisecond
-	simWait     = 100 * time.Millisecond // longest wait of an admitted request for a place
 	simReports  = 500 * time.Millisecond
 	simUsage    = 100 * time.Millisecond
 	meanWork    = 0.1         // seconds
@@ -50,6 +49,12 @@
 	return 0
 }
 
+// unplaced returns the request as recorded after it has waited in vain.
+func (r *simRequest) unplaced(wait time.Duration) Request {
+	r.Waited = wait
+	return r.Request
+}
+
 type simTally struct{ arrived, served int }
 
 // fleet simulates a service with a number of slots and several entries in virtual time. Admitted
@@ -60,8 +65,9 @@
 	unheard map[int]bool // neither sends nor receives reports
 	callers []callers
 	slots   func(sinceStart time.Duration) int
-	blind   bool // utilization is not known
-	byRank  bool // admitted requests are placed in the order of rank
+	wait    time.Duration // longest wait of an admitted request for a place
+	blind   bool          // utilization is not known
+	byRank  bool          // admitted requests are placed in the order of rank
 
 	rng            *rand.Rand
 	now            time.Time
@@ -77,7 +83,7 @@
 }
 
 func newFleet(seed uint64, entries, slots int, list ...callers) *fleet {
-	f := &fleet{callers: slices.Clone(list), slots: func(time.Duration) int { return slots }, rng: rand.New(rand.NewPCG(seed, 1)),
+	f := &fleet{wait: 100 * time.Millisecond, callers: slices.Clone(list), slots: func(time.Duration) int { return slots }, rng: rand.New(rand.NewPCG(seed, 1)),
 		now: simStart, dead: map[int]bool{}, unheard: map[int]bool{}, returns: map[time.Time][]*simRequest{},
 		tallies: make([]simTally, len(list)), onTick: func(time.Duration) {}}
 	for range entries {
@@ -159,7 +165,7 @@
 	if f.since() >= f.from {
 		f.admitted++
 	}
-	r.waitEnd = f.now.Add(simWait)
+	r.waitEnd = f.now.Add(f.wait)
 	f.waiting = append(f.waiting, r)
 }
 
@@ -202,7 +208,7 @@
 			}
 		case !f.now.Before(r.waitEnd):
 			if c != nil {
-				c.RecordUnplaced(f.now, r.Request)
+				c.RecordUnplaced(f.now, r.unplaced(f.wait))
 			}
 			if f.since() >= f.from {
 				f.unplaced++
--- a/overload/level.go
+++ b/overload/level.go
@@ -17,18 +17,19 @@
 	// minHeadroom is the part by which the level exceeds what could be placed, so that the room
 	// is used up and its growth noticed.
 	minHeadroom = 0.02
-	// settleTime is how long requests that were admitted before a change of the room may still
-	// wait for a place.
-	settleTime = 200 * time.Millisecond
-	// adjustInterval is the time between changes of the room: a period of the reports of other
-	// entries after settleTime.
-	adjustInterval = 700 * time.Millisecond
+	// minSettle and maxSettle bound how long requests that were admitted before a change of the
+	// room are expected to wait for a place. Their outcome does not show its effect.
+	minSettle = 200 * time.Millisecond
+	maxSettle = time.Second
+	// measureTime is the time between that and the next change: a period of the reports of other
+	// entries.
+	measureTime = 500 * time.Millisecond
 	// onset is how long the measured demand takes to follow a rise that started a level.
 	onset = 2 * demandHalfLife
 	// largeShare is the part of the admitted work that finds no place from which the room is
-	// changed after hastyInterval.
-	largeShare    = 0.25
-	hastyInterval = 400 * time.Millisecond
+	// changed after hastyMeasureTime.
+	largeShare       = 0.25
+	hastyMeasureTime = 200 * time.Millisecond
 	// minFraction is the least part of all demand that is admitted. It bounds the loss of callers
 	// whose entry competes with entries that keep no level.
 	minFraction = 0.15
@@ -47,6 +48,7 @@
 
 // supply is what is known of a service's load.
 type supply struct {
+	settle      time.Duration // how long a change of the room takes to have an effect
 	measured    time.Duration // since when unplaced is measured
 	entries     int           // other entries that told their level since the latest change
 	levels      float64       // sum of their levels
@@ -103,7 +105,7 @@
 		r.multiply(now, r.spare(s))
 	case since >= idleTime && s.unplaced < shortShare && r.spare(s) > fastStep:
 		r.multiply(now, (1+r.spare(s))/2)
-	case since >= adjustInterval || since >= hastyInterval && s.unplaced >= largeShare:
+	case since >= s.settle+measureTime || since >= s.settle+hastyMeasureTime && s.unplaced >= largeShare:
 		r.adjust(now, s)
 	}
 	r.follow(now, s.demand)
--- a/overload/level_test.go
+++ b/overload/level_test.go
@@ -8,7 +8,7 @@
 )
 
 // overloaded is the supply of a service whose callers ask for twice the room.
-var overloaded = supply{demand: 20, unplaced: 0.5, measured: time.Second, refusals: 50, utilization: 1, divided: true}
+var overloaded = supply{demand: 20, unplaced: 0.5, settle: minSettle, measured: time.Second, refusals: 50, utilization: 1, divided: true}
 
 func TestLevelStart(t *testing.T) {
 	for _, test := range []struct {
--- a/overload/loads_test.go
+++ b/overload/loads_test.go
@@ -202,6 +202,26 @@
 	assert.Check(t, f.served(2) >= 0.15)
 }
 
+// TestLongWaits lets admitted requests wait longer than entries do for usual objectives. Changes of the
+// level then show their effect late.
+func TestLongWaits(t *testing.T) {
+	for _, wait := range []time.Duration{500 * time.Millisecond, time.Second} {
+		for _, entries := range []int{1, 2} {
+			t.Run(fmt.Sprint(wait, " at ", entries), func(t *testing.T) {
+				f := newFleet(1, entries, simSlots, ranked(1.6)...)
+				f.wait = wait
+				f.run(3 * time.Second)
+				f.window(20 * time.Second)
+				t.Logf("served %.3f %.3f %.3f, %.3f of the slots used", f.served(0), f.served(1), f.served(2), f.utilization())
+				assert.Check(t, f.served(0) >= 0.88)
+				assert.Check(t, f.served(1) >= 0.8)
+				assert.Check(t, f.served(2) >= 0.15)
+				assert.Check(t, f.utilization() >= 0.95)
+			})
+		}
+	}
+}
+
 // TestRoomHalvesAndDoubles checks both steps 2 s later, the second one 4 s later if the utilization is
 // not known.
 func TestRoomHalvesAndDoubles(t *testing.T) {
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -8,7 +8,10 @@
 // target is asked. Package dispatch decides at which target an admitted request runs.
 package overload
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Class identifies requests that are admitted alike.
 type Class struct {
@@ -32,6 +35,9 @@
 	Class    Class
 	Work     float64 // seconds of one target's time
 	Standing Standing
+	// Waited is, for RecordUnplaced, how long the request has waited for a place since it was
+	// admitted. Zero if unknown.
+	Waited time.Duration
 }
 
 // Decision is the result of Controller.Admit.
