--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -184,6 +185,22 @@
 	}
 }
 
+func TestConcurrentUse(t *testing.T) {
+	c := NewController(Config{})
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			now := offer(c, simStart, time.Second, half, urgent, late)
+			c.SetUtilization(now, testService, 1)
+			c.SetReports(now, fmt.Sprint(i), c.Reports(now))
+			c.Levels(now)
+			c.Forget(fmt.Sprint(i))
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, len(c.services[testService].heard.reports), 0)
+}
+
 func TestIdleServicesAreDropped(t *testing.T) {
 	c := NewController(Config{})
 	now := offer(c, simStart, time.Second, half, urgent, late)
