--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,6 +88,25 @@
 	assert.Assert(t, d.Fraction > 0.5, "%+v", d)
 }
 
+func TestSettleTimeFollowsWaits(t *testing.T) {
+	c := NewController(Config{})
+	r := request(urgent, Fresh)
+	c.RecordUnplaced(simStart, r)
+	s := c.services[testService]
+	assert.Equal(t, s.settle(), minSettle)
+	r.Waited = 400 * time.Millisecond
+	c.RecordUnplaced(simStart, r)
+	assert.Equal(t, s.settle(), r.Waited)
+	r.Waited = time.Hour
+	c.RecordUnplaced(simStart, r)
+	assert.Equal(t, s.settle(), maxSettle)
+	r.Waited = 300 * time.Millisecond
+	for range 1000 {
+		c.RecordUnplaced(simStart, r)
+	}
+	assert.Assert(t, s.settle() < 310*time.Millisecond, "%v", s.settle())
+}
+
 func TestLevels(t *testing.T) {
 	c := NewController(Config{})
 	now := offer(c, simStart, time.Second, half, urgent, late)
@@ -150,18 +170,37 @@
 	}
 	offered = append(offered, ClassDemand{Class: late, Work: math.NaN()}, ClassDemand{Class: late, Work: math.Inf(1)},
 		ClassDemand{Class: late, Work: -5}, ClassDemand{Class: Class{Rank: -3}, Work: 1, Teams: -1})
+	for i := range 100 {
+		offered = append(offered, ClassDemand{Class: Class{Rank: (i - 50) << 40}, Work: 0.001, Teams: 1 << 40})
+	}
 	r := Report{Placed: math.NaN(), Unplaced: math.Inf(1), Refusals: -1, Level: 17, Offered: offered}
 	for range 3 {
 		c.SetReports(now, "other", map[string]Report{testService: r})
 		now = offer(c, now, time.Second, half, urgent, late)
 		s := c.services[testService]
-		assert.Assert(t, len(s.demand.list) <= maxClasses)
+		assert.Assert(t, len(s.demand.list) <= maxClasses && len(s.demand.rests) <= maxRank+1)
 		assert.Assert(t, s.total > 0 && s.total < 1000, "demand %v", s.total)
 		d := c.Admit(now, request(urgent, Fresh))
 		assert.Assert(t, d.Fraction > 0 && d.Fraction <= 1, "%+v", d)
 	}
 }
 
+func TestConcurrentUse(t *testing.T) {
+	c := NewController(Config{})
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			now := offer(c, simStart, time.Second, half, urgent, late)
+			c.SetUtilization(now, testService, 1)
+			c.SetReports(now, fmt.Sprint(i), c.Reports(now))
+			c.Levels(now)
+			c.Forget(fmt.Sprint(i))
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, len(c.services[testService].heard.reports), 0)
+}
+
 func TestIdleServicesAreDropped(t *testing.T) {
 	c := NewController(Config{})
 	now := offer(c, simStart, time.Second, half, urgent, late)
--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -10,7 +10,6 @@
 const (
 	testService = "svc"
 	simTick     = 2 * time.Millisecond
-	simWait     = 100 * time.Millisecond // longest wait of an admitted request for a place
 	simReports  = 500 * time.Millisecond
 	simUsage    = 100 * time.Millisecond
 	meanWork    = 0.1         // seconds
@@ -50,6 +49,12 @@
 	return 0
 }
 
+// unplaced returns the request as recorded after it has waited in vain.
+func (r *simRequest) unplaced(wait time.Duration) Request {
+	r.Waited = wait
+	return r.Request
+}
+
 type simTally struct{ arrived, served int }
 
 // fleet simulates a service with a number of slots and several entries in virtual time. Admitted
@@ -60,24 +65,25 @@
 	unheard map[int]bool // neither sends nor receives reports
 	callers []callers
 	slots   func(sinceStart time.Duration) int
-	blind   bool // utilization is not known
-	byRank  bool // admitted requests are placed in the order of rank
+	wait    time.Duration // longest wait of an admitted request for a place
+	blind   bool          // utilization is not known
+	byRank  bool          // admitted requests are placed in the order of rank
 
-	rng      *rand.Rand
-	now      time.Time
-	waiting  []*simRequest
-	running  []*simRequest
-	returns  map[time.Time][]*simRequest
-	from     time.Duration // requests that arrive before are not counted
-	tallies  []simTally    // by callers
-	admitted int           // since from
-	unplaced int           // since from
-	busy     float64       // slot seconds in use, since from
-	onTick   func(sinceStart time.Duration)
+	rng            *rand.Rand
+	now            time.Time
+	waiting        []*simRequest
+	running        []*simRequest
+	returns        map[time.Time][]*simRequest
+	from           time.Duration // requests that arrive before are not counted
+	tallies        []simTally    // by callers
+	admitted       int           // since from
+	unplaced       int           // since from
+	busy, capacity float64       // slots times ticks in use, and in all, since from
+	onTick         func(sinceStart time.Duration)
 }
 
 func newFleet(seed uint64, entries, slots int, list ...callers) *fleet {
-	f := &fleet{callers: slices.Clone(list), slots: func(time.Duration) int { return slots }, rng: rand.New(rand.NewPCG(seed, 1)),
+	f := &fleet{wait: 100 * time.Millisecond, callers: slices.Clone(list), slots: func(time.Duration) int { return slots }, rng: rand.New(rand.NewPCG(seed, 1)),
 		now: simStart, dead: map[int]bool{}, unheard: map[int]bool{}, returns: map[time.Time][]*simRequest{},
 		tallies: make([]simTally, len(list)), onTick: func(time.Duration) {}}
 	for range entries {
@@ -103,7 +109,8 @@
 		f.place()
 		f.exchange()
 		if f.since() >= f.from {
-			f.busy += float64(len(f.running)) * simTick.Seconds()
+			f.busy += float64(min(len(f.running), f.slots(f.since())))
+			f.capacity += float64(f.slots(f.since()))
 		}
 	}
 }
@@ -158,7 +165,7 @@
 	if f.since() >= f.from {
 		f.admitted++
 	}
-	r.waitEnd = f.now.Add(simWait)
+	r.waitEnd = f.now.Add(f.wait)
 	f.waiting = append(f.waiting, r)
 }
 
@@ -201,7 +208,7 @@
 			}
 		case !f.now.Before(r.waitEnd):
 			if c != nil {
-				c.RecordUnplaced(f.now, r.Request)
+				c.RecordUnplaced(f.now, r.unplaced(f.wait))
 			}
 			if f.since() >= f.from {
 				f.unplaced++
@@ -253,7 +260,7 @@
 func (f *fleet) measure() {
 	f.from = f.since()
 	f.tallies = make([]simTally, len(f.callers))
-	f.admitted, f.unplaced, f.busy = 0, 0, 0
+	f.admitted, f.unplaced, f.busy, f.capacity = 0, 0, 0, 0
 }
 
 // window runs the fleet for d and counts only the requests that arrive in it.
@@ -264,7 +271,7 @@
 
 // utilization returns the part of the slots that were in use since measure.
 func (f *fleet) utilization() float64 {
-	return f.busy / (f.since() - f.from).Seconds() / float64(f.slots(f.since()))
+	return f.busy / max(f.capacity, 1)
 }
 
 // served returns the part of the callers' requests that were placed in time.
