--- a/mesh/catchup.go
+++ b/mesh/catchup.go
@@ -12,7 +12,7 @@
 // the peer whose copy is most advanced, once the own copy has been behind for catchUpDelay.
 func (m *Mesh) catchUpIfBehind(ctx context.Context, now time.Time) {
 	addr, behind := m.members.MostAdvanced(now, m.table.Revision(), m.self.Domain)
-	if !behind {
+	if !behind || m.racesFirstCopy() {
 		m.behindSince = time.Time{}
 		return
 	}
--- a/mesh/firstcopy.go
+++ b/mesh/firstcopy.go
@@ -44,7 +44,7 @@
 	if !m.startHeld || now.Sub(m.startedAt) < startHold && !m.knowsWhomToFollow() {
 		return
 	}
-	m.startHeld = false
+	m.startHeld, m.holdEndedAt = false, now
 	m.signalSourceChanged()
 }
 
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
@@ -68,7 +69,7 @@
 // to date, from the store or from other entries. It must be called once, before Run.
 func (m *Mesh) NewFollower(cfg mirror.Config, store mirror.Source, log logrus.FieldLogger) *mirror.Follower {
 	m.store = mirror.NewMonitoredStore(store, log)
-	m.startHeld = len(m.otherSeeds()) > 0
+	m.startHeld, m.holdEndedAt = len(m.otherSeeds()) > 0, clock.Now()
 	return mirror.NewFollower(mirror.Options{Config: cfg, Table: m.table, Store: m.store, Route: m, Log: log,
 		Stats: mirror.NewStats(m.metrics)})
 }
@@ -84,6 +85,9 @@
 	if m.startHeld {
 		return undecided{}, m.sourceChanged
 	}
+	if m.racesFirstCopy() {
+		return &firstCopySource{m}, nil // which sources it asks follows the members
+	}
 	if m.role.follows == "" {
 		return nil, m.sourceChanged
 	}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -355,6 +355,17 @@
 	return next.list
 }
 
+// Reports returns what the live entries last reported about themselves, ordered by address.
+func (m *Members) Reports(now time.Time) []peer.Presence {
+	var out []peer.Presence
+	for _, addr := range m.Addrs() {
+		if x := m.byAddr[addr]; m.isLive(now, x) {
+			out = append(out, x.Presence)
+		}
+	}
+	return out
+}
+
 // Version returns a number that is raised whenever members, or which of them are live, change.
 func (m *Members) Version(now time.Time) uint64 {
 	m.Live(now) // notices members that expired
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -54,6 +54,8 @@
 	crashes       *quarantine.Table      // crash records; nil for none
 	engines       *reportRegistry
 	told          confirmationsTold
+	packedCopy    packedCopy
+	firstCopies   firstCopyCounters
 	isSeed        bool // other processes start discovery at this entry
 	seeds         []string
 	targetDomain  func(target string) string
@@ -77,8 +79,9 @@
 	forwarded       map[string]forwardedReport // reports that this entry forwards, by engine
 	behindSince     time.Time
 	catchingUp      bool
-	startHeld       bool // see startHold
-	introduced      bool // another entry has told addresses of members
+	startHeld       bool      // see startHold
+	holdEndedAt     time.Time // when the start hold ended
+	introduced      bool      // another entry has told addresses of members
 	role            role
 	roleBasis       roleBasis
 	crashMismatches map[string]time.Time // since when the crash digests of other entries differ, by address
@@ -131,6 +134,7 @@
 		crashes: o.Crashes, crashMismatches: map[string]time.Time{},
 		copyDifferences: differences{}, copiesDiffered: metrics.NewRegisteredCounter("mesh.copies_differed", o.Metrics),
 		repairs: metrics.NewRegisteredCounter("mesh.copy_repairs", o.Metrics), liveChanged: make(chan struct{}), sourceChanged: make(chan struct{}), membersChanged: make(chan struct{}, 1)}
+	m.firstCopies = newFirstCopyCounters(o.Metrics)
 	if m.isEntry() {
 		m.registerGauges()
 	}
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -22,7 +22,7 @@
 
 // Range implements mirror.Source.
 func (s *peerSource) Range(ctx context.Context, _ string) (mirror.Batch, error) {
-	return s.read(ctx, &peer.MirrorRead{All: true, WaitMs: s.mesh.firstCopyWaitMs()})
+	return s.read(ctx, &peer.MirrorRead{All: true, WaitMs: s.mesh.firstCopyWaitMs(), Packed: true})
 }
 
 // Watch implements mirror.Source.
@@ -51,7 +51,13 @@
 	// the time for which the peer waited for changes.
 	transit := clock.Since(begun) - time.Duration(reply.WaitedMs)*time.Millisecond
 	b := mirror.Batch{Revision: reply.Revision, MaxRevision: reply.MaxRevision, Age: time.Duration(reply.AgeMs)*time.Millisecond + max(0, transit)}
-	for _, e := range reply.Events {
+	events := reply.Events
+	if reply.Packed != nil {
+		if events, err = peer.UnpackEvents(reply.Packed); err != nil {
+			return mirror.Batch{}, errors.Wrap(mirror.ErrUnavailable, err.Error())
+		}
+	}
+	for _, e := range events {
 		b.Events = append(b.Events, mirror.Event{Deleted: e.Deleted,
 			Item: mirror.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}})
 	}
@@ -89,7 +95,11 @@
 	case err != nil:
 		return &peer.MirrorBatch{Status: peer.MirrorEmpty}
 	}
-	return answer(begun, b)
+	reply := answer(begun, b)
+	if q.All && q.Packed {
+		m.packedCopy.pack(reply)
+	}
+	return reply
 }
 
 // answer returns the message for a batch, in reply to a request that arrived at begun. This
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -184,12 +184,17 @@
 // without a copy alternates between the peer and the store after each failure.
 func (f *Follower) source() (Source, <-chan struct{}) {
 	src, changed := f.route.Source()
-	if src == nil || f.table.Revision() == 0 && f.failures%2 == 1 {
+	if src == nil || f.table.Revision() == 0 && f.failures%2 == 1 && !readsStore(src) {
 		return f.store, changed
 	}
 	return src, changed
 }
 
+func readsStore(src Source) bool {
+	r, ok := src.(StoreReader)
+	return ok && r.ReadsStore()
+}
+
 func (f *Follower) recordSuccess(src Source) {
 	if f.sourceLost {
 		f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix, "revision": f.table.Revision(),
@@ -199,7 +204,7 @@
 }
 
 // follow makes one call to src and applies its result. It returns ErrSourceChanged when
-// changed is closed during the call.
+// changed is closed during the call, and if src returns it.
 func (f *Follower) follow(ctx context.Context, src Source, changed <-chan struct{}) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -214,7 +219,7 @@
 	if needsFullCopy(err) {
 		err = f.readInstead(ctx, src, err)
 	}
-	if err != nil && errors.Is(context.Cause(ctx), ErrSourceChanged) {
+	if err != nil && (errors.Is(err, ErrSourceChanged) || errors.Is(context.Cause(ctx), ErrSourceChanged)) {
 		return ErrSourceChanged
 	}
 	if err != nil && ctx.Err() == nil && !f.sourceLost {
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -73,6 +73,9 @@
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Batch, error)
 }
 
+// StoreReader is implemented by sources that read the store themselves if other sources fail.
+type StoreReader interface{ ReadsStore() bool }
+
 // Paid is implemented by sources whose calls may be billed.
 type Paid interface{ Paid() bool }
 
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -8,6 +8,7 @@
 	All    bool              // read all keys; otherwise the changes after revision After
 	After  revision.Revision // store revision; used unless All is set
 	WaitMs int64             // longest wait for changes; with All, for the peer's first copy
+	Packed bool              // the reply to a read of all keys may have its events in MirrorBatch.Packed
 }
 
 // Kind implements Message.
@@ -40,6 +41,7 @@
 	MaxRevision revision.Revision // a read of all keys may contain some, but not all, of the changes up to this revision
 	AgeMs       int64             // upper bound of the time since the copy was known to match the store
 	WaitedMs    int64             // lower bound of the time that the peer waited for changes
+	Packed      []byte            // the events as of PackEvents, instead of Events; nil if the request does not allow that
 }
 
 // Kind implements Message.
