--- a/mesh/store_test.go
+++ b/mesh/store_test.go
@@ -75,10 +75,13 @@
 	return n
 }
 
-// lastCall returns when the last call began.
+// lastCall returns when the last call began; zero if there was none.
 func (v *storeView) lastCall() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if len(v.calls) == 0 {
+		return time.Time{}
+	}
 	return v.calls[len(v.calls)-1]
 }
 
--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -92,23 +92,29 @@
 	return nil
 }
 
-// pieceWithContext requests a piece from the source and returns as soon as ctx ends, even
-// while the source is still dialling, which may take seconds.
+// pieceWithContext requests a piece from the source and returns as soon as ctx ends.
 func (s *Sidecar) pieceWithContext(ctx context.Context, m *weights.Manifest, index int) ([]byte, error) {
+	return callSource(ctx, &s.sourceCalls, func() ([]byte, error) { return s.source.Piece(ctx, m, index) })
+}
+
+// callSource calls the source and returns as soon as ctx ends, even while the source is still
+// dialling, which may take seconds. Calls that it abandons count in calls until they return.
+func callSource[T any](ctx context.Context, calls *sync.WaitGroup, call func() (T, error)) (T, error) {
 	type result struct {
-		data []byte
-		err  error
+		value T
+		err   error
 	}
 	results := make(chan result, 1)
-	s.sourceCalls.Go(func() {
-		data, err := s.source.Piece(ctx, m, index)
-		results <- result{data, err}
+	calls.Go(func() {
+		v, err := call()
+		results <- result{v, err}
 	})
 	select {
 	case r := <-results:
-		return r.data, r.err
+		return r.value, r.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		var none T
+		return none, ctx.Err()
 	}
 }
 
--- a/sidecar/inspect.go
+++ b/sidecar/inspect.go
@@ -34,16 +34,22 @@
 	return found, err
 }
 
-// manifests reads the manifests of several versions concurrently. The result has no key
-// for a version whose manifest could not be read.
-func (s *Sidecar) manifests(ctx context.Context, model string, versions []int) map[int]*weights.Manifest {
+// manifests reads the manifests of several versions concurrently until all are read or one of
+// them matches the whole sample: some may have to be read from an origin that is far away or does
+// not answer. The result has no key for a version whose manifest was not read.
+func (s *Sidecar) manifests(ctx context.Context, model string, versions []int, sample map[int][]byte) map[int]*weights.Manifest {
 	ctx, cancel := clock.WithTimeout(ctx, s.cfg.InspectTimeout)
 	defer cancel()
 	found := map[int]*weights.Manifest{}
 	always := func() bool { return true }
 	_ = forEachIndex(ctx, versions, len(versions), always, func(v int) (func(), error) {
-		m, err := s.manifest(ctx, model, v)
-		return func() { found[v] = m }, err
+		m, err := callSource(ctx, &s.sourceCalls, func() (*weights.Manifest, error) { return s.manifest(ctx, model, v) })
+		return func() {
+			found[v] = m
+			if matching(m, sample) == len(sample) {
+				cancel()
+			}
+		}, err
 	})
 	return found
 }
@@ -74,7 +80,7 @@
 		return s.cfg.PollBusy
 	}
 	candidates := as.candidates(version)
-	manifests := s.manifests(ctx, as.Model, candidates)
+	manifests := s.manifests(ctx, as.Model, candidates, sample)
 	var best *weights.Manifest
 	for _, v := range candidates {
 		if m := manifests[v]; m != nil && matching(m, sample) > 0 && (best == nil || matching(m, sample) > matching(best, sample)) {
