--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -173,9 +173,14 @@
 	delay       time.Duration
 	fetched     int
 	unavailable int // a version of which only the first piece is available
+	silent      int // a version of which requests for the manifest get no answer
 }
 
-func (s *fakeSource) Manifest(_ context.Context, model string, version int) (*weights.Manifest, error) {
+func (s *fakeSource) Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
+	if s.silent == version && version > 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	m := &weights.Manifest{Model: model, Version: version}
 	for i := range pieces {
 		m.Digests = append(m.Digests, sha256.Sum256([]byte(content(version, i))))
--- a/sidecar/stage_test.go
+++ b/sidecar/stage_test.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// The manifest of another version that may be staged is not available. Once the sample matches the
+// assigned version, the agent does not wait for it.
+func TestOtherManifestsAreNotAwaited(t *testing.T) {
+	e := &fakeEngine{staged: stagedVersion(2)}
+	runSidecar(t, Config{}, e, &fakeSource{silent: 1}, func(s *Sidecar, published func() peer.EngineState) {
+		s.Assign(time.Now(), newAssignment(2, 0, 1))
+		time.Sleep(s.cfg.InspectTimeout / 2)
+		assert.Equal(t, published().Version, 2)
+		assert.Assert(t, !e.loadedInvalid)
+	})
+}
+
 // If one of the staged pieces is missing, the previous agent may have ordered the load all
 // the same.
 func TestOrderIsRepeatedIfFirstPieceIsMissing(t *testing.T) {
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -150,16 +150,16 @@
 		if try > 0 && !r.recovery.wait(ctx, r.cfg.RetryPause<<(try-1)) {
 			break
 		}
-		for _, src := range r.sources(key, q.Hops, try) {
-			m, err := r.manifestFrom(ctx, src, q)
-			if err == nil {
-				r.storeManifest(m)
-				return m, nil
-			}
-			last = err
-			r.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "try": try,
-				"source": src.String()}).Debug("Read of manifest from source failed.")
+		srcs := r.sources(key, q.Hops, try)
+		if try == 0 {
+			srcs = append(srcs, r.others(key, srcs)...) // beside a slow read of the origin
 		}
+		m, err := r.firstManifest(ctx, srcs, q)
+		if err == nil {
+			r.storeManifest(m)
+			return m, nil
+		}
+		last = err
 	}
 	return nil, errors.Wrapf(ErrNoSource, "manifest of %s version %d: %v", q.Model, q.Version, last)
 }
@@ -216,7 +216,9 @@
 	}
 	defer r.originLimiter.release()
 	m, err := r.originClient.Manifest(ctx, o.Addr, q.Model, q.Version)
-	r.recovery.record(err)
+	if !errors.Is(ctx.Err(), context.Canceled) { // another source was faster
+		r.recovery.record(err)
+	}
 	return m, err
 }
 
--- a/weights/relay_test.go
+++ b/weights/relay_test.go
@@ -28,14 +28,23 @@
 type fakeOrigin struct {
 	mu               sync.Mutex
 	down             bool
-	corruptPieces    int // number of following pieces to corrupt
+	silent           bool // requests for manifests get no answer
+	manifests        int  // number of requests for manifests
+	corruptPieces    int  // number of following pieces to corrupt
 	corruptManifests int
 	pieces           map[int]int // number of times each piece was sent
 }
 
-func (o *fakeOrigin) Manifest(_ context.Context, _, model string, version int) (*Manifest, error) {
+func (o *fakeOrigin) Manifest(ctx context.Context, _, model string, version int) (*Manifest, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.manifests++
+	if o.silent {
+		o.mu.Unlock()
+		<-ctx.Done()
+		o.mu.Lock()
+		return nil, ctx.Err()
+	}
 	if o.down {
 		return nil, errors.New("origin down")
 	}
@@ -70,6 +79,7 @@
 	relays  map[string]*Relay
 	agents  map[string]int    // staged version by address
 	domains map[string]string // of the agents, by address
+	silent  map[string]bool   // entries that do not answer
 }
 
 func newNetwork(entries map[string]string) *network {
@@ -112,6 +122,10 @@
 	if r == nil {
 		return nil, errors.New("no such peer")
 	}
+	if n.silent[addr] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	switch q := m.(type) {
 	case *peer.GetManifest:
 		return r.manifestReply(ctx, q), nil
