--- a/mesh/firstcopy.go
+++ b/mesh/firstcopy.go
@@ -41,7 +41,7 @@
 // endStartHold ends the start hold if it has lasted startHold, or if enough is known to choose a
 // source. The lock must be held.
 func (m *Mesh) endStartHold(now time.Time) {
-	if !m.startHeld || now.Sub(m.startedAt) < startHold && !m.knowsWhomToFollow() {
+	if !m.startHeld || now.Sub(m.startedAt) < startHold && !m.knowsWhomToFollow(now) {
 		return
 	}
 	m.startHeld, m.holdEndedAt = false, now
@@ -50,11 +50,11 @@
 
 // knowsWhomToFollow reports whether this entry knows many others of a large fleet, or is in a small
 // one that runs already: it was told the members, and an entry there has a copy.
-func (m *Mesh) knowsWhomToFollow() bool {
+func (m *Mesh) knowsWhomToFollow(now time.Time) bool {
 	if m.large() {
 		return len(m.live) >= overlay.CompleteUpTo
 	}
-	return m.introduced && slices.ContainsFunc(m.live, func(p peer.Presence) bool { return p.Revision > 0 })
+	return m.introduced && slices.ContainsFunc(m.members.Reports(now), func(p peer.Presence) bool { return p.Revision > 0 })
 }
 
 // firstCopyWaitMs returns for how many milliseconds an entry that this one follows may wait for
