--- a/mesh/firstcopysource_test.go
+++ b/mesh/firstcopysource_test.go
@@ -1,10 +1,12 @@
 package mesh
 
 import (
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
@@ -182,3 +184,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(events), 2, "a changed copy is packed again")
 }
+
+// The start hold of an entry ends when another one reports a copy, also if that one was known
+// before without a copy.
+func TestStartHoldEndsWhenAKnownEntryHasACopy(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m := New(Options{Self: reportedEntry("self", "a", 0, 0), Seeds: []string{"x"}, Table: mirror.NewTable(""), Log: log})
+	m.NewFollower(mirror.Config{}, &storeView{}, log)
+	now := m.startedAt
+	m.introduced = true
+	x := reportedEntry("x", "a", 0, 0)
+	m.members.Observe(now, x)
+	m.setLive(m.members.Live(now))
+	m.endStartHold(now)
+	assert.Assert(t, m.startHeld)
+	x.Revision = 1
+	m.members.Observe(now, x)
+	m.endStartHold(now)
+	assert.Assert(t, !m.startHeld)
+	assert.Assert(t, m.racesFirstCopy())
+}
