weights: entries that take each other for the reader of a manifest ask the origin

Cause: at a start entries know different members, so two may wait for each other until the peer timeout.

--- a/weights/race.go
+++ b/weights/race.go
@@ -15,14 +15,26 @@
 	// entry is asked as well: several round trips between regions.
 	entryPatience = 100 * time.Millisecond
 	// originPatience is the same for the origin, which not all entries may ask because the readers
-	// are slow: its link and its connections are few.
-	originPatience = time.Second
+	// are slow: its link and its connections are few. Entries that know different members may
+	// take each other for the reader, and wait for each other.
+	originPatience = 400 * time.Millisecond
 )
 
 // due reports whether the next source of a manifest is asked although earlier ones, pending in
 // number, have not answered; waited is the time since the latest of them was asked.
 func (s source) due(pending int, waited time.Duration) bool {
-	return pending == 0 || waited >= s.patience()
+	if pending == 0 {
+		return !s.beside
+	}
+	return waited >= s.patience()
+}
+
+// beside returns the sources as such that are asked only beside others that do not answer.
+func beside(srcs []source) []source {
+	for i := range srcs {
+		srcs[i].beside = true
+	}
+	return srcs
 }
 
 func (s source) patience() time.Duration {
@@ -45,9 +57,13 @@
 	}
 	results := make(chan result, len(srcs))
 	last, pending, askedAt := error(ErrNoSource), 0, clock.Now()
-	for len(srcs) > 0 || pending > 0 {
+	for {
 		waited := clock.Since(askedAt)
-		if i := slices.IndexFunc(srcs, func(s source) bool { return s.due(pending, waited) }); i >= 0 {
+		i := slices.IndexFunc(srcs, func(s source) bool { return s.due(pending, waited) })
+		if i < 0 && pending == 0 {
+			return nil, last
+		}
+		if i >= 0 {
 			src := srcs[i]
 			srcs, pending, askedAt = slices.Delete(srcs, i, i+1), pending+1, clock.Now()
 			go func() {
@@ -70,7 +86,6 @@
 		}
 		timer.Stop()
 	}
-	return nil, last
 }
 
 // nextSourceTimer returns a timer that fires when the next of the sources is due if nobody answers;
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -147,12 +147,12 @@
 func (r *Relay) readManifest(ctx context.Context, key string, q *peer.GetManifest) (*Manifest, error) {
 	var last error
 	for try := range r.tries(q.Hops) {
-		if try > 0 && !r.recovery.wait(ctx, r.cfg.RetryPause<<(try-1)) {
+		if try > 0 && !r.recovery.wait(ctx, r.retryPause(try)) {
 			break
 		}
 		srcs := r.sources(key, q.Hops, try)
 		if try == 0 {
-			srcs = append(srcs, r.others(key, srcs)...) // beside a slow read of the origin
+			srcs = append(srcs, beside(r.others(key, srcs))...)
 		}
 		m, err := r.firstManifest(ctx, srcs, q)
 		if err == nil {
@@ -177,6 +177,15 @@
 	return DecodeManifest(q.Model, q.Version, msg)
 }
 
+// retryPause returns the pause before a pass over the sources of a manifest; try counts from 0. It
+// does not grow while this entry has no configuration yet and so knows no origin.
+func (r *Relay) retryPause(try int) time.Duration {
+	if r.origin() == nil {
+		return r.cfg.RetryPause
+	}
+	return r.cfg.RetryPause << (try - 1)
+}
+
 // HasContent reports whether an entry's reply contains the requested manifest or piece.
 func HasContent(msg peer.Message) bool {
 	switch m := msg.(type) {
--- a/weights/sources.go
+++ b/weights/sources.go
@@ -25,6 +25,7 @@
 type source struct {
 	addr      string
 	localOnly bool // the entry must answer only from its memory
+	beside    bool // asked only while an earlier source does not answer
 }
 
 func (s source) isOrigin() bool { return s.addr == "" }
