dispatch: a speed for each target

Cause: all targets of a service were forecast alike, although some engines take 2.5 times as long. Change: agents publish the pace that their engine states; entries estimate it from the spacing of events, from first events and, at plain targets, from latency by kind; forecast, admission and silence limits use it (mechanism target-speed).

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -35,13 +35,16 @@
 }
 
 // admits reports whether a target with the given load and forecast may take the request. The
-// wait at an idle target is always accepted: refusing would not help any other request.
-func (a Admission) admits(l Load, f Forecast) bool {
+// wait at an idle target is always accepted: refusing would not help any other request. slow is
+// by how much the target is slower than most (see relative).
+func (a Admission) admits(l Load, f Forecast, slow float64) bool {
 	if a.MaxLoad > 0 && l.Requests >= a.MaxLoad {
 		return false
 	}
-	if a.MaxGap > 0 && f.Gap > a.MaxGap && l.PendingPrefill > 0 {
-		return false // with no other prompt pending, a long prompt is accepted, or it would be refused forever
+	if a.MaxGap > 0 && f.Gap > a.MaxGap && (l.PendingPrefill > 0 || slow > 1 && l.Requests > 0) {
+		// With no other prompt pending, a long prompt is accepted, or it would be refused forever;
+		// but not at a slow target with running streams, since most others are not slow.
+		return false
 	}
 	return f.Wait <= max(a.MaxWait, f.IdleWait)
 }
@@ -54,12 +57,13 @@
 	overdueWaitFraction = 0.5
 )
 
-// admission returns the limits for a request that may be sent to t. All requests of a service
+// admission returns the limits for a request that may be sent to t, which is slower than most by
+// the factor slow (see relative). All requests of a service
 // that can still be in time have the same MaxWait, whatever their objective and size. If each
 // request were tested against its own objective, the load would rise until only the loosest
 // objectives were met, and requests with tighter objectives would starve.
-func (b *Balancer) admission(now time.Time, t *Target, stats *objectiveStats, d Demand) Admission {
-	a := Admission{MaxWait: b.commonWait(t, stats, d), MaxGap: time.Duration(b.cfg.AdmitGapFraction * float64(d.MaxGap))}
+func (b *Balancer) admission(now time.Time, t *Target, stats *objectiveStats, d Demand, slow float64) Admission {
+	a := Admission{MaxWait: b.commonWait(now, t, stats, d, slow), MaxGap: time.Duration(b.cfg.AdmitGapFraction * float64(d.MaxGap))}
 	switch d.Standing {
 	case Overdue:
 		if stats.overloaded(now) {
@@ -83,27 +87,28 @@
 
 // commonWait returns the longest wait at t with which a request of mean size meets every
 // objective that at least minObjectiveShare of the service's requests have.
-func (b *Balancer) commonWait(t *Target, stats *objectiveStats, d Demand) time.Duration {
+func (b *Balancer) commonWait(now time.Time, t *Target, stats *objectiveStats, d Demand, slow float64) time.Duration {
 	if b.cfg.Off.Has(mechanism.CommonWait) || stats == nil || len(stats.shares) == 0 {
-		return b.slack(t, d.Objective, d.Prompt)
+		return b.slack(now, t, d, slow)
 	}
 	least := time.Duration(math.MaxInt64)
 	for _, o := range stats.shares {
 		if o.count >= minObjectiveShare*stats.total {
-			least = min(least, b.slack(t, o.objective, o.meanPrompt()))
+			least = min(least, b.slack(now, t, Demand{Objective: o.objective, Prompt: o.meanPrompt(), Kind: d.Kind}, slow))
 		}
 	}
 	return least
 }
 
 // slack returns how long a request may wait at t and still be served within the fraction
-// Config.AdmitFraction of its objective.
-func (b *Balancer) slack(t *Target, objective time.Duration, prompt int) time.Duration {
-	service := b.plainLatency(t)
+// Config.AdmitFraction of its objective. slow is by how much the target is slower than most.
+func (b *Balancer) slack(now time.Time, t *Target, d Demand, slow float64) time.Duration {
+	service := b.plainLatency(now, t, d.Kind)
 	if t.model != nil {
-		service = passTime(t.model, t.model.Slots) + prefillTime(t.model, prompt)
+		service = passTime(t.model, t.model.Slots) + prefillTime(t.model, d.Prompt)
 	}
-	return max(time.Duration(b.cfg.AdmitFraction*float64(objective))-service, 0)
+	service = time.Duration(slow * float64(service))
+	return max(time.Duration(b.cfg.AdmitFraction*float64(d.Objective))-service, 0)
 }
 
 // RecordArrival records a new request for a service before a target is chosen. It returns the
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -19,6 +19,9 @@
 	Version int // fully loaded version; 0 if none
 	Loading bool
 	StartMs int64 // start time of the engine in Unix milliseconds; 0 if unknown
+	// Pace is how many times as long as by its cost model the engine takes, as it states; 0 if
+	// unknown.
+	Pace float64
 }
 
 // Target is an instance together with this entry's view of it. Its fields are guarded by the
@@ -35,6 +38,8 @@
 	replaced        bool
 	connectionsLost int // requests of this entry whose connection to the target was lost
 	pace            pacer
+	speed           engineSpeed // of a model engine
+	plain           plainSpeed  // of a plain target
 	// coldRate is the number of requests per second that the target can sustain while it is
 	// cold, that is, until Instance.ColdUntil; 0 for no limit.
 	coldRate float64
@@ -55,6 +60,8 @@
 	objectives map[string]*objectiveStats // by service
 	states     map[string]EngineState     // by address, as reported by agents
 	versions   map[string]wantedVersions  // by model
+	common     map[string]commonSlowdown  // by service
+	latencies  map[kindKey]kindLatency    // of plain targets
 	notices    *notice.Table
 	rng        *rand.Rand
 	changed    chan struct{} // closed when a target may have become available
@@ -63,7 +70,7 @@
 // NewBalancer returns a Balancer without targets.
 func NewBalancer(cfg Config, rng *rand.Rand) *Balancer {
 	return &Balancer{cfg: cfg.applyDefaults(), policy: residency.New(cfg.Regions, nil), services: map[string][]*Target{}, byID: map[string]*Target{}, reported: map[string]map[string]bool{}, used: map[*Target]bool{},
-		objectives: map[string]*objectiveStats{}, states: map[string]EngineState{}, versions: map[string]wantedVersions{}, notices: notice.NewTable(), rng: rng, changed: make(chan struct{})}
+		objectives: map[string]*objectiveStats{}, states: map[string]EngineState{}, versions: map[string]wantedVersions{}, common: map[string]commonSlowdown{}, latencies: map[kindKey]kindLatency{}, notices: notice.NewTable(), rng: rng, changed: make(chan struct{})}
 }
 
 // Apply replaces the list of instances and the services' cost models. The load and health of an
@@ -96,6 +103,7 @@
 		slices.SortFunc(l, func(x, y *Target) int { return cmp.Compare(x.ID, y.ID) })
 	}
 	b.byID, b.services, b.addrs = byID, lists, addrs
+	b.common, b.latencies = map[string]commonSlowdown{}, map[kindKey]kindLatency{}
 	b.notifyChanged()
 }
 
@@ -156,7 +164,7 @@
 func (b *Balancer) Silent(now time.Time, t *Target) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return t.health.silent(now, t.silenceLimit())
+	return t.health.silent(now, b.silenceLimit(now, t))
 }
 
 // RecordSilence records that a target with requests in flight was found silent, unless other
@@ -189,6 +197,7 @@
 	Silent         bool          // the request was abandoned because the target sent nothing
 	ConnectionLost bool          // the connection broke before the response was complete
 	Latency        time.Duration // until the complete response; zero if there was none
+	Kind           string        // kind of the request; responses of a kind take about as long as each other
 }
 
 // Finish records the end of a request.
@@ -220,7 +229,7 @@
 		t.health.observe(now, !r.Failed)
 	}
 	if r.Latency > 0 && t.model == nil {
-		t.health.recordLatency(r.Latency)
+		b.recordPlain(now, t, r.Kind, r.Latency)
 	}
 	b.notifyChanged()
 }
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -28,6 +28,7 @@
 // Demand describes what a request requires of a target.
 type Demand struct {
 	Prompt      int           // tokens
+	Kind        string        // kind of the request, for plain targets; empty if unknown
 	Objective   time.Duration // longest latency of the first event that counts as in time
 	MaxGap      time.Duration // longest gap between events; zero for no limit
 	Domain      string        // failure domain of the entry
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -134,11 +134,12 @@
 	return !h.waitingSince.IsZero() && now.Sub(h.waitingSince) > limit
 }
 
-// silenceLimit returns how long the target may send nothing while it has requests in flight.
-func (t *Target) silenceLimit() time.Duration {
+// silenceLimit returns how long a target may send nothing while it has requests in flight.
+func (b *Balancer) silenceLimit(now time.Time, t *Target) time.Duration {
 	expected := t.health.latency
 	if t.model != nil {
-		expected = passTime(t.model, t.model.Slots) + prefillTime(t.model, t.load.PendingPrefill)
+		s, _ := b.slowdownOf(now, t, 0)
+		expected = time.Duration(s * float64(passTime(t.model, t.model.Slots)+prefillTime(t.model, t.load.PendingPrefill)))
 	}
 	return max(minSilence, silentFactor*expected)
 }
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -154,7 +154,7 @@
 	b.forgetUnused(now)
 	var out []string
 	for t := range b.used {
-		if len(t.responsiveTo) == 0 && t.health.reportSilent(now, t.silenceLimit()) {
+		if len(t.responsiveTo) == 0 && t.health.reportSilent(now, b.silenceLimit(now, t)) {
 			out = append(out, t.ID)
 		}
 	}
@@ -209,7 +209,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.byID[instance]
-	return t != nil && len(t.responsiveTo) == 0 && (t.health.suspected(now) || t.health.silent(now, t.silenceLimit()))
+	return t != nil && len(t.responsiveTo) == 0 && (t.health.suspected(now) || t.health.silent(now, b.silenceLimit(now, t)))
 }
 
 // Suspect records that another entry reported a target silent. It reports whether the target
--- a/dispatch/ownloads_test.go
+++ b/dispatch/ownloads_test.go
@@ -30,7 +30,7 @@
 		if t.own != (Load{}) {
 			r.Loads[id] = t.own
 		}
-		if len(t.responsiveTo) == 0 && t.health.reportSilent(now, t.silenceLimit()) {
+		if len(t.responsiveTo) == 0 && t.health.reportSilent(now, b.silenceLimit(now, t)) {
 			r.Silent = append(r.Silent, id)
 		}
 		if t.own.Requests > 0 && now.Sub(t.health.activeAt) < activityWindow {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -41,6 +41,7 @@
 	// serves expires then; zero for no limit.
 	StartBy   time.Time
 	Forecast  Forecast
+	Slowdown  float64 // of the target, included in Forecast; 1 is as its cost model says
 	Admission Admission
 	Load      Load         // at the target before the request
 	Limit     notice.Limit // declared by the target
@@ -78,13 +79,15 @@
 			freeAt = earliest(freeAt, at)
 			continue
 		}
-		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, EntryRevision: t.Revision, Unlisted: t.Unlisted, Forecast: b.forecast(t, d), Load: t.load,
+		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, EntryRevision: t.Revision, Unlisted: t.Unlisted, Load: t.load,
 			Limit: state.Limit, Paced: r.bounded}}
+		c.Slowdown, _ = b.slowdownOf(now, t, d.Prompt)
+		c.Forecast = b.forecast(now, t, d).scale(c.Slowdown)
 		c.cost = c.Forecast.FirstEvent
 		if t.Domain != d.Domain && !b.cfg.Off.Has(mechanism.RemoteCost) {
 			c.cost += b.cfg.RemoteCost
 		}
-		if t.lastResort(now) {
+		if b.lastResort(now, t) {
 			fallback.improve(c)
 		} else {
 			best.improve(c)
@@ -105,9 +108,10 @@
 		return Choice{}, NoTarget
 	}
 	for _, c := range [...]candidate{best, fastest} {
-		c.Admission = b.admission(now, c.Target, b.objectives[service], d)
+		slow := b.relative(now, c.Target, c.Slowdown)
+		c.Admission = b.admission(now, c.Target, b.objectives[service], d, slow)
 		best = c
-		if c.Admission.admits(c.Load, c.Forecast) {
+		if c.Admission.admits(c.Load, c.Forecast.scale(slow/c.Slowdown), slow) {
 			b.recordSend(now, c.Target, d)
 			c.StartBy = b.servesUntil(c.Target)
 			return c.Choice, Chosen
@@ -119,9 +123,9 @@
 // lastResort reports whether the target gets requests only if no other can. A target that was
 // silent is probed by one request at a time across all entries: with no load, it would
 // otherwise attract more requests than all others.
-func (t *Target) lastResort(now time.Time) bool {
+func (b *Balancer) lastResort(now time.Time, t *Target) bool {
 	h := &t.health
-	if t.Unlisted || h.ejected(now) || h.silent(now, t.silenceLimit()) {
+	if t.Unlisted || h.ejected(now) || h.silent(now, b.silenceLimit(now, t)) {
 		return true
 	}
 	if len(t.responsiveTo) > 0 {
@@ -180,12 +184,19 @@
 // serving returns the version that an engine has fully loaded and whether it is loading one, as
 // reported by its agent or, without such a report, by the instance list.
 func (b *Balancer) serving(t *Target) (version int, loading bool) {
-	if s, reported := b.states[t.Addr]; reported && (s.StartMs >= t.StartMs || s.StartMs == 0) { // otherwise the report is of an earlier incarnation
+	if s, reported := b.reportOf(t); reported {
 		return s.Version, s.Loading
 	}
 	return t.LoadedVersion(t.model), false
 }
 
+// reportOf returns the state of a target's engine as reported by its agent, unless the report is
+// of an earlier incarnation.
+func (b *Balancer) reportOf(t *Target) (s EngineState, reported bool) {
+	s, reported = b.states[t.Addr]
+	return s, reported && (s.StartMs >= t.StartMs || s.StartMs == 0)
+}
+
 // servesUntil returns when the version that a target serves expires; zero if no newer version
 // is wanted.
 func (b *Balancer) servesUntil(t *Target) time.Time {
@@ -196,13 +207,22 @@
 	return b.versions[t.model.Model].expiresAt(version, b.cfg.VersionTimeout)
 }
 
-func (b *Balancer) forecast(t *Target, d Demand) Forecast {
+// forecast predicts the timing of a request at a target that is not slow.
+func (b *Balancer) forecast(now time.Time, t *Target, d Demand) Forecast {
 	if t.model != nil {
 		return forecastEngine(t.model, t.load, d)
 	}
-	return forecastPlain(t.Slots, b.plainLatency(t), t.load)
+	return forecastPlain(t.Slots, b.plainLatency(now, t, d.Kind), t.load)
 }
 
-func (b *Balancer) plainLatency(t *Target) time.Duration {
-	return cmp.Or(t.health.latency, b.cfg.PlainLatency)
+// plainLatency returns the expected latency of a kind of requests at a plain target that is not
+// slow. The kind may be empty if it is not known.
+func (b *Balancer) plainLatency(now time.Time, t *Target, kind string) time.Duration {
+	if kind != "" && !b.speedOff() {
+		if l := b.kindLatencyOf(now, t.Service, kind); l > 0 {
+			return l
+		}
+	}
+	own := time.Duration(float64(t.health.latency) / t.plain.slowdown(now))
+	return cmp.Or(own, b.cfg.PlainLatency)
 }
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -44,7 +44,7 @@
 	p.Others = Load{t.load.Requests - t.entryLoads[from].Requests, t.load.PendingPrefill - t.entryLoads[from].PendingPrefill}
 	r := t.rate(now, p.Report.Limit)
 	p.Wait = max(t.pace.next(now, r).Sub(now), 0)
-	if p.Wait > 0 || p.Report.Leaving || b.policy.Evacuated(t.Domain) || !a.admits(t.load, b.forecast(t, Demand{Prompt: prompt})) {
+	if p.Wait > 0 || p.Report.Leaving || b.policy.Evacuated(t.Domain) || !b.admitsHere(now, t, prompt, a) {
 		return p
 	}
 	p.Granted = true
@@ -56,6 +56,13 @@
 	return p
 }
 
+// admitsHere applies another entry's limits with the speed of the target that this entry knows.
+func (b *Balancer) admitsHere(now time.Time, t *Target, prompt int, a Admission) bool {
+	s, _ := b.slowdownOf(now, t, prompt)
+	slow := b.relative(now, t, s)
+	return a.admits(t.load, b.forecast(now, t, Demand{Prompt: prompt}).scale(slow), slow)
+}
+
 // BackOff stops sending requests to a target for the given wait, in which the target's home entry
 // grants no reservations.
 func (b *Balancer) BackOff(now time.Time, instance string, wait time.Duration) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,10 @@
 	large       []byte            // beginning of a response that reached the buffer limit
 	events      int               // relayed to the caller
 	lastEventAt time.Time         // when the last event arrived
+	awaitedAt   time.Time         // when the wait for the next event began
+	// pendingOthers is the number of prompt tokens that were pending at the target after the last
+	// event.
+	pendingOthers int
 }
 
 // Causes with which an attempt is cancelled by this process.
@@ -229,7 +233,7 @@
 
 // report tells the balancer how the attempt ended.
 func (a *attempt) report(res result) {
-	r := dispatch.Result{PendingPrefill: a.pendingPrefill, Latency: clock.Since(a.sentAt)}
+	r := dispatch.Result{PendingPrefill: a.pendingPrefill, Latency: clock.Since(a.sentAt), Kind: a.x.route.Name}
 	switch res.reason {
 	case ReasonNone, ReasonTimeout, ReasonCallerGone, ReasonVersionExpired, ReasonOvertaken:
 	case ReasonTargetRefused:
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -69,6 +69,7 @@
 	evacuated   []string // failure domains, sorted
 	// unknownEvacuations counts evacuations of failure domains that are not configured.
 	unknownEvacuations metrics.Gauge
+	slow               slowTargets
 	foreign            metrics.Gauge // items of the target list that describe no usable target
 	// endedWithRequests counts targets that disappeared from the list after requests of
 	// this entry had lost their connections to them.
@@ -117,7 +118,7 @@
 		o.Metrics = metrics.NewRegistry()
 	}
 	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
-		addr: o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
+		slow: newSlowTargets(o.Metrics), addr: o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, versions: map[string]int{}, evacuations: evacuations{catchUp: o.Roster.CatchUp}, assignments: map[string]*assignment{},
 		holders: map[string]holder{},
@@ -137,6 +138,7 @@
 				break wait
 			case <-ticker.C:
 				c.updateUnreadable()
+				c.slow.update(c.balancer.SlowTargets(clock.Now()), c.log)
 				if c.roster.Pending() || c.evacuations.holding || c.registrations.pending() {
 					break wait
 				}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -109,7 +109,7 @@
 
 // demand returns what the request currently requires of a target.
 func (x *exchange) demand() dispatch.Demand {
-	d := dispatch.Demand{Prompt: x.call.Prompt, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain,
+	d := dispatch.Demand{Prompt: x.call.Prompt, Kind: x.route.Name, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain,
 		HomeRegions: x.homes()}
 	switch {
 	case x.started:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/dispatch"
 )
 
 // maxEvent bounds the size of one event in bytes.
@@ -63,6 +64,7 @@
 		if !a.relayEvent(ev) {
 			return nil, result{reason: ReasonCallerGone, ran: true, sent: true}
 		}
+		a.awaitedAt = clock.Now()
 		a.hedge.await(a.stallTimeout())
 		ev, err = a.stream.next()
 		res := a.streamResult(err)
@@ -139,11 +141,31 @@
 	if a.events == 0 {
 		observe(x.g.stats.forecastError, now.Sub(a.sentAt)-a.choice.Forecast.FirstEvent)
 	}
+	e := dispatch.Event{First: a.pendingPrefill, Prompt: x.call.Prompt, Delay: a.targetDelay(now), Pending: a.pendingOthers}
+	if a.events == 0 {
+		e.Expected = time.Duration(float64(a.choice.Forecast.FirstEvent) / a.choice.Slowdown)
+	}
 	if !a.lastEventAt.IsZero() {
 		x.maxGap = max(x.maxGap, now.Sub(a.lastEventAt))
 	}
 	a.lastEventAt = now
 	a.events++
-	x.g.balancer.RecordActivity(now, a.choice.Target, a.pendingPrefill)
+	a.pendingOthers = x.g.balancer.RecordEvent(now, a.choice.Target, e)
 	a.pendingPrefill = 0
 }
+
+// relayTolerance is how long relaying an event may take for the delay of the next one to tell how
+// fast the target is: while the caller reads slowly, the target may have to wait.
+const relayTolerance = 5 * time.Millisecond
+
+// targetDelay returns how long the target took for the event that has just arrived, or zero if
+// that is not known.
+func (a *attempt) targetDelay(now time.Time) time.Duration {
+	if a.events == 0 {
+		return now.Sub(a.sentAt)
+	}
+	if a.awaitedAt.Sub(a.lastEventAt) > relayTolerance {
+		return 0
+	}
+	return now.Sub(a.lastEventAt)
+}
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -115,6 +115,9 @@
 	Seq     uint64 // sequence number of the agent's reports; the highest one of an incarnation is in effect
 	StartMs int64  // start of the engine's process, Unix milliseconds; 0 if unknown
 	Forward bool   // the entry is to forward this report to all other entries
+	// PacePercent is how long the engine takes, in percent of what its cost model says; 0 if
+	// unknown.
+	PacePercent int
 }
 
 // Kind implements Message.
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -17,6 +17,8 @@
 	StartTimeMs int64 // Unix time of the engine's start; 0 if not reported
 	Running     int   // requests that the engine is running
 	Waiting     int   // requests that wait at the engine
+	// Pace is how many times as long as by the cost model the engine takes; 0 if not reported.
+	Pace float64
 }
 
 // serves returns the version that the engine holds with all layers, or 0.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	stage           *stage // version being staged or staged at the engine
 	prefetched      *stage // pieces of a newer version in memory
 	published       peer.EngineState
+	pace            paceFilter
 	up              bool // the last report was successful
 	polled          bool // a report has been requested before
 	reached         bool // a report was successful at least once
@@ -136,6 +137,7 @@
 		return s.cfg.Poll
 	}
 	serves := r.serves(as.Model, as.Layers)
+	s.pace.update(now, r.Pace)
 	s.publishState(as.Model, serves, r.Busy, r.StartTimeMs)
 	step := s.cfg.Plan(now, r, as, s.holdings(now))
 	if step != s.step {
@@ -215,6 +217,7 @@
 	if s.reached {
 		s.stage = nil // the staged pieces are checked again
 	}
+	s.pace = paceFilter{}
 	if as := s.assigned(); as.Model != "" {
 		s.publishState(as.Model, 0, false, s.startTimeMs)
 	}
@@ -222,12 +225,12 @@
 
 // publishState publishes what the engine serves, if that has changed.
 func (s *Sidecar) publishState(model string, version int, loading bool, startTimeMs int64) {
-	state := peer.EngineState{Addr: s.engineAddr, Model: model, Version: version, Loading: loading, StartMs: startTimeMs}
+	state := peer.EngineState{Addr: s.engineAddr, Model: model, Version: version, Loading: loading, StartMs: startTimeMs, PacePercent: s.pace.published}
 	if state == s.published {
 		return
 	}
 	s.published = state
-	s.log.WithFields(logrus.Fields{"model": model, "version": version, "loading": loading}).Info("Engine state published.")
+	s.log.WithFields(logrus.Fields{"model": model, "version": version, "loading": loading, "pace_percent": state.PacePercent}).Info("Engine state published.")
 	s.publish(state)
 }
 
