dispatch: speeds from what no other cause explains, their tests and documentation

A message with another field is refused by earlier releases, since messages are arrays without names. Change: a gap counts only if no part of the pending prompts explains it; first events only where nothing else is known; the pace travels in the sequence number of the report.

--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -29,6 +29,11 @@
 	target         *Target
 	entry          int       // which entry serves it, if there are several
 	until          time.Time // when the caller gives up
+	choice         Choice
+	sentAt         time.Time
+	eventAt        time.Time // last event
+	pending        Pending   // at the target after the last event
+	stalled        bool      // a gap between events was longer than allowed
 }
 
 // tally counts the requests of one kind that arrived in a window.
@@ -50,7 +55,7 @@
 func (o oneEntry) place(now time.Time, j *job) bool {
 	o.balancer.RecordArrival(now, testService, j.demand)
 	c, v := o.balancer.Pick(now, testService, j.demand, nil)
-	j.target = c.Target
+	j.target, j.choice, j.sentAt = c.Target, c, now
 	return v == Chosen
 }
 
@@ -77,7 +82,10 @@
 	timeout func(*rand.Rand) time.Duration
 	// detector detects retries; if nil, the simulation knows which requests are retries.
 	detector *RetryDetector
+	maxGap   time.Duration               // longest gap between events that counts as in time; zero for no limit
 	burst    func(now time.Time) float64 // factor applied to the arrival rate
+	// slowdown is how many times as long an engine takes for its passes and for prompt tokens.
+	slowdown func(now time.Time, engine string) (passes, prompts float64)
 
 	now     time.Time
 	events  map[time.Time][]func()
@@ -87,6 +95,7 @@
 }
 
 type simEngine struct {
+	id             string
 	queue, running []*job
 	busy           bool
 }
@@ -99,10 +108,11 @@
 	var list []*fleet.Instance
 	s := &fleetSim{model: m, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds, retries: 1, now: start,
 		events: map[time.Time][]func(){}, engines: map[string]*simEngine{},
-		burst: func(time.Time) float64 { return 1 }, window: func(time.Time) int { return 0 }}
+		slowdown: func(time.Time, string) (float64, float64) { return 1, 1 },
+		burst:    func(time.Time) float64 { return 1 }, window: func(time.Time) int { return 0 }}
 	for i := range engines {
 		list = append(list, engine(i, 1))
-		s.engines[list[i].ID] = &simEngine{}
+		s.engines[list[i].ID] = &simEngine{id: list[i].ID}
 	}
 	s.placer = oneEntry{newTestBalancer(m, Config{}, list...)}
 	return s
@@ -142,7 +152,7 @@
 
 func (s *fleetSim) arrive(kind int, k callerKind) {
 	size := s.rng.ExpFloat64()
-	d := Demand{Prompt: int(float64(k.prompt) * min(size, 3)), Objective: k.objective, Domain: "a"}
+	d := Demand{Prompt: int(float64(k.prompt) * min(size, 3)), Objective: k.objective, MaxGap: s.maxGap, Domain: "a"}
 	j := &job{kind: kind, arrived: s.now, demand: d, remaining: 1 + int(s.rng.ExpFloat64()*float64(k.answer))}
 	if s.timeout != nil {
 		j.until = s.now.Add(s.timeout(s.rng))
@@ -202,20 +212,28 @@
 	for _, j := range taken {
 		tokens += j.pendingPrefill
 	}
-	s.after(prefillTime(s.model, tokens)+passTime(s.model, len(e.running)), func() { s.finishPass(e) })
+	passes, prompts := s.slowdown(s.now, e.id)
+	took := prompts*float64(prefillTime(s.model, tokens)) + passes*float64(passTime(s.model, len(e.running)))
+	s.after(time.Duration(took), func() { s.finishPass(e) })
 }
 
 func (s *fleetSim) finishPass(e *simEngine) {
 	e.busy = false
 	running := e.running[:0]
 	for _, j := range e.running {
-		if j.pendingPrefill > 0 {
+		s.recordGap(j)
+		if o, ok := s.placer.(eventObserver); ok {
+			o.event(s.now, j)
+		} else if j.pendingPrefill > 0 {
 			s.placer.answering(s.now, j)
+		}
+		if j.pendingPrefill > 0 {
 			j.pendingPrefill = 0
 			if s.now.Sub(j.arrived) <= j.demand.Objective {
 				s.tally(j).inTime++
 			}
 		}
+		j.eventAt = s.now
 		if j.remaining -= s.model.StepsPerPass; j.remaining > 0 {
 			running = append(running, j)
 			continue
@@ -226,6 +244,20 @@
 	s.pass(e)
 }
 
+// eventObserver is a placer that is told of all events of streams instead of the first ones.
+type eventObserver interface{ event(now time.Time, j *job) }
+
+// recordGap counts a request that was in time as late if it has a gap that is too long.
+func (s *fleetSim) recordGap(j *job) {
+	if j.eventAt.IsZero() || j.demand.MaxGap == 0 || j.stalled || s.now.Sub(j.eventAt) <= j.demand.MaxGap {
+		return
+	}
+	j.stalled = true
+	if j.eventAt.Sub(j.arrived) <= j.demand.Objective {
+		s.tally(j).inTime--
+	}
+}
+
 // shares returns the fraction of requests in time in one window, by kind and overall.
 func (s *fleetSim) shares(w int) (kinds []float64, all float64) {
 	var sum tally
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -49,6 +49,9 @@
 	FreeAt    time.Time    // if the verdict is Paced: when a target accepts the next request
 }
 
+// CostModelForecast returns the forecast for a target that is not slow.
+func (c *Choice) CostModelForecast() Forecast { return c.Forecast.scale(1 / c.Slowdown) }
+
 // Pick chooses a target of service and counts the request there; the caller must call Finish or
 // Cancel. Instances whose IDs are in avoid are skipped.
 func (b *Balancer) Pick(now time.Time, service string, d Demand, avoid []string) (Choice, Verdict) {
--- a/dispatch/plainspeed.go
+++ b/dispatch/plainspeed.go
@@ -9,7 +9,7 @@
 	// kinds count as one.
 	maxKinds = 16
 	// minKindSamples is the number of responses of a kind from which their mean latency counts.
-	minKindSamples = 4
+	minKindSamples = 8
 	// maxComparedTargets bounds the targets with which a plain target is compared.
 	maxComparedTargets = 32
 	// maxLatencyRatio bounds a response's share in the mean, in multiples of the mean: a few
--- a/dispatch/slowdown.go
+++ b/dispatch/slowdown.go
@@ -13,18 +13,20 @@
 	First int // prompt tokens if the event is the request's first, else zero
 	// Delay is the time since the previous event of the stream or, of a first event, since the
 	// request was sent; zero if it does not tell how fast the target is.
-	Delay time.Duration
-	// Prompt is the number of prompt tokens, and Expected the delay of a first event by the cost
-	// model.
-	Prompt   int
-	Expected time.Duration
+	Delay  time.Duration
+	Prompt int // tokens of the request
+	// Forecast is that of the request at a target that is not slow, if the event is the first.
+	Forecast Forecast
 	// Pending is what RecordEvent returned for the stream's previous event.
-	Pending int
+	Pending Pending
 }
 
+// Pending is the number of prompt tokens that are pending at a target.
+type Pending struct{ own, others int }
+
 // RecordEvent records an event of a stream. It returns the prompt tokens that are pending at the
 // target.
-func (b *Balancer) RecordEvent(now time.Time, t *Target, e Event) (pending int) {
+func (b *Balancer) RecordEvent(now time.Time, t *Target, e Event) Pending {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if t.model != nil && !b.speedOff() {
@@ -32,17 +34,25 @@
 	}
 	t.health.recordActivity(now)
 	b.addOwn(t, Load{PendingPrefill: -e.First})
-	return t.load.PendingPrefill
+	return t.pending()
+}
+
+func (t *Target) pending() Pending {
+	return Pending{own: t.own.PendingPrefill, others: t.load.PendingPrefill - t.own.PendingPrefill}
 }
 
-// observeEvent compares the delay of an event with what the cost model says of it.
+// observeEvent compares the delay of an event with what the cost model says of it. The engine may
+// have processed all prompts that were pending at the previous event. Those of other entries are
+// known late.
 func (t *Target) observeEvent(now time.Time, e Event) {
-	if e.Expected > 0 {
-		t.speed.first(e.Prompt, t.model.MeanPrompt).observe(now, e.Delay, e.Expected, requestMemory)
+	if f := e.Forecast; f.FirstEvent > 0 {
+		x := expectation{f.FirstEvent - f.Wait, f.FirstEvent + f.IdleWait} // the forecast has the mean wait for the end of a pass
+		t.speed.first(e.Prompt, t.model.MeanPrompt).observe(now, e.Delay, x, requestMemory, slowFirstRatio)
 		return
 	}
-	expected := passTime(t.model, t.load.Requests) + prefillTime(t.model, max(e.Pending, t.load.PendingPrefill))
-	t.speed.events.observe(now, e.Delay, expected, eventMemory)
+	pass := passTime(t.model, t.load.Requests)
+	x := expectation{pass, pass + prefillTime(t.model, e.Pending.own+max(e.Pending.others, t.pending().others))}
+	t.speed.events.observe(now, e.Delay, x, eventMemory, slowRatio)
 }
 
 func (b *Balancer) speedOff() bool { return b.cfg.Off.Has(mechanism.TargetSpeed) }
@@ -66,9 +76,9 @@
 	SpeedLatency SpeedSource = "latency"      // the latency of plain responses
 )
 
-// slowdownOf returns the slowdown of a target for prompts of a size and its source. What the
-// engine states and what this entry observes are both lower bounds: a statement may be late, and
-// without requests there is nothing to observe.
+// slowdownOf returns the slowdown of a target for prompts of a size and its source. The spacing of
+// events counts beside what the engine states, which may be late. First events depend more on the
+// load of other entries, so that they count only where nothing else is known of prompts like this.
 func (b *Balancer) slowdownOf(now time.Time, t *Target, prompt int) (slowdown float64, from SpeedSource) {
 	slowdown = 1
 	if b.speedOff() {
@@ -77,13 +87,18 @@
 	if t.model == nil {
 		return t.plain.slowdown(now), SpeedLatency
 	}
-	if p := b.statedPace(t); p > slowdown {
-		slowdown, from = min(p, maxSlowdown), SpeedStated
+	stated := b.statedPace(t)
+	if stated > slowdown {
+		slowdown, from = min(stated, maxSlowdown), SpeedStated
 	}
 	if e := t.speed.events.slowdown(now, eventMemory); e > slowdown {
 		slowdown, from = e, SpeedEvents
 	}
-	if f := t.speed.first(prompt, t.model.MeanPrompt).slowdown(now, requestMemory); f > slowdown {
+	f := t.speed.first(prompt, t.model.MeanPrompt)
+	if stated > 0 || f == &t.speed.short && t.speed.events.known(now, eventMemory) {
+		return slowdown, from
+	}
+	if f := f.slowdown(now, requestMemory); f > slowdown {
 		slowdown, from = f, SpeedFirst
 	}
 	return slowdown, from
@@ -107,24 +122,29 @@
 		return c.value
 	}
 	c = commonSlowdown{now, 1}
-	if list := b.services[service]; len(list) > 1 {
+	if list := b.services[service]; len(list) > 0 {
 		all := make([]float64, 0, len(list))
 		for _, t := range list {
 			s, _ := b.slowdownOf(now, t, 0)
-			all = append(all, s)
+			all = append(all, max(s, t.speed.events.latest(now, eventMemory)))
 		}
-		c.value = median(all)
+		slices.Sort(all)
+		c.value = all[len(all)/2]
 	}
 	b.common[service] = c
 	return c.value
 }
 
-// relative returns by how much a target is slower than most targets of its service.
+// relative returns by how much a target is slower than most targets of its service; 1 if that is
+// little.
 func (b *Balancer) relative(now time.Time, t *Target, slowdown float64) float64 {
 	if slowdown == 1 {
 		return 1
 	}
-	return max(slowdown/b.commonOf(now, t.Service), 1)
+	if r := slowdown / b.commonOf(now, t.Service); r >= recoveredRatio {
+		return r
+	}
+	return 1
 }
 
 // SlowTarget is a target that is believed slow.
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -11,6 +11,9 @@
 	// leave a quarter of an objective unused, and what the forecast does not model takes part of
 	// it; below this ratio requests are still in time.
 	slowRatio = 1.5
+	// slowFirstRatio is the same for first events, whose forecast errs more: it depends on when
+	// other entries' requests arrive.
+	slowFirstRatio = 2
 	// recoveredRatio is the slowdown below which a slow target is believed to be as forecast.
 	recoveredRatio = 1.25
 	// maxSlowdown bounds slowdowns. A target that is slower still counts as silent.
@@ -21,6 +24,8 @@
 	recoverSamples = 5
 	// eventMemory and requestMemory are how long an estimate holds without a new sample: from
 	// events, which arrive every 50 to 400 ms, and from requests, which are less frequent.
+	// A target that was found slow repeatedly is remembered as long as that went on, up to
+	// requestMemory.
 	eventMemory   = time.Second
 	requestMemory = 5 * time.Second
 	// minExcess is how much longer than expected a delay must be to count as slow. Less does
@@ -34,31 +39,60 @@
 type speed struct {
 	samples [recoverSamples]float64 // latest first
 	n       int
-	value   float64 // 0 is as forecast
-	at      time.Time
+	value   float64   // 0 is as forecast
+	since   time.Time // when the target was found slow
+	at      time.Time // of the last sample
 }
 
-// observe adds a delay that was expected to be as given. memory is that of the estimate.
-func (s *speed) observe(now time.Time, delay, expected, memory time.Duration) {
-	if delay <= 0 || expected <= 0 {
-		return
+// expectation is the least and the most that a delay can be at a target that is not slow.
+type expectation struct{ least, most time.Duration }
+
+// ratio returns the slowdown, between those that explain the delay, that is closest to the one
+// believed. It is decisive if the believed one does not explain the delay, or if a target that is
+// not slow does not.
+func (e expectation) ratio(delay time.Duration, believed float64) (ratio float64, decisive bool) {
+	low, high := float64(delay)/float64(e.most), float64(delay)/float64(max(e.least, 1))
+	if delay-e.most < minExcess {
+		low = min(low, 1)
 	}
-	ratio := min(float64(delay)/float64(expected), maxSlowdown)
-	if delay-expected < minExcess {
-		ratio = min(ratio, 1)
+	ratio = min(max(believed, low), max(high, low), maxSlowdown)
+	return ratio, ratio != believed || low >= recoveredRatio
+}
+
+// observe adds a delay. memory is that of the estimate, and threshold the slowdown from which the
+// target is believed slow. A delay that would be usual at a slow target, but may have another
+// cause, does not prolong the belief that the target is slow.
+func (s *speed) observe(now time.Time, delay time.Duration, e expectation, memory time.Duration, threshold float64) {
+	if delay <= 0 || e.most <= 0 {
+		return
 	}
-	if now.Sub(s.at) > memory {
+	if s.forgotten(now, memory) {
 		*s = speed{}
 	}
+	ratio, decisive := e.ratio(delay, max(s.value, 1))
+	if s.value > 0 && !decisive {
+		return
+	}
 	copy(s.samples[1:], s.samples[:])
 	s.samples[0], s.at, s.n = ratio, now, min(s.n+1, recoverSamples)
-	s.update()
+	s.update(now, threshold)
+}
+
+// forgotten reports whether the samples are too old to tell anything.
+func (s *speed) forgotten(now time.Time, memory time.Duration) bool {
+	if s.value > 0 {
+		memory = max(memory, min(s.at.Sub(s.since), requestMemory))
+	}
+	return now.Sub(s.at) > memory
 }
 
 // update revises the estimate after a new sample.
-func (s *speed) update() {
+func (s *speed) update(now time.Time, threshold float64) {
 	if s.n >= slowSamples {
-		if latest := median(s.samples[:slowSamples]); latest >= slowRatio && latest > s.value {
+		if latest := median(s.samples[:slowSamples]); latest >= threshold && latest > s.value {
+			if s.value == 0 {
+				s.since, s.n = now, 0 // recovery is decided by later samples
+			}
 			s.value = latest
 			return
 		}
@@ -75,12 +109,29 @@
 
 // slowdown returns the estimate; 1 without evidence.
 func (s *speed) slowdown(now time.Time, memory time.Duration) float64 {
-	if s.value == 0 || now.Sub(s.at) > memory {
+	if s.value == 0 || s.forgotten(now, memory) {
 		return 1
 	}
 	return s.value
 }
 
+// known reports whether there are enough recent samples.
+func (s *speed) known(now time.Time, memory time.Duration) bool {
+	return (s.value > 0 || s.n >= slowSamples) && !s.forgotten(now, memory)
+}
+
+// latest returns the median ratio of the latest samples, whether or not the target is believed
+// slow; 1 without evidence.
+func (s *speed) latest(now time.Time, memory time.Duration) float64 {
+	switch {
+	case !s.known(now, memory):
+		return 1
+	case s.n == 0:
+		return s.value
+	}
+	return median(s.samples[:s.n])
+}
+
 // median returns the lower median of a non-empty list.
 func median(list []float64) float64 {
 	sorted := slices.Clone(list)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,9 +36,7 @@
 	events      int               // relayed to the caller
 	lastEventAt time.Time         // when the last event arrived
 	awaitedAt   time.Time         // when the wait for the next event began
-	// pendingOthers is the number of prompt tokens that were pending at the target after the last
-	// event.
-	pendingOthers int
+	pending     dispatch.Pending  // at the target after the last event
 }
 
 // Causes with which an attempt is cancelled by this process.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -81,8 +81,8 @@
 		return
 	}
 	c.setHolder(agent, *s)
-	c.log.WithFields(logrus.Fields{"addr": s.Addr, "model": s.Model, "version": s.Version, "loading": s.Loading, "pace_percent": s.PacePercent}).Info("Engine state received.")
-	c.balancer.SetState(s.Addr, dispatch.EngineState{Version: s.Version, Loading: s.Loading, StartMs: s.StartMs, Pace: float64(s.PacePercent) / 100})
+	c.log.WithFields(logrus.Fields{"addr": s.Addr, "model": s.Model, "version": s.Version, "loading": s.Loading, "pace_percent": s.StatedPace()}).Info("Engine state received.")
+	c.balancer.SetState(s.Addr, dispatch.EngineState{Version: s.Version, Loading: s.Loading, StartMs: s.StartMs, Pace: float64(s.StatedPace()) / 100})
 }
 
 // setHolder records which version an agent's engine holds.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -141,16 +141,16 @@
 	if a.events == 0 {
 		observe(x.g.stats.forecastError, now.Sub(a.sentAt)-a.choice.Forecast.FirstEvent)
 	}
-	e := dispatch.Event{First: a.pendingPrefill, Prompt: x.call.Prompt, Delay: a.targetDelay(now), Pending: a.pendingOthers}
+	e := dispatch.Event{First: a.pendingPrefill, Prompt: x.call.Prompt, Delay: a.targetDelay(now), Pending: a.pending}
 	if a.events == 0 {
-		e.Expected = time.Duration(float64(a.choice.Forecast.FirstEvent) / a.choice.Slowdown)
+		e.Forecast = a.choice.CostModelForecast()
 	}
 	if !a.lastEventAt.IsZero() {
 		x.maxGap = max(x.maxGap, now.Sub(a.lastEventAt))
 	}
 	a.lastEventAt = now
 	a.events++
-	a.pendingOthers = x.g.balancer.RecordEvent(now, a.choice.Target, e)
+	a.pending = x.g.balancer.RecordEvent(now, a.choice.Target, e)
 	a.pendingPrefill = 0
 }
 
--- a/mesh/forwarder.go
+++ b/mesh/forwarder.go
@@ -11,9 +11,11 @@
 func (m *Mesh) PublishEngineState(s peer.EngineState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	last := uint64(0)
 	if m.latestReport != nil {
-		s.Seq = m.latestReport.Seq + 1
+		last = m.latestReport.Seq
 	}
+	s.Seq = peer.NextSeq(last, s.PacePercent)
 	m.latestReport = &s
 	for addr, l := range m.links {
 		l.setReport(m.reportFor(addr))
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -112,12 +112,11 @@
 	Model   string
 	Version int    // version that the engine serves completely; 0 if none
 	Loading bool   // the engine is carrying out an order to load a version: new requests would wait
-	Seq     uint64 // sequence number of the agent's reports; the highest one of an incarnation is in effect
+	Seq     uint64 // number of the agent's report, see NextSeq; the highest one of an incarnation is in effect
 	StartMs int64  // start of the engine's process, Unix milliseconds; 0 if unknown
 	Forward bool   // the entry is to forward this report to all other entries
-	// PacePercent is how long the engine takes, in percent of what its cost model says; 0 if
-	// unknown.
-	PacePercent int
+	// PacePercent is the pace to be published; receivers read StatedPace.
+	PacePercent int `msgpack:"-"`
 }
 
 // Kind implements Message.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -49,6 +49,7 @@
 	token       uint64        // highest token seen
 	starts      int           // number of process starts
 	startTimeMs int64         // Unix time of the last start; 0 if not reported
+	pace        float64       // stated; 0 if not reported
 	slow        bool          // puts get no answer and take effect after slowPut
 	readTime    time.Duration // duration of the read of a staged piece
 }
@@ -63,7 +64,7 @@
 	if e.down {
 		return Report{}, errors.New("refused")
 	}
-	r := Report{Busy: time.Now().Before(e.loading), Sequence: e.sequence, StartTimeMs: e.startTimeMs}
+	r := Report{Busy: time.Now().Before(e.loading), Sequence: e.sequence, StartTimeMs: e.startTimeMs, Pace: e.pace}
 	if e.serves > 0 {
 		r.Models = []fleet.ModelVersion{{Model: "m", Version: e.serves, Layers: 16}}
 	}
@@ -231,6 +232,26 @@
 	})
 }
 
+func TestPaceIsPublished(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, serves: 1, pace: 1}
+	runSidecar(t, Config{}, e, &fakeSource{}, func(s *Sidecar, published func() peer.EngineState) {
+		s.Assign(time.Now(), newAssignment(1, 0, 0))
+		time.Sleep(time.Second)
+		assert.Equal(t, published().PacePercent, 100)
+		e.set(func() { e.pace = 2.5 })
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, published().PacePercent, 250)
+		e.set(func() { e.pace = 1 })
+		time.Sleep(700 * time.Millisecond)
+		assert.Equal(t, published().PacePercent, 250)
+		time.Sleep(time.Second)
+		assert.Equal(t, published().PacePercent, 100)
+		e.set(func() { e.down = true })
+		time.Sleep(time.Second)
+		assert.Equal(t, published().PacePercent, 0)
+	})
+}
+
 func TestEmptyEngineIsStagedAndLoaded(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}}
 	runSidecar(t, Config{}, e, &fakeSource{delay: 30 * time.Millisecond}, func(s *Sidecar, published func() peer.EngineState) {
