--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -30,11 +30,12 @@
 	NearRelay                       // pieces of weights are fetched from the origin, not from nearby agents
 	Quarantine                      // requests that crash targets are sent again
 	Ranks                           // all requests of a service have the same rank
+	TargetSpeed                     // all targets of a service are taken to be equally fast
 	count
 )
 
 var names = [count]string{"common-wait", "overdue-last", "patience", "retry-after", "homes", "shared-loads", "shared-silence",
-	"remote-cost", "ejection", "resume", "late-first-event", "turns", "older-version", "near-relay", "quarantine", "ranks"}
+	"remote-cost", "ejection", "resume", "late-first-event", "turns", "older-version", "near-relay", "quarantine", "ranks", "target-speed"}
 
 // String returns the name of the mechanism.
 func (m Mechanism) String() string { return names[m] }
