peer: load reports tell shortages, in fields that earlier releases skip

Messages are encoded as arrays, and the decoder rejects an array whose length differs from its own number of fields (msgpack: number of fields in array-encoded struct has changed). A field added to Loads would therefore have ended the stream between entries of two releases, in both directions. What follows a message in its frame is skipped by all releases, so added fields now stand in a struct of their own, encoded by name after the message; nothing is sent while it is empty.

--- a/peer/frame.go
+++ b/peer/frame.go
@@ -59,6 +59,9 @@
 	if err := enc.Encode(m); err != nil {
 		return nil, errors.Wrap(err, "peer: encode")
 	}
+	if err := encodeExtension(enc, m); err != nil {
+		return nil, errors.Wrap(err, "peer: encode")
+	}
 	return rawFrame(stream, fl, m.Kind(), payload.Bytes())
 }
 
@@ -100,7 +103,14 @@
 	if m == nil {
 		return nil, ErrKind
 	}
-	if err := msgpack.Unmarshal(f.payload, m); err != nil {
+	payload := bytes.NewReader(f.payload)
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(payload)
+	if err := dec.Decode(m); err != nil {
+		return nil, errors.Wrap(ErrPayload, err.Error())
+	}
+	if err := decodeExtension(dec, payload, m); err != nil {
 		return nil, errors.Wrap(ErrPayload, err.Error())
 	}
 	return m, nil
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -174,7 +174,8 @@
 }
 
 func FuzzFrame(f *testing.F) {
-	for _, m := range []Message{&Hello{Host: "h"}, &Dispatch{URI: "/x"}, &Have{Bits: []uint64{1}}, &End{Length: 3}} {
+	for _, m := range []Message{&Hello{Host: "h"}, &Dispatch{URI: "/x"}, &Have{Bits: []uint64{1}}, &End{Length: 3},
+		&Loads{Added: LoadsAdded{Shortages: []Shortage{{Service: "s"}}}}} {
 		b, err := encodeFrame(5, flagOpen, m)
 		if err != nil {
 			f.Fatal(err)
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -82,8 +82,20 @@
 	Versions []ObservedVersion
 	// Notices are the targets' own announcements. Sent if Full only.
 	Notices []TargetNotice
+	// Added holds the fields that earlier releases do not know.
+	Added LoadsAdded `msgpack:"-"`
 }
 
+// LoadsAdded are fields of Loads that earlier releases do not know.
+type LoadsAdded struct {
+	// Shortages are the services for which the sender has found too few targets lately. Sent if
+	// Full only.
+	Shortages []Shortage
+}
+
+func (l *Loads) extension() any     { return &l.Added }
+func (l *Loads) hasExtension() bool { return len(l.Added.Shortages) > 0 }
+
 // Kind implements Message.
 func (*Loads) Kind() Kind { return kindLoads }
 
