gateway: requests are admitted by rank and team while targets are short

Requests of a service had no order: each was refused or served alike, whatever its priority and however much its team asked for. The entry now asks the admission level (package overload) when route and team are known and before the body is read; a request over the share ends with 503, reason over_share, and Retry-After. Where neither teams nor ranks differ the level is not asked. Entries tell each other their reports with full load reports, and the onset of a shortage once in a heartbeat at once. Float gauges are written to /metrics.

The bodies of refused requests are discarded if they are small and there within 50 ms; otherwise the connection is closed after the response, which does not wait for them.

--- a/command/explain.go
+++ b/command/explain.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/pkg/errors"
+	"github.com/springgate/springgate/gateway"
 	"github.com/urfave/cli/v3"
 )
 
@@ -26,6 +27,9 @@
 	part       string // name of the component
 	text       string
 	fields     map[string]any
+	// level is the last record before the line of the admission level that refused the request; nil
+	// if there is none.
+	level *logLine
 }
 
 // commonFields are not listed with the other fields: they are printed at the start of the
@@ -59,11 +63,20 @@
 		return cmp.Or(cmp.Compare(a.timestamp, b.timestamp), cmp.Compare(a.lineNumber, b.lineNumber))
 	})
 	for _, l := range all {
-		fmt.Fprintf(w, "%s %s %s: %s%s\n", l.timestamp, l.file, l.part, l.text, fieldText(l.fields))
+		l.print(w)
+	}
+	for _, l := range all {
+		if l.refusedByLevel() {
+			explainLevel(w, l)
+		}
 	}
 	return nil
 }
 
+func (l logLine) print(w io.Writer) {
+	fmt.Fprintf(w, "%s %s %s: %s%s\n", l.timestamp, l.file, l.part, l.text, fieldText(l.fields))
+}
+
 // readLines returns the log lines of a request in a file. Text before the JSON object of a
 // line, such as the prefix of a log collector, is skipped.
 func readLines(name, id string) ([]logLine, error) {
@@ -73,24 +86,64 @@
 	}
 	defer f.Close()
 	var out []logLine
+	levels := map[any]*logLine{} // last record of the admission level, by service
 	s := bufio.NewScanner(f)
 	s.Buffer(nil, maxLogLine)
 	for n := 0; s.Scan(); n++ {
-		text := s.Text()
-		start := strings.IndexByte(text, '{')
-		if start < 0 || !strings.Contains(text, id) {
+		l := parseLine(s.Text(), id, gateway.LevelText)
+		if l == nil {
 			continue
 		}
-		var fields map[string]any
-		if json.Unmarshal([]byte(text[start:]), &fields) != nil || fields["request"] != id {
-			continue // a line of another program or of another request
+		l.file, l.lineNumber = name, n
+		switch {
+		case l.fields["request"] == id:
+			l.level = levels[l.fields["service"]]
+			out = append(out, *l)
+		case strings.HasPrefix(l.text, gateway.LevelText):
+			levels[l.fields["service"]] = l
 		}
-		out = append(out, logLine{file: name, timestamp: fmt.Sprint(fields["time"]), lineNumber: n, part: fmt.Sprint(fields["part"]),
-			text: fmt.Sprint(fields["msg"]), fields: fields})
 	}
 	return out, errors.Wrap(s.Err(), "explain")
 }
 
+// parseLine returns a log line that contains one of the texts, and nil for others and for lines of
+// other programs.
+func parseLine(text string, texts ...string) *logLine {
+	start := strings.IndexByte(text, '{')
+	contains := func(t string) bool { return strings.Contains(text, t) }
+	if start < 0 || !slices.ContainsFunc(texts, contains) {
+		return nil
+	}
+	var fields map[string]any
+	if json.Unmarshal([]byte(text[start:]), &fields) != nil {
+		return nil
+	}
+	return &logLine{timestamp: fmt.Sprint(fields["time"]), part: fmt.Sprint(fields["part"]), text: fmt.Sprint(fields["msg"]), fields: fields}
+}
+
+// refusedByLevel reports whether the line says that the request was over the share of its rank and
+// team.
+func (l logLine) refusedByLevel() bool {
+	return l.fields["reason"] == string(gateway.ReasonOverShare)
+}
+
+// explainLevel prints which rank and share a refused request had, and the level that refused it,
+// which shows who was served instead.
+func explainLevel(w io.Writer, l logLine) {
+	team := "callers without a team"
+	if l.fields["team"] != nil {
+		team = fmt.Sprintf("team %v", l.fields["team"])
+	}
+	fmt.Fprintf(w, "\nRefused by the admission level of service %v: rank %v (0 is the most urgent), %s; fraction of these requests admitted: %v.\n",
+		l.fields["service"], l.fields["rank"], team, l.fields["fraction"])
+	if l.level == nil {
+		fmt.Fprintf(w, "%s has no record of the level before.\n", l.file)
+		return
+	}
+	fmt.Fprintln(w, "The last record of the level before that, with the fractions of all ranks and the lowest of teams:")
+	l.level.print(w)
+}
+
 // fieldText returns the fields of a line as " name=value" pairs sorted by name, without
 // commonFields.
 func fieldText(fields map[string]any) string {
--- a/command/gateway.go
+++ b/command/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mesh"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/platform"
 	"github.com/springgate/springgate/quarantine"
@@ -91,10 +92,11 @@
 	e.balancer = dispatch.NewBalancer(dispatch.Config{Off: off, Regions: s.Regions, VersionTimeout: s.VersionTimeout()}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.conns = targetconn.NewPool(targetconn.Config{})
 	crashes := quarantine.NewTable()
+	level := overload.NewController(overload.Config{})
 	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e, Crashes: crashes,
 		Table: table, TargetDomain: e.balancer.DomainOf, Log: telemetry.Part(p.log, "mesh"), Metrics: p.metrics})
 	e.reserver = mesh.NewReserver(e.mesh, e.balancer, off)
-	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, MirrorState: mirrorState(table), Crashes: crashes,
+	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, MirrorState: mirrorState(table), Crashes: crashes, Level: level,
 		Hasher: quarantine.NewHasher(contentKey), Host: p.self.Host, Probes: e.mesh.Probes, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
@@ -103,7 +105,7 @@
 		telemetry.Part(p.log, "weights"))
 	e.control = gateway.NewControl(gateway.ControlOptions{Addr: p.self.Addr, Config: gateway.ControlConfig{Off: off, VersionTimeout: s.VersionTimeout()},
 		Gateway: e.gateway, Balancer: e.balancer, Decoder: platform.Decoder{}, Table: table,
-		Outage: e.follower.Outage, Roster: gateway.Roster{RetainFor: rosterHold, CatchUp: rosterCatchUp}, Relay: e.relay,
+		Outage: e.follower.Outage, Roster: gateway.Roster{RetainFor: rosterHold, CatchUp: rosterCatchUp}, Relay: e.relay, Level: level,
 		Log: telemetry.Part(p.log, "control"), Metrics: p.metrics})
 	e.server = gateway.NewServer(gateway.ServerConfig{CallerAddr: s.Listen.Callers, ReadyAddr: s.Listen.Readiness,
 		DrainTimeout: s.DrainTimeout()}, e.gateway, telemetry.Part(p.log, "server"))
@@ -188,6 +190,11 @@
 // Notices implements mesh.Listener.
 func (e *entryProcess) Notices() []peer.TargetNotice { return e.control.Notices() }
 
+// Shortages implements mesh.Listener.
+func (e *entryProcess) Shortages(now time.Time) map[string]overload.Report {
+	return e.control.Shortages(now)
+}
+
 // Assignment implements mesh.Listener.
 func (e *entryProcess) Assignment(p peer.Presence) (*peer.Assignment, <-chan struct{}) {
 	return e.control.Assignment(p)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -14,6 +14,7 @@
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload"
 )
 
 // Decoder decodes items of the store into fleet types.
@@ -64,6 +65,8 @@
 	outage   func() (down bool, ended time.Time)
 	relay    Relay
 	log      logrus.FieldLogger
+	level    *overload.Controller // nil if no level is held
+	monitor  *levelMonitor
 
 	evacuations evacuations
 	evacuated   []string // failure domains, sorted
@@ -106,6 +109,7 @@
 	Outage   func() (down bool, ended time.Time)
 	Roster   Roster
 	Relay    Relay
+	Level    *overload.Controller // optional; the one of the gateway
 	Log      logrus.FieldLogger
 	Metrics  metrics.Registry // optional
 }
@@ -116,7 +120,10 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
-	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
+	if o.Config.Off.Has(mechanism.AdmissionLevel) {
+		o.Level = nil
+	}
+	return &Control{cfg: o.Config, level: o.Level, monitor: newLevelMonitor(o.Metrics, o.Log), unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
 		addr: o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, versions: map[string]int{}, evacuations: evacuations{catchUp: o.Roster.CatchUp}, assignments: map[string]*assignment{},
@@ -137,6 +144,7 @@
 				break wait
 			case <-ticker.C:
 				c.updateUnreadable()
+				c.updateLevel(clock.Now())
 				if c.roster.Pending() || c.evacuations.holding || c.registrations.pending() {
 					break wait
 				}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,6 +49,7 @@
 	waited          time.Duration
 	tightest        time.Duration // tightest objective of the service's callers
 	isRetry         bool          // the request is probably a retry of a refused caller
+	level           levelState
 	firstEventDelay time.Duration
 	maxGap          time.Duration   // longest pause between events
 	target          string          // of the last send
@@ -75,7 +76,7 @@
 	x.run(ctx)
 }
 
-// admit matches the request with the configuration and reads its body.
+// admit matches the request with the configuration, checks the admission level, and reads the body.
 func (x *exchange) admit() Reason {
 	x.config = x.g.Config()
 	if x.config == nil {
@@ -97,6 +98,9 @@
 	x.deadline = x.start.Add(left)
 	x.isRetry = x.g.retryDetector.IsRetry(x.route.Name, x.call.Remaining)
 	x.service = x.route.Shares[pickShare(x.route.Shares)].Service
+	if reason := x.checkLevel(); reason != ReasonNone {
+		return reason
+	}
 	return x.readBody()
 }
 
@@ -222,6 +226,7 @@
 		return
 	}
 	f["reason"] = reason
+	x.level.log(f)
 	if x.started {
 		f["truncated"] = true
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,13 @@
 	// Default: this entry probes all contents.
 	Probes func(quarantine.Fingerprint) bool
 
+	// Level decides which requests are admitted while a service has too few targets. Default:
+	// all are.
+	Level Level
+	// SkipBodyTimeout is how long the response to a request that the level has refused may wait for
+	// the end of the request's body; after that the connection is closed. Default 50 ms.
+	SkipBodyTimeout time.Duration
+
 	// MaxWaitRatio is the part of the service's tightest objective (the shortest
 	// first-response latency that counts as in time for any of its current callers) that a
 	// fresh request, one that is not a retry, may wait for a target: long enough to bridge
@@ -156,6 +163,7 @@
 	if c.Probes == nil {
 		c.Probes = func(quarantine.Fingerprint) bool { return true }
 	}
+	c.SkipBodyTimeout = cmp.Or(c.SkipBodyTimeout, 50*time.Millisecond)
 	c.MaxWaitRatio = cmp.Or(c.MaxWaitRatio, 0.1)
 	c.RetryMaxWait = cmp.Or(c.RetryMaxWait, 250*time.Millisecond)
 	c.FirstEventLimit = cmp.Or(c.FirstEventLimit, 2200*time.Millisecond)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -25,6 +25,7 @@
 func (c *Control) Loads(from string, l *peer.Loads) {
 	c.mergeVersions(clock.Now(), from, l.Versions)
 	c.mergeNotices(from, l.Notices)
+	c.applyShortages(from, l.Added.Shortages)
 	loads := make(map[string]dispatch.Load, len(l.Targets))
 	shareSilence := !c.cfg.Off.Has(mechanism.SharedSilence)
 	for _, t := range l.Targets {
@@ -68,8 +69,14 @@
 	return out
 }
 
-// EntryLost implements mesh.Listener: the load that a lost entry reported is dropped.
-func (c *Control) EntryLost(addr string) { c.balancer.SetLoads(addr, nil) }
+// EntryLost implements mesh.Listener: the load and the shortages that a lost entry reported are
+// dropped.
+func (c *Control) EntryLost(addr string) {
+	c.balancer.SetLoads(addr, nil)
+	if c.level != nil {
+		c.level.Forget(addr)
+	}
+}
 
 // EngineState implements mesh.Listener: it applies the state of an agent's engine; nil
 // means that the agent is not reachable.
--- a/gateway/reason.go
+++ b/gateway/reason.go
@@ -14,6 +14,7 @@
 	ReasonUnknownKey      Reason = "unknown_key"
 	ReasonBodyTooLarge    Reason = "body_too_large"
 	ReasonBodyBroken      Reason = "body_broken"
+	ReasonOverShare       Reason = "over_share" // over what is admitted of the request's rank and team
 	ReasonSaturated       Reason = "saturated"
 	ReasonPaced           Reason = "paced" // all usable targets are rate-limited or backing off
 	ReasonNoTarget        Reason = "no_target"
@@ -38,7 +39,7 @@
 
 // reasons lists all reasons with a counter.
 var reasons = []Reason{ReasonNoConfig, ReasonNoRoute, ReasonUnknownKey, ReasonBodyTooLarge, ReasonBodyBroken,
-	ReasonSaturated, ReasonPaced, ReasonNoTarget, ReasonNoDomain, ReasonDialFailed, ReasonTargetRefused, ReasonOtherInstance, ReasonConnLost,
+	ReasonOverShare, ReasonSaturated, ReasonPaced, ReasonNoTarget, ReasonNoDomain, ReasonDialFailed, ReasonTargetRefused, ReasonOtherInstance, ReasonConnLost,
 	ReasonInvalidResponse, ReasonTargetError, ReasonLateFirstEvent, ReasonStalled, ReasonBrokenStream, ReasonVersionExpired, ReasonCrashesTargets, ReasonTimeout,
 	ReasonCallerGone, ReasonAttempts, ReasonBudget}
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -59,8 +59,9 @@
 	// Other entries may have reported crashes while the request waited for a place.
 	if reason == ReasonNone && x.quarantined() {
 		x.g.balancer.Cancel(choice.Target, d)
-		return choice, ReasonCrashesTargets
+		reason = ReasonCrashesTargets
 	}
+	x.recordPlacement(reason)
 	return choice, reason
 }
 
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -15,6 +16,7 @@
 
 // Stats are the counters and histograms of a gateway. Times are in milliseconds.
 type Stats struct {
+	registry          metrics.Registry
 	answered          metrics.Counter
 	refused           map[Reason]metrics.Counter
 	retried           map[Reason]metrics.Counter
@@ -33,7 +35,7 @@
 
 // NewStats registers the metrics and returns them.
 func NewStats(r metrics.Registry) *Stats {
-	s := &Stats{answered: metrics.NewRegisteredCounter("gateway.answered", r),
+	s := &Stats{registry: r, answered: metrics.NewRegisteredCounter("gateway.answered", r),
 		lostWithTarget: metrics.NewRegisteredCounter("gateway.lost_with_target", r),
 		truncated:      metrics.NewRegisteredCounter("gateway.truncated", r),
 		hedged:         metrics.NewRegisteredCounter("gateway.hedged", r), hedgesWon: metrics.NewRegisteredCounter("gateway.hedges_won", r),
@@ -52,6 +54,12 @@
 	return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
 
+// recordOverShare counts a request of a rank that the admission level of its service refused.
+func (s *Stats) recordOverShare(service string, rank int) {
+	name := fmt.Sprintf("gateway.over_share.%s.rank_%d", service, min(rank, maxRankMetrics-1))
+	metrics.GetOrRegisterCounter(name, s.registry).Inc(1)
+}
+
 func (s *Stats) recordFailure(r Reason)            { s.refused[r].Inc(1) }
 func (s *Stats) recordRetry(r Reason)              { s.retried[r].Inc(1) }
 func observe(h metrics.Histogram, d time.Duration) { h.Update(d.Milliseconds()) }
--- a/mesh/entries_test.go
+++ b/mesh/entries_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/loop"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/quarantine"
 )
@@ -159,6 +160,9 @@
 // Notices implements Listener.
 func (*entry) Notices() []peer.TargetNotice { return nil }
 
+// Shortages implements Listener.
+func (*entry) Shortages(time.Time) map[string]overload.Report { return nil }
+
 // startEntries runs n entries until stop is called; the store is at revision 1.
 func startEntries(t *testing.T, n int) *entries { return startEntriesStaggered(t, n, 0, 0) }
 
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -252,20 +252,43 @@
 	at   time.Time
 }
 
-// trimNotices leaves out of a load report the notices that were sent on the link lately. In a
-// large fleet many targets may have declared something.
-func (l *link) trimNotices(msg peer.Message) peer.Message {
+// trim leaves out of a load report what was sent on the link lately. In a large fleet many targets
+// may have declared something, and homes get full reports often.
+func (l *link) trim(msg peer.Message) peer.Message {
 	loads, ok := msg.(*peer.Loads)
 	if !ok || !loads.Full || !l.mesh.isLarge() {
 		return msg
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// stamped has made a copy for this link.
 	now := clock.Now()
+	l.trimNotices(now, loads)
+	l.trimShortages(now, loads)
+	return loads
+}
+
+// trimNotices leaves out unchanged notices. The lock must be held.
+func (l *link) trimNotices(now time.Time, loads *peer.Loads) {
 	if slices.Equal(l.notices.list, loads.Notices) && now.Sub(l.notices.at) < noticeRepeat {
-		loads.Notices = nil // stamped has made a copy for this link
-		return loads
+		loads.Notices = nil
+		return
 	}
 	l.notices = sentNotices{loads.Notices, now}
-	return loads
+}
+
+// shortageInterval is the minimum time between two reports of shortages on a link of a large fleet.
+const shortageInterval = 200 * time.Millisecond
+
+// trimShortages leaves out shortages that were sent less than shortageInterval ago. The receiver
+// keeps what it was told until then. The lock must be held.
+func (l *link) trimShortages(now time.Time, loads *peer.Loads) {
+	if len(loads.Added.Shortages) == 0 {
+		return
+	}
+	if now.Sub(l.shortageAt) < shortageInterval {
+		loads.Added.Shortages = nil
+		return
+	}
+	l.shortageAt = now
 }
--- a/mesh/link.go
+++ b/mesh/link.go
@@ -33,6 +33,7 @@
 	records    pendingRecords               // pending gossip
 	digest     *peer.GossipDigest           // pending question for the records that the entry has
 	notices    sentNotices                  // notices of targets last sent
+	shortageAt time.Time                    // when shortages were last sent
 }
 
 // queueLoads merges a load report into the pending one.
@@ -177,7 +178,7 @@
 		case <-changed:
 		case <-l.wake:
 			for _, msg := range l.takePending() {
-				if s.Send(ctx, l.trimNotices(l.mesh.stamped(msg))) != nil {
+				if s.Send(ctx, l.trim(l.mesh.stamped(msg))) != nil {
 					return true
 				}
 			}
--- a/mesh/loadreporter.go
+++ b/mesh/loadreporter.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/springgate/springgate/overload"
 	"github.com/springgate/springgate/peer"
 )
 
@@ -15,6 +16,10 @@
 	lastFull  time.Time
 	lastSent  time.Time
 
+	short   map[string]bool // services reported as short of targets
+	onset   bool            // another service is short of targets; a full report says so
+	onsetAt time.Time       // when a full report was last sent for that
+
 	storeFailing bool      // store state as last sent
 	storeSeenAt  time.Time // time of the store read that was last reported
 	storeSentAt  time.Time // when the store state was last sent
@@ -46,6 +51,24 @@
 	return true
 }
 
+// noteShortages makes the next report a full one if another service has become short of targets,
+// which the other entries must know soon; at most once in a heartbeat.
+func (r *loadReporter) noteShortages(now time.Time, reports map[string]overload.Report) {
+	began := false
+	short := make(map[string]bool, len(reports))
+	for service := range reports {
+		short[service] = true
+		began = began || !r.short[service]
+	}
+	if began && now.Sub(r.onsetAt) < r.heartbeat {
+		return // began again later, or sent with the next heartbeat
+	}
+	if began {
+		r.onset, r.onsetAt = true, now
+	}
+	r.short = short
+}
+
 // next returns the message for the current loads, or nil if there is nothing to send.
 func (r *loadReporter) next(now time.Time, current []peer.TargetLoad) *peer.Loads {
 	msg := &peer.Loads{}
@@ -63,8 +86,8 @@
 		msg.Targets = append(msg.Targets, peer.TargetLoad{Instance: id})
 	}
 	switch {
-	case now.Sub(r.lastFull) >= r.heartbeat:
-		r.lastFull, r.lastSent = now, now
+	case now.Sub(r.lastFull) >= r.heartbeat || r.onset:
+		r.lastFull, r.lastSent, r.onset = now, now, false
 		return &peer.Loads{Full: true, Targets: current}
 	case len(msg.Targets) > 0:
 		r.lastSent = now
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/overlay"
+	"github.com/springgate/springgate/overload"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/quarantine"
 )
@@ -35,6 +36,8 @@
 	Announced(now time.Time) []peer.ObservedVersion
 	// Notices returns the current notices of targets about themselves.
 	Notices() []peer.TargetNotice
+	// Shortages returns the reports about services that are short of targets, by service.
+	Shortages(now time.Time) map[string]overload.Report
 }
 
 // Mesh is this process's end of the links to all other processes.
@@ -193,6 +196,7 @@
 			out.CrashDigest = m.crashes.Digest()
 		}
 		out.Versions, out.Notices = m.listener.Announced(clock.Now()), m.listener.Notices()
+		out.Added.Shortages = m.listener.Shortages(clock.Now())
 		if digest, revision := m.table.Digest(); revision == out.Revision {
 			out.Digest = digest
 		}
@@ -400,6 +404,7 @@
 		return
 	}
 	current := loads()
+	r.noteShortages(now, m.listener.Shortages(now))
 	msg := r.next(now, current)
 	if msg == nil && (urgent || required) {
 		msg = &peer.Loads{}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
 )
@@ -28,6 +29,9 @@
 
 	mu          sync.Mutex
 	loads       map[string]int // targets in the last load report, by sender
+	short       map[string]overload.Report
+	heard       map[string]map[string]overload.Report // by sender
+	lost        map[string]bool                       // entries
 	engines     map[string]*peer.EngineState
 	assignments chan peer.Assignment
 	changed     chan struct{}
@@ -36,7 +40,7 @@
 // startNode runs a node until the test ends. Agents have no listener.
 func startNode(t *testing.T, name string, incarnation uint64, seeds []string, agent bool, own []peer.TargetLoad) *node {
 	t.Helper()
-	n := &node{table: mirror.NewTable(""), loads: map[string]int{}, engines: map[string]*peer.EngineState{},
+	n := &node{table: mirror.NewTable(""), loads: map[string]int{}, heard: map[string]map[string]overload.Report{}, lost: map[string]bool{}, engines: map[string]*peer.EngineState{},
 		assignments: make(chan peer.Assignment, 16), changed: make(chan struct{}),
 		balancer: dispatch.NewBalancer(dispatch.Config{}, rand.New(rand.NewPCG(1, 2)))}
 	hello, meter := peer.Hello{Host: name}, &peer.Meter{}
@@ -101,6 +105,7 @@
 	n.update(func() {
 		if l.Full {
 			n.loads[from] = len(l.Targets)
+			n.heard[from] = l.Added.Shortages
 		}
 		for _, x := range l.Notices {
 			if notice, ok := x.Decode(); ok {
@@ -110,7 +115,13 @@
 	})
 }
 
-func (n *node) EntryLost(string) { n.update(func() {}) }
+func (n *node) EntryLost(addr string) { n.update(func() { n.lost[addr] = true }) }
+
+func (n *node) Shortages(time.Time) map[string]overload.Report {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.short
+}
 
 func (n *node) EngineState(agent peer.Presence, s *peer.EngineState) {
 	n.update(func() { n.engines[agent.EngineAddr] = s })
--- a/mesh/size_test.go
+++ b/mesh/size_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
 )
@@ -176,9 +177,10 @@
 		m.currentBalancer().UpdateLoads(from, loads)
 	}
 }
-func (m *process) EntryLost(addr string)                    { m.currentBalancer().SetLoads(addr, nil) }
-func (*process) Announced(time.Time) []peer.ObservedVersion { return nil }
-func (*process) Notices() []peer.TargetNotice               { return nil }
+func (m *process) EntryLost(addr string)                        { m.currentBalancer().SetLoads(addr, nil) }
+func (*process) Announced(time.Time) []peer.ObservedVersion     { return nil }
+func (*process) Notices() []peer.TargetNotice                   { return nil }
+func (*process) Shortages(time.Time) map[string]overload.Report { return nil }
 func (m *process) EngineState(a peer.Presence, s *peer.EngineState) {
 	m.locked(func() {
 		if s == nil {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/springgate/springgate/overload"
 	"gotest.tools/v3/assert"
 )
 
@@ -175,7 +176,7 @@
 
 func FuzzFrame(f *testing.F) {
 	for _, m := range []Message{&Hello{Host: "h"}, &Dispatch{URI: "/x"}, &Have{Bits: []uint64{1}}, &End{Length: 3},
-		&Loads{Added: LoadsAdded{Shortages: []Shortage{{Service: "s"}}}}} {
+		&Loads{Added: LoadsAdded{Shortages: map[string]overload.Report{"s": {Placed: 1}}}}} {
 		b, err := encodeFrame(5, flagOpen, m)
 		if err != nil {
 			f.Fatal(err)
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -1,6 +1,9 @@
 package peer
 
-import "github.com/springgate/springgate/revision"
+import (
+	"github.com/springgate/springgate/overload"
+	"github.com/springgate/springgate/revision"
+)
 
 // Presence is the state that a process reports about itself when it opens a link (a stream to an
 // entry; see package mesh), and periodically after that.
@@ -88,9 +91,9 @@
 
 // LoadsAdded are fields of Loads that earlier releases do not know.
 type LoadsAdded struct {
-	// Shortages are the services for which the sender has found too few targets lately. Sent if
-	// Full only.
-	Shortages []Shortage
+	// Shortages are the sender's reports about services that are short of targets, by service. Sent
+	// if Full only.
+	Shortages map[string]overload.Report
 }
 
 func (l *Loads) extension() any     { return &l.Added }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -137,6 +137,8 @@
 		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
 	case metrics.Gauge:
 		return []string{fmt.Sprintf("%s %d", name, m.Value())}
+	case metrics.GaugeFloat64:
+		return []string{fmt.Sprintf("%s %g", name, m.Value())}
 	case metrics.Histogram:
 		s := m.Snapshot()
 		return []string{
