--- a/peer/presence.go
+++ b/peer/presence.go
@@ -1,6 +1,9 @@
 package peer
 
-import "github.com/springgate/springgate/revision"
+import (
+	"github.com/springgate/springgate/overload"
+	"github.com/springgate/springgate/revision"
+)
 
 // Presence is the state that a process reports about itself when it opens a link (a stream to an
 // entry; see package mesh), and periodically after that.
@@ -82,8 +85,20 @@
 	Versions []ObservedVersion
 	// Notices are the targets' own announcements. Sent if Full only.
 	Notices []TargetNotice
+	// Added holds the fields that earlier releases do not know.
+	Added LoadsAdded `msgpack:"-"`
 }
 
+// LoadsAdded are fields of Loads that earlier releases do not know.
+type LoadsAdded struct {
+	// Shortages are the sender's reports about services that are short of targets, by service. Sent
+	// if Full only.
+	Shortages map[string]overload.Report
+}
+
+func (l *Loads) extension() any     { return &l.Added }
+func (l *Loads) hasExtension() bool { return len(l.Added.Shortages) > 0 }
+
 // Kind implements Message.
 func (*Loads) Kind() Kind { return kindLoads }
 
