dispatch: utilization counts free slots that placement refuses as used

Cause: the admission level holds no level below a utilization of 0.75.

Change: free slots of a target count as used to the part of the service's requests that it would not admit now, by the same limits as placement.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -120,7 +120,7 @@
 	defer b.mu.Unlock()
 	s := b.objectivesOf(now, service)
 	if d.Standing == Fresh {
-		s.observe(now, d.Objective, d.Prompt)
+		s.observe(now, d.Objective, d.MaxGap, d.Prompt)
 	}
 	if b.cfg.Off.Has(mechanism.CommonWait) {
 		return d.Objective
--- a/dispatch/objectives.go
+++ b/dispatch/objectives.go
@@ -39,13 +39,14 @@
 type objectiveShare struct {
 	objective time.Duration
 	count     float64
-	prompts   float64 // prompt tokens of all these requests
+	prompts   float64       // prompt tokens of all these requests
+	maxGap    time.Duration // of the latest request
 }
 
 func (o objectiveShare) meanPrompt() int { return int(o.prompts / o.count) }
 
 // observe counts a request.
-func (s *objectiveStats) observe(now time.Time, objective time.Duration, prompt int) {
+func (s *objectiveStats) observe(now time.Time, objective, maxGap time.Duration, prompt int) {
 	if objective <= 0 {
 		return
 	}
@@ -58,6 +59,7 @@
 	}
 	s.shares[i].count++
 	s.shares[i].prompts += float64(prompt)
+	s.shares[i].maxGap = maxGap
 }
 
 // tightest returns the smallest of other and the objectives that at least minObjectiveShare of
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -24,28 +24,48 @@
 	return sum / float64(len(targets))
 }
 
-// Utilization returns the part of the slots of a service's targets that is in use, 0 to 1. It
-// covers targets that can take any request now and whose load is known here: in a fleet whose
-// entries tell each other their loads, all; otherwise those whose home entry told it lately. It is
-// 1 if there is none, since then no slot is known to be free.
+// Utilization returns the part of the capacity of a service's targets that is in use, 0 to 1. Free
+// slots of a target that would not admit the service's requests now, because they would wait too long,
+// count as used. It covers targets that can take any request now and whose load is known here: in a
+// fleet whose entries tell each other their loads, all; otherwise those whose home entry told it
+// lately. It is 1 if there is none, since then no slot is known to be free.
 func (b *Balancer) Utilization(now time.Time, service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expireHomeLoads(now)
 	toldByHomes := len(b.homeLoads) > 0
-	used, slots := 0, 0
+	stats := b.objectives[service]
+	used, slots := 0.0, 0
 	for _, t := range b.services[service] {
 		known := !toldByHomes || now.Sub(t.homeLoadAt) < homeLoadValidity
 		if !known || !b.unrestricted(now, t) {
 			continue
 		}
-		used += min(t.load.Requests, t.slots())
+		busy := min(t.load.Requests, t.slots())
+		used += float64(busy) + float64(t.slots()-busy)*b.refusedPart(now, t, stats)
 		slots += t.slots()
 	}
 	if slots == 0 {
 		return 1
 	}
-	return float64(used) / float64(slots)
+	return used / float64(slots)
+}
+
+// refusedPart returns the part of a service's requests that the target would not admit now.
+func (b *Balancer) refusedPart(now time.Time, t *Target, stats *objectiveStats) float64 {
+	if stats == nil || stats.total <= 0 {
+		return 0
+	}
+	refused := 0.0
+	for _, o := range stats.shares {
+		d := Demand{Objective: o.objective, Prompt: o.meanPrompt(), MaxGap: o.maxGap}
+		slowdown, _ := b.slowdownOf(now, t, d.Prompt)
+		slow := b.relative(now, t, slowdown)
+		if !b.admission(now, t, stats, d, slow).admits(t.load, b.forecast(now, t, d).scale(slow), slow) {
+			refused += o.count
+		}
+	}
+	return min(refused/stats.total, 1)
 }
 
 // unrestricted reports whether a target can take requests now, at any rate.
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -55,3 +55,33 @@
 	near(t, b.Utilization(start.Add(homeLoadValidity/2), testService), 0.75)
 	near(t, b.Utilization(start.Add(homeLoadValidity), testService), 1)
 }
+
+// TestUtilizationCountsSlotsThatAdmissionRefuses checks that free slots of a target that would serve
+// the service's requests too late count as used.
+func TestUtilizationCountsSlotsThatAdmissionRefuses(t *testing.T) {
+	tight, loose, even := demand(), demand(), demand()
+	tight.Objective = 150 * time.Millisecond
+	even.MaxGap = 120 * time.Millisecond
+	for _, test := range []struct {
+		name    string
+		demands []Demand
+		load    Load
+		want    float64
+	}{
+		{"no requests yet", nil, Load{4, 2000}, 4.0 / 16},
+		{"in time", []Demand{loose}, Load{4, 2000}, 4.0 / 16},
+		{"too late", []Demand{tight}, Load{4, 2000}, 1},
+		{"no prompt is pending", []Demand{tight}, Load{4, 0}, 4.0 / 16},
+		{"gaps would be too long", []Demand{even}, Load{4, 2000}, 1},
+		{"gaps would be too long for half of the requests", []Demand{even, {Prompt: 1000, Objective: time.Second}}, Load{4, 2000}, 10.0 / 16},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestBalancer(engineModel(), Config{}, engine(1, 1))
+			for _, d := range test.demands {
+				b.RecordArrival(start, testService, d)
+			}
+			b.SetLoads("other", map[string]Load{"i-1": test.load})
+			near(t, b.Utilization(start, testService), test.want)
+		})
+	}
+}
