--- a/overload/controller.go
+++ b/overload/controller.go
@@ -65,8 +65,9 @@
 	s.observeWait(r.Waited)
 }
 
-// SetUtilization records which part of the capacity of a service's targets is in use, as far as
-// this entry knows. No level is held while a considerable part is idle.
+// SetUtilization records which part of the capacity of a service's targets is in use, 0 to 1, as far
+// as this entry knows. Capacity at which a request would find no place counts as used. No level is held
+// below idleUtilization.
 func (c *Controller) SetUtilization(now time.Time, service string, utilization float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,7 +88,7 @@
 			delete(c.services, name)
 			continue
 		}
-		if !s.short(now) && !s.heard.needed() && s.estimate.room == 0 {
+		if !s.short(now) && !s.peers.needed() && s.estimate.room == 0 {
 			continue
 		}
 		if reports == nil {
@@ -98,27 +99,27 @@
 	return reports
 }
 
-// SetReports replaces what another entry has told. A report is forgotten if it is not repeated.
+// SetReports replaces what another entry has reported. A report is forgotten if it is not repeated.
 func (c *Controller) SetReports(now time.Time, from string, reports map[string]Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, s := range c.services {
 		if _, ok := reports[name]; !ok {
-			s.heard.remove(from)
+			s.peers.remove(from)
 		}
 	}
 	for name, r := range reports {
 		s := c.service(now, name)
-		s.heard.set(now, &s.demand, from, r)
+		s.peers.set(now, &s.demand, from, r)
 	}
 }
 
-// Forget drops what an entry has told that is gone.
+// Forget drops the reports of an entry that is gone.
 func (c *Controller) Forget(from string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.services {
-		s.heard.remove(from)
+		s.peers.remove(from)
 	}
 }
 
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -140,9 +140,9 @@
 			now := forget(c)
 			assert.Equal(t, len(c.Reports(now)), 0)
 			s := c.services[testService]
-			assert.Equal(t, len(s.heard.reports), 0)
+			assert.Equal(t, len(s.peers.reports), 0)
 			for _, class := range s.demand.list {
-				assert.Equal(t, class.heard, 0.0)
+				assert.Equal(t, class.remote, 0.0)
 			}
 		})
 	}
@@ -198,7 +198,7 @@
 		})
 	}
 	wg.Wait()
-	assert.Equal(t, len(c.services[testService].heard.reports), 0)
+	assert.Equal(t, len(c.services[testService].peers.reports), 0)
 }
 
 func TestIdleServicesAreDropped(t *testing.T) {
--- a/overload/demand.go
+++ b/overload/demand.go
@@ -69,8 +69,8 @@
 	offered meter // by fresh requests at this entry
 	seen    time.Time
 
-	heard   float64 // offered at other entries
-	entries int     // other entries that told it
+	remote  float64 // offered at other entries
+	entries int     // other entries that report it
 	means   float64 // of a rest: sum over these entries of the mean demand of a team
 
 	fraction float64
@@ -150,7 +150,7 @@
 // that other entries list.
 func (t *demandTable) dropSmallest(now time.Time, n int) {
 	slices.SortFunc(t.list, func(a, b *class) int {
-		return cmp.Compare(b.heard+b.offered.rate(now), a.heard+a.offered.rate(now))
+		return cmp.Compare(b.remote+b.offered.rate(now), a.remote+a.offered.rate(now))
 	})
 	for _, c := range t.list[len(t.list)-n:] {
 		if c.entries == 0 {
@@ -176,10 +176,10 @@
 // mean of that rest there.
 func (t *demandTable) claims(now time.Time, claims []claim) []claim {
 	for _, c := range t.list {
-		claims = append(claims, claim{rank: c.Rank, work: c.offered.rate(now) + c.heard, teams: 1, fraction: 1})
+		claims = append(claims, claim{rank: c.Rank, work: c.offered.rate(now) + c.remote, teams: 1, fraction: 1})
 	}
 	for _, r := range t.rests {
-		left, mean := r.offered.rate(now)+r.heard, 0.0
+		left, mean := r.offered.rate(now)+r.remote, 0.0
 		if r.entries > 0 {
 			mean = r.means / float64(r.entries)
 			left -= t.spread(r, mean, claims)
@@ -193,7 +193,7 @@
 	return claims
 }
 
-// spread adds the rest that other entries have told to the claims of the classes that they do not
+// spread adds the rest that other entries have reported to the claims of the classes that they do not
 // list, and returns how much it added.
 func (t *demandTable) spread(r *class, mean float64, claims []claim) float64 {
 	var sum float64
@@ -205,7 +205,7 @@
 	if sum == 0 {
 		return 0
 	}
-	scale := min(1, r.heard/sum)
+	scale := min(1, r.remote/sum)
 	for i, c := range t.list {
 		if c.Rank == r.Rank {
 			claims[i].work += scale * mean * float64(max(r.entries-c.entries, 0))
--- a/overload/demand_test.go
+++ b/overload/demand_test.go
@@ -114,8 +114,8 @@
 		table.insert(simStart, Class{Team: fmt.Sprint(i)}).offered.add(simStart, 0.1)
 	}
 	own := table.claims(simStart, nil)
-	table.addHeard(simStart, ClassDemand{Class: Class{Team: "0"}, Work: 5})
-	rest := table.addHeard(simStart, ClassDemand{Work: 10, Teams: 5})
+	table.addRemote(simStart, ClassDemand{Class: Class{Team: "0"}, Work: 5})
+	rest := table.addRemote(simStart, ClassDemand{Work: 10, Teams: 5})
 	claims := table.claims(simStart, nil)
 	assert.Equal(t, len(claims), 5)
 	near(t, claims[0].work, own[0].work+5)
--- a/overload/level.go
+++ b/overload/level.go
@@ -50,7 +50,7 @@
 type supply struct {
 	settle      time.Duration // how long a change of the room takes to have an effect
 	measured    time.Duration // since when unplaced is measured
-	entries     int           // other entries that told their level since the latest change
+	entries     int           // other entries that reported their level since the latest change
 	levels      float64       // sum of their levels
 	limiting    int           // such entries whose level is below 1
 	limits      float64       // sum of their levels
--- a/overload/reports.go
+++ b/overload/reports.go
@@ -17,8 +17,8 @@
 	maxListed = 96
 )
 
-// heardReport is the latest report of another entry, with where its demand was added.
-type heardReport struct {
+// peerReport is the latest report of another entry, with where its demand was added.
+type peerReport struct {
 	from     string
 	at       time.Time
 	placed   float64
@@ -36,56 +36,56 @@
 	mean  float64 // of a team, for the rest of a rank
 }
 
-// heard is what the other entries have told about a service.
-type heard struct {
-	reports []*heardReport // ascending by entry
-	// Demand of the entries that were heard for the first time, and that were forgotten, since the
+// peerReports holds the latest reports of the other entries about a service.
+type peerReports struct {
+	reports []*peerReport // ascending by entry
+	// Demand of the entries that reported for the first time, and that were forgotten, since the
 	// latest update of the level.
 	joined, gone float64
 }
 
-func (h *heard) find(from string) (int, bool) {
-	return slices.BinarySearchFunc(h.reports, from, func(r *heardReport, from string) int { return cmp.Compare(r.from, from) })
+func (p *peerReports) find(from string) (int, bool) {
+	return slices.BinarySearchFunc(p.reports, from, func(r *peerReport, from string) int { return cmp.Compare(r.from, from) })
 }
 
 // set replaces the report of an entry.
-func (h *heard) set(now time.Time, t *demandTable, from string, r Report) {
-	n := &heardReport{from: from, at: now, placed: amount(r.Placed), unplaced: amount(r.Unplaced), refusals: amount(r.Refusals),
+func (p *peerReports) set(now time.Time, t *demandTable, from string, r Report) {
+	n := &peerReport{from: from, at: now, placed: amount(r.Placed), unplaced: amount(r.Unplaced), refusals: amount(r.Refusals),
 		level: min(amount(r.Level), 1), short: r.Short, listed: make([]listedDemand, 0, len(r.Offered))}
 	for _, d := range r.Offered {
-		l := t.addHeard(now, d)
+		l := t.addRemote(now, d)
 		n.listed = append(n.listed, l)
 		n.offered += l.work
 	}
-	i, known := h.find(from)
+	i, known := p.find(from)
 	if known {
-		h.reports[i].remove()
-		h.reports[i] = n
+		p.reports[i].remove()
+		p.reports[i] = n
 		return
 	}
-	h.reports = slices.Insert(h.reports, i, n)
-	h.joined += n.offered
+	p.reports = slices.Insert(p.reports, i, n)
+	p.joined += n.offered
 }
 
 // remove forgets an entry.
-func (h *heard) remove(from string) {
-	if i, known := h.find(from); known {
-		h.forget(h.reports[i])
-		h.reports = slices.Delete(h.reports, i, i+1)
+func (p *peerReports) remove(from string) {
+	if i, known := p.find(from); known {
+		p.forget(p.reports[i])
+		p.reports = slices.Delete(p.reports, i, i+1)
 	}
 }
 
-func (h *heard) forget(r *heardReport) {
+func (p *peerReports) forget(r *peerReport) {
 	r.remove()
-	h.gone += r.offered
+	p.gone += r.offered
 }
 
 // expire forgets reports that were not repeated.
-func (h *heard) expire(now time.Time) {
-	h.reports = slices.DeleteFunc(h.reports, func(r *heardReport) bool {
+func (p *peerReports) expire(now time.Time) {
+	p.reports = slices.DeleteFunc(p.reports, func(r *peerReport) bool {
 		old := now.Sub(r.at) > reportLifetime
 		if old {
-			h.forget(r)
+			p.forget(r)
 		}
 		return old
 	})
@@ -93,19 +93,19 @@
 
 // needed reports whether another entry was short lately or holds a level, and so needs to know
 // the demand here.
-func (h *heard) needed() bool {
-	return slices.ContainsFunc(h.reports, func(r *heardReport) bool { return r.short || r.level > 0 && r.level < 1 })
+func (p *peerReports) needed() bool {
+	return slices.ContainsFunc(p.reports, func(r *peerReport) bool { return r.short || r.level > 0 && r.level < 1 })
 }
 
 // remove takes back the demand that the report has added.
-func (n *heardReport) remove() {
-	for _, l := range n.listed {
+func (r *peerReport) remove() {
+	for _, l := range r.listed {
 		l.remove()
 	}
 }
 
-// addHeard adds the demand that another entry has told.
-func (t *demandTable) addHeard(now time.Time, d ClassDemand) listedDemand {
+// addRemote adds the demand that another entry has reported.
+func (t *demandTable) addRemote(now time.Time, d ClassDemand) listedDemand {
 	l := listedDemand{work: amount(d.Work)}
 	name := d.Class.normalized()
 	if d.Teams <= 0 {
@@ -118,22 +118,22 @@
 		l.class = t.rest(now, name.Rank)
 		l.mean = l.work / float64(max(d.Teams, 1))
 	}
-	l.class.heard += l.work
+	l.class.remote += l.work
 	l.class.means += l.mean
 	l.class.entries++
 	return l
 }
 
-// remove takes back what addHeard has added.
+// remove takes back what addRemote has added.
 func (l listedDemand) remove() {
 	c := l.class
 	c.entries--
-	c.heard -= l.work
+	c.remote -= l.work
 	c.means -= l.mean
 	if c.entries == 0 {
-		c.heard, c.means = 0, 0 // no rounding errors are left
+		c.remote, c.means = 0, 0 // no rounding errors are left
 	}
-	c.heard, c.means = max(c.heard, 0), max(c.means, 0)
+	c.remote, c.means = max(c.remote, 0), max(c.means, 0)
 }
 
 // offered lists the demand at this entry: the largest classes one by one, the others by rank.
@@ -176,7 +176,7 @@
 	return append(rests, ClassDemand{Class: Class{Rank: rank}, Work: work, Teams: teams})
 }
 
-// amount returns a rate that another entry has told, or 0 if it makes no sense.
+// amount returns an amount or rate of work from a request or a report, or 0 if it is not a positive number.
 func amount(v float64) float64 {
 	if !(v > 0) || math.IsInf(v, 0) {
 		return 0
--- a/overload/service.go
+++ b/overload/service.go
@@ -24,7 +24,7 @@
 	refusals   meter
 	unplacedAt time.Time     // zero if never
 	wait       time.Duration // after which requests are given up
-	heard      heard
+	peers      peerReports
 	usedAt     time.Time
 
 	utilization   float64
@@ -80,14 +80,14 @@
 	}
 	s.updatedAt = now
 	s.measure(now)
-	s.heard.expire(now)
+	s.peers.expire(now)
 	s.demand.prune(now)
 	s.claims = s.demand.claims(now, s.claims[:0])
 	s.counted = len(s.demand.list)
 	supply := s.supply(now)
 	s.total = supply.demand
-	s.estimate.keepFraction(now, supply.demand, s.heard.joined, s.heard.gone)
-	s.heard.joined, s.heard.gone = 0, 0
+	s.estimate.keepFraction(now, supply.demand, s.peers.joined, s.peers.gone)
+	s.peers.joined, s.peers.gone = 0, 0
 	s.estimate.update(now, supply)
 	if s.estimate.room > 0 {
 		s.alloc.allocate(s.estimate.room, s.claims)
@@ -111,7 +111,7 @@
 	}
 	placed, unplaced, refusals := s.placed.rate(now), s.unplaced.rate(now), s.refusals.rate(now)
 	from := s.measuredFrom()
-	for _, r := range s.heard.reports {
+	for _, r := range s.peers.reports {
 		refusals += r.refusals
 		if !r.at.After(from) {
 			continue
@@ -177,7 +177,7 @@
 }
 
 func (s *service) unused(now time.Time) bool {
-	return now.Sub(s.usedAt) > classRetention && len(s.heard.reports) == 0
+	return now.Sub(s.usedAt) > classRetention && len(s.peers.reports) == 0
 }
 
 func (s *service) report(now time.Time) Report {
@@ -190,7 +190,7 @@
 }
 
 func (s *service) level(name string) Level {
-	l := Level{Service: name, Room: s.estimate.room, Entries: 1 + len(s.heard.reports)}
+	l := Level{Service: name, Room: s.estimate.room, Entries: 1 + len(s.peers.reports)}
 	for i, c := range s.claims {
 		cl := ClassLevel{Offered: c.work, Fraction: c.fraction}
 		if i < s.counted {
