gateway: bound the bytes that callers' requests hold by a budget

Cause: a body was read whole, by io.ReadAll, whatever others held: 100 callers that send 4 MB each and stop one byte short made an entry hold 554 MB, on hosts that have 184 MB.

The gateway reserves before it reads: bodies by their length or as their buffers grow, buffered responses and events. Mechanism byte-budget switches it off.

Not measured yet: the resident size of an entry with 100 such callers.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mesh"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload/memory"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/platform"
 	"github.com/springgate/springgate/quarantine"
@@ -27,16 +29,18 @@
 func gatewayCommand() *cli.Command {
 	var f platformFlags
 	var contentKey string
+	var memoryBudget int64
 	set := &settings.Set{}
 	f.add(set)
 	set.Text(&contentKey, "content-key", "secret key of the fingerprints that identify request content in logs and between peers; must be the same on all entries", "", false)
+	set.Bytes(&memoryBudget, "memory-budget", "how much memory callers' requests may hold together; 0 derives it from the memory limit in the platform's settings", "0", 0, 1<<40)
 	return &cli.Command{Name: "gateway", Usage: "run an entry on the platform, with the settings from the file that " + platform.SettingsVariable + " names",
 		Flags: set.Flags(),
 		Action: func(_ context.Context, c *cli.Command) error {
 			if err := set.Load(c); err != nil {
 				return err
 			}
-			return runGateway(f, contentKey)
+			return runGateway(f, contentKey, memoryBudget)
 		}}
 }
 
@@ -54,12 +58,12 @@
 	server   *gateway.Server
 }
 
-func runGateway(f platformFlags, contentKey string) error {
+func runGateway(f platformFlags, contentKey string, memoryBudget int64) error {
 	p, err := newPlatformProcess(f, roleEntry)
 	if err != nil {
 		return err
 	}
-	e := newEntryProcess(p, f.off, contentKey)
+	e := newEntryProcess(p, f.off, contentKey, memoryBudget)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	peers, err := peer.Listen(p.self.Addr, p.hello(), e.servePeer, p.meter)
@@ -83,7 +87,7 @@
 	return nil
 }
 
-func newEntryProcess(p *platformProcess, off mechanism.Off, contentKey string) *entryProcess {
+func newEntryProcess(p *platformProcess, off mechanism.Off, contentKey string, memoryBudget int64) *entryProcess {
 	s := p.settings
 	e := &entryProcess{platformProcess: p}
 	p.pool = peer.NewPool(p.hello(), e.servePeer, p.meter)
@@ -96,7 +100,7 @@
 	e.reserver = mesh.NewReserver(e.mesh, e.balancer, off)
 	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, MirrorState: mirrorState(table), Crashes: crashes,
 		Hasher: quarantine.NewHasher(contentKey), Host: p.self.Host, Probes: e.mesh.Probes, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
-		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
+		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra, Memory: p.newBudget(memoryBudget)}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = e.mesh.NewFollower(mirror.Config{}, platform.NewStore(s.Store.Addr), telemetry.Part(p.log, "mirror"))
 	e.relay = weights.NewRelay(weights.Config{Off: off}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
@@ -110,6 +114,17 @@
 	return e
 }
 
+// newBudget returns the budget of bytes of callers' requests. size is zero if it is to be derived
+// from the memory limit of the process. Without that there is no budget.
+func (p *platformProcess) newBudget(size int64) *memory.Budget {
+	size = cmp.Or(size, memory.Size(heapLimit(p.settings)))
+	if size == 0 {
+		return nil
+	}
+	telemetry.Part(p.log, "main").WithField("budget", size).Info("Memory of requests is bounded.")
+	return memory.New(memory.Config{Bytes: size})
+}
+
 // mirrorState returns a function that reports the state of this entry's mirror, its local
 // copy of the store.
 func mirrorState(t *mirror.Table) func() gateway.MirrorState {
--- a/command/platform.go
+++ b/command/platform.go
@@ -94,8 +94,8 @@
 	if err := telemetry.ConfigureGoZero(log); err != nil {
 		return nil, err
 	}
-	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
+	if limit := heapLimit(s); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	debug.SetGCPercent(gcPercent)
 	p := &platformProcess{settings: s, log: log, logWriter: out, metrics: metrics.NewRegistry(), meter: &peer.Meter{}}
@@ -115,6 +115,12 @@
 	return p, nil
 }
 
+// heapLimit returns the soft limit of the Go runtime in bytes, or zero if the memory limit of the
+// process is not known.
+func heapLimit(s *platform.Settings) int64 {
+	return int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20))
+}
+
 func (p *platformProcess) hello() peer.Hello {
 	return peer.Hello{Host: p.self.Host, Incarnation: p.self.Incarnation, Role: p.self.Role, Domain: p.self.Domain}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,7 @@
 	firstErr    error             // io.EOF if the stream has no events
 	plain       *bufferedResponse // set if the response is complete
 	large       []byte            // beginning of a response that reached the buffer limit
+	memory      allocation        // of the response
 	events      int               // relayed to the caller
 	lastEventAt time.Time         // when the last event arrived
 }
@@ -51,7 +52,8 @@
 	x.g.dialect.EncodeForward(h, ForwardInfo{Instance: t.ID, Team: x.teamName(), Remaining: clock.Until(x.deadline), LastEvent: x.lastEvent})
 	x.logSending(c)
 	a := &attempt{x: x, choice: c, parent: parent, sentAt: clock.Now(), pendingPrefill: x.call.Prompt,
-		request: &targetconn.Request{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, ID: x.call.ID}}
+		request: &targetconn.Request{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, ID: x.call.ID},
+		memory:  allocation{h: x.memory}}
 	a.ctx, a.cancel = context.WithCancelCause(parent)
 	a.hedge = newHedge(a)
 	x.inFlight++
@@ -111,8 +113,7 @@
 	case a.large != nil:
 		return nil, a.relayLarge()
 	}
-	a.relayPlain()
-	return nil, result{ran: true, sent: true}
+	return nil, a.relayPlain()
 }
 
 // supersededResult returns the result of an attempt whose hedge has won. res is how the attempt
@@ -166,6 +167,8 @@
 	sent := !errors.Is(err, targetconn.ErrDial)
 	res := result{ran: sent, sent: sent}
 	switch {
+	case errors.Is(err, errNoMemory):
+		res.reason = ReasonNoMemory
 	case errors.Is(context.Cause(a.ctx), errVersionExpired):
 		res.reason = ReasonVersionExpired
 	case errors.Is(context.Cause(a.ctx), errSilent):
@@ -210,6 +213,9 @@
 		a.resp.Close()
 	}
 	a.cancel(nil)
+	if res.held == nil {
+		a.memory.shrink(a.memory.bytes)
+	}
 	x.inFlight--
 	if res.sent {
 		x.sends++
@@ -231,7 +237,7 @@
 func (a *attempt) report(res result) {
 	r := dispatch.Result{PendingPrefill: a.pendingPrefill, Latency: clock.Since(a.sentAt)}
 	switch res.reason {
-	case ReasonNone, ReasonTimeout, ReasonCallerGone, ReasonVersionExpired, ReasonOvertaken:
+	case ReasonNone, ReasonTimeout, ReasonCallerGone, ReasonVersionExpired, ReasonOvertaken, ReasonNoMemory, ReasonReaderStalled:
 	case ReasonTargetRefused:
 		r.Latency = 0
 	case ReasonOtherInstance:
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// readBody reads the body of the request, within the budget of bytes if there is one.
+func (x *exchange) readBody() Reason {
+	limit := x.config.Limits.BodyBytes
+	size := x.r.ContentLength // -1 if the body is chunked
+	if size > limit {
+		return ReasonBodyTooLarge
+	}
+	first := firstBuffer(size)
+	if !x.reserve(requestOverhead + first) {
+		return ReasonNoMemory
+	}
+	if x.memory == nil {
+		size, first = -1, firstBuffer(-1)
+	}
+	buffer := allocation{h: x.memory, bytes: first}
+	x.memory.await(phaseBody)
+	b, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), first, limit, &buffer, x.memory.progress)
+	if !x.memory.proceed() {
+		return ReasonBodyStalled
+	}
+	x.body = b
+	return x.finishBody(err)
+}
+
+// finishBody converts the error of reading the body into a reason.
+func (x *exchange) finishBody(err error) Reason {
+	var large *http.MaxBytesError
+	switch {
+	case errors.Is(err, errNoMemory):
+		return ReasonNoMemory
+	case errors.As(err, &large):
+		return ReasonBodyTooLarge
+	case err != nil:
+		return ReasonBodyBroken
+	}
+	x.bodyComplete = true
+	x.content = x.fingerprint()
+	return ReasonNone
+}
+
+// firstBufferSize is the size in bytes of the first buffer for content of unknown length.
+const firstBufferSize = 4 << 10
+
+// firstBuffer returns the size of the first buffer for content whose length is size, or unknown if
+// that is negative. One byte more than the content lets the end be read without another buffer.
+func firstBuffer(size int64) int64 {
+	if size < 0 {
+		return firstBufferSize
+	}
+	return size + 1
+}
+
+// readAll reads r, which returns no more than limit bytes without an error, until its end.
+// memory has first bytes, which is the size of the first buffer; each larger buffer is
+// reserved beside the one that it replaces. On an error it returns what was read.
+func readAll(r io.Reader, first, limit int64, memory *allocation, progress func(int)) ([]byte, error) {
+	b := make([]byte, 0, first)
+	for {
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		progress(n)
+		switch {
+		case err == io.EOF:
+			return b, nil
+		case err != nil:
+			return b, err
+		case len(b) < cap(b):
+			continue
+		}
+		old := int64(cap(b))
+		size := max(min(2*old, limit+1), old+1)
+		if !memory.grow(size) {
+			return b, errNoMemory
+		}
+		b = append(make([]byte, 0, size), b...)
+		memory.shrink(old)
+	}
+}
+
+// unreadTimeout is how long the rest of a refused request's body is still received, so that the
+// caller reads the response before the connection is reset; the timeout that net/http uses too.
+const unreadTimeout = 500 * time.Millisecond
+
+// maxUnread is how many bytes of the body of a refused request are read and dropped, as in
+// net/http.
+const maxUnread = 256 << 10
+
+// leavesUnread reports whether a refusal leaves the body unread, so that the connection cannot be
+// used again.
+func (x *exchange) leavesUnread(reason Reason) bool {
+	switch reason {
+	case ReasonNoMemory, ReasonBodyTooLarge, ReasonBodyStalled:
+		return !x.bodyComplete
+	}
+	return false
+}
+
+// prepareClose makes the response the last one of the connection and bounds how long net/http
+// reads the rest of the body.
+func (x *exchange) prepareClose(reason Reason) {
+	x.w.Header().Set("Connection", "close")
+	if reason != ReasonBodyStalled { // whose deadline has passed
+		// The error is ignored: a connection without deadlines is closed by its timeouts.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadTimeout))
+	}
+}
+
+// dropBody reads what the caller has already sent of the body. net/http does so too, unless the
+// caller has asked for the connection to be closed.
+func (x *exchange) dropBody() {
+	if !x.r.Close {
+		return
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return
+	}
+	// The error is ignored: the connection is closed next.
+	_, _ = io.CopyN(io.Discard, x.r.Body, maxUnread)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
@@ -29,6 +28,7 @@
 	service  string
 	team     *fleet.Team
 	body     []byte
+	memory   *holding // nil before the body is read, and without a budget
 	content  quarantine.Fingerprint
 	finding  *quarantine.Finding // set if the request is quarantined
 	probing  bool                // the request is sent once as a probe although it is quarantined
@@ -44,6 +44,7 @@
 	avoid           []string          // instances that were already tried
 	lastEvent       string            // ID of the last event relayed
 	events          int
+	bodyComplete    bool // the body has been read
 	unresumable     bool // the part of the response that was relayed cannot be continued by another target
 	started         bool // the response header has been written to the caller
 	waited          time.Duration
@@ -63,6 +64,7 @@
 	defer g.inflight.Add(-1)
 	x := &exchange{g: g, w: w, r: r, call: g.dialect.Decode(r.Header), start: clock.Now()}
 	x.lastEvent = x.call.LastEvent
+	defer x.release()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -100,21 +102,6 @@
 	return x.readBody()
 }
 
-func (x *exchange) readBody() Reason {
-	limit := x.config.Limits.BodyBytes
-	b, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return ReasonBodyTooLarge
-	case err != nil:
-		return ReasonBodyBroken
-	}
-	x.body = b
-	x.content = x.fingerprint()
-	return ReasonNone
-}
-
 // hostOf strips the port of a Host header.
 func hostOf(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -152,6 +139,10 @@
 		panic(http.ErrAbortHandler) // the response must not look complete
 	}
 	h := x.w.Header()
+	unread := x.leavesUnread(reason)
+	if unread {
+		x.prepareClose(reason)
+	}
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(x.retryAfter().Seconds(), 'f', 2, 64))
 	}
@@ -161,6 +152,9 @@
 	x.w.WriteHeader(status)
 	// The error is ignored: a caller that has disconnected needs no response.
 	_, _ = io.WriteString(x.w, body)
+	if unread {
+		x.dropBody()
+	}
 }
 
 // retryAfter is how long a refused caller should wait before it retries.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/notice"
+	"github.com/springgate/springgate/overload/memory"
 	"github.com/springgate/springgate/quarantine"
 	"github.com/springgate/springgate/routing"
 	"github.com/springgate/springgate/targetconn"
@@ -124,6 +125,8 @@
 	// StallLimit is the least pause after which a stream is hedged whose target sends events of
 	// other streams. Callers abandon a stream after a pause of 2 s. Default 1.5 s.
 	StallLimit time.Duration
+	// Memory bounds the bytes that requests hold together. Default: no bound.
+	Memory *memory.Budget
 	// MaxBufferedResponse bounds how much of a non-streaming response is buffered until it
 	// is complete, in bytes. Default 256 KiB.
 	MaxBufferedResponse int64
@@ -195,6 +198,12 @@
 // New returns a gateway that refuses all requests until it has a configuration.
 func New(cfg Config, d Dialect, balancer *dispatch.Balancer, pool *targetconn.Pool, reserver Reserver, stats *Stats, log logrus.FieldLogger) *Gateway {
 	cfg = cfg.applyDefaults()
+	if cfg.Off.Has(mechanism.ByteBudget) {
+		cfg.Memory = nil
+	}
+	if cfg.Memory != nil {
+		stats.watchMemory(cfg.Memory)
+	}
 	return &Gateway{cfg: cfg, dialect: d, balancer: balancer, pool: pool, reserver: reserver, stats: stats, log: log,
 		retryDetector: dispatch.NewRetryDetector(cfg.RetryAfter, cfg.RetrySpread), crashDetector: newCrashDetector(cfg.Crashes, cfg.Host, log), budgets: map[string]*routing.Budget{}, entries: 1}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -484,7 +484,7 @@
 
 func TestEventReader(t *testing.T) {
 	read := func(s string) (ids []string, err error) {
-		e := eventReader{bufio.NewReaderSize(strings.NewReader(s), 16)}
+		e := eventReader{r: bufio.NewReaderSize(strings.NewReader(s), 16), memory: &allocation{}}
 		for {
 			ev, err := e.next()
 			if err != nil {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -36,12 +36,24 @@
 	body   []byte
 }
 
-func (h *bufferedResponse) write(w http.ResponseWriter) {
-	copyHeader(w.Header(), h.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
-	w.WriteHeader(h.status)
-	// The error is ignored: a caller that has disconnected needs no response.
-	_, _ = w.Write(h.body)
+// write sends the response to the caller. Its error is errReaderStalled if the caller was cut off;
+// other errors are ignored, because a caller that has disconnected needs no response.
+func (h *bufferedResponse) write(x *exchange) error {
+	copyHeader(x.w.Header(), h.header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
+	x.w.WriteHeader(h.status)
+	if err := x.write(h.body, false); err == errReaderStalled {
+		return err
+	}
+	return nil
+}
+
+// writeFailure is the result of an attempt whose response could not be written to the caller.
+func writeFailure(err error) result {
+	if err == errReaderStalled {
+		return result{reason: ReasonReaderStalled, ran: true, sent: true}
+	}
+	return result{reason: ReasonCallerGone, ran: true, sent: true}
 }
 
 func copyHeader(dst, src http.Header) {
@@ -50,17 +62,18 @@
 	}
 }
 
-// receivePlain buffers a response until it is complete, or until it reaches the buffer limit.
+// receivePlain buffers a response until it is complete, or until it reaches the buffer limit or
+// the end of the memory for it.
 func (a *attempt) receivePlain() result {
 	if a.x.started { // a stream is being resumed; its remaining events were expected
 		return result{reason: ReasonTargetError, ran: true, sent: true}
 	}
 	limit := a.x.g.cfg.MaxBufferedResponse
-	body, err := io.ReadAll(io.LimitReader(a.resp, limit))
-	if err != nil {
+	body, err := a.readPlain(limit)
+	if err != nil && err != errNoMemory {
 		return a.failure(err)
 	}
-	if int64(len(body)) == limit {
+	if err == errNoMemory || int64(len(body)) == limit {
 		a.large = body
 		return result{}
 	}
@@ -72,12 +85,30 @@
 	return result{}
 }
 
-func (a *attempt) relayPlain() {
+// readPlain reads up to limit bytes of the response. Its error is errNoMemory if there is no
+// memory for all of them; it then returns the bytes that were read, none if there was no memory at
+// all.
+func (a *attempt) readPlain(limit int64) ([]byte, error) {
+	size := a.resp.ContentLength
+	if a.x.memory == nil || size > limit {
+		size = -1
+	}
+	first := firstBuffer(size)
+	if !a.memory.grow(first) {
+		return []byte{}, errNoMemory
+	}
+	return readAll(io.LimitReader(a.resp, limit), first, limit, &a.memory, func(int) {})
+}
+
+func (a *attempt) relayPlain() result {
 	a.x.firstEventDelay = clock.Since(a.x.start)
-	a.plain.write(a.x.w)
+	if err := a.plain.write(a.x); err != nil {
+		return writeFailure(err)
+	}
+	return result{ran: true, sent: true}
 }
 
-// relayLarge relays a response that reached the buffer limit. Once it has started, the
+// relayLarge relays a response that was not buffered whole. Once it has started, the
 // request can no longer be retried.
 func (a *attempt) relayLarge() result {
 	copyHeader(a.x.w.Header(), a.resp.Header)
@@ -86,7 +117,11 @@
 	}
 	a.x.w.WriteHeader(a.resp.StatusCode)
 	a.x.started, a.x.unresumable = true, true
-	if _, err := io.Copy(a.x.w, io.MultiReader(bytes.NewReader(a.large), a.resp)); err != nil {
+	w := &callerWriter{x: a.x}
+	if _, err := io.Copy(w, io.MultiReader(bytes.NewReader(a.large), a.resp)); err != nil {
+		if w.err != nil {
+			return writeFailure(w.err)
+		}
 		return a.failure(err)
 	}
 	return result{ran: true, sent: true}
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -4,6 +4,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/springgate/springgate/overload/memory"
 )
 
 // sampleSize and sampleAlpha configure the histograms' reservoirs: about a thousand values,
@@ -27,6 +28,9 @@
 	waitTime          metrics.Histogram
 	notices           metrics.Counter // changes in the notices of targets
 	unreadableNotices metrics.Counter // responses whose notice is not readable
+	noRoom            metrics.Counter // reservations of memory that were refused for lack of room
+	overShare         metrics.Counter // reservations of memory that were refused since their team has its share
+	registry          metrics.Registry
 	// forecastError is how much later than forecast the first event arrived.
 	forecastError metrics.Histogram
 }
@@ -38,6 +42,7 @@
 		truncated:      metrics.NewRegisteredCounter("gateway.truncated", r),
 		hedged:         metrics.NewRegisteredCounter("gateway.hedged", r), hedgesWon: metrics.NewRegisteredCounter("gateway.hedges_won", r),
 		notices: metrics.NewRegisteredCounter("gateway.notices", r), unreadableNotices: metrics.NewRegisteredCounter("gateway.notices_unreadable", r),
+		noRoom: metrics.NewRegisteredCounter("gateway.memory.no_room", r), overShare: metrics.NewRegisteredCounter("gateway.memory.over_share", r), registry: r,
 		refused: map[Reason]metrics.Counter{}, retried: map[Reason]metrics.Counter{},
 		firstEvent: histogram("gateway.first_event_ms", r), answerTime: histogram("gateway.answer_ms", r),
 		waitTime: histogram("gateway.wait_ms", r), forecastError: histogram("gateway.forecast_error_ms", r)}
@@ -48,6 +53,16 @@
 	return s
 }
 
+// watchMemory registers gauges of a budget of bytes.
+func (s *Stats) watchMemory(b *memory.Budget) {
+	gauge := func(name string, value func(memory.Usage) int64) {
+		metrics.NewRegisteredFunctionalGauge("gateway.memory."+name, s.registry, func() int64 { return value(b.Usage()) })
+	}
+	gauge("budget_bytes", func(u memory.Usage) int64 { return u.Budget })
+	gauge("small_bytes", func(u memory.Usage) int64 { return u.Small })
+	gauge("large_bytes", func(u memory.Usage) int64 { return u.Large })
+}
+
 func histogram(name string, r metrics.Registry) metrics.Histogram {
 	return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/springgate/springgate/clock"
@@ -20,15 +19,43 @@
 }
 
 // eventReader splits a stream into events, each terminated by an empty line.
-type eventReader struct{ r *bufio.Reader }
+type eventReader struct {
+	r      *bufio.Reader
+	memory *allocation
+	large  int64 // reserved for the last event, if it is larger than requestOverhead covers
+}
+
+// maxSmallEvent is the size of an event in bytes that requestOverhead covers.
+const maxSmallEvent = 4 << 10
+
+// appendLine appends a part of an event. Its error is errNoMemory if there is no room for it.
+func (e *eventReader) appendLine(raw, line []byte) ([]byte, error) {
+	n := len(raw) + len(line)
+	if n <= cap(raw) || n <= maxSmallEvent {
+		return append(raw, line...), nil
+	}
+	size := int64(max(2*cap(raw), n))
+	if !e.memory.grow(size) {
+		return raw, errNoMemory
+	}
+	raw = append(append(make([]byte, 0, size), raw...), line...)
+	e.memory.shrink(e.large)
+	e.large = size
+	return raw, nil
+}
 
-// next returns the next complete event. It returns io.EOF if the stream ends between two
+// next returns the next complete event; the memory of the one before is given back. It returns io.EOF if the stream ends between two
 // events, and io.ErrUnexpectedEOF if it ends inside an event.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	e.memory.shrink(e.large)
+	e.large = 0
 	for {
 		line, err := e.r.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
+		var memoryErr error
+		if ev.raw, memoryErr = e.appendLine(ev.raw, line); memoryErr != nil {
+			return event{}, memoryErr
+		}
 		if len(ev.raw) > maxEvent {
 			return event{}, bufio.ErrBufferFull
 		}
@@ -52,7 +79,7 @@
 
 // receiveFirstEvent reads the first event of a stream, or the end of a stream without events.
 func (a *attempt) receiveFirstEvent() result {
-	a.stream = &eventReader{bufio.NewReader(a.resp)}
+	a.stream = &eventReader{r: bufio.NewReader(a.resp), memory: &a.memory}
 	a.first, a.firstErr = a.stream.next()
 	return a.streamResult(a.firstErr)
 }
@@ -60,8 +87,8 @@
 // relayStream relays events, each as soon as it is complete.
 func (a *attempt) relayStream() (next *attempt, res result) {
 	for ev, err := a.first, a.firstErr; err != io.EOF; {
-		if !a.relayEvent(ev) {
-			return nil, result{reason: ReasonCallerGone, ran: true, sent: true}
+		if err := a.relayEvent(ev); err != nil {
+			return nil, writeFailure(err)
 		}
 		a.hedge.await(a.stallTimeout())
 		ev, err = a.stream.next()
@@ -77,8 +104,8 @@
 	return nil, result{ran: true, sent: true}
 }
 
-// relayEvent writes an event to the caller. It returns false if the caller has disconnected.
-func (a *attempt) relayEvent(ev event) bool {
+// relayEvent writes an event to the caller.
+func (a *attempt) relayEvent(ev event) error {
 	x := a.x
 	a.recordEvent()
 	if !x.started {
@@ -86,17 +113,14 @@
 		x.w.WriteHeader(a.resp.StatusCode)
 		x.started = true
 	}
-	if _, err := x.w.Write(ev.raw); err != nil {
-		return false
-	}
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
-		return false
+	if err := x.write(ev.raw, true); err != nil {
+		return err
 	}
 	x.events++
 	if ev.id != "" {
 		x.lastEvent = ev.id
 	}
-	return true
+	return nil
 }
 
 // stallFactor is how many times the forecast gap between two events a stream may pause.
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -29,11 +29,12 @@
 	OlderVersion                    // a version is not loaded while a newer one is expected
 	NearRelay                       // pieces of weights are fetched from the origin, not from nearby agents
 	Quarantine                      // requests that crash targets are sent again
+	ByteBudget                      // requests may hold any amount of memory
 	count
 )
 
 var names = [count]string{"common-wait", "overdue-last", "patience", "retry-after", "homes", "shared-loads", "shared-silence",
-	"remote-cost", "ejection", "resume", "late-first-event", "turns", "older-version", "near-relay", "quarantine"}
+	"remote-cost", "ejection", "resume", "late-first-event", "turns", "older-version", "near-relay", "quarantine", "byte-budget"}
 
 // String returns the name of the mechanism.
 func (m Mechanism) String() string { return names[m] }
