memory: make headroom while memory is short, and end only requests whose end helps

Cause: of 3,000 callers that stop within a body of 2 bytes, 2,047 held all of a budget of 48 MiB; each refusal ended one of them, so each further request was refused first. A large request without room ended small ones too, although they were not in its way.

Change: while room is short a sixteenth of the budget is made free at once; small requests are ended only if the whole budget is used.

--- a/overload/memory/budget.go
+++ b/overload/memory/budget.go
@@ -176,22 +176,23 @@
 }
 
 // endStalled marks requests as ended whose callers have stood still, longest first, until there
-// will be room for what was refused, and returns them. If a team is over its share, only its own
-// requests are ended. The caller holds the lock.
-func (b *Budget) endStalled(now time.Time, team string, n int64, v Verdict) (stalled []*Holding) {
-	if v == Granted {
-		if !b.shortage.active(now, b.cfg.ShortFor) || b.hasRoomForWanted() {
+// will be room for n bytes and the headroom, and returns them. verdict is that on the n bytes of the
+// team. The caller holds the lock.
+func (b *Budget) endStalled(now time.Time, team string, n int64, verdict Verdict) (stalled []*Holding) {
+	if verdict == Granted {
+		n = b.wanted
+		if !b.shortage.active(now, b.cfg.ShortFor) || b.fits(n) {
 			return nil
 		}
-		n = b.wanted
 	}
+	n = max(n, b.headroom())
 	for e := b.waiting.Front(); e != nil && b.ending < n; {
 		h := e.Value.(*Holding)
 		if now.Sub(h.since) < b.cfg.StallTimeout {
 			break
 		}
 		e = e.Next()
-		if v == OverShare && h.team != team {
+		if !b.helps(h, team, n, verdict) {
 			continue
 		}
 		b.leaveWaiting(h)
@@ -203,9 +204,30 @@
 	return stalled
 }
 
-// hasRoomForWanted reports whether what was last refused would fit. The caller holds the lock.
-func (b *Budget) hasRoomForWanted() bool {
-	return b.small+b.large+b.wanted <= b.cfg.Bytes && b.large+b.wanted <= b.largeLimit
+// headroom is how much room is made at once while it is short, so that not each request is
+// refused until another one is ended for it: a sixteenth of the budget.
+func (b *Budget) headroom() int64 { return b.cfg.Bytes / 16 }
+
+// fits reports whether n bytes of a request, and the headroom, are free. The caller holds the lock.
+func (b *Budget) fits(n int64) bool {
+	free := b.cfg.Bytes - b.small - b.large
+	if n > b.cfg.SmallBytes {
+		free = min(free, b.largeLimit-b.large)
+	}
+	return free >= max(n, b.headroom())
+}
+
+// helps reports whether the end of a request makes room for n bytes of a team: its own large
+// requests if it is over its share, large requests if only these have no room, and otherwise all.
+// The caller holds the lock.
+func (b *Budget) helps(h *Holding, team string, n int64, verdict Verdict) bool {
+	switch {
+	case verdict == OverShare:
+		return h.team == team && b.largeBytes(h) > 0
+	case b.small+b.large+n <= b.cfg.Bytes:
+		return b.largeBytes(h) > 0
+	}
+	return true
 }
 
 // Shrink gives back n bytes of a holding.
--- a/overload/memory/budget_test.go
+++ b/overload/memory/budget_test.go
@@ -111,6 +111,34 @@
 	assert.Assert(t, b.Proceed(h))
 }
 
+// A small request doesn't help a large one while it keeps to the part of small ones.
+func TestSmallRequestsAreNotEndedForLargeOnes(t *testing.T) {
+	b := New(Config{Bytes: 8 * mib, TeamFactor: 1000})
+	stalling(t, b, start, "a", 60*kib, func() { t.Error("ended") })
+	reserve(t, b, start, "a", 5*mib, Granted)
+	reserve(t, b, start.Add(3*time.Second), "b", 2*mib, NoRoom)
+}
+
+// Callers that stand still with small requests are ended several at once, so that others are served
+// and not each refused first.
+func TestHeadroomIsMade(t *testing.T) {
+	b := New(Config{Bytes: 4 * mib})
+	var ended []*Holding
+	for range 4 * 16 {
+		var h *Holding
+		h = stalling(t, b, start, "", 64*kib, func() { ended = append(ended, h) })
+	}
+	reserve(t, b, start.Add(2*time.Second), "", 32*kib, NoRoom)
+	assert.Equal(t, len(ended), 4, "a sixteenth of the budget")
+	for _, h := range ended {
+		b.Release(h)
+	}
+	for range 8 {
+		reserve(t, b, start.Add(2*time.Second), "", 32*kib, Granted)
+	}
+	assert.Assert(t, len(ended) > 4)
+}
+
 // A request that finds room makes room too for what was refused before it.
 func TestRoomIsMadeWhileItIsShort(t *testing.T) {
 	b := New(Config{Bytes: 8 * mib, TeamFactor: 1000})
