--- a/gateway/control.go
+++ b/gateway/control.go
@@ -14,6 +14,7 @@
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload"
 )
 
 // Decoder decodes items of the store into fleet types.
@@ -64,6 +65,8 @@
 	outage   func() (down bool, ended time.Time)
 	relay    Relay
 	log      logrus.FieldLogger
+	level    *overload.Controller // nil if no level is held
+	monitor  *levelMonitor
 
 	evacuations evacuations
 	evacuated   []string // failure domains, sorted
@@ -108,6 +111,7 @@
 	Outage   func() (down bool, ended time.Time)
 	Roster   Roster
 	Relay    Relay
+	Level    *overload.Controller // optional; the one of the gateway
 	Log      logrus.FieldLogger
 	Metrics  metrics.Registry // optional
 }
@@ -118,8 +122,15 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
-	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), configFaults: metrics.NewRegisteredGauge("control.config_faults", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
-		slow: newSlowTargets(o.Metrics), addr: o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
+	if o.Config.Off.Has(mechanism.AdmissionLevel) {
+		o.Level = nil
+	}
+	return &Control{cfg: o.Config, level: o.Level, monitor: newLevelMonitor(o.Metrics, o.Log), slow: newSlowTargets(o.Metrics),
+		unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics),
+		foreign:            metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics),
+		configFaults:       metrics.NewRegisteredGauge("control.config_faults", o.Metrics),
+		endedWithRequests:  metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
+		addr:               o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, versions: map[string]int{}, evacuations: evacuations{catchUp: o.Roster.CatchUp}, assignments: map[string]*assignment{},
 		holders: map[string]holder{},
@@ -140,6 +151,7 @@
 			case <-ticker.C:
 				c.updateUnreadable()
 				c.slow.update(c.balancer.SlowTargets(clock.Now()), c.log)
+				c.updateLevel(clock.Now())
 				if c.roster.Pending() || c.evacuations.holding || c.registrations.pending() {
 					break wait
 				}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/springgate/springgate/membership"
 	"github.com/springgate/springgate/mirror"
 	"github.com/springgate/springgate/overlay"
+	"github.com/springgate/springgate/overload"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/quarantine"
 )
@@ -35,6 +36,8 @@
 	Announced(now time.Time) []peer.ObservedVersion
 	// Notices returns the current notices of targets about themselves.
 	Notices() []peer.TargetNotice
+	// Shortages returns the reports about services that are short of targets, by service.
+	Shortages(now time.Time) map[string]overload.Report
 }
 
 // Mesh is this process's end of the links to all other processes.
@@ -54,6 +57,8 @@
 	crashes       *quarantine.Table      // crash records; nil for none
 	engines       *reportRegistry
 	told          confirmationsTold
+	packedCopy    packedCopy
+	firstCopies   firstCopyCounters
 	isSeed        bool // other processes start discovery at this entry
 	seeds         []string
 	targetDomain  func(target string) string
@@ -77,8 +82,9 @@
 	forwarded       map[string]forwardedReport // reports that this entry forwards, by engine
 	behindSince     time.Time
 	catchingUp      bool
-	startHeld       bool // see startHold
-	introduced      bool // another entry has told addresses of members
+	startHeld       bool      // see startHold
+	holdEndedAt     time.Time // when the start hold ended
+	introduced      bool      // another entry has told addresses of members
 	role            role
 	roleBasis       roleBasis
 	crashMismatches map[string]time.Time // since when the crash digests of other entries differ, by address
@@ -131,6 +137,7 @@
 		crashes: o.Crashes, crashMismatches: map[string]time.Time{},
 		copyDifferences: differences{}, copiesDiffered: metrics.NewRegisteredCounter("mesh.copies_differed", o.Metrics),
 		repairs: metrics.NewRegisteredCounter("mesh.copy_repairs", o.Metrics), liveChanged: make(chan struct{}), sourceChanged: make(chan struct{}), membersChanged: make(chan struct{}, 1)}
+	m.firstCopies = newFirstCopyCounters(o.Metrics)
 	if m.isEntry() {
 		m.registerGauges()
 	}
@@ -193,6 +200,7 @@
 			out.CrashDigest = m.crashes.Digest()
 		}
 		out.Versions, out.Notices = m.listener.Announced(clock.Now()), m.listener.Notices()
+		out.Added.Shortages = m.listener.Shortages(clock.Now())
 		if digest, revision := m.table.Digest(); revision == out.Revision {
 			out.Digest = digest
 		}
@@ -400,6 +408,7 @@
 		return
 	}
 	current := loads()
+	r.noteShortages(now, m.listener.Shortages(now))
 	msg := r.next(now, current)
 	if msg == nil && (urgent || required) {
 		msg = &peer.Loads{}
