--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,6 +36,8 @@
 	memory      allocation        // of the response
 	events      int               // relayed to the caller
 	lastEventAt time.Time         // when the last event arrived
+	awaitedAt   time.Time         // when the wait for the next event began
+	pending     dispatch.Pending  // at the target after the last event
 }
 
 // Causes with which an attempt is cancelled by this process.
@@ -49,7 +51,8 @@
 	t := c.Instance
 	x.target, x.choice = t.ID, c
 	h := forwardHeader(x.r.Header)
-	x.g.dialect.EncodeForward(h, ForwardInfo{Instance: t.ID, Team: x.teamName(), Remaining: clock.Until(x.deadline), LastEvent: x.lastEvent})
+	x.g.dialect.EncodeForward(h, ForwardInfo{Instance: t.ID, Team: x.teamName(), Remaining: clock.Until(x.deadline), LastEvent: x.lastEvent,
+		Rank: x.urgency.rank, Ranked: x.urgency.differs()})
 	x.logSending(c)
 	a := &attempt{x: x, choice: c, parent: parent, sentAt: clock.Now(), pendingPrefill: x.call.Prompt,
 		request: &targetconn.Request{Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, ID: x.call.ID},
@@ -235,7 +238,7 @@
 
 // report tells the balancer how the attempt ended.
 func (a *attempt) report(res result) {
-	r := dispatch.Result{PendingPrefill: a.pendingPrefill, Latency: clock.Since(a.sentAt)}
+	r := dispatch.Result{PendingPrefill: a.pendingPrefill, Latency: clock.Since(a.sentAt), Kind: a.x.route.Name}
 	switch res.reason {
 	case ReasonNone, ReasonTimeout, ReasonCallerGone, ReasonVersionExpired, ReasonOvertaken, ReasonNoMemory, ReasonReaderStalled:
 	case ReasonTargetRefused:
