--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -69,8 +69,8 @@
 	br *bufio.Reader
 }
 
-// dial sends the header of a request. The last line says how long the body is.
-func (f *testGateway) dial(key, route, lengthLine string) *rawCaller {
+// dialCaller sends the header of a request. The last line says how long the body is.
+func (f *testGateway) dialCaller(key, route, lengthLine string) *rawCaller {
 	f.t.Helper()
 	nc, err := net.Dial("tcp", f.server.Listener.Addr().String())
 	assert.NilError(f.t, err)
@@ -102,7 +102,7 @@
 	body := strings.Repeat("x", largeBody-1)
 	for range n {
 		before, refused := f.usage().Large, f.gateway.stats.noRoom.Count()+f.gateway.stats.overShare.Count()
-		c := f.dial("secret", "unsafe", length(largeBody))
+		c := f.dialCaller("secret", "unsafe", length(largeBody))
 		f.waitFor("the upload is accepted or refused", func() bool {
 			return f.usage().Large > before || f.gateway.stats.noRoom.Count()+f.gateway.stats.overShare.Count() > refused
 		})
@@ -174,7 +174,7 @@
 func TestUploadThatStandsStillWhileThereIsRoom(t *testing.T) {
 	machine := clocktest.New(t)
 	f := newMemoryGateway(t, entryBudget, newTarget(t, okHandler))
-	c := f.dial("secret", "unsafe", length(largeBody))
+	c := f.dialCaller("secret", "unsafe", length(largeBody))
 	c.send(strings.Repeat("x", largeBody-1))
 	f.waitFor("the upload is accepted", func() bool { return f.usage().Large > largeBody })
 	machine.Suspend(time.Minute)
@@ -188,7 +188,7 @@
 func TestConnectionIsKeptAfterALargeBody(t *testing.T) {
 	x := newTarget(t, okHandler)
 	f := newMemoryGateway(t, entryBudget, x)
-	c := f.dial("secret", "unsafe", length(largeBody))
+	c := f.dialCaller("secret", "unsafe", length(largeBody))
 	c.send(strings.Repeat("x", largeBody))
 	resp := c.response()
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
@@ -215,13 +215,13 @@
 func TestChunkedBodies(t *testing.T) {
 	x := newTarget(t, okHandler)
 	f := newMemoryGateway(t, entryBudget, x)
-	c := f.dial("secret", "unsafe", chunked)
+	c := f.dialCaller("secret", "unsafe", chunked)
 	sendChunks(c, 64*kib, 64)
 	assert.Equal(t, c.response().StatusCode, http.StatusOK)
 	assert.Equal(t, x.bodies[0], strings.Repeat("x", largeBody))
 	f.expectNothingHeld()
 
-	c = f.dial("secret", "unsafe", chunked)
+	c = f.dialCaller("secret", "unsafe", chunked)
 	go sendChunks(c, 64*kib, 65)
 	assert.Equal(t, c.response().StatusCode, http.StatusRequestEntityTooLarge)
 	f.expectNothingHeld()
@@ -231,11 +231,11 @@
 func TestChunkedBodyWithoutRoom(t *testing.T) {
 	x := newTarget(t, okHandler)
 	f := newMemoryGateway(t, 2*mib, x)
-	c := f.dial("secret", "unsafe", chunked)
+	c := f.dialCaller("secret", "unsafe", chunked)
 	go sendChunks(c, 64*kib, 64)
 	expectRefusal(t, c.response())
 	f.expectNothingHeld()
-	c = f.dial("secret", "unsafe", chunked)
+	c = f.dialCaller("secret", "unsafe", chunked)
 	sendChunks(c, 16*kib, 1)
 	assert.Equal(t, c.response().StatusCode, http.StatusOK)
 	assert.Equal(t, x.count(), 1)
@@ -244,7 +244,7 @@
 // A body that is too large by its length is refused before a byte of it is read.
 func TestLengthOverTheLimitIsRefusedUnread(t *testing.T) {
 	for _, f := range []*testGateway{newMemoryGateway(t, entryBudget, newTarget(t, okHandler)), newTestGateway(t, newTarget(t, okHandler))} {
-		c := f.dial("secret", "unsafe", length(largeBody+1))
+		c := f.dialCaller("secret", "unsafe", length(largeBody+1))
 		resp := c.response()
 		assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
 		assert.Assert(t, resp.Close)
@@ -254,7 +254,7 @@
 // A caller that asks for the connection to be closed reads the refusal too, whatever it has sent.
 func TestRefusalOfACallerThatClosesItsConnection(t *testing.T) {
 	f := newMemoryGateway(t, mib, newTarget(t, okHandler))
-	c := f.dial("secret", "unsafe", length(1000*kib)+"\r\n"+closedByPeer)
+	c := f.dialCaller("secret", "unsafe", length(1000*kib)+"\r\n"+closedByPeer)
 	c.send(strings.Repeat("x", 100*kib))
 	expectRefusal(t, c.response())
 	_, err := io.Copy(io.Discard, c.br)
@@ -290,7 +290,7 @@
 			machine := clocktest.New(t)
 			ended := make(chan struct{})
 			f := newMemoryGateway(t, 2*mib, newTarget(t, endlessHandler(c.part, ended)))
-			caller := f.dial("secret", c.route, length(0))
+			caller := f.dialCaller("secret", c.route, length(0))
 			assert.Equal(t, caller.response().StatusCode, http.StatusOK)
 			shortUntil(f, machine, ended, c.most)
 			// The error is ignored: the connection may be closed or reset.
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -111,6 +111,9 @@
 func (x *exchange) demand() dispatch.Demand {
 	d := dispatch.Demand{Prompt: x.call.Prompt, Kind: x.route.Name, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain,
 		HomeRegions: x.homes()}
+	if x.level.decision.Limited {
+		d.Yield = x.urgency.yield()
+	}
 	switch {
 	case x.started:
 		d.Standing = dispatch.Resumed
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -16,6 +17,7 @@
 
 // Stats are the counters and histograms of a gateway. Times are in milliseconds.
 type Stats struct {
+	registry          metrics.Registry
 	answered          metrics.Counter
 	refused           map[Reason]metrics.Counter
 	retried           map[Reason]metrics.Counter
@@ -30,19 +32,18 @@
 	unreadableNotices metrics.Counter // responses whose notice is not readable
 	noRoom            metrics.Counter // reservations of memory that were refused for lack of room
 	overShare         metrics.Counter // reservations of memory that were refused since their team has its share
-	registry          metrics.Registry
 	// forecastError is how much later than forecast the first event arrived.
 	forecastError metrics.Histogram
 }
 
 // NewStats registers the metrics and returns them.
 func NewStats(r metrics.Registry) *Stats {
-	s := &Stats{answered: metrics.NewRegisteredCounter("gateway.answered", r),
+	s := &Stats{registry: r, answered: metrics.NewRegisteredCounter("gateway.answered", r),
 		lostWithTarget: metrics.NewRegisteredCounter("gateway.lost_with_target", r),
 		truncated:      metrics.NewRegisteredCounter("gateway.truncated", r),
 		hedged:         metrics.NewRegisteredCounter("gateway.hedged", r), hedgesWon: metrics.NewRegisteredCounter("gateway.hedges_won", r),
 		notices: metrics.NewRegisteredCounter("gateway.notices", r), unreadableNotices: metrics.NewRegisteredCounter("gateway.notices_unreadable", r),
-		noRoom: metrics.NewRegisteredCounter("gateway.memory.no_room", r), overShare: metrics.NewRegisteredCounter("gateway.memory.over_share", r), registry: r,
+		noRoom: metrics.NewRegisteredCounter("gateway.memory.no_room", r), overShare: metrics.NewRegisteredCounter("gateway.memory.over_share", r),
 		refused: map[Reason]metrics.Counter{}, retried: map[Reason]metrics.Counter{},
 		firstEvent: histogram("gateway.first_event_ms", r), answerTime: histogram("gateway.answer_ms", r),
 		waitTime: histogram("gateway.wait_ms", r), forecastError: histogram("gateway.forecast_error_ms", r)}
@@ -67,6 +68,12 @@
 	return metrics.NewRegisteredHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 }
 
+// recordOverShare counts a request of a rank that the admission level of its service refused.
+func (s *Stats) recordOverShare(service string, rank int) {
+	name := fmt.Sprintf("gateway.over_share.%s.rank_%d", service, min(rank, maxRankMetrics-1))
+	metrics.GetOrRegisterCounter(name, s.registry).Inc(1)
+}
+
 func (s *Stats) recordFailure(r Reason)            { s.refused[r].Inc(1) }
 func (s *Stats) recordRetry(r Reason)              { s.retried[r].Inc(1) }
 func observe(h metrics.Histogram, d time.Duration) { h.Update(d.Milliseconds()) }
