peer: the fields of packed copies are an extension of their messages

The decoder of earlier releases rejects a message with more fields, so that an entry of this release could not read the copy of an earlier one (found by a test that decodes as these do: "number of fields in array-encoded struct has changed"). The fields now follow the messages, as those of Loads do.

--- a/mesh/firstcopysource_test.go
+++ b/mesh/firstcopysource_test.go
@@ -170,17 +170,17 @@
 	m.table.Replace(time.Now(), mirror.Batch{Revision: 5, Events: []mirror.Event{
 		{Item: mirror.Item{Key: "config", Value: make([]byte, 4*minPackedBytes), Revision: 5}}}})
 	plain := m.readMirror(t.Context(), &peer.MirrorRead{All: true}, "f")
-	assert.Assert(t, plain.Packed == nil)
+	assert.Assert(t, plain.Added.Packed == nil)
 	for range 2 { // the second is answered from memory
-		packed := m.readMirror(t.Context(), &peer.MirrorRead{All: true, Packed: true}, "f")
-		assert.Assert(t, packed.Events == nil && len(packed.Packed) < minPackedBytes, "%d bytes", len(packed.Packed))
-		events, err := peer.UnpackEvents(packed.Packed)
+		packed := m.readMirror(t.Context(), &peer.MirrorRead{All: true, Added: peer.MirrorReadAdded{Packed: true}}, "f")
+		assert.Assert(t, packed.Events == nil && len(packed.Added.Packed) < minPackedBytes, "%d bytes", len(packed.Added.Packed))
+		events, err := peer.UnpackEvents(packed.Added.Packed)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, events, plain.Events)
 	}
 	m.table.Apply(time.Now(), mirror.Batch{Revision: 6, Events: []mirror.Event{{Item: mirror.Item{Key: "other", Value: []byte("x"), Revision: 6}}}})
-	packed := m.readMirror(t.Context(), &peer.MirrorRead{All: true, Packed: true}, "f")
-	events, err := peer.UnpackEvents(packed.Packed)
+	packed := m.readMirror(t.Context(), &peer.MirrorRead{All: true, Added: peer.MirrorReadAdded{Packed: true}}, "f")
+	events, err := peer.UnpackEvents(packed.Added.Packed)
 	assert.NilError(t, err)
 	assert.Equal(t, len(events), 2, "a changed copy is packed again")
 }
--- a/mesh/packedcopy.go
+++ b/mesh/packedcopy.go
@@ -34,7 +34,7 @@
 		}
 		p.revision, p.maxRevision, p.data = reply.Revision, reply.MaxRevision, data
 	}
-	reply.Events, reply.Packed = nil, p.data
+	reply.Events, reply.Added.Packed = nil, p.data
 }
 
 func bytesOf(events []peer.MirrorEvent) (n int) {
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -22,7 +22,7 @@
 
 // Range implements mirror.Source.
 func (s *peerSource) Range(ctx context.Context, _ string) (mirror.Batch, error) {
-	return s.read(ctx, &peer.MirrorRead{All: true, WaitMs: s.mesh.firstCopyWaitMs(), Packed: true})
+	return s.read(ctx, &peer.MirrorRead{All: true, WaitMs: s.mesh.firstCopyWaitMs(), Added: peer.MirrorReadAdded{Packed: true}})
 }
 
 // Watch implements mirror.Source.
@@ -52,8 +52,8 @@
 	transit := clock.Since(begun) - time.Duration(reply.WaitedMs)*time.Millisecond
 	b := mirror.Batch{Revision: reply.Revision, MaxRevision: reply.MaxRevision, Age: time.Duration(reply.AgeMs)*time.Millisecond + max(0, transit)}
 	events := reply.Events
-	if reply.Packed != nil {
-		if events, err = peer.UnpackEvents(reply.Packed); err != nil {
+	if reply.Added.Packed != nil {
+		if events, err = peer.UnpackEvents(reply.Added.Packed); err != nil {
 			return mirror.Batch{}, errors.Wrap(mirror.ErrUnavailable, err.Error())
 		}
 	}
@@ -96,7 +96,7 @@
 		return &peer.MirrorBatch{Status: peer.MirrorEmpty}
 	}
 	reply := answer(begun, b)
-	if q.All && q.Packed {
+	if q.All && q.Added.Packed {
 		m.packedCopy.pack(reply)
 	}
 	return reply
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -8,12 +8,21 @@
 	All    bool              // read all keys; otherwise the changes after revision After
 	After  revision.Revision // store revision; used unless All is set
 	WaitMs int64             // longest wait for changes; with All, for the peer's first copy
-	Packed bool              // the reply to a read of all keys may have its events in MirrorBatch.Packed
+	// Added has the fields that earlier releases do not know (see extended).
+	Added MirrorReadAdded `msgpack:"-"`
+}
+
+// MirrorReadAdded has the added fields of MirrorRead.
+type MirrorReadAdded struct {
+	Packed bool // the reply to a read of all keys may have its events in MirrorBatchAdded.Packed
 }
 
 // Kind implements Message.
 func (*MirrorRead) Kind() Kind { return kindMirrorRead }
 
+func (m *MirrorRead) extension() any     { return &m.Added }
+func (m *MirrorRead) hasExtension() bool { return m.Added.Packed }
+
 // MirrorEvent is a change of one key in the store. The removal of the empty key marks a gap of the
 // peer's history (see package mirror).
 type MirrorEvent struct {
@@ -41,8 +50,17 @@
 	MaxRevision revision.Revision // a read of all keys may contain some, but not all, of the changes up to this revision
 	AgeMs       int64             // upper bound of the time since the copy was known to match the store
 	WaitedMs    int64             // lower bound of the time that the peer waited for changes
-	Packed      []byte            // the events as of PackEvents, instead of Events; nil if the request does not allow that
+	// Added has the fields that earlier releases do not know (see extended).
+	Added MirrorBatchAdded `msgpack:"-"`
+}
+
+// MirrorBatchAdded has the added fields of MirrorBatch.
+type MirrorBatchAdded struct {
+	Packed []byte // the events as of PackEvents, instead of Events; nil if the request does not allow that
 }
 
 // Kind implements Message.
 func (*MirrorBatch) Kind() Kind { return kindMirrorBatch }
+
+func (m *MirrorBatch) extension() any     { return &m.Added }
+func (m *MirrorBatch) hasExtension() bool { return m.Added.Packed != nil }
--- a/peer/packing_test.go
+++ b/peer/packing_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/springgate/springgate/revision"
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -32,3 +34,46 @@
 		assert.ErrorIs(t, err, ErrPayload, "%d bytes", n)
 	}
 }
+
+// earlierMirrorRead and earlierMirrorBatch have the fields of releases that do not pack copies.
+type earlierMirrorRead struct {
+	All    bool
+	After  revision.Revision
+	WaitMs int64
+}
+
+type earlierMirrorBatch struct {
+	Status                MirrorStatus
+	Events                []MirrorEvent
+	Revision, MaxRevision revision.Revision
+	AgeMs, WaitedMs       int64
+}
+
+func (*earlierMirrorRead) Kind() Kind  { return kindMirrorRead }
+func (*earlierMirrorBatch) Kind() Kind { return kindMirrorBatch }
+
+func decodePayload(t *testing.T, k Kind, b []byte) Message {
+	t.Helper()
+	m, err := frame{kind: k, payload: b}.decode()
+	assert.NilError(t, err)
+	return m
+}
+
+// Entries of this release and of earlier ones read each other's copies, plain.
+func TestPackedCopiesAndEarlierReleases(t *testing.T) {
+	earlier := earlierMirrorRead{All: true, WaitMs: 7}
+	read := MirrorRead{All: true, WaitMs: 7, Added: MirrorReadAdded{Packed: true}}
+	var got earlierMirrorRead
+	assert.NilError(t, msgpack.Unmarshal(payload(t, &read), &got))
+	assert.DeepEqual(t, got, earlier)
+	assert.DeepEqual(t, decodePayload(t, kindMirrorRead, payload(t, &earlier)), Message(&MirrorRead{All: true, WaitMs: 7}))
+	assert.DeepEqual(t, decodePayload(t, kindMirrorRead, payload(t, &read)), Message(&read))
+
+	events := []MirrorEvent{{Key: "k", Value: []byte("v"), Revision: 3}}
+	plain := earlierMirrorBatch{Events: events, Revision: 3, WaitedMs: 5}
+	reply := MirrorBatch{Events: events, Revision: 3, WaitedMs: 5}
+	assert.DeepEqual(t, payload(t, &reply), payload(t, &plain))
+	assert.DeepEqual(t, decodePayload(t, kindMirrorBatch, payload(t, &plain)), Message(&reply))
+	packed := MirrorBatch{Revision: 3, Added: MirrorBatchAdded{Packed: []byte("packed")}}
+	assert.DeepEqual(t, decodePayload(t, kindMirrorBatch, payload(t, &packed)), Message(&packed))
+}
