overload, gateway: returning callers get what fresh requests leave; rate limits are no shortage

Change: returning callers go on to placement, on its strict terms, and what they get lets the room grow; ReasonPaced is no shortage; the least room is a part of the demand when the level began.

--- a/gateway/level.go
+++ b/gateway/level.go
@@ -48,6 +48,7 @@
 		return ReasonNone
 	}
 	x.g.stats.recordOverShare(x.service, l.request.Class.Rank)
+	x.g.balancer.RecordRefusal(x.start, x.service, x.demand())
 	x.skipBody()
 	return ReasonOverShare
 }
@@ -86,8 +87,9 @@
 }
 
 // recordPlacement records how the first search for a target ended. Hedges and attempts after the
-// first are no demand of callers; a request without a usable target, or one that must not be run,
-// says nothing about the room at targets.
+// first are no demand of callers; a request without a usable target, one for which all targets limit
+// their rate, as cold ones do for some seconds, or one that must not be run says nothing about the
+// room at targets.
 func (x *exchange) recordPlacement(reason Reason) {
 	l := &x.level
 	if !l.asked || l.recorded {
@@ -97,7 +99,7 @@
 	switch reason {
 	case ReasonNone:
 		x.g.cfg.Level.RecordPlaced(clock.Now(), l.request)
-	case ReasonSaturated, ReasonPaced:
+	case ReasonSaturated:
 		l.request.Waited = x.waited
 		x.g.cfg.Level.RecordUnplaced(clock.Now(), l.request)
 	}
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -39,12 +39,15 @@
 
 // RecordPlaced records that an admitted request has a place at a target.
 func (c *Controller) RecordPlaced(now time.Time, r Request) {
-	if r.Standing != Fresh {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.service(now, r.Service).placed.add(now, amount(r.Work))
+	s := c.service(now, r.Service)
+	switch r.Standing {
+	case Fresh:
+		s.placed.add(now, amount(r.Work))
+	case Returned:
+		s.returned.add(now, amount(r.Work))
+	}
 }
 
 // RecordUnplaced records that an admitted request found no place in time.
--- a/overload/level.go
+++ b/overload/level.go
@@ -30,8 +30,9 @@
 	// changed after hastyMeasureTime.
 	largeShare       = 0.25
 	hastyMeasureTime = 200 * time.Millisecond
-	// minFraction is the least part of all demand that is admitted. It bounds the loss of callers
-	// whose entry competes with entries that keep no level.
+	// minFraction is the least room, as a part of the demand when the level started. It bounds the
+	// loss of callers whose entry competes with entries that keep no level. Later demand does not
+	// count: refused callers that return at once multiply it.
 	minFraction = 0.15
 	// idleUtilization is the utilization below which targets have room for more requests.
 	idleUtilization = 0.75
@@ -57,6 +58,7 @@
 	demand      float64       // of all classes, in seconds of target time per second
 	unplaced    float64       // part of the work admitted since the latest change that found no place
 	refusals    float64       // requests that lately found no place
+	returned    float64       // placed work of returned requests over that of fresh ones, at this entry
 	utilization float64       // of the targets; zero if unknown
 	idle        time.Duration // how long a considerable part of the targets has been idle; 0 if it is not
 	divided     bool          // there is more than one class
@@ -84,6 +86,7 @@
 	headroom float64 // part by which the next step increases the room
 	quiet    int     // steps since work found no place
 	full     float64 // utilization while work found no place; zero if unknown
+	least    float64 // room that is always left
 	started  time.Time
 	changed  time.Time
 }
@@ -99,7 +102,7 @@
 		if !s.startsLevel() {
 			return
 		}
-		*r = roomEstimate{room: s.demand, fraction: 1, full: 1, started: now}
+		*r = roomEstimate{room: s.demand, fraction: 1, full: 1, least: minFraction * s.demand, started: now}
 		r.multiply(now, s.firstLevel())
 	case since >= idleTime && s.idle >= idleTime:
 		r.multiply(now, r.spare(s))
@@ -173,7 +176,8 @@
 }
 
 func (r *roomEstimate) grow(now time.Time, s supply) {
-	r.multiply(now, max(1+r.headroom, r.spare(s)))
+	// Returned requests get only places that others leave, so there is room for as much fresh work.
+	r.multiply(now, max(1+r.headroom, 1+s.returned, r.spare(s)))
 	r.quiet++
 	if r.quiet >= quietSteps || s.utilization == 0 {
 		r.headroom *= 2
@@ -195,7 +199,7 @@
 	if now.Sub(r.started) <= onset {
 		r.room = r.fraction * demand
 	}
-	r.room = max(r.room, minFraction*demand)
+	r.room = max(r.room, r.least)
 }
 
 // keepFraction keeps the admitted part of the demand for as long as an onset takes, after entries
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -25,7 +25,7 @@
 // Standings of a request.
 const (
 	Fresh    Standing = iota // can be answered within its objective
-	Returned                 // of a caller that was refused before; can only be late
+	Returned                 // of a caller that was refused before; gets places that others leave
 	Begun                    // a stream that was partly delivered; always admitted
 )
 
--- a/overload/service.go
+++ b/overload/service.go
@@ -21,6 +21,7 @@
 	demand     demandTable
 	placed     meter
 	unplaced   meter
+	returned   meter // placed work of returned requests
 	refusals   meter
 	unplacedAt time.Time     // zero if never
 	wait       time.Duration // after which requests are given up
@@ -41,7 +42,7 @@
 
 func newService(now time.Time, cfg Config) *service {
 	return &service{demand: newDemandTable(), placed: meter{halfLife: placingHalfLife},
-		unplaced: meter{halfLife: placingHalfLife}, refusals: meter{halfLife: demandHalfLife},
+		unplaced: meter{halfLife: placingHalfLife}, returned: meter{halfLife: placingHalfLife}, refusals: meter{halfLife: demandHalfLife},
 		usedAt: now, alloc: allocator{keep: cfg.Keep}}
 }
 
@@ -63,11 +64,8 @@
 		return d
 	}
 	d.Fraction = cl.fraction
-	switch standing {
-	case Fresh:
+	if standing == Fresh {
 		d.Admitted = cl.admit()
-	case Returned:
-		d.Admitted = cl.fraction >= 1
 	}
 	return d
 }
@@ -109,6 +107,9 @@
 		u.demand += c.work
 	}
 	placed, unplaced, refusals := s.placed.rate(now), s.unplaced.rate(now), s.refusals.rate(now)
+	if placed > 0 {
+		u.returned = min(s.returned.rate(now)/placed, 1)
+	}
 	from := s.measuredFrom()
 	for _, r := range s.heard.reports {
 		refusals += r.refusals
@@ -153,6 +154,7 @@
 	}
 	s.placed.reset(now)
 	s.unplaced.reset(now)
+	s.returned.reset(now)
 }
 
 func (s *service) setUtilization(now time.Time, utilization float64) {
