--- a/gateway/level.go
+++ b/gateway/level.go
@@ -29,9 +29,7 @@
 }
 
 // hasClasses reports whether requests of the service differ in rank or team.
-func (x *exchange) hasClasses() bool {
-	return x.config.HasTeams() || x.config.Ranks(x.service) > 1
-}
+func (x *exchange) hasClasses() bool { return x.config.HasTeams() || x.urgency.differs() }
 
 // checkLevel refuses the request if it is over the share of its rank and team.
 func (x *exchange) checkLevel() Reason {
@@ -42,7 +40,7 @@
 	l := &x.level
 	l.asked = true
 	l.request = overload.Request{Service: x.service, Work: x.g.balancer.Work(x.service, x.call.Prompt), Standing: x.levelStanding(),
-		Class: overload.Class{Rank: x.config.RankOf(x.service, x.route, x.team), Team: x.teamName()}}
+		Class: overload.Class{Rank: x.urgency.rank, Team: x.teamName()}}
 	l.decision = level.Admit(clock.Now(), l.request)
 	if l.decision.Admitted {
 		return ReasonNone
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -30,11 +30,12 @@
 	NearRelay                       // pieces of weights are fetched from the origin, not from nearby agents
 	Quarantine                      // requests that crash targets are sent again
 	AdmissionLevel                  // requests over the share of their rank and team are not refused on arrival
+	Ranks                           // all requests of a service have the same rank
 	count
 )
 
 var names = [count]string{"common-wait", "overdue-last", "patience", "retry-after", "homes", "shared-loads", "shared-silence",
-	"remote-cost", "ejection", "resume", "late-first-event", "turns", "older-version", "near-relay", "quarantine", "admission-level"}
+	"remote-cost", "ejection", "resume", "late-first-event", "turns", "older-version", "near-relay", "quarantine", "admission-level", "ranks"}
 
 // String returns the name of the mechanism.
 func (m Mechanism) String() string { return names[m] }
