--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -29,6 +29,7 @@
 	target         *Target
 	entry          int       // which entry serves it, if there are several
 	until          time.Time // when the caller gives up
+	offered        time.Time // latest attempt
 }
 
 // tally counts the requests of one kind that arrived in a window.
@@ -77,7 +78,9 @@
 	timeout func(*rand.Rand) time.Duration
 	// detector detects retries; if nil, the simulation knows which requests are retries.
 	detector *RetryDetector
-	burst    func(now time.Time) float64 // factor applied to the arrival rate
+	// maxWait is how long a first attempt waits for a place.
+	maxWait time.Duration
+	burst   func(now time.Time) float64 // factor applied to the arrival rate
 
 	now     time.Time
 	events  map[time.Time][]func()
@@ -93,6 +96,9 @@
 
 const simTick = time.Millisecond
 
+// placeInterval is the time between two searches for a place of a request that waits.
+const placeInterval = 3 * time.Millisecond
+
 func newFleetSim(seed uint64, engines int, kinds []callerKind) *fleetSim {
 	m := engineModel()
 	m.MeanPrompt, m.MeanAnswer = meanSizes(kinds)
@@ -166,6 +172,11 @@
 			j.demand.Standing = Overdue
 		}
 	}
+	j.offered = s.now
+	s.placeOrRefuse(j)
+}
+
+func (s *fleetSim) placeOrRefuse(j *job) {
 	if s.placer.place(s.now, j) {
 		j.pendingPrefill = j.demand.Prompt
 		e := s.engines[j.target.ID]
@@ -173,6 +184,10 @@
 		s.pass(e)
 		return
 	}
+	if j.retried == 0 && s.now.Sub(j.offered) < s.maxWait {
+		s.after(placeInterval, func() { s.placeOrRefuse(j) })
+		return
+	}
 	s.placer.refused(s.now, j.demand)
 	if j.retried < s.retries {
 		j.retried++
