--- a/dispatch/level_test.go
+++ b/dispatch/level_test.go
@@ -50,13 +50,18 @@
 }
 
 func (m *levelEntries) place(now time.Time, j *job) bool {
-	r := overload.Request{Service: testService, Class: overload.Class{Rank: j.kind}, Work: m.balancer.Work(testService, j.demand.Prompt)}
+	r := overload.Request{Service: testService, Class: overload.Class{Rank: j.kind}, Work: m.balancer.Work(now, testService, j.demand.Prompt)}
 	if j.demand.Standing == Overdue {
 		r.Standing = overload.Returned
 	}
 	if now.Equal(j.offered) {
 		j.entry = m.sim.rng.IntN(len(m.levels))
-		m.admitted[j] = m.levels[j.entry].Admit(now, r).Admitted
+		decision := m.levels[j.entry].Admit(now, r)
+		m.admitted[j] = decision.Admitted
+		j.demand.Yield = 0
+		if decision.Limited {
+			j.demand.Yield = overload.Yield(j.kind, len(m.sim.kinds))
+		}
 	}
 	if !m.admitted[j] {
 		return false
@@ -65,7 +70,7 @@
 		m.levels[j.entry].RecordPlaced(now, r)
 		return true
 	}
-	if j.retried > 0 || now.Sub(j.offered) >= m.sim.maxWait {
+	if r.Waited = now.Sub(j.offered); j.retried > 0 || r.Waited >= m.sim.maxWait {
 		m.levels[j.entry].RecordUnplaced(now, r)
 		m.oneEntry.refused(now, j.demand)
 	}
@@ -97,7 +102,7 @@
 	var out servedWork
 	out.byKind, _ = s.shares(1)
 	for i, t := range s.tallies[1] {
-		out.work += float64(t.inTime) * balancer.Work(testService, kinds[i].prompt)
+		out.work += float64(t.inTime) * balancer.Work(s.now, testService, kinds[i].prompt)
 	}
 	return out
 }
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -6,7 +6,7 @@
 // prefill of its prompt, given in tokens, and its share of the passes of a mean answer at a full
 // batch; at a plain target the mean latency divided by the slots. It is zero if the service has no
 // targets.
-func (b *Balancer) Work(service string, prompt int) float64 {
+func (b *Balancer) Work(now time.Time, service string, prompt int) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	targets := b.services[service]
@@ -19,7 +19,7 @@
 	targets = targets[:min(len(targets), b.cfg.SampleSize)]
 	sum := 0.0
 	for _, t := range targets {
-		sum += b.plainLatency(t).Seconds() / float64(t.slots())
+		sum += b.plainLatency(now, t, "").Seconds() / float64(t.slots())
 	}
 	return sum / float64(len(targets))
 }
@@ -51,5 +51,5 @@
 // unrestricted reports whether a target can take requests now, at any rate.
 func (b *Balancer) unrestricted(now time.Time, t *Target) bool {
 	state := b.stateOf(t)
-	return !state.Leaving && b.usable(now, t) && !t.lastResort(now) && !b.policy.Evacuated(t.Domain) && !t.rate(now, state.Limit).bounded
+	return !state.Leaving && b.usable(now, t) && !b.lastResort(now, t) && !b.policy.Evacuated(t.Domain) && !t.rate(now, state.Limit).bounded
 }
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -16,20 +16,20 @@
 func TestWorkFollowsTheCostModel(t *testing.T) {
 	m := engineModel()
 	b := newTestBalancer(m, Config{}, engine(1, 1))
-	short, long := b.Work(testService, 0), b.Work(testService, 19100)
+	short, long := b.Work(start, testService, 0), b.Work(start, testService, 19100)
 	near(t, long-short, 1)
 	passes := float64(m.MeanAnswer / m.StepsPerPass)
 	near(t, short, passes*passTime(m, m.Slots).Seconds()/float64(m.Slots))
-	near(t, b.Work("none", 100), 0)
+	near(t, b.Work(start, "none", 100), 0)
 }
 
 func TestWorkOfPlainTargetsIsTheirLatencyOverTheirSlots(t *testing.T) {
 	b := newTestBalancer(nil, Config{PlainLatency: 60 * time.Millisecond}, plain(1), plain(2))
-	near(t, b.Work(testService, 1000), 0.010)
+	near(t, b.Work(start, testService, 1000), 0.010)
 	c, v := b.Pick(start, testService, demand(), []string{"p-2"})
 	assert.Equal(t, v, Chosen)
 	b.Finish(start, c.Target, Result{Latency: 120 * time.Millisecond})
-	near(t, b.Work(testService, 1000), 0.015)
+	near(t, b.Work(start, testService, 1000), 0.015)
 }
 
 func TestUtilizationCountsUsableTargets(t *testing.T) {
--- a/gateway/level.go
+++ b/gateway/level.go
@@ -29,7 +29,9 @@
 }
 
 // hasClasses reports whether requests of the service differ in rank or team.
-func (x *exchange) hasClasses() bool { return x.config.HasTeams() || x.urgency.differs() }
+func (x *exchange) hasClasses() bool {
+	return x.config.HasTeams() || x.urgency.differs()
+}
 
 // checkLevel refuses the request if it is over the share of its rank and team.
 func (x *exchange) checkLevel() Reason {
@@ -39,7 +41,7 @@
 	}
 	l := &x.level
 	l.asked = true
-	l.request = overload.Request{Service: x.service, Work: x.g.balancer.Work(x.service, x.call.Prompt), Standing: x.levelStanding(),
+	l.request = overload.Request{Service: x.service, Work: x.g.balancer.Work(x.start, x.service, x.call.Prompt), Standing: x.levelStanding(),
 		Class: overload.Class{Rank: x.urgency.rank, Team: x.teamName()}}
 	l.decision = level.Admit(clock.Now(), l.request)
 	if l.decision.Admitted {
@@ -96,6 +98,7 @@
 	case ReasonNone:
 		x.g.cfg.Level.RecordPlaced(clock.Now(), l.request)
 	case ReasonSaturated, ReasonPaced:
+		l.request.Waited = x.waited
 		x.g.cfg.Level.RecordUnplaced(clock.Now(), l.request)
 	}
 }
--- a/gateway/level_test.go
+++ b/gateway/level_test.go
@@ -95,7 +95,7 @@
 func TestUrgentRequestIsAdmittedAndCounted(t *testing.T) {
 	x, y := newTarget(t, notRunHandler), newTarget(t, okHandler)
 	f, level, _ := newLevelGateway(t, x, y)
-	want := overload.Request{Service: "s", Class: overload.Class{Rank: 0, Team: "blue"}, Work: f.gateway.balancer.Work("s", 0)}
+	want := overload.Request{Service: "s", Class: overload.Class{Rank: 0, Team: "blue"}, Work: f.gateway.balancer.Work(time.Now(), "s", 0)}
 	assert.Equal(t, f.call(http.MethodPost, "/unsafe/x", "b").status, http.StatusOK)
 	assert.Equal(t, y.count(), 1, "the second attempt")
 	assert.DeepEqual(t, level.asked, []overload.Request{want})
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -49,6 +49,7 @@
 	token       uint64        // highest token seen
 	starts      int           // number of process starts
 	startTimeMs int64         // Unix time of the last start; 0 if not reported
+	pace        float64       // stated; 0 if not reported
 	slow        bool          // puts get no answer and take effect after slowPut
 	readTime    time.Duration // duration of the read of a staged piece
 }
@@ -63,7 +64,7 @@
 	if e.down {
 		return Report{}, errors.New("refused")
 	}
-	r := Report{Busy: time.Now().Before(e.loading), Sequence: e.sequence, StartTimeMs: e.startTimeMs}
+	r := Report{Busy: time.Now().Before(e.loading), Sequence: e.sequence, StartTimeMs: e.startTimeMs, Pace: e.pace}
 	if e.serves > 0 {
 		r.Models = []fleet.ModelVersion{{Model: "m", Version: e.serves, Layers: 16}}
 	}
@@ -173,9 +174,14 @@
 	delay       time.Duration
 	fetched     int
 	unavailable int // a version of which only the first piece is available
+	silent      int // a version of which requests for the manifest get no answer
 }
 
-func (s *fakeSource) Manifest(_ context.Context, model string, version int) (*weights.Manifest, error) {
+func (s *fakeSource) Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
+	if s.silent == version && version > 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	m := &weights.Manifest{Model: model, Version: version}
 	for i := range pieces {
 		m.Digests = append(m.Digests, sha256.Sum256([]byte(content(version, i))))
@@ -231,6 +237,26 @@
 	})
 }
 
+func TestPaceIsPublished(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, serves: 1, pace: 1}
+	runSidecar(t, Config{}, e, &fakeSource{}, func(s *Sidecar, published func() peer.EngineState) {
+		s.Assign(time.Now(), newAssignment(1, 0, 0))
+		time.Sleep(time.Second)
+		assert.Equal(t, published().PacePercent, 100)
+		e.set(func() { e.pace = 2.5 })
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, published().PacePercent, 250)
+		e.set(func() { e.pace = 1 })
+		time.Sleep(700 * time.Millisecond)
+		assert.Equal(t, published().PacePercent, 250)
+		time.Sleep(time.Second)
+		assert.Equal(t, published().PacePercent, 100)
+		e.set(func() { e.down = true })
+		time.Sleep(time.Second)
+		assert.Equal(t, published().PacePercent, 0)
+	})
+}
+
 func TestEmptyEngineIsStagedAndLoaded(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}}
 	runSidecar(t, Config{}, e, &fakeSource{delay: 30 * time.Millisecond}, func(s *Sidecar, published func() peer.EngineState) {
