--- a/peer/packing_test.go
+++ b/peer/packing_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 
-	"github.com/springgate/springgate/revision"
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -35,20 +34,6 @@
 	}
 }
 
-// earlierMirrorRead and earlierMirrorBatch have the fields of releases that do not pack copies.
-type earlierMirrorRead struct {
-	All    bool
-	After  revision.Revision
-	WaitMs int64
-}
-
-type earlierMirrorBatch struct {
-	Status                MirrorStatus
-	Events                []MirrorEvent
-	Revision, MaxRevision revision.Revision
-	AgeMs, WaitedMs       int64
-}
-
 func (*earlierMirrorRead) Kind() Kind  { return kindMirrorRead }
 func (*earlierMirrorBatch) Kind() Kind { return kindMirrorBatch }
 
