--- a/peer/extension_test.go
+++ b/peer/extension_test.go
@@ -61,3 +61,35 @@
 	_, err = frame{kind: kindLoads, payload: append(b, 0xc1)}.decode()
 	assert.ErrorIs(t, err, ErrPayload)
 }
+
+// earlierMirrorRead and earlierMirrorBatch have the fields of releases that know no packed copies.
+type earlierMirrorRead struct {
+	All    bool
+	After  int64
+	WaitMs int64
+}
+
+type earlierMirrorBatch struct {
+	Status      MirrorStatus
+	Events      []MirrorEvent
+	Revision    int64
+	MaxRevision int64
+	AgeMs       int64
+	WaitedMs    int64
+}
+
+func TestCopiesOfEarlierAndLaterReleases(t *testing.T) {
+	var read earlierMirrorRead
+	assert.NilError(t, msgpack.Unmarshal(payload(t, &MirrorRead{All: true, WaitMs: 5, Added: MirrorReadAdded{Packed: true}}), &read))
+	assert.DeepEqual(t, read, earlierMirrorRead{All: true, WaitMs: 5})
+
+	batch := &MirrorBatch{Events: []MirrorEvent{{Key: "k", Value: []byte("v"), Revision: 3}}, Revision: 3}
+	var earlier earlierMirrorBatch
+	assert.NilError(t, msgpack.Unmarshal(payload(t, batch), &earlier))
+	assert.DeepEqual(t, earlier, earlierMirrorBatch{Events: batch.Events, Revision: 3})
+
+	batch = &MirrorBatch{Revision: 3, Added: MirrorBatchAdded{Packed: []byte("packed")}}
+	m, err := frame{kind: kindMirrorBatch, payload: payload(t, batch)}.decode()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, m, batch)
+}
