overload: what a request leaves at targets follows from what precedes it

Change: Decision.Preceding is the part of the work that precedes a request: of more urgent ranks, and of teams within their share if its own is not; Yield follows it.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -8,6 +8,7 @@
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/mechanism"
+	"github.com/springgate/springgate/overload"
 	"github.com/springgate/springgate/residency"
 )
 
@@ -111,9 +112,7 @@
 func (x *exchange) demand() dispatch.Demand {
 	d := dispatch.Demand{Prompt: x.call.Prompt, Kind: x.route.Name, Objective: x.route.Objective, MaxGap: x.route.MaxGap, Domain: x.g.cfg.Domain,
 		HomeRegions: x.homes()}
-	if l := x.level.decision; l.Limited && !l.Reduced {
-		d.Yield = x.urgency.yield()
-	}
+	d.Yield = overload.Yield(x.level.decision.Preceding)
 	switch {
 	case x.started:
 		d.Standing = dispatch.Resumed
--- a/gateway/rank.go
+++ b/gateway/rank.go
@@ -31,7 +31,3 @@
 func (u urgency) returnOrder(random float64) float64 {
 	return overload.ReturnOrder(u.rank, u.ranks, random)
 }
-
-// yield returns the part of the longest wait at a target that the request leaves to more urgent ones
-// while the service is short of room.
-func (u urgency) yield() float64 { return overload.Yield(u.rank, u.ranks) }
--- a/overload/level.go
+++ b/overload/level.go
@@ -13,10 +13,10 @@
 	// starts: requests are placed or given up in batches.
 	startTime = 150 * time.Millisecond
 	// shortShare is the part of the admitted work that finds no place while the room is used up.
-	shortShare = 0.01
+	shortShare = 0.05
 	// minHeadroom is the part by which the level exceeds what could be placed, so that the room
 	// is used up and its growth noticed.
-	minHeadroom = 0.02
+	minHeadroom = 0.05
 	// minSettle and maxSettle bound how long requests that were admitted before a change of the
 	// room are expected to wait for a place. Their outcome does not show its effect.
 	minSettle = 200 * time.Millisecond
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -45,9 +45,11 @@
 	Admitted bool
 	Limited  bool    // a level is in force for the service
 	Fraction float64 // part of the class's fresh requests that is admitted
-	// Reduced reports that the rank gets no more than the part it keeps (see Config.Keep), and less
-	// than it asks for. Its admitted requests leave nothing to others (see Yield).
-	Reduced bool
+	// Preceding is the part of the service's work that is to find places before the request, which
+	// decides what the request leaves to it at targets (see Yield): of more urgent ranks, unless the
+	// rank gets no more than the part it keeps (see Config.Keep), and of teams of the rank that are
+	// within their share, if the request's team is not. It is 0 without a level.
+	Preceding float64
 }
 
 // ClassDemand is the work that a class offers to one entry.
--- a/overload/precedence.go
+++ b/overload/precedence.go
@@ -24,18 +24,12 @@
 	return maxRetryReserve * float64(rank) / float64(ranks-1)
 }
 
-// maxYield is the part of the longest wait at a target that the least urgent rank leaves to others.
-// More urgent requests find places there that others may no longer use; a larger part would leave
-// targets idle between passes.
+// maxYield is the part of the longest wait at a target that less urgent requests leave to others at
+// most. More urgent requests find places there that others may no longer use; a larger part would
+// leave targets idle between passes.
 const maxYield = 0.25
 
-// Yield returns the part of the longest wait at a target that requests of the rank leave to more
-// urgent ones while the service is short of room, unless the rank is reduced to the part that it
-// keeps (see Decision.Reduced).
-func Yield(rank, ranks int) float64 {
-	if ranks <= 1 {
-		return 0
-	}
-	rank = min(max(rank, 0), ranks-1)
-	return maxYield * float64(rank) / float64(ranks-1)
-}
+// Yield returns the part of the longest wait at a target that requests leave to those that precede them
+// while the service is short of room. preceding is the part of the service's work that those ask for
+// (see Decision.Preceding): the less they ask for, the less has to be left.
+func Yield(preceding float64) float64 { return maxYield * min(2*preceding, 1) }
--- a/overload/service.go
+++ b/overload/service.go
@@ -64,7 +64,7 @@
 		return d
 	}
 	d.Fraction = cl.fraction
-	d.Reduced = s.alloc.reduced(cl.Rank)
+	d.Preceding = s.alloc.preceding(cl.Rank, cl.fraction)
 	if standing == Fresh {
 		d.Admitted = cl.admit()
 	}
--- a/overload/share.go
+++ b/overload/share.go
@@ -22,6 +22,7 @@
 	perTeam  float64 // largest grant of a team; infinite if the rank gets all it asks for
 	fraction float64 // grant over work
 	reduced  bool    // to the part that it keeps
+	whole    float64 // work of the teams that get all they ask for
 }
 
 // allocator divides room between classes. Its ranks are reused by each allocation.
@@ -46,6 +47,9 @@
 	for i := range claims {
 		c := &claims[i]
 		c.fraction = a.fraction(c.rank, c.work/c.teams)
+		if c.fraction >= 1 {
+			a.find(c.rank).whole += c.work
+		}
 	}
 }
 
@@ -64,6 +68,26 @@
 	return r != nil && r.reduced
 }
 
+// preceding returns the part of all work that is to find places before that of a class: what more
+// urgent ranks ask for, unless the rank is reduced, and teams of the rank that get all they ask for, if
+// the class does not.
+func (a *allocator) preceding(rank int, fraction float64) float64 {
+	var before, all float64
+	for _, r := range a.ranks {
+		all += r.work
+		switch {
+		case r.rank < rank && !a.reduced(rank):
+			before += r.work
+		case r.rank == rank && fraction < 1:
+			before += r.whole
+		}
+	}
+	if all <= 0 {
+		return 0
+	}
+	return before / all
+}
+
 func (a *allocator) find(rank int) *rankShare {
 	i, ok := slices.BinarySearchFunc(a.ranks, rank, compareRank)
 	if !ok {
