--- a/overload/fleet_test.go
+++ b/overload/fleet_test.go
@@ -220,7 +220,7 @@
 func (f *fleet) accepts(r *simRequest) bool {
 	slots := f.slots(f.since())
 	if r.Standing == Returned {
-		return slots-len(f.running)-len(f.queued) > slots/8
+		return slots-len(f.running)-len(f.queued) > (slots+7)/8
 	}
 	return slots > len(f.running) || f.queuedWork < float64(slots)*targetWait.Seconds()*(1-r.yield)
 }
