--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -29,6 +29,7 @@
 	target         *Target
 	entry          int       // which entry serves it, if there are several
 	until          time.Time // when the caller gives up
+	offered        time.Time // latest attempt
 	choice         Choice
 	sentAt         time.Time
 	eventAt        time.Time // last event
@@ -82,8 +83,10 @@
 	timeout func(*rand.Rand) time.Duration
 	// detector detects retries; if nil, the simulation knows which requests are retries.
 	detector *RetryDetector
-	maxGap   time.Duration               // longest gap between events that counts as in time; zero for no limit
-	burst    func(now time.Time) float64 // factor applied to the arrival rate
+	// maxWait is how long a first attempt waits for a place.
+	maxWait time.Duration
+	maxGap  time.Duration               // longest gap between events that counts as in time; zero for no limit
+	burst   func(now time.Time) float64 // factor applied to the arrival rate
 	// slowdown is how many times as long an engine takes for its passes and for prompt tokens.
 	slowdown func(now time.Time, engine string) (passes, prompts float64)
 
@@ -102,6 +105,9 @@
 
 const simTick = time.Millisecond
 
+// placeInterval is the time between two searches for a place of a request that waits.
+const placeInterval = 3 * time.Millisecond
+
 func newFleetSim(seed uint64, engines int, kinds []callerKind) *fleetSim {
 	m := engineModel()
 	m.MeanPrompt, m.MeanAnswer = meanSizes(kinds)
@@ -176,6 +182,11 @@
 			j.demand.Standing = Overdue
 		}
 	}
+	j.offered = s.now
+	s.placeOrRefuse(j)
+}
+
+func (s *fleetSim) placeOrRefuse(j *job) {
 	if s.placer.place(s.now, j) {
 		j.pendingPrefill = j.demand.Prompt
 		e := s.engines[j.target.ID]
@@ -183,6 +194,10 @@
 		s.pass(e)
 		return
 	}
+	if j.retried == 0 && s.now.Sub(j.offered) < s.maxWait {
+		s.after(placeInterval, func() { s.placeOrRefuse(j) })
+		return
+	}
 	s.placer.refused(s.now, j.demand)
 	if j.retried < s.retries {
 		j.retried++
