--- a/soak/callers.go
+++ b/soak/callers.go
@@ -23,7 +23,9 @@
 	clientTimeout   = 10 * time.Second      // after which a caller without a response gives up
 	thinkTime       = 25 * time.Millisecond // mean pause of a caller between two requests
 	permanentKey    = "key-lasting"
-	recentKeys      = 4 // callers use the rotating keys of this many latest configurations
+	lastingTeam     = "lasting"  // team of permanentKey
+	rotatingTeam    = "rotating" // team of the rotating keys
+	recentKeys      = 4          // callers use the rotating keys of this many latest configurations
 )
 
 // kind is one kind of request.
@@ -63,11 +65,13 @@
 	client *http.Client
 	rng    *rand.Rand
 	sent   int
+	team   string // of the permanent key that it sends
+	secret string // that key
 }
 
 func newCaller(f *Fleet, entry *Process, name string, rng *rand.Rand) *caller {
 	t := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
-	return &caller{fleet: f, entry: entry, name: name, rng: rng, client: &http.Client{Transport: t}}
+	return &caller{fleet: f, entry: entry, name: name, rng: rng, team: lastingTeam, secret: permanentKey, client: &http.Client{Transport: t}}
 }
 
 func (c *caller) sendRequests(ctx context.Context) {
@@ -96,11 +100,11 @@
 func (c *caller) callBody(ctx context.Context, k kind, key int, body string) Attempt {
 	c.sent++
 	began := time.Now()
-	a := Attempt{ID: fmt.Sprintf("%s-%d", c.name, c.sent), Kind: k.name, Repeatable: k.repeatable, Key: key, Body: body,
+	a := Attempt{ID: fmt.Sprintf("%s-%d", c.name, c.sent), Kind: k.name, Repeatable: k.repeatable, Key: key, Body: body, Team: c.team,
 		Incarnation: c.entry.Incarnation(), Began: c.fleet.attemptLog.sequence.Add(1), StoreReachable: c.fleet.storeReachable(c.entry)}
-	secret := permanentKey
+	secret := c.secret
 	if key > 0 {
-		secret = rotatingKey(key)
+		secret, a.Team = rotatingKey(key), rotatingTeam
 	}
 	// The call continues when the load ends, so that each request has an outcome.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), clientTimeout)
--- a/soak/facts.go
+++ b/soak/facts.go
@@ -43,6 +43,7 @@
 	leaving  map[string]time.Duration
 	limits   []LimitSpan
 	restores []Restore
+	bulk     []period // when the bulk team sent
 }
 
 func newFactRecorder() *factRecorder {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -10,6 +10,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -34,6 +35,10 @@
 	// Entries and Engines are the number of each to run; an agent runs beside each engine.
 	// PlainTargets is the number of targets that are not engines.
 	Entries, Engines, PlainTargets int
+	// Slots and StepMs describe the engines in the configuration; 0 means 16 and 1 ms. Entries let
+	// in what engines of this kind can do; the fake ones do more.
+	Slots  int
+	StepMs float64
 	// Bin is the directory of the programs, Dir the directory for settings and logs.
 	Bin, Dir string
 	Logf     func(format string, args ...any)
@@ -49,6 +54,14 @@
 	shutdownGrace = 6 * time.Second
 )
 
+// Limits of the fleet.
+const (
+	maxBody       = 1 << 20   // bytes of a request's body
+	hostMemory    = 256 << 20 // bytes
+	defaultSlots  = 16
+	defaultStepMs = 1
+)
+
 var domains = []string{"north", "south", "west"}
 
 // Fleet is everything that a run starts.
@@ -246,10 +259,11 @@
 	cfg := fake.Config{Version: n,
 		Routes: []fake.Route{route(kinds[0], plainService), route(kinds[1], plainService), route(kinds[2], engineService)},
 		Services: []fake.Service{{Name: plainService, MaxConnections: 200}, {Name: "origin", MaxConnections: 48, Origin: f.origin.Addr(), Zone: domains[0]},
-			{Name: engineService, MaxConnections: 200, Engine: &fake.Engine{Slots: 16, Stride: 5, StepMs: 1, ReadPerS: 100000,
+			{Name: engineService, MaxConnections: 200, Engine: &fake.Engine{Slots: cmp.Or(f.cfg.Slots, defaultSlots), Stride: 5, StepMs: cmp.Or(f.cfg.StepMs, defaultStepMs), ReadPerS: 100000,
 				Models: []fake.EngineModel{{Name: model, WarmS: 0.1}}, Usual: map[string]int{"prompt": 100, "answer": 20}, Layers: 4, Chunks: pieces, ChunkBytes: 4096}}},
-		Limits: map[string]int{"HeaderBytes": 8192, "BodyBytes": 1 << 20, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 30000},
-		Teams:  []fake.Team{{Name: "lasting", ApiKeys: []string{permanentKey}}, {Name: "rotating", ApiKeys: []string{rotatingKey(n)}}}}
+		Limits: map[string]int{"HeaderBytes": 8192, "BodyBytes": maxBody, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 30000},
+		Teams: []fake.Team{{Name: lastingTeam, ApiKeys: []string{permanentKey}}, {Name: rotatingTeam, ApiKeys: []string{rotatingKey(n)}},
+			{Name: "bulk", ApiKeys: []string{bulkKey}}}}
 	f.recorder.recordWrite(n, func() {
 		f.store.Put(fake.KeyConfig, cfg)
 		f.store.AwaitAvailable()
@@ -330,10 +344,12 @@
 	Mixed           []fake.MixedLoad // engine loads that started without all pieces of their version
 	Unserved        []string         // what entries did not serve and engines had not loaded within recoveryTimeout after the faults
 	Attempts        int
-	Served          int            // attempts with a complete response of status 200
-	Faults          map[string]int // number of faults drawn, by name
-	UnexpectedExits int            // process exits that the run did not cause; the processes were restarted
-	DifferingCopies int            // log lines in which entries report copiesDifferMessage
+	Served          int              // attempts with a complete response of status 200
+	Faults          map[string]int   // number of faults drawn, by name
+	UnexpectedExits int              // process exits that the run did not cause; the processes were restarted
+	DifferingCopies int              // log lines in which entries report copiesDifferMessage
+	OverMemory      []string         // processes that held more memory than their host has
+	ByTeam          map[string]tally // streaming attempts while the bulk team sent
 }
 
 // Run runs a fleet under load and faults and checks the invariants.
@@ -370,7 +386,11 @@
 	if r.DifferingCopies, err = f.countDifferingCopies(); err != nil {
 		return nil, err
 	}
+	if r.OverMemory, err = f.overMemory(); err != nil {
+		return nil, err
+	}
 	attempts := f.attemptLog.attempts()
+	r.ByTeam = tallyByTeam(attempts, f.recorder.bulk)
 	f.markDisturbed(attempts)
 	r.Violations = Judge(attempts, f.recorder.facts(f.requestLog))
 	r.Attempts = len(attempts)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -11,6 +11,7 @@
 type Attempt struct {
 	ID               string
 	Kind             string // of the route
+	Team             string // of the key
 	Repeatable       bool   // the request may run more than once
 	Incarnation      string // of the entry that the request was sent to
 	Key              int    // number of the rotating key sent; 0 for the permanent key, -1 if the entry restarted meanwhile
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -98,8 +98,8 @@
 }
 
 // runAndCheck runs a fleet and fails the test if an invariant is violated, a process exits
-// unexpectedly, copies of the store differ, weights are mixed or requests are not served.
-func runAndCheck(t *testing.T, cfg Config) {
+// unexpectedly or exceeds its host's memory, copies of the store differ, weights are mixed or requests are not served.
+func runAndCheck(t *testing.T, cfg Config) *Result {
 	seed := cfg.Seed
 	r, err := Run(t.Context(), cfg)
 	assert.NilError(t, err, "seed %d", seed)
@@ -112,6 +112,8 @@
 	assert.Check(t, len(r.Mixed) == 0, "seed %d: engines loaded mixed weights: %+v", seed, r.Mixed)
 	assert.Check(t, len(r.Unserved) == 0, "seed %d: not served after the faults: %v", seed, r.Unserved)
 	assert.Check(t, r.Served > 0, "seed %d: no request was served", seed)
+	assert.Check(t, len(r.OverMemory) == 0, "seed %d: over the memory limit: %v", seed, r.OverMemory)
+	return r
 }
 
 // seedDir returns the directory for a seed's settings and logs.
