--- a/command/gateway.go
+++ b/command/gateway.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -12,6 +13,8 @@
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mesh"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload"
+	"github.com/springgate/springgate/overload/memory"
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/platform"
 	"github.com/springgate/springgate/quarantine"
@@ -27,16 +30,18 @@
 func gatewayCommand() *cli.Command {
 	var f platformFlags
 	var contentKey string
+	var memoryBudget int64
 	set := &settings.Set{}
 	f.add(set)
 	set.Text(&contentKey, "content-key", "secret key of the fingerprints that identify request content in logs and between peers; must be the same on all entries", "", false)
+	set.Bytes(&memoryBudget, "memory-budget", "how much memory callers' requests may hold together; 0 derives it from the memory limit in the platform's settings", "0", 0, 1<<40)
 	return &cli.Command{Name: "gateway", Usage: "run an entry on the platform, with the settings from the file that " + platform.SettingsVariable + " names",
 		Flags: set.Flags(),
 		Action: func(_ context.Context, c *cli.Command) error {
 			if err := set.Load(c); err != nil {
 				return err
 			}
-			return runGateway(f, contentKey)
+			return runGateway(f, contentKey, memoryBudget)
 		}}
 }
 
@@ -54,12 +59,12 @@
 	server   *gateway.Server
 }
 
-func runGateway(f platformFlags, contentKey string) error {
+func runGateway(f platformFlags, contentKey string, memoryBudget int64) error {
 	p, err := newPlatformProcess(f, roleEntry)
 	if err != nil {
 		return err
 	}
-	e := newEntryProcess(p, f.off, contentKey)
+	e := newEntryProcess(p, f.off, contentKey, memoryBudget)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	peers, err := peer.Listen(p.self.Addr, p.hello(), e.servePeer, p.meter)
@@ -83,7 +88,7 @@
 	return nil
 }
 
-func newEntryProcess(p *platformProcess, off mechanism.Off, contentKey string) *entryProcess {
+func newEntryProcess(p *platformProcess, off mechanism.Off, contentKey string, memoryBudget int64) *entryProcess {
 	s := p.settings
 	e := &entryProcess{platformProcess: p}
 	p.pool = peer.NewPool(p.hello(), e.servePeer, p.meter)
@@ -91,25 +96,37 @@
 	e.balancer = dispatch.NewBalancer(dispatch.Config{Off: off, Regions: s.Regions, VersionTimeout: s.VersionTimeout()}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.conns = targetconn.NewPool(targetconn.Config{})
 	crashes := quarantine.NewTable()
+	level := overload.NewController(overload.Config{})
 	e.mesh = mesh.New(mesh.Options{Self: p.self, Seeds: s.Seeds, Pool: p.pool, Listener: e, Crashes: crashes,
 		Table: table, TargetDomain: e.balancer.DomainOf, Log: telemetry.Part(p.log, "mesh"), Metrics: p.metrics})
 	e.reserver = mesh.NewReserver(e.mesh, e.balancer, off)
-	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, MirrorState: mirrorState(table), Crashes: crashes,
+	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, MirrorState: mirrorState(table), Crashes: crashes, Level: level,
 		Hasher: quarantine.NewHasher(contentKey), Host: p.self.Host, Probes: e.mesh.Probes, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
-		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
+		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra, Memory: p.newBudget(memoryBudget)}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = e.mesh.NewFollower(mirror.Config{}, platform.NewStore(s.Store.Addr), telemetry.Part(p.log, "mirror"))
 	e.relay = weights.NewRelay(weights.Config{Off: off}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
 		telemetry.Part(p.log, "weights"))
 	e.control = gateway.NewControl(gateway.ControlOptions{Addr: p.self.Addr, Config: gateway.ControlConfig{Off: off, VersionTimeout: s.VersionTimeout()},
 		Gateway: e.gateway, Balancer: e.balancer, Decoder: platform.Decoder{}, Table: table,
-		Outage: e.follower.Outage, Roster: gateway.Roster{RetainFor: rosterHold, CatchUp: rosterCatchUp}, Relay: e.relay,
+		Outage: e.follower.Outage, Roster: gateway.Roster{RetainFor: rosterHold, CatchUp: rosterCatchUp}, Relay: e.relay, Level: level,
 		Log: telemetry.Part(p.log, "control"), Metrics: p.metrics})
 	e.server = gateway.NewServer(gateway.ServerConfig{CallerAddr: s.Listen.Callers, ReadyAddr: s.Listen.Readiness,
 		DrainTimeout: s.DrainTimeout()}, e.gateway, telemetry.Part(p.log, "server"))
 	return e
 }
 
+// newBudget returns the budget of bytes of callers' requests. size is zero if it is to be derived
+// from the memory limit of the process. Without that there is no budget.
+func (p *platformProcess) newBudget(size int64) *memory.Budget {
+	size = cmp.Or(size, memory.Size(heapLimit(p.settings)))
+	if size == 0 {
+		return nil
+	}
+	telemetry.Part(p.log, "main").WithField("budget", size).Info("Memory of requests is bounded.")
+	return memory.New(memory.Config{Bytes: size})
+}
+
 // mirrorState returns a function that reports the state of this entry's mirror, its local
 // copy of the store.
 func mirrorState(t *mirror.Table) func() gateway.MirrorState {
@@ -188,6 +205,11 @@
 // Notices implements mesh.Listener.
 func (e *entryProcess) Notices() []peer.TargetNotice { return e.control.Notices() }
 
+// Shortages implements mesh.Listener.
+func (e *entryProcess) Shortages(now time.Time) map[string]overload.Report {
+	return e.control.Shortages(now)
+}
+
 // Assignment implements mesh.Listener.
 func (e *entryProcess) Assignment(p peer.Presence) (*peer.Assignment, <-chan struct{}) {
 	return e.control.Assignment(p)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -14,6 +14,7 @@
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mirror"
+	"github.com/springgate/springgate/overload"
 )
 
 // Decoder decodes items of the store into fleet types.
@@ -64,12 +65,16 @@
 	outage   func() (down bool, ended time.Time)
 	relay    Relay
 	log      logrus.FieldLogger
+	level    *overload.Controller // nil if no level is held
+	monitor  *levelMonitor
 
 	evacuations evacuations
 	evacuated   []string // failure domains, sorted
 	// unknownEvacuations counts evacuations of failure domains that are not configured.
 	unknownEvacuations metrics.Gauge
+	slow               slowTargets
 	foreign            metrics.Gauge // items of the target list that describe no usable target
+	configFaults       metrics.Gauge // values of the configuration that are not usable
 	// endedWithRequests counts targets that disappeared from the list after requests of
 	// this entry had lost their connections to them.
 	endedWithRequests metrics.Counter
@@ -106,6 +111,7 @@
 	Outage   func() (down bool, ended time.Time)
 	Roster   Roster
 	Relay    Relay
+	Level    *overload.Controller // optional; the one of the gateway
 	Log      logrus.FieldLogger
 	Metrics  metrics.Registry // optional
 }
@@ -116,8 +122,15 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
-	return &Control{cfg: o.Config, unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics), foreign: metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics), endedWithRequests: metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
-		addr: o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
+	if o.Config.Off.Has(mechanism.AdmissionLevel) {
+		o.Level = nil
+	}
+	return &Control{cfg: o.Config, level: o.Level, monitor: newLevelMonitor(o.Metrics, o.Log), slow: newSlowTargets(o.Metrics),
+		unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics),
+		foreign:            metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics),
+		configFaults:       metrics.NewRegisteredGauge("control.config_faults", o.Metrics),
+		endedWithRequests:  metrics.NewRegisteredCounter("control.targets_ended_at_work", o.Metrics),
+		addr:               o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, versions: map[string]int{}, evacuations: evacuations{catchUp: o.Roster.CatchUp}, assignments: map[string]*assignment{},
 		holders: map[string]holder{},
@@ -137,6 +150,8 @@
 				break wait
 			case <-ticker.C:
 				c.updateUnreadable()
+				c.slow.update(c.balancer.SlowTargets(clock.Now()), c.log)
+				c.updateLevel(clock.Now())
 				if c.roster.Pending() || c.evacuations.holding || c.registrations.pending() {
 					break wait
 				}
@@ -201,9 +216,26 @@
 		return
 	}
 	c.log.WithFields(logrus.Fields{"config": cfg.Version, "revision": i.Revision}).Info("Configuration applied.")
+	c.logFaults(cfg)
 	c.balancer.Apply(c.list, cfg.Services)
 }
 
+// maxFaultsLogged bounds how many faults of a configuration are listed in its log record.
+const maxFaultsLogged = 10
+
+// logFaults logs values of a configuration that are not usable.
+func (c *Control) logFaults(cfg *fleet.Config) {
+	c.configFaults.Update(int64(len(cfg.Faults)))
+	if len(cfg.Faults) == 0 {
+		return
+	}
+	first := make([]string, 0, maxFaultsLogged)
+	for _, f := range cfg.Faults[:min(len(cfg.Faults), maxFaultsLogged)] {
+		first = append(first, f.String())
+	}
+	c.log.WithFields(logrus.Fields{"config": cfg.Version, "faults": len(cfg.Faults), "first": first}).Warn("Values of the configuration are not usable; defaults apply.")
+}
+
 // applyVersion applies the version that the operators announced for a model. A version
 // announced before this process started may be old: engines that lack it get no requests
 // until other entries report its age.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/notice"
+	"github.com/springgate/springgate/overload/memory"
 	"github.com/springgate/springgate/quarantine"
 	"github.com/springgate/springgate/routing"
 	"github.com/springgate/springgate/targetconn"
@@ -46,6 +47,10 @@
 	Team      string
 	Remaining time.Duration
 	LastEvent string // ID of the event after which a stream resumes
+	// Rank is the order in which the target serves waiting requests, 0 first. It is stated only if
+	// Ranked, that is, if the requests of the service differ in rank.
+	Rank   int
+	Ranked bool
 }
 
 // ResponseInfo is the metadata in the header of a target's response.
@@ -100,6 +105,13 @@
 	// Default: this entry probes all contents.
 	Probes func(quarantine.Fingerprint) bool
 
+	// Level decides which requests are admitted while a service has too few targets. Default:
+	// all are.
+	Level Level
+	// SkipBodyTimeout is how long the response to a request that the level has refused may wait for
+	// the end of the request's body; after that the connection is closed. Default 50 ms.
+	SkipBodyTimeout time.Duration
+
 	// MaxWaitRatio is the part of the service's tightest objective (the shortest
 	// first-response latency that counts as in time for any of its current callers) that a
 	// fresh request, one that is not a retry, may wait for a target: long enough to bridge
@@ -124,6 +136,8 @@
 	// StallLimit is the least pause after which a stream is hedged whose target sends events of
 	// other streams. Callers abandon a stream after a pause of 2 s. Default 1.5 s.
 	StallLimit time.Duration
+	// Memory bounds the bytes that requests hold together. Default: no bound.
+	Memory *memory.Budget
 	// MaxBufferedResponse bounds how much of a non-streaming response is buffered until it
 	// is complete, in bytes. Default 256 KiB.
 	MaxBufferedResponse int64
@@ -156,6 +170,7 @@
 	if c.Probes == nil {
 		c.Probes = func(quarantine.Fingerprint) bool { return true }
 	}
+	c.SkipBodyTimeout = cmp.Or(c.SkipBodyTimeout, 50*time.Millisecond)
 	c.MaxWaitRatio = cmp.Or(c.MaxWaitRatio, 0.1)
 	c.RetryMaxWait = cmp.Or(c.RetryMaxWait, 250*time.Millisecond)
 	c.FirstEventLimit = cmp.Or(c.FirstEventLimit, 2200*time.Millisecond)
@@ -195,6 +210,12 @@
 // New returns a gateway that refuses all requests until it has a configuration.
 func New(cfg Config, d Dialect, balancer *dispatch.Balancer, pool *targetconn.Pool, reserver Reserver, stats *Stats, log logrus.FieldLogger) *Gateway {
 	cfg = cfg.applyDefaults()
+	if cfg.Off.Has(mechanism.ByteBudget) {
+		cfg.Memory = nil
+	}
+	if cfg.Memory != nil {
+		stats.watchMemory(cfg.Memory)
+	}
 	return &Gateway{cfg: cfg, dialect: d, balancer: balancer, pool: pool, reserver: reserver, stats: stats, log: log,
 		retryDetector: dispatch.NewRetryDetector(cfg.RetryAfter, cfg.RetrySpread), crashDetector: newCrashDetector(cfg.Crashes, cfg.Host, log), budgets: map[string]*routing.Budget{}, entries: 1}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,9 @@
 	h.Set("Instance", s.Instance)
 	h.Set("Left-Ms", fmt.Sprint(s.Remaining.Milliseconds()))
 	h.Set("Last", s.LastEvent)
+	if s.Ranked {
+		h.Set("Rank", strconv.Itoa(s.Rank))
+	}
 }
 
 func (testDialect) DecodeResponse(status int, h http.Header) ResponseInfo {
@@ -484,7 +487,7 @@
 
 func TestEventReader(t *testing.T) {
 	read := func(s string) (ids []string, err error) {
-		e := eventReader{bufio.NewReaderSize(strings.NewReader(s), 16)}
+		e := eventReader{r: bufio.NewReaderSize(strings.NewReader(s), 16), memory: &allocation{}}
 		for {
 			ev, err := e.next()
 			if err != nil {
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -1,6 +1,9 @@
 package peer
 
-import "github.com/springgate/springgate/revision"
+import (
+	"github.com/springgate/springgate/overload"
+	"github.com/springgate/springgate/revision"
+)
 
 // Presence is the state that a process reports about itself when it opens a link (a stream to an
 // entry; see package mesh), and periodically after that.
@@ -82,8 +85,20 @@
 	Versions []ObservedVersion
 	// Notices are the targets' own announcements. Sent if Full only.
 	Notices []TargetNotice
+	// Added holds the fields that earlier releases do not know.
+	Added LoadsAdded `msgpack:"-"`
 }
 
+// LoadsAdded are fields of Loads that earlier releases do not know.
+type LoadsAdded struct {
+	// Shortages are the sender's reports about services that are short of targets, by service. Sent
+	// if Full only.
+	Shortages map[string]overload.Report
+}
+
+func (l *Loads) extension() any     { return &l.Added }
+func (l *Loads) hasExtension() bool { return len(l.Added.Shortages) > 0 }
+
 // Kind implements Message.
 func (*Loads) Kind() Kind { return kindLoads }
 
@@ -112,9 +127,11 @@
 	Model   string
 	Version int    // version that the engine serves completely; 0 if none
 	Loading bool   // the engine is carrying out an order to load a version: new requests would wait
-	Seq     uint64 // sequence number of the agent's reports; the highest one of an incarnation is in effect
+	Seq     uint64 // number of the agent's report, see NextSeq; the highest one of an incarnation is in effect
 	StartMs int64  // start of the engine's process, Unix milliseconds; 0 if unknown
 	Forward bool   // the entry is to forward this report to all other entries
+	// PacePercent is the pace to be published; receivers read StatedPace.
+	PacePercent int `msgpack:"-"`
 }
 
 // Kind implements Message.
