overload: teams within their share precede the others of their rank by their part of its room

The team that asks for too much left it hardly anything, as the part that precedes was taken of all that is asked for, of which the flood is nearly all. Change: within a rank the part is taken of what the rank is granted.

--- a/overload/precedence.go
+++ b/overload/precedence.go
@@ -30,6 +30,6 @@
 const maxYield = 0.25
 
 // Yield returns the part of the longest wait at a target that requests leave to those that precede them
-// while the service is short of room. preceding is the part of the service's work that those ask for
-// (see Decision.Preceding): the less they ask for, the less has to be left.
+// while the service is short of room. preceding is their part of the work (see Decision.Preceding): the
+// smaller it is, the less has to be left.
 func Yield(preceding float64) float64 { return maxYield * min(2*preceding, 1) }
--- a/overload/share.go
+++ b/overload/share.go
@@ -62,28 +62,26 @@
 	return r.perTeam / work
 }
 
-// preceding returns the part of all work that is to find places before that of a class: what more
-// urgent ranks ask for, the less the closer the rank is to the part that it keeps, and teams of the
-// rank that get all they ask for, if the class does not.
+// preceding returns which part of the work is to find places before that of a class: the part that more
+// urgent ranks ask for, the less the closer the rank is to the part that it keeps, and, if the class
+// does not get all it asks for, the part of the rank's room that teams get that do.
 func (a *allocator) preceding(rank int, fraction float64) float64 {
 	own := a.find(rank)
-	if own == nil {
+	if own == nil || own.grant <= 0 {
 		return 0
 	}
-	var before, all float64
+	var urgent, all float64
 	for _, r := range a.ranks {
 		all += r.work
-		switch {
-		case r.rank < rank:
-			before += r.work * own.surplus()
-		case r.rank == rank && fraction < 1:
-			before += r.whole
+		if r.rank < rank {
+			urgent += r.work
 		}
 	}
-	if all <= 0 {
-		return 0
+	part := own.surplus() * urgent / all
+	if fraction < 1 {
+		part += own.whole / own.grant
 	}
-	return before / all
+	return min(part, 1)
 }
 
 // surplus returns what the rank gets beyond the part that it keeps, relative to that part, at most 1.
