gateway: logs and metrics of the retry budget

Cause: the logs could not tell the hypotheses on retries beyond the budget apart: neither what an entry had left, nor by how many entries it divided the budget, nor what targets had received beyond the first send of a request.

Change: Retry budget divided among entries. with the number of entries and the share, budget in Trying again. and in the line of a hedge, gauge gateway.retry_share, counter gateway.resent. No decision changes.

Measured: go test ./gateway ./routing passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -221,6 +221,9 @@
 	}
 	x.inFlight--
 	if res.sent {
+		if x.sends > 0 {
+			x.g.stats.resent.Inc(1)
+		}
 		x.sends++
 	}
 	x.ran, x.probing = x.ran || res.ran, false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -257,9 +257,12 @@
 		return
 	}
 	g.entries = n
+	share := g.budgetShare()
 	for _, b := range g.budgets {
-		b.Resize(g.budgetShare())
+		b.Resize(share)
 	}
+	g.stats.retryShare.Update(share)
+	g.log.WithFields(logrus.Fields{"entries": n, "share": share}).Info("Retry budget divided among entries.")
 }
 
 // budgetShare is how many retries this entry may accumulate for a service. The caller holds
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -186,7 +186,7 @@
 	x.g.stats.recordRetry(reason)
 	x.g.stats.hedged.Inc(1)
 	x.g.log.WithFields(logrus.Fields{"request": x.call.ID, "target": silent.choice.Instance.ID, "reason": reason, "other": choice.Instance.ID,
-		"sends": x.sends + x.inFlight, "left_ms": clock.Until(x.deadline).Milliseconds()}).Info("Target is silent, trying another one as well.")
+		"sends": x.sends + x.inFlight, "left_ms": clock.Until(x.deadline).Milliseconds(), "budget": x.g.budget(x.service).Left()}).Info("Target is silent, trying another one as well.")
 	winner, res := x.open(x.newAttempt(ctx, choice))
 	if winner != nil {
 		return winner
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -45,7 +45,8 @@
 		x.retries = append(x.retries, res.reason)
 		x.g.stats.recordRetry(res.reason)
 		x.g.log.WithFields(logrus.Fields{"request": x.call.ID, "target": choice.Instance.ID, "reason": res.reason,
-			"ran": res.ran, "sends": x.sends, "left_ms": clock.Until(x.deadline).Milliseconds()}).Info("Trying again.")
+			"ran": res.ran, "sends": x.sends, "left_ms": clock.Until(x.deadline).Milliseconds(),
+			"budget": x.g.budget(x.service).Left()}).Info("Trying again.")
 	}
 }
 
--- a/gateway/stats.go
+++ b/gateway/stats.go
@@ -28,10 +28,12 @@
 	hedged            metrics.Counter // requests sent to another target because one was silent
 	hedgesWon         metrics.Counter // of these, those that the other target began to answer first
 	waitTime          metrics.Histogram
-	notices           metrics.Counter // changes in the notices of targets
-	unreadableNotices metrics.Counter // responses whose notice is not readable
-	noRoom            metrics.Counter // reservations of memory that were refused for lack of room
-	overShare         metrics.Counter // reservations of memory that were refused since their team has its share
+	resent            metrics.Counter      // requests written to a connection to a target once more
+	retryShare        metrics.GaugeFloat64 // most retries that this entry may hold for a service
+	notices           metrics.Counter      // changes in the notices of targets
+	unreadableNotices metrics.Counter      // responses whose notice is not readable
+	noRoom            metrics.Counter      // reservations of memory that were refused for lack of room
+	overShare         metrics.Counter      // reservations of memory that were refused since their team has its share
 	// forecastError is how much later than forecast the first event arrived.
 	forecastError metrics.Histogram
 }
@@ -42,6 +44,7 @@
 		lostWithTarget: metrics.NewRegisteredCounter("gateway.lost_with_target", r),
 		truncated:      metrics.NewRegisteredCounter("gateway.truncated", r),
 		hedged:         metrics.NewRegisteredCounter("gateway.hedged", r), hedgesWon: metrics.NewRegisteredCounter("gateway.hedges_won", r),
+		resent: metrics.NewRegisteredCounter("gateway.resent", r), retryShare: metrics.NewRegisteredGaugeFloat64("gateway.retry_share", r),
 		notices: metrics.NewRegisteredCounter("gateway.notices", r), unreadableNotices: metrics.NewRegisteredCounter("gateway.notices_unreadable", r),
 		noRoom: metrics.NewRegisteredCounter("gateway.memory.no_room", r), overShare: metrics.NewRegisteredCounter("gateway.memory.over_share", r),
 		refused: map[Reason]metrics.Counter{}, retried: map[Reason]metrics.Counter{},
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -84,6 +84,13 @@
 // retry nothing is left to others.
 func (b *Budget) covers(part float64) bool { return b.tokens >= 1+math.Floor(part*b.cfg.Cap) }
 
+// Left returns how many retries the budget holds.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // Refund returns a retry that was spent but not made.
 func (b *Budget) Refund() {
 	b.mu.Lock()
