--- a/command/gateway.go
+++ b/command/gateway.go
@@ -161,7 +161,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			e.gateway.SetEntries(len(e.mesh.Entries()) + 1)
+			e.gateway.SetEntries(e.mesh.BudgetShares())
 			e.conns.Sweep(e.balancer.HasAddr)
 		case <-ctx.Done():
 			return
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -448,6 +448,33 @@
 	assert.Equal(t, x.count()+y.count(), 12)
 }
 
+// Guards against restarts of an entry that each come with a full retry budget.
+func TestRestartsDoNotRenewTheRetryBudget(t *testing.T) {
+	x, y := newTarget(t, notRunHandler), newTarget(t, notRunHandler)
+	const restarts, calls, share, ratio = 5, 10, 2, 0.01
+	for range restarts {
+		f := newTestGateway(t, x, y)
+		f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = ratio, 4*share
+		f.gateway.SetEntries(4)
+		for range calls {
+			f.call(http.MethodPost, "/unsafe/x", "b")
+		}
+	}
+	retries := x.count() + y.count() - restarts*calls
+	assert.Assert(t, float64(retries) <= share+restarts*calls*ratio, "%d retries", retries)
+}
+
+// Guards against an entry that has not counted the others yet, and holds the retries of all.
+func TestEntryThatKnowsNoOthersHoldsOneRetry(t *testing.T) {
+	x, y := newTarget(t, notRunHandler), newTarget(t, notRunHandler)
+	f := newTestGateway(t, x, y)
+	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.01, 8
+	for range 10 {
+		f.call(http.MethodPost, "/unsafe/x", "b")
+	}
+	assert.Assert(t, x.count()+y.count() <= 11, "%d sends", x.count()+y.count())
+}
+
 // With fewer entries, each may accumulate more retries from its own requests.
 func TestRetryBudgetGrowsWithTheShareOfTheEntry(t *testing.T) {
 	f := newTestGateway(t, newTarget(t, okHandler))
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -332,6 +332,9 @@
 	return n
 }
 
+// BudgetShares returns the number of entries among which a budget of all entries is divided.
+func (m *Members) BudgetShares(now time.Time) int { return len(m.Live(now)) + 1 }
+
 // Live returns the live entries, ordered by address. The states of their copies may be older
 // than the latest reports. The caller must not modify the list.
 func (m *Members) Live(now time.Time) []peer.Presence {
--- a/mesh/members_test.go
+++ b/mesh/members_test.go
@@ -31,6 +31,33 @@
 	assert.Equal(t, len(m.Live(start)), 0)
 }
 
+// Guards against entries that are cut off from each other and each take the budget of all.
+func TestEntriesThatAreCutOffKeepTheirBudgetShares(t *testing.T) {
+	m := NewMembers("a:1", []string{"b:1"}, expire)
+	m.Observe(start, presence("b:1", 1, 0))
+	m.Observe(start, presence("c:1", 1, 0))
+	for _, cut := range []time.Duration{0, expire + 1, time.Minute, 10 * time.Minute} {
+		assert.Equal(t, m.BudgetShares(start.Add(cut)), 3, "after %v", cut)
+	}
+}
+
+// Guards against an entry that starts while it is cut off and takes the budget of all.
+func TestBudgetSharesAreUnknownBeforeAnotherEntryIsHeard(t *testing.T) {
+	assert.Equal(t, NewMembers("a:1", []string{"a:1", "b:1"}, expire).BudgetShares(start), 0)
+	assert.Equal(t, NewMembers("a:1", []string{"a:1"}, expire).BudgetShares(start), 1)
+}
+
+// Guards against entries that take over the share of one that leaves and still serves.
+func TestLeavingEntryKeepsItsBudgetShareWhileItServes(t *testing.T) {
+	m := NewMembers("a:1", []string{"b:1"}, expire)
+	p := presence("b:1", 1, 0)
+	m.Observe(start, p)
+	p.Leaving = true
+	m.Observe(start, p)
+	assert.Equal(t, m.BudgetShares(start), 2)
+	assert.Equal(t, m.BudgetShares(start.Add(sizeMemory)), 1)
+}
+
 func TestMemberExpires(t *testing.T) {
 	m := NewMembers("a:1", nil, expire)
 	assert.Assert(t, m.Observe(start, presence("b:1", 1, 0)))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -160,6 +160,13 @@
 	return m.live
 }
 
+// BudgetShares returns the number of entries among which a budget of all entries is divided.
+func (m *Mesh) BudgetShares() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.BudgetShares(clock.Now())
+}
+
 func (m *Mesh) presence() peer.Presence {
 	p := m.self
 	p.Leaving = m.leaving
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -39,6 +39,9 @@
 	// in what engines of this kind can do; the fake ones do more.
 	Slots  int
 	StepMs float64
+	// RetryExtra is the part of the retry budgets that does not depend on the number of requests; 0
+	// leaves the budgets unchecked.
+	RetryExtra int
 	// Bin is the directory of the programs, Dir the directory for settings and logs.
 	Bin, Dir string
 	Logf     func(format string, args ...any)
@@ -183,7 +186,7 @@
 	free := newPorts()
 	for i := range f.cfg.Entries {
 		n := fake.Node{Name: fmt.Sprintf("entry-%d", i), Domain: domains[i%len(domains)], Serves: []string{"front", "control"},
-			Grace: shutdownGrace, FirstStart: true}
+			Grace: shutdownGrace, FirstStart: true, RetryExtra: f.cfg.RetryExtra}
 		link, err := NewLink(f.store.Addr())
 		if err != nil {
 			return err
@@ -393,6 +396,9 @@
 	r.ByTeam = tallyByTeam(attempts, f.recorder.bulk)
 	f.markDisturbed(attempts)
 	r.Violations = Judge(attempts, f.recorder.facts(f.requestLog))
+	if cfg.RetryExtra > 0 {
+		r.Violations = append(r.Violations, overRetryBudget(attempts, f.recorder.facts(f.requestLog), cfg.RetryExtra)...)
+	}
 	r.Attempts = len(attempts)
 	for _, a := range attempts {
 		if a.Status == 200 && !a.Truncated {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -59,6 +59,7 @@
 	InvariantAnnouncedLeaving = "a target that announced leaving receives no new request from the entries that forwarded the announcement"
 	InvariantBackoff          = "a target receives no request from an entry during the back-off that it requested"
 	InvariantKnownStays       = "what an entry knows stays in force when the store is restored"
+	InvariantRetryBudget      = "a service receives no more retries than its budget allows"
 	InvariantRateLimit        = "a target receives no more requests than the limit that it announces"
 )
 
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/springgate/springgate/platform/fake"
 	"gotest.tools/v3/assert"
 )
 
@@ -130,3 +132,26 @@
 	r.lastEnded = r.lastEnded.Add(-storeReachableWindow)
 	assert.Assert(t, r.reachable())
 }
+
+func TestRetryBudgetIsCheckedInSlidingWindows(t *testing.T) {
+	var attempts []Attempt
+	facts := Facts{Arrivals: map[string][]Arrival{}}
+	add := func(id string, at time.Duration, sends int) {
+		attempts = append(attempts, Attempt{ID: id, Kind: fake.KindSafe, Sent: at})
+		for i := range sends {
+			facts.Arrivals["i-1"] = append(facts.Arrivals["i-1"], Arrival{id, at + time.Duration(i)*time.Millisecond})
+		}
+	}
+	for i := range 10 { // allows 2 retries, and 1 extra
+		add(fmt.Sprint("first ", i), time.Duration(i)*time.Second, 1)
+	}
+	add("a", 9*time.Second, 2)
+	add("b", 10*time.Second, 3)
+	assert.Equal(t, len(overRetryBudget(attempts, facts, 1)), 0)
+	add("c", 11*time.Second, 2)
+	out := overRetryBudget(attempts, facts, 1)
+	assert.Equal(t, len(out), 1)
+	assert.Equal(t, out[0].Attempt.ID, "c")
+	facts.Arrivals["i-1"][len(facts.Arrivals["i-1"])-1].At = 25 * time.Second
+	assert.Equal(t, len(overRetryBudget(attempts, facts, 1)), 0, "outside the window")
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// Guards against a retry budget that starts full with each process, so that entries that are
+// restarted in a series retry without bound.
+func TestSoakRestartsDoNotRenewTheRetryBudget(t *testing.T) {
+	cfg := Config{Seed: 9701, Only: regexp.MustCompile("entries restart while targets refuse"), Duration: time.Second, Entries: 5, Engines: 4,
+		PlainTargets: plainTargets, RetryExtra: 60, Bin: buildPrograms(t), Dir: seedDir(t, 9701), Logf: t.Logf}
+	runAndCheck(t, cfg)
+}
+
 func TestSoakFailedScenarios(t *testing.T) {
 	bin := buildPrograms(t)
 	for _, cfg := range failedScenarios {
