gateway, routing: a restart of an entry adds nothing to the retry budget of all

Callers saw: nothing by themselves; a service that was short of targets got more retries than its budget allows, each of which takes a place from a first attempt.

Cause: the reserve of the retry budget belonged to a process. Each start came with a full one, so that the sum over all processes that live within one window had no bound.

Change: a budget begins empty and holds what its requests add; the reserve is added once BudgetWindowS has passed since the start, less the most that the budget has held at once by then. No window then sees the reserve of two lives. An entry that has run for a window is as before.

Why it works: in any window an entry spends at most what it held at its begin, what the requests in it add, and the reserve if that falls into it; the first and the last together are at most the cap.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -102,7 +102,7 @@
 	e.reserver = mesh.NewReserver(e.mesh, e.balancer, off)
 	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, MirrorState: mirrorState(table), Crashes: crashes, Level: level,
 		Hasher: quarantine.NewHasher(contentKey), Host: p.self.Host, Probes: e.mesh.Probes, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
-		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra, Memory: p.newBudget(memoryBudget)}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
+		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra, RetryWindow: s.RetryWindow(), Memory: p.newBudget(memoryBudget)}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = e.mesh.NewFollower(mirror.Config{}, platform.NewStore(s.Store.Addr), telemetry.Part(p.log, "mirror"))
 	e.relay = weights.NewRelay(weights.Config{Off: off}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/mechanism"
@@ -155,6 +156,10 @@
 	// and RetryBurst the most retries that the budgets of all entries together may
 	// accumulate for a service.
 	RetryRatio, RetryBurst float64
+	// RetryWindow is the window over which the retries of a service are counted. For that long
+	// after the start of a process its budgets hold only what its requests add, because an
+	// earlier process of this host may have spent the rest. Default 10 s.
+	RetryWindow time.Duration
 	// MinRemaining is the least remaining time with which a target can still serve a
 	// request. With less, a failed request is not sent to another target. Default 30 ms.
 	MinRemaining time.Duration
@@ -181,6 +186,7 @@
 	c.MaxBufferedResponse = cmp.Or(c.MaxBufferedResponse, int64(256<<10))
 	c.RetryAfter = cmp.Or(c.RetryAfter, 1.0/3)
 	c.RetrySpread = cmp.Or(c.RetrySpread, 0.2)
+	c.RetryWindow = cmp.Or(c.RetryWindow, 10*time.Second)
 	c.MinRemaining = cmp.Or(c.MinRemaining, 30*time.Millisecond)
 	return c
 }
@@ -201,6 +207,7 @@
 
 	retryDetector *dispatch.RetryDetector
 	crashDetector *crashDetector
+	startedAt     time.Time
 
 	mu      sync.Mutex
 	budgets map[string]*routing.Budget // by service
@@ -217,7 +224,7 @@
 		stats.watchMemory(cfg.Memory)
 	}
 	return &Gateway{cfg: cfg, dialect: d, balancer: balancer, pool: pool, reserver: reserver, stats: stats, log: log,
-		retryDetector: dispatch.NewRetryDetector(cfg.RetryAfter, cfg.RetrySpread), crashDetector: newCrashDetector(cfg.Crashes, cfg.Host, log), budgets: map[string]*routing.Budget{}, entries: 1}
+		retryDetector: dispatch.NewRetryDetector(cfg.RetryAfter, cfg.RetrySpread), crashDetector: newCrashDetector(cfg.Crashes, cfg.Host, log), startedAt: clock.Now(), budgets: map[string]*routing.Budget{}, entries: 1}
 }
 
 // SetConfig applies a configuration and reports whether it did. Versions that are not
@@ -272,14 +279,16 @@
 }
 
 // budget returns the retry budget of a service. The entries share it without coordination:
-// each has an equal share of RetryBurst and refills it with its own requests.
+// each has an equal share of RetryBurst and refills it with its own requests. All processes that
+// run within a RetryWindow, also one after the other, stay within the budget together.
 func (g *Gateway) budget(service string) *routing.Budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
 		share := g.budgetShare()
-		b = routing.NewBudget(routing.BudgetConfig{Ratio: g.cfg.RetryRatio, Reserve: share, Cap: share, NoRefill: true})
+		b = routing.NewBudget(routing.BudgetConfig{Ratio: g.cfg.RetryRatio, Reserve: share, Cap: share, NoRefill: true,
+			ReserveAt: g.startedAt.Add(g.cfg.RetryWindow)})
 		g.budgets[service] = b
 	}
 	return b
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -177,6 +177,11 @@
 	return f
 }
 
+// passRetryWindow makes the gateway one that has run for long enough to hold its whole retry budget.
+func (f *testGateway) passRetryWindow() {
+	f.gateway.startedAt = time.Now().Add(-f.gateway.cfg.RetryWindow)
+}
+
 // answer is the response that the caller received; err is set if it was cut off.
 type answer struct {
 	status int
@@ -425,6 +430,7 @@
 func TestRetryBudgetIsShared(t *testing.T) {
 	x, y := newTarget(t, notRunHandler), newTarget(t, notRunHandler)
 	f := newTestGateway(t, x, y)
+	f.passRetryWindow()
 	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.01, 8
 	f.gateway.SetEntries(4) // this entry's share of the 8 retries is 2
 	for range 10 {
@@ -439,6 +445,7 @@
 func TestRetryBudgetSurvivesChangesOfTheEntries(t *testing.T) {
 	x, y := newTarget(t, notRunHandler), newTarget(t, notRunHandler)
 	f := newTestGateway(t, x, y)
+	f.passRetryWindow()
 	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.01, 8
 	f.gateway.SetEntries(4) // this entry's share of the 8 retries is 2
 	for i := range 10 {
@@ -468,6 +475,7 @@
 func TestEntryThatKnowsNoOthersHoldsOneRetry(t *testing.T) {
 	x, y := newTarget(t, notRunHandler), newTarget(t, notRunHandler)
 	f := newTestGateway(t, x, y)
+	f.passRetryWindow()
 	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.01, 8
 	for range 10 {
 		f.call(http.MethodPost, "/unsafe/x", "b")
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -226,5 +226,6 @@
 	if x.started && x.g.cfg.Off.Has(mechanism.Resume) {
 		return false
 	}
-	return x.sends+x.inFlight < x.route.MaxAttempts && clock.Until(x.deadline) >= x.g.cfg.MinRemaining && !x.g.budget(x.service).Empty(x.urgency.retryReserve())
+	return x.sends+x.inFlight < x.route.MaxAttempts && clock.Until(x.deadline) >= x.g.cfg.MinRemaining &&
+		!x.g.budget(x.service).Empty(clock.Now(), x.urgency.retryReserve())
 }
--- a/gateway/rank_test.go
+++ b/gateway/rank_test.go
@@ -42,6 +42,7 @@
 	x, y := newTarget(t, notRunHandler), newTarget(t, notRunHandler)
 	f := newTestGateway(t, x, y)
 	f.setTeams(rankedTeams())
+	f.passRetryWindow()
 	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.001, 4
 	retries := func(key string) int {
 		before := x.count() + y.count()
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -384,6 +384,7 @@
 func TestHedgesToUnreachableTargetsAreBounded(t *testing.T) {
 	pausing, _ := newPausingTarget(t, 3, 6, after(2*testSilence))
 	f := newImpatientGateway(t, pausing)
+	f.passRetryWindow()
 	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.01, 8
 	list := []*fleet.Instance{{ID: "i-0", Service: "s", Addr: pausing.addr(), Domain: "0", Slots: 100}}
 	for i := range 2 * maxDials {
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -21,6 +21,11 @@
 	Cap float64
 	// NoRefill disables the refill over time: only successes add to the budget.
 	NoRefill bool
+	// ReserveAt is when the reserve is added. Default: at the start.
+	//
+	// A process whose predecessor may have spent its reserve adds its own one only when
+	// the window over which retries are counted has passed since its start.
+	ReserveAt time.Time
 }
 
 func (c BudgetConfig) applyDefaults() BudgetConfig {
@@ -34,22 +39,27 @@
 type Budget struct {
 	cfg BudgetConfig
 
-	mu        sync.Mutex
-	tokens    float64
-	lastSpend time.Time
+	mu           sync.Mutex
+	tokens       float64
+	peak         float64 // the most tokens held before the reserve was added
+	reserveAdded bool
+	lastSpend    time.Time
 }
 
-// NewBudget returns a budget that holds its reserve.
+// NewBudget returns a budget that holds its reserve, or is empty until that is added.
 func NewBudget(cfg BudgetConfig) *Budget {
-	cfg = cfg.applyDefaults()
-	return &Budget{cfg: cfg, tokens: cfg.Reserve}
+	b := &Budget{cfg: cfg.applyDefaults()}
+	if cfg.ReserveAt.IsZero() {
+		b.tokens, b.reserveAdded = b.cfg.Reserve, true
+	}
+	return b
 }
 
-// Resize changes the cap. It does not restore retries that were spent.
+// Resize changes the reserve and the cap. It does not restore retries that were spent.
 func (b *Budget) Resize(limit float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cfg.Cap = limit
+	b.cfg.Reserve, b.cfg.Cap = limit, limit
 	b.tokens = min(b.tokens, limit)
 }
 
@@ -57,7 +67,23 @@
 func (b *Budget) Success() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.cfg.Cap, b.tokens+b.cfg.Ratio)
+	b.add(b.cfg.Ratio)
+}
+
+// add adds tokens up to the cap. The caller holds the lock.
+func (b *Budget) add(tokens float64) {
+	b.tokens = min(b.cfg.Cap, b.tokens+tokens)
+	b.peak = max(b.peak, b.tokens)
+}
+
+// addReserve adds the reserve when it is due, less what the budget has held at once before: that
+// may have been spent in the same window. The caller holds the lock.
+func (b *Budget) addReserve(now time.Time) {
+	if b.reserveAdded || now.Before(b.cfg.ReserveAt) {
+		return
+	}
+	b.reserveAdded = true
+	b.tokens = min(b.cfg.Cap, b.tokens+max(b.cfg.Reserve-b.peak, 0))
 }
 
 // Spend takes one retry from the budget, or returns false if the budget is
@@ -69,6 +95,7 @@
 func (b *Budget) SpendLeaving(now time.Time, part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.addReserve(now)
 	if b.tokens < b.cfg.Reserve && !b.lastSpend.IsZero() && !b.cfg.NoRefill {
 		b.tokens = min(b.cfg.Reserve, b.tokens+now.Sub(b.lastSpend).Seconds())
 	}
@@ -95,13 +122,14 @@
 func (b *Budget) Refund() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.cfg.Cap, b.tokens+1)
+	b.add(1)
 }
 
-// Empty reports whether SpendLeaving would fail, apart from what time adds to the budget.
-func (b *Budget) Empty(part float64) bool {
+// Empty reports whether SpendLeaving would fail, apart from what the refill adds to the budget.
+func (b *Budget) Empty(now time.Time, part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.addReserve(now)
 	return b.cfg.NoRefill && !b.covers(part)
 }
 
