mesh, gateway: entries that are cut off keep their shares of the retry budget

Callers saw: the same as with restarts, more retries than the budget of a service allows.

Cause: the budget was divided by the number of entries heard in the last 1.6 s, and by one before the first count. So each side of a partition took the shares of the other, and a process in its first second, or one that started while cut off, the whole budget: at five entries five times its share.

Change: an entry counts all entries it knows of: one that is silent for an hour, one that has said that it leaves for a minute. Before it has heard any other, although there are seeds, the number is not known, and it holds one retry at most, beside what the ratio adds.

Why it works: the shares that are in use at once add up to the budget, because no entry can raise its own while another may still serve. What is lost is the part of an entry that has ended for good, for an hour; the ratio, by which retries grow with requests, does not depend on it.

Three tests of a gateway without others now say that it is the only entry.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -211,7 +211,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*routing.Budget // by service
-	entries int
+	entries int // that share the retry budget; 0 if not known
 }
 
 // New returns a gateway that refuses all requests until it has a configuration.
@@ -224,7 +224,7 @@
 		stats.watchMemory(cfg.Memory)
 	}
 	return &Gateway{cfg: cfg, dialect: d, balancer: balancer, pool: pool, reserver: reserver, stats: stats, log: log,
-		retryDetector: dispatch.NewRetryDetector(cfg.RetryAfter, cfg.RetrySpread), crashDetector: newCrashDetector(cfg.Crashes, cfg.Host, log), startedAt: clock.Now(), budgets: map[string]*routing.Budget{}, entries: 1}
+		retryDetector: dispatch.NewRetryDetector(cfg.RetryAfter, cfg.RetrySpread), crashDetector: newCrashDetector(cfg.Crashes, cfg.Host, log), startedAt: clock.Now(), budgets: map[string]*routing.Budget{}}
 }
 
 // SetConfig applies a configuration and reports whether it did. Versions that are not
@@ -254,7 +254,7 @@
 // Inflight returns the number of requests being served.
 func (g *Gateway) Inflight() int64 { return g.inflight.Load() }
 
-// SetEntries sets how many entries share the retry budget. Existing budgets are resized
+// SetEntries sets how many entries share the retry budget; 0 means that it is not known. Existing budgets are resized
 // rather than replaced: a new budget is full, so that retries would be unbounded during a
 // network partition, when entries join and leave every second.
 func (g *Gateway) SetEntries(n int) {
@@ -272,10 +272,13 @@
 	g.log.WithFields(logrus.Fields{"entries": n, "share": share}).Info("Retry budget divided among entries.")
 }
 
-// budgetShare is how many retries this entry may accumulate for a service. The caller holds
-// the lock.
+// budgetShare is how many retries this entry may accumulate for a service: one if it is not known
+// how many entries there are. The caller holds the lock.
 func (g *Gateway) budgetShare() float64 {
-	return max(g.cfg.RetryBurst/float64(max(g.entries, 1)), 1)
+	if g.entries == 0 {
+		return 1
+	}
+	return max(g.cfg.RetryBurst/float64(g.entries), 1)
 }
 
 // budget returns the retry budget of a service. The entries share it without coordination:
--- a/gateway/rank_test.go
+++ b/gateway/rank_test.go
@@ -44,6 +44,7 @@
 	f.setTeams(rankedTeams())
 	f.passRetryWindow()
 	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.001, 4
+	f.gateway.SetEntries(1)
 	retries := func(key string) int {
 		before := x.count() + y.count()
 		for range 5 {
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -281,6 +281,8 @@
 			})
 			f := newImpatientGateway(t, pausing, other)
 			f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.01, 5
+			f.passRetryWindow()
+			f.gateway.SetEntries(1)
 			go func() {
 				<-reached
 				if resumes {
@@ -386,6 +388,7 @@
 	f := newImpatientGateway(t, pausing)
 	f.passRetryWindow()
 	f.gateway.cfg.RetryRatio, f.gateway.cfg.RetryBurst = 0.01, 8
+	f.gateway.SetEntries(1)
 	list := []*fleet.Instance{{ID: "i-0", Service: "s", Addr: pausing.addr(), Domain: "0", Slots: 100}}
 	for i := range 2 * maxDials {
 		list = append(list, &fleet.Instance{ID: fmt.Sprint("gone-", i), Service: "s", Addr: unusedAddr(t), Domain: "1", Slots: 100})
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -332,8 +332,36 @@
 	return n
 }
 
-// BudgetShares returns the number of entries among which a budget of all entries is divided.
-func (m *Members) BudgetShares(now time.Time) int { return len(m.Live(now)) + 1 }
+// budgetMemory is how long a silent entry keeps its share of a budget: it may be cut off from this
+// process and serve. It is longer than network partitions last.
+const budgetMemory = time.Hour
+
+// BudgetShares returns the number of entries among which a budget of all entries is divided,
+// including this process. It does not fall when entries can no longer be reached, since those may
+// go on to serve. It is 0 if it is not known: other entries exist, and none has been heard yet.
+func (m *Members) BudgetShares(now time.Time) int {
+	n, heard := 1, len(m.byAddr) == 0
+	for _, x := range m.byAddr {
+		heard = heard || !x.lastLiveAt.IsZero()
+		if x.keepsBudgetShare(now) {
+			n++
+		}
+	}
+	if !heard {
+		return 0
+	}
+	return n
+}
+
+// keepsBudgetShare reports whether an entry may still serve. One that has announced that it leaves
+// is gone by the time that Size forgets it.
+func (x *member) keepsBudgetShare(now time.Time) bool {
+	memory := budgetMemory
+	if x.Leaving {
+		memory = sizeMemory
+	}
+	return x.lastLiveAt.IsZero() || now.Sub(x.lastLiveAt) < memory
+}
 
 // Live returns the live entries, ordered by address. The states of their copies may be older
 // than the latest reports. The caller must not modify the list.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -160,7 +160,8 @@
 	return m.live
 }
 
-// BudgetShares returns the number of entries among which a budget of all entries is divided.
+// BudgetShares returns the number of entries among which a budget of all entries is divided, or 0
+// if it is not known yet.
 func (m *Mesh) BudgetShares() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
