--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,9 @@
 	Remaining time.Duration // time that the caller still waits for the response
 	Prompt    int           // length of the prompt in tokens
 	LastEvent string        // ID of the event after which a stream resumes; empty at its start
+	// Parts are the IDs of the parts of the prompt that other requests may have too, in order and
+	// without duplicates.
+	Parts []string
 }
 
 // ForwardInfo is the metadata in the header of a request that is forwarded to a target.
@@ -211,7 +214,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*routing.Budget // by service
-	entries int // that share the retry budget; 0 if not known
+	entries int                        // that share the retry budget; 0 if not known
 }
 
 // New returns a gateway that refuses all requests until it has a configuration.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -141,6 +141,9 @@
 	return res
 }
 
+// maxLoggedParts bounds how many parts of a prompt a log record lists.
+const maxLoggedParts = 8
+
 // logSending logs which target a request is sent to, and the state on which the choice was
 // based. The revision of the target's list item and the revision and age of the mirror tell
 // why a request reached a target that should not get it: the update of the target's item
@@ -154,6 +157,9 @@
 	if c.Unlisted {
 		f["doubtful"] = true
 	}
+	if len(x.call.Parts) > 0 {
+		f["parts"] = x.call.Parts[:min(len(x.call.Parts), maxLoggedParts)]
+	}
 	if c.Limit.Declared {
 		f["limit"] = c.Limit.PerS
 	}
