--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,7 +28,11 @@
 
 func (testDialect) Decode(h http.Header) Call {
 	ms, _ := strconv.Atoi(h.Get("Left-Ms"))
-	return Call{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Remaining: time.Duration(ms) * time.Millisecond}
+	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Remaining: time.Duration(ms) * time.Millisecond}
+	if h.Get("Parts") != "" {
+		c.Parts = strings.Split(h.Get("Parts"), ",")
+	}
+	return c
 }
 
 func (testDialect) EncodeForward(h http.Header, s ForwardInfo) {
--- /dev/null
+++ b/gateway/promptparts_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/springgate/springgate/clock/clocktest"
+	"github.com/springgate/springgate/quarantine"
+	"gotest.tools/v3/assert"
+)
+
+// newPromptCrashTargets returns targets that crash as they begin to answer a prompt with the part
+// "bad": before the header of the answer, or after it.
+func newPromptCrashTargets(t *testing.T, n int, afterHeader bool) []*target {
+	out := make([]*target, n)
+	for i := range out {
+		crash := crashHandler(&out[i])
+		out[i] = newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+			if slices.Contains(strings.Split(r.Header.Get("Parts"), ","), "bad") {
+				if afterHeader {
+					w.Header().Set("Signed", "by the target")
+					w.WriteHeader(http.StatusOK)
+					w.(http.Flusher).Flush()
+				}
+				crash(w, r)
+			}
+			streamHandler(2, 2)(w, r)
+		})
+	}
+	return out
+}
+
+// newSharedTableGateways returns gateways that share their evidence on crashes.
+func newSharedTableGateways(t *testing.T, n int, targets []*target) (out []*testGateway) {
+	table := quarantine.NewTable()
+	for range n {
+		f := newTestGateway(t, targets...)
+		f.gateway.cfg.Crashes, f.gateway.crashDetector.table = table, table
+		out = append(out, f)
+	}
+	return out
+}
+
+// Guards against requests that differ in all but one part of their prompts, which crashes each target
+// that begins to answer it.
+func TestPartOfPromptsThatCrashesTargetsIsQuarantined(t *testing.T) {
+	const crashes, sendsAfter = 5, 3
+	for _, parts := range []string{"bad,system", "system,bad"} {
+		for _, afterHeader := range []bool{false, true} {
+			machine := clocktest.New(t)
+			targets := newPromptCrashTargets(t, 40, afterHeader)
+			entries := newSharedTableGateways(t, 3, targets)
+			sends, served := 0, 0
+			for i := range 30 {
+				before := totalRequests(targets)
+				f, body := entries[i%3], fmt.Sprint("body ", i)
+				f.call(http.MethodPost, "/stream/x", body, "Parts", parts, "Id", fmt.Sprint("r", i))
+				sends += totalRequests(targets) - before
+				machine.Suspend(150 * time.Millisecond)
+				if f.call(http.MethodPost, "/stream/x", "sound "+body, "Parts", "system,other").status == http.StatusOK {
+					served++
+				}
+			}
+			name := fmt.Sprint(parts, ", header first: ", afterHeader)
+			assert.Check(t, sends <= crashes+sendsAfter, "%s: %d sends", name, sends)
+			assert.Check(t, served == 30, "%s: %d of 30 sound requests served", name, served)
+			last := entries[0].call(http.MethodPost, "/stream/x", "the last", "Parts", parts)
+			assert.Check(t, last.status == http.StatusBadRequest && strings.Contains(last.body, string(ReasonCrashesTargets)), "%s: %d %s", name, last.status, last.body)
+		}
+	}
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -98,9 +99,17 @@
 // callBody is like call, with a given body. An empty body is replaced by the request's ID,
 // which no other request has.
 func (c *caller) callBody(ctx context.Context, k kind, key int, body string) Attempt {
+	return c.callPrompt(ctx, k, key, body, "")
+}
+
+// sharedParts is the number of parts that begin the prompts of callers.
+const sharedParts = 3
+
+// callPrompt is like callBody, with a part in the prompt that crashes targets, or "".
+func (c *caller) callPrompt(ctx context.Context, k kind, key int, body, crashingPart string) Attempt {
 	c.sent++
 	began := time.Now()
-	a := Attempt{ID: fmt.Sprintf("%s-%d", c.name, c.sent), Kind: k.name, Repeatable: k.repeatable, Key: key, Body: body, Team: c.team,
+	a := Attempt{ID: fmt.Sprintf("%s-%d", c.name, c.sent), Kind: k.name, Repeatable: k.repeatable, Key: key, Body: body, CrashingPart: crashingPart, Team: c.team,
 		Incarnation: c.entry.Incarnation(), Began: c.fleet.attemptLog.sequence.Add(1), StoreReachable: c.fleet.storeReachable(c.entry)}
 	secret := c.secret
 	if key > 0 {
@@ -109,7 +118,11 @@
 	// The call continues when the load ends, so that each request has an outcome.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), clientTimeout)
 	defer cancel()
-	r, err := fake.NewRequest(c.entry.node.Callers, hostName, k.path, fake.Call{ID: a.ID, Key: secret, Timeout: callDeadline, Prompt: 100, Body: body})
+	parts := []string{fmt.Sprintf("a%d", c.sent%sharedParts), fmt.Sprintf("%x", a.ID)}
+	if crashingPart != "" {
+		parts = slices.Insert(parts, c.sent%2, crashingPart)
+	}
+	r, err := fake.NewRequest(c.entry.node.Callers, hostName, k.path, fake.Call{ID: a.ID, Key: secret, Timeout: callDeadline, Prompt: 100, Body: body, Parts: parts})
 	a.Sent = c.fleet.recorder.elapsed()
 	if err == nil {
 		var resp *http.Response
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -67,6 +67,63 @@
 	calls.Wait()
 }
 
+// promptWaveMeanInterval is the mean time between two requests whose prompts have the part that
+// crashes targets.
+const promptWaveMeanInterval = 150 * time.Millisecond
+
+// sendCrashingPrompts sends requests to random entries that differ in all but one part of their
+// prompts, which crashes each target that begins to answer it.
+func sendCrashingPrompts(f *Fleet, rng *rand.Rand, _ time.Duration) {
+	part := fmt.Sprintf("%s%x", fake.CrashPart, rng.Uint32())
+	f.logf("sending requests with part %s, which crashes targets", part)
+	f.sendPromptWave(rng, part, waveDuration)
+	if rng.IntN(2) == 0 {
+		f.restart(pick(rng, f.entries), 0, true)
+	}
+	time.Sleep(wavePause)
+	f.sendPromptWave(rng, part, lastWaveDuration)
+}
+
+// sendPromptWave sends requests with a part that crashes targets for d.
+func (f *Fleet) sendPromptWave(rng *rand.Rand, part string, d time.Duration) {
+	var calls sync.WaitGroup
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		c := newCaller(f, pick(rng, f.entries), fmt.Sprintf("prompt-%x", rng.Uint64()), rand.New(rand.NewPCG(rng.Uint64(), 1)))
+		calls.Go(func() {
+			defer c.client.CloseIdleConnections()
+			c.callPrompt(context.Background(), kinds[2], 0, "", part)
+		})
+		time.Sleep(randomDuration(rng, promptWaveMeanInterval/2, promptWaveMeanInterval*3/2))
+	}
+	calls.Wait()
+}
+
+// Bounds of InvariantPartCrashLimit, as the platform documents them.
+const (
+	crashesToQuarantinePart  = 5
+	sendsAfterPartQuarantine = 3
+)
+
+// promptsAfterQuarantine returns the attempts by which requests with a part that had crashed five
+// targets reached targets more than sendsAfterPartQuarantine times. It counts like
+// sentAfterQuarantine.
+func promptsAfterQuarantine(attempts []Attempt, facts Facts) []Attempt {
+	var out []Attempt
+	for part, crashes := range facts.Crashes {
+		if len(crashes) < crashesToQuarantinePart {
+			continue
+		}
+		var sent []Attempt
+		for _, a := range attempts {
+			if a.CrashingPart == part && a.Sent > crashes[crashesToQuarantinePart-1]+storeReachableWindow && a.StoreReachable && a.EntryFaultFree {
+				sent = append(sent, slices.Repeat([]Attempt{a}, len(facts.Reached[a.ID]))...)
+			}
+		}
+		out = append(out, sent[min(sendsAfterPartQuarantine, len(sent)):]...)
+	}
+	return out
+}
+
 // sentAfterQuarantine returns the attempts by which crashing requests reached targets more
 // than sendsAfterQuarantine times. It counts only attempts through fault-free entries that
 // could reach the store, sent more than storeReachableWindow after the crash that must put
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -24,6 +24,7 @@
 	Undisturbed      bool   // its entry had no fault and was not stopping, and none of the targets that it ever reached had a fault during the attempt
 	EntryFaultFree   bool   // its entry had no fault during the attempt, nor in the settleTime before
 	Body             string // set if the same body is sent again with other IDs
+	CrashingPart     string // part of the prompt that crashes targets, if there is one
 	AnnouncedLeaving string // target incarnation that announced in the response that it is leaving
 	// Sent and Answered are relative to the start of the run.
 	Sent, Answered time.Duration
@@ -56,6 +57,7 @@
 	InvariantConfigFresh      = "a configuration takes effect within the bound"
 	InvariantLeavingTarget    = "a leaving target receives no new request"
 	InvariantCrashLimit       = "a request that crashed three targets is no longer sent"
+	InvariantPartCrashLimit   = "a part of prompts that crashed five targets is no longer sent"
 	InvariantAnnouncedLeaving = "a target that announced leaving receives no new request from the entries that forwarded the announcement"
 	InvariantBackoff          = "a target receives no request from an entry during the back-off that it requested"
 	InvariantKnownStays       = "what an entry knows stays in force when the store is restored"
@@ -99,6 +101,9 @@
 	for _, a := range sentAfterQuarantine(attempts, facts) {
 		add(InvariantCrashLimit, a)
 	}
+	for _, a := range promptsAfterQuarantine(attempts, facts) {
+		add(InvariantPartCrashLimit, a)
+	}
 	for _, a := range sentAfterLeavingNotice(attempts, facts) {
 		add(InvariantAnnouncedLeaving, a)
 	}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -118,6 +118,26 @@
 	assert.DeepEqual(t, invariantsByID(t, attempts, facts), map[string]string{"fourth": InvariantCrashLimit, "fifth": InvariantCrashLimit})
 }
 
+// A part of prompts that crashed five targets may reach targets at most three more times, in
+// whichever requests.
+func TestJudgeCrashingPart(t *testing.T) {
+	facts := Facts{Crashes: map[string][]time.Duration{"dead1": {1 * second, 2 * second, 3 * second, 4 * second, 5 * second},
+		"dead2": {1 * second, 2 * second, 3 * second, 4 * second}}, Reached: map[string][]string{}}
+	var attempts []Attempt
+	add := func(id, part string, sent time.Duration, reached ...string) {
+		facts.Reached[id] = reached
+		attempts = append(attempts, Attempt{ID: id, CrashingPart: part, Status: http.StatusBadGateway, StoreReachable: true, EntryFaultFree: true,
+			Repeatable: true, Sent: sent})
+	}
+	add("at once", "dead1", 8*second, "t", "u")
+	add("first", "dead1", 9*second, "t", "u")
+	add("refused", "dead1", 10*second)
+	add("four only", "dead2", 9*second, "t", "u", "v", "w")
+	add("third", "dead1", 11*second, "t")
+	add("fourth", "dead1", 12*second, "t")
+	assert.DeepEqual(t, invariantsByID(t, attempts, facts), map[string]string{"fourth": InvariantPartCrashLimit})
+}
+
 // The store counts as reachable if there was no fault for storeReachableWindow.
 func TestReachability(t *testing.T) {
 	var r reachability
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// Guards against requests that differ in all but one part of their prompts, which crashes targets:
+// 85 targets crashed where five are allowed.
+func TestSoakPartOfPromptsThatCrashesTargets(t *testing.T) {
+	bin := buildPrograms(t)
+	for _, seed := range []uint64{9801, 9802} {
+		runAndCheck(t, Config{Seed: seed, Only: regexp.MustCompile("part of prompts crashes targets"), Duration: time.Second, Entries: 5,
+			Engines: 20, PlainTargets: plainTargets, Bin: bin, Dir: seedDir(t, seed), Logf: t.Logf})
+	}
+}
+
 // Guards against a retry budget that starts full with each process, so that entries that are
 // restarted in a series retry without bound.
 func TestSoakRestartsDoNotRenewTheRetryBudget(t *testing.T) {
