quarantine, gateway: a part of prompts that crashes targets is quarantined

Cause: only whole requests were suspects. Requests that share a part of their prompts and nothing else are each a new content, with one or two crashes where three are needed; nothing was learned from any of them. Class: evidence kept under a key that is finer than the cause never adds up.

Change: the parts of a request's prompt are suspects beside its content, with records of their own in the same table and messages. A part that never succeeded is examined first, and needs three crashes, two more than any single content was in flight at, and that a request without it has succeeded meanwhile; otherwise, and if it has succeeded before, eight moments in a row. A complete answer, not a failure of the target, clears it. The rule of three crashes for a content stays. Crashes while a quarantine begins do not put off the first probe of a part.

Why it works: the bad part is the only one in flight at all of the crashes that never succeeds. Common parts are cleared by the sound requests that have them; where nothing without them succeeds they are no cause that a refusal could help against.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -235,7 +235,7 @@
 	case res.reason == ReasonConnLost || res.reason == ReasonBrokenStream:
 		x.recordLostConnection(a.parent, a.choice, a.sentAt)
 	case res.reason == ReasonNone || res.held != nil:
-		x.recordSuccess(a.choice, a.sentAt)
+		x.recordSuccess(a, res)
 	}
 }
 
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -45,6 +45,7 @@
 	}
 	x.bodyComplete = true
 	x.content = x.fingerprint()
+	x.suspects = x.subjects()
 	return ReasonNone
 }
 
--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -68,10 +69,10 @@
 }
 
 // connectionLost records that the connection to a target broke during a request with the
-// given content and time of sending. It waits for the check of the target and reports
+// given subjects and time of sending. It waits for the check of the target and reports
 // whether the target is known to have ended.
-func (e *crashDetector) connectionLost(ctx context.Context, t fleet.Instance, content quarantine.Fingerprint, sent, now time.Time) bool {
-	x, counts := e.recordLoss(t, content, sent, now)
+func (e *crashDetector) connectionLost(ctx context.Context, t fleet.Instance, subjects []quarantine.Fingerprint, sent, now time.Time) bool {
+	x, counts := e.recordLoss(t, subjects, sent, now)
 	if !counts {
 		return false
 	}
@@ -86,7 +87,7 @@
 
 // recordLoss records a broken connection. counts is false if the request was sent after
 // the target had already ended.
-func (e *crashDetector) recordLoss(t fleet.Instance, content quarantine.Fingerprint, sent, now time.Time) (x *crashSuspect, counts bool) {
+func (e *crashDetector) recordLoss(t fleet.Instance, subjects []quarantine.Fingerprint, sent, now time.Time) (x *crashSuspect, counts bool) {
 	incarnation := incarnationOf(t)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -103,12 +104,22 @@
 	if !x.ended {
 		x.lastLossAt = now
 	}
-	x.unreported = append(x.unreported, quarantine.Crash{Content: content, Incarnation: incarnation, At: now, Reporter: e.host})
-	x.unreported = x.unreported[max(len(x.unreported)-maxCrashesPerSuspect, 0):]
+	for _, f := range subjects {
+		x.addUnreported(quarantine.Crash{Content: f, Incarnation: incarnation, At: now, Reporter: e.host})
+	}
 	e.report(x)
 	return x, true
 }
 
+// addUnreported adds a crash unless it is already known: requests have parts of prompts in common.
+func (x *crashSuspect) addUnreported(c quarantine.Crash) {
+	if slices.ContainsFunc(x.unreported, func(old quarantine.Crash) bool { return old.Content == c.Content }) {
+		return
+	}
+	x.unreported = append(x.unreported, c)
+	x.unreported = x.unreported[max(len(x.unreported)-maxCrashesPerSuspect, 0):]
+}
+
 // rechecked returns a new suspect with an unfinished check, which takes over the
 // unreported crashes of x. x may be nil.
 func (x *crashSuspect) rechecked(t fleet.Instance) *crashSuspect {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -31,8 +31,9 @@
 	body     []byte
 	memory   *holding // nil before the body is read, and without a budget
 	content  quarantine.Fingerprint
-	finding  *quarantine.Finding // set if the request is quarantined
-	probing  bool                // the request is sent once as a probe although it is quarantined
+	suspects []quarantine.Fingerprint // the content and the parts of the prompt
+	finding  *quarantine.Finding      // set if the request is quarantined
+	probing  bool                     // the request is sent once as a probe although it is quarantined
 	start    time.Time
 	deadline time.Time
 
@@ -203,7 +204,7 @@
 		f["content"] = x.content.String()
 	}
 	if x.finding != nil {
-		logFinding(f, x.finding, clock.Now())
+		x.logFinding(f, clock.Now())
 	}
 	if x.events > 0 {
 		f["events"], f["first_ms"], f["gap_ms"] = x.events, x.firstEventDelay.Milliseconds(), x.maxGap.Milliseconds()
--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -5,18 +5,21 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/springgate/springgate/clock/clocktest"
+	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/quarantine"
 	"gotest.tools/v3/assert"
 )
 
 // newPromptCrashTargets returns targets that crash as they begin to answer a prompt with the part
-// "bad": before the header of the answer, or after it.
-func newPromptCrashTargets(t *testing.T, n int, afterHeader bool) []*target {
-	out := make([]*target, n)
+// "bad": before the header of the answer, or after it. crashed reports which have.
+func newPromptCrashTargets(t *testing.T, n int, afterHeader bool) (out []*target, crashed func(i int) bool) {
+	out = make([]*target, n)
+	ended := make([]atomic.Bool, n)
 	for i := range out {
 		crash := crashHandler(&out[i])
 		out[i] = newTarget(t, func(w http.ResponseWriter, r *http.Request) {
@@ -26,12 +29,26 @@
 					w.WriteHeader(http.StatusOK)
 					w.(http.Flusher).Flush()
 				}
+				ended[i].Store(true)
 				crash(w, r)
 			}
 			streamHandler(2, 2)(w, r)
 		})
 	}
-	return out
+	return out, func(i int) bool { return ended[i].Load() }
+}
+
+// unlistCrashed removes crashed targets from the lists of the gateways, as the platform does.
+func unlistCrashed(gateways []*testGateway, targets []*target, crashed func(i int) bool) {
+	var list []*fleet.Instance
+	for i, x := range targets {
+		if !crashed(i) {
+			list = append(list, &fleet.Instance{ID: fmt.Sprintf("i-%d", i), Service: "s", Addr: x.addr(), Domain: fmt.Sprint(i), Slots: 100})
+		}
+	}
+	for _, f := range gateways {
+		f.gateway.balancer.Apply(list, f.gateway.Config().Services)
+	}
 }
 
 // newSharedTableGateways returns gateways that share their evidence on crashes.
@@ -52,7 +69,7 @@
 	for _, parts := range []string{"bad,system", "system,bad"} {
 		for _, afterHeader := range []bool{false, true} {
 			machine := clocktest.New(t)
-			targets := newPromptCrashTargets(t, 40, afterHeader)
+			targets, crashed := newPromptCrashTargets(t, 40, afterHeader)
 			entries := newSharedTableGateways(t, 3, targets)
 			sends, served := 0, 0
 			for i := range 30 {
@@ -61,6 +78,7 @@
 				f.call(http.MethodPost, "/stream/x", body, "Parts", parts, "Id", fmt.Sprint("r", i))
 				sends += totalRequests(targets) - before
 				machine.Suspend(150 * time.Millisecond)
+				unlistCrashed(entries, targets, crashed)
 				if f.call(http.MethodPost, "/stream/x", "sound "+body, "Parts", "system,other").status == http.StatusOK {
 					served++
 				}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,17 @@
 		URI: x.r.RequestURI, Body: x.body})
 }
 
+// subjects returns what may be quarantined of the request: its content, and the parts of its prompt
+// in their order.
+func (x *exchange) subjects() []quarantine.Fingerprint {
+	out := make([]quarantine.Fingerprint, 0, 1+len(x.call.Parts))
+	out = append(out, x.content)
+	for _, id := range x.call.Parts {
+		out = append(out, x.g.cfg.Hasher.Part(x.service, id))
+	}
+	return out
+}
+
 // quarantined reports whether the request is refused because targets crash when they run
 // it. It is called before each send, since other entries may have observed a crash since
 // the preceding one.
@@ -30,8 +42,7 @@
 	if x.probing || x.g.cfg.Off.Has(mechanism.Quarantine) {
 		return false
 	}
-	home := func() bool { return x.g.cfg.Probes(x.content) }
-	verdict, finding := x.g.cfg.Crashes.Judge(clock.Now(), x.content, home)
+	verdict, finding := x.g.cfg.Crashes.Judge(clock.Now(), x.suspects, x.g.cfg.Probes)
 	if verdict == quarantine.Send {
 		return false
 	}
@@ -39,18 +50,27 @@
 	return verdict == quarantine.Refuse
 }
 
-// contentQuarantined reports whether the request's content is quarantined now. Unlike quarantined
+// contentQuarantined reports whether the request's content, or a part of its prompt, is quarantined now. Unlike quarantined
 // it never makes the request a probe.
 func (x *exchange) contentQuarantined() bool {
 	if x.g.cfg.Off.Has(mechanism.Quarantine) {
 		return false
 	}
-	verdict, _ := x.g.cfg.Crashes.Judge(clock.Now(), x.content, func() bool { return false })
+	verdict, _ := x.g.cfg.Crashes.Judge(clock.Now(), x.suspects, func(quarantine.Fingerprint) bool { return false })
 	return verdict != quarantine.Send
 }
 
-// logFinding adds what is known about a quarantined request to a log record.
-func logFinding(f logrus.Fields, x *quarantine.Finding, now time.Time) {
+// logFinding adds what is known about the quarantined request to a log record.
+func (x *exchange) logFinding(f logrus.Fields, now time.Time) {
+	addFinding(f, *x.finding, now)
+	if i := slices.Index(x.suspects, x.finding.Subject); i > 0 {
+		f["prompt_part"] = x.call.Parts[i-1]
+	}
+}
+
+// addFinding adds a finding to a log record.
+func addFinding(f logrus.Fields, x quarantine.Finding, now time.Time) {
+	f["subject"] = x.Subject.String()
 	f["ended"], f["first_age_ms"], f["last_age_ms"] = x.Crashes, now.Sub(x.First).Milliseconds(), now.Sub(x.Last).Milliseconds()
 	f["seen_by"], f["again_in_ms"] = x.Reporters, x.ProbeAt.Sub(now).Milliseconds()
 }
@@ -59,15 +79,26 @@
 // If the target has ended, it waits for crashes of the same content that other entries
 // observed at the same moment.
 func (x *exchange) recordLostConnection(ctx context.Context, c dispatch.Choice, sent time.Time) {
-	if !x.g.balancer.Serving(c.Target) || !x.g.crashDetector.connectionLost(ctx, c.Instance, x.content, sent, clock.Now()) {
+	if !x.g.balancer.Serving(c.Target) || !x.g.crashDetector.connectionLost(ctx, c.Instance, x.suspects, sent, clock.Now()) {
 		return
 	}
 	x.g.stats.lostWithTarget.Inc(1)
 	loop.Sleep(ctx, crashReportWait)
 }
 
-// recordSuccess records that a target has completed a run of the request.
-func (x *exchange) recordSuccess(c dispatch.Choice, sent time.Time) {
-	x.g.cfg.Crashes.RecordSuccess(clock.Now(), x.content)
-	x.g.crashDetector.recordAnswer(c.Instance, sent)
+// recordSuccess records that a target has completed a run of the request. An answer says something
+// about the parts of the prompt only if the target has written it for the whole prompt: one that
+// fails may have been made without regard to them.
+func (x *exchange) recordSuccess(a *attempt, res result) {
+	proven := []quarantine.Fingerprint{x.content}
+	if res.reason == ReasonNone && a.answersPrompt() {
+		proven = x.suspects
+	}
+	x.g.cfg.Crashes.RecordSuccess(clock.Now(), proven...)
+	x.g.crashDetector.recordAnswer(a.choice.Instance, a.sentAt)
+}
+
+// answersPrompt reports whether a complete response is an answer to the prompt of the request.
+func (a *attempt) answersPrompt() bool {
+	return a.resp != nil && a.resp.StatusCode/100 == 2 && (a.stream == nil || a.events > 0)
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -245,7 +245,7 @@
 	g := f.gateway
 	i := fleet.Instance{ID: "i-0", Addr: unusedAddr(t)}
 	sent := time.Now()
-	assert.Assert(t, g.crashDetector.connectionLost(t.Context(), i, quarantine.Fingerprint{1}, sent, sent))
+	assert.Assert(t, g.crashDetector.connectionLost(t.Context(), i, []quarantine.Fingerprint{{1}}, sent, sent))
 	n, _ := g.cfg.Crashes.Changes(0, 1)
 	assert.Equal(t, len(n.Crashes), 1)
 	g.crashDetector.recordAnswer(i, sent.Add(time.Second))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -158,7 +158,7 @@
 		f["doubtful"] = true
 	}
 	if len(x.call.Parts) > 0 {
-		f["parts"] = x.call.Parts[:min(len(x.call.Parts), maxLoggedParts)]
+		f["prompt_parts"] = x.call.Parts[:min(len(x.call.Parts), maxLoggedParts)]
 	}
 	if c.Limit.Declared {
 		f["limit"] = c.Limit.PerS
--- a/mesh/crashes_test.go
+++ b/mesh/crashes_test.go
@@ -29,7 +29,7 @@
 }
 
 func refuses(t *quarantine.Table) bool {
-	v, _ := t.Judge(time.Now(), crashingContent, func() bool { return false })
+	v, _ := t.Judge(time.Now(), []quarantine.Fingerprint{crashingContent}, func(quarantine.Fingerprint) bool { return false })
 	return v == quarantine.Refuse
 }
 
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -15,9 +15,9 @@
 	contentBytes = 12
 )
 
-// Fingerprint identifies a request by its content, whichever attempt carries it. It begins
-// with a hash of the caller, so that the records of one caller can be limited. It is a
-// keyed hash, so it can be logged and sent to other processes without revealing the body
+// Fingerprint identifies a request by its content, whichever attempt carries it, or a part of
+// prompts, whichever request has it. That of a content begins with a hash of the caller, so that
+// the records of one caller can be limited. It is a keyed hash, so it can be logged and sent to other processes without revealing the body
 // or the API key.
 type Fingerprint [callerBytes + contentBytes]byte
 
@@ -27,6 +27,13 @@
 // Caller returns the part that identifies the caller.
 func (f Fingerprint) Caller() Caller { return Caller(f[:callerBytes]) }
 
+// partMarker takes the place of the caller in the fingerprint of a part of prompts, which may occur
+// in the requests of several callers.
+var partMarker = Caller{'p', 'a', 'r', 't'}
+
+// IsPart reports whether the fingerprint identifies a part of prompts, not the content of a request.
+func (f Fingerprint) IsPart() bool { return f.Caller() == partMarker }
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
@@ -72,6 +79,16 @@
 	return f
 }
 
+// Part returns the fingerprint of a part of prompts with the given ID at a service.
+func (h Hasher) Part(service, id string) (f Fingerprint) {
+	part := hmac.New(sha256.New, h.key)
+	writeField(part, service)
+	writeField(part, id)
+	copy(f[:callerBytes], partMarker[:])
+	copy(f[callerBytes:], part.Sum(nil))
+	return f
+}
+
 // writeField writes a length-prefixed field, so that different lists of fields never
 // produce the same bytes.
 func writeField(h hash.Hash, s string) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,22 +4,28 @@
 //
 // It protects the fleet against a request whose content crashes every target that starts
 // to process it, and that callers retry through any entry. All attempts of a request, and
-// repeated requests with the same fields and body, are the same content (see Content). An
-// entry is a process that sends callers' requests on to targets. Without quarantine, one such
+// repeated requests with the same fields and body, are the same content (see Content). A prompt
+// consists of parts, which requests share; where one part crashes targets whatever else the request
+// holds, no two contents need to be alike, so the parts are suspects beside the contents. An entry is a process that sends callers' requests on to targets. Without quarantine, one such
 // request crashed two targets per attempt and caused 40 crashes among 20 engines in 75 s,
 // while 10 to 60 % of the concurrent requests were refused.
 //
 // The evidence is that an incarnation (process start) of a target ended while a content was
-// in flight there. All contents in flight on that incarnation are suspected equally. Three
-// properties distinguish the content that caused the crash from the bystanders:
+// in flight there. All contents in flight on that incarnation are suspected equally, and so are the
+// parts of their prompts. Three properties distinguish the content that caused the crash from the bystanders:
 //
 //   - It is in flight at every crash. A crash is explained if another content in flight on
 //     the same incarnation has crashed more targets; only unexplained crashes count.
 //   - It never succeeds. A run that the target survives clears all earlier crashes, and a
-//     content that succeeded recently must crash targets at recentSuccessThreshold
+//     content that succeeded recently must crash targets at manyMoments
 //     separate moments.
 //   - Its targets crash one at a time. Where many other targets crash at the same moment,
 //     a common cause is likelier, and the crashes of that moment count once.
+//
+// A part is examined only for crashes that no single content explains, and one that never succeeded
+// before the contents: requests that are alike in nothing else are explained by it. Parts that
+// succeeded come last. All prompts may have a part in common, so it matters for a part whether
+// requests without it succeed meanwhile.
 package quarantine
 
 import "time"
@@ -33,10 +39,14 @@
 	// crashes, so that the two cannot be distinguished: one more send of each usually
 	// separates them.
 	ambiguousThreshold = 5
-	// recentSuccessThreshold is the number of successive moments with crashes after which
-	// a content that succeeded recently is quarantined. Such a content is in flight on
-	// several targets at a time, and all of them crash at once when a rack fails.
-	recentSuccessThreshold = 8
+	// manyMoments is the number of successive moments with crashes after which a content that
+	// succeeded recently is quarantined. Such a content is in flight on several targets at a time,
+	// and all of them crash at once when a rack fails. The same holds for a part that no other
+	// request has been seen to succeed without.
+	manyMoments = 8
+	// minContents is the number of crashes of a part that must remain beside those of any single
+	// content, for the part and not the content to be the cause.
+	minContents = 2
 	// correlationWindow groups crashes that likely share an external cause, such as the
 	// loss of a rack.
 	correlationWindow = 100 * time.Millisecond
@@ -62,12 +72,35 @@
 // not quarantined.
 const suspectRetention = 10 * time.Minute
 
-// Finding describes why a content is quarantined and when it may be sent again.
+// Finding describes why a content or part is quarantined and when it may be sent again.
 type Finding struct {
-	Crashes     int       // number of crashes attributed to the content
-	First, Last time.Time // times of the first and the last crash
-	Reporters   []string  // hosts of the entries that observed the crashes, without duplicates
-	ProbeAt     time.Time // earliest time of the next probe
+	Subject     Fingerprint // the content or part
+	Crashes     int         // number of crashes attributed to it
+	First, Last time.Time   // times of the first and the last crash
+	Reporters   []string    // hosts of the entries that observed the crashes, without duplicates
+	ProbeAt     time.Time   // earliest time of the next probe
+}
+
+// nextProbe returns when a content or part with the given crashes is sent once more.
+func nextProbe(subject Fingerprint, crashes []Crash) time.Time {
+	n := len(crashes)
+	if subject.IsPart() {
+		n = crashThreshold - 1 + waves(crashes)
+	}
+	return crashes[len(crashes)-1].At.Add(probeDelay(n))
+}
+
+// waves counts the groups of crashes between which a probe may have been sent. Several requests with
+// a part may be in flight when the part is quarantined, and each of them crashes another target; only
+// the failed probes of a part prove anything new.
+func waves(crashes []Crash) int {
+	n := 1
+	for i, c := range crashes[1:] {
+		if c.At.Sub(crashes[i].At) >= initialProbeDelay {
+			n++
+		}
+	}
+	return n
 }
 
 // probeDelay returns the time from the last crash of a content to its next probe.
--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -19,8 +19,8 @@
 	updateDelay      = 20 * time.Millisecond
 	sendsPerAttempt  = 2
 	retriesPerCaller = 2
-	// maxSendsAfterThreshold is how often the cause may still be sent once three targets
-	// have crashed.
+	// maxSendsAfterThreshold is how often the cause may still be sent once so many targets have
+	// crashed.
 	maxSendsAfterThreshold = 3
 	// settleTime is how long after the third crash sends are not counted as late.
 	settleTime = 3 * time.Second
@@ -29,21 +29,33 @@
 // running is a request in progress on a target.
 type running struct {
 	content   Fingerprint
+	parts     []Fingerprint // of its prompt
 	startedAt time.Duration
 	endsAt    time.Duration
 	sends     int // remaining in the attempt
 	retries   int // remaining for the caller
 }
 
-// cause is a request that crashes the targets that run it.
+func (r running) subjects() []Fingerprint { return append([]Fingerprint{r.content}, r.parts...) }
+
+// cause is a request, or a part of prompts, that crashes the targets that run it.
 type cause struct {
 	content    Fingerprint
 	crashes    int           // targets that crashed with it in flight
-	knownAt    time.Duration // when the third crash is known everywhere; 0 before that
+	knownAt    time.Duration // when the last crash of the threshold is known everywhere; 0 before that
 	sendsAfter int           // sends after knownAt
 	lateSends  int           // sends more than settleTime after knownAt
 }
 
+// threshold is the number of crashes after which the platform counts further sends: three of a
+// request, five of a part.
+func (c *cause) threshold() int {
+	if c.content.IsPart() {
+		return 5
+	}
+	return crashThreshold
+}
+
 // storm is one simulation. It has a single table, which receives updates with a delay.
 type storm struct {
 	rng          *rand.Rand
@@ -56,6 +68,7 @@
 	incarnations [stormTargets]Incarnation
 	causes       map[Fingerprint]*cause
 	refused      map[Fingerprint]int
+	served       int // requests that ended well
 }
 
 func newStorm(seed uint64, causes ...Fingerprint) *storm {
@@ -74,16 +87,30 @@
 	s.incarnations[i] = incarnation(s.started)
 }
 
+// causeOf returns the cause that a request has, or nil.
+func (s *storm) causeOf(r running) *cause {
+	for _, f := range r.subjects() {
+		if c := s.causes[f]; c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
 func (s *storm) arrive(now time.Duration, r running) {
-	if refused(s.table, now, r.content) {
-		s.refused[r.content]++
+	if refused(s.table, now, r.subjects()...) {
+		if c := s.causeOf(r); c != nil {
+			s.refused[c.content]++
+		} else {
+			s.refused[r.content]++
+		}
 		return
 	}
 	i := s.rng.IntN(stormTargets)
 	if now < s.downUntil[i] {
 		return // refused: the target is down
 	}
-	if c := s.causes[r.content]; c != nil && c.knownAt > 0 && now > c.knownAt {
+	if c := s.causeOf(r); c != nil && c.knownAt > 0 && now > c.knownAt {
 		c.sendsAfter++
 		if now > c.knownAt+settleTime {
 			c.lateSends++
@@ -105,13 +132,14 @@
 		var remaining []running
 		for _, r := range s.targets[i] {
 			switch {
-			case s.causes[r.content] != nil:
+			case s.causeOf(r) != nil:
 				crashed = crashed || now-r.startedAt >= 40*time.Millisecond
 				remaining = append(remaining, r)
 			case r.endsAt > now:
 				remaining = append(remaining, r)
 			default:
-				s.table.RecordSuccess(at(now), r.content)
+				s.table.RecordSuccess(at(now), r.subjects()...)
+				s.served++
 			}
 		}
 		s.targets[i] = remaining
@@ -129,15 +157,17 @@
 	s.targets[i] = nil
 	crashedBy := map[*cause]bool{}
 	for _, r := range lost {
-		u.Crashes = append(u.Crashes, Crash{Content: r.content, Incarnation: s.incarnations[i], At: at(now), Reporter: "e"})
-		if c := s.causes[r.content]; c != nil {
+		for _, f := range r.subjects() {
+			u.Crashes = append(u.Crashes, Crash{Content: f, Incarnation: s.incarnations[i], At: at(now), Reporter: "e"})
+		}
+		if c := s.causeOf(r); c != nil {
 			crashedBy[c] = true
 		}
 	}
 	s.pending, s.pendingAt = append(s.pending, u), append(s.pendingAt, now+updateDelay)
 	for c := range crashedBy {
 		c.crashes++
-		if c.crashes == crashThreshold {
+		if c.crashes == c.threshold() {
 			c.knownAt = now + updateDelay
 		}
 	}
@@ -148,7 +178,7 @@
 		case r.sends > 0:
 			s.arrive(now, r)
 		case r.retries > 0:
-			s.arrive(now, running{content: r.content, sends: sendsPerAttempt, retries: r.retries - 1})
+			s.arrive(now, running{content: r.content, parts: r.parts, sends: sendsPerAttempt, retries: r.retries - 1})
 		}
 	}
 }
--- a/quarantine/successes.go
+++ b/quarantine/successes.go
@@ -8,9 +8,9 @@
 // at its next request.
 const successesPerGeneration = 2048
 
-// successCache remembers the contents that succeeded recently at this entry, by part of
-// their fingerprint. If two contents share that part, one may wrongly count as successful,
-// which raises the evidence required to quarantine it and never lowers it.
+// successCache remembers the contents, or the parts of prompts, that succeeded recently at this
+// entry, by a section of their fingerprint. If two share that section, one may wrongly count as
+// successful, which raises the evidence required to quarantine it and never lowers it.
 type successCache struct{ current, previous map[uint64]struct{} }
 
 func (c *successCache) add(f Fingerprint) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -10,15 +10,16 @@
 )
 
 // Limits of a table, for callers that send many different contents that crash targets. A
-// table takes about 250 B of memory per content and 125 B per crash. The contents of the
+// table takes about 250 B of memory per record and 125 B per crash. The contents of the
 // caller with the most records are evicted first, so that one caller's flood does not evict
-// the evidence on other callers' contents.
+// the evidence on other callers' contents. Parts of prompts have no caller; their idle suspects
+// are evicted first.
 const (
-	maxContents          = 512
-	maxCrashesPerContent = 2 * recentSuccessThreshold // the newest crashes are kept
+	maxRecords          = 512             // of contents, and as many of parts
+	maxCrashesPerRecord = 2 * manyMoments // the newest crashes are kept
 	// pruneInterval is the minimum time between two searches for expired records.
 	pruneInterval = time.Second
-	// evictionBatch is how many contents are evicted at once, because the search for them
+	// evictionBatch is how many records are evicted at once, because the search for them
 	// takes 10 ms of CPU time.
 	evictionBatch = 32
 	// idleSuspectAge is the time since its last crash after which a suspect, a content with
@@ -58,11 +59,14 @@
 // Empty reports whether the update contains no evidence.
 func (u Update) Empty() bool { return len(u.Crashes)+len(u.Survivals) == 0 }
 
-// record holds the evidence on one content.
+// record holds the evidence on one content or part.
 type record struct {
 	crashes     []versioned[Crash] // by time
 	lastSuccess versioned[time.Time]
 	lastProbe   time.Time // when this process last allowed the content to be sent as a probe
+	// othersSucceeded is when a request without the part first succeeded at this process after the
+	// first active crash of the part.
+	othersSucceeded time.Time
 }
 
 // versioned is a value with the sequence number under which this process recorded it.
@@ -76,7 +80,10 @@
 type Table struct {
 	mu          sync.Mutex
 	records     map[Fingerprint]*record
-	successes   successCache
+	contents    successCache
+	parts       successCache
+	suspected   []Fingerprint // parts with active crashes when seq was suspectedAt
+	suspectedAt uint64
 	seq         uint64
 	changed     chan struct{}
 	lastPrune   time.Time
@@ -121,18 +128,62 @@
 	return true
 }
 
-// RecordSuccess records that a target completed a request with this content that this
-// process had sent.
-func (t *Table) RecordSuccess(now time.Time, f Fingerprint) {
+// RecordSuccess records that a target completed a request with this content, and with these parts
+// in its prompt, that this process had sent.
+func (t *Table) RecordSuccess(now time.Time, subjects ...Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.successes.add(f)
-	r := t.records[f]
-	if r == nil || len(r.activeCrashes()) == 0 && now.Sub(r.lastSuccess.value) < successInterval {
-		return
+	for _, f := range subjects {
+		t.successesOf(f).add(f)
+		if r := t.records[f]; r != nil && r.learnsFromSuccess(now, f.IsPart()) {
+			t.updateSuccess(r, now, true)
+			t.signal()
+		}
 	}
-	t.updateSuccess(r, now, true)
-	t.signal()
+	t.recordOthersSucceeded(now, subjects)
+}
+
+// recordOthersSucceeded records for all parts with active crashes that a request without them has
+// succeeded: the targets do not crash under every request. The caller holds the lock.
+func (t *Table) recordOthersSucceeded(now time.Time, subjects []Fingerprint) {
+	if t.suspectedAt != t.seq {
+		t.suspected, t.suspectedAt = t.suspectedParts(), t.seq
+	}
+	t.suspected = slices.DeleteFunc(t.suspected, func(f Fingerprint) bool {
+		r := t.records[f]
+		if r == nil || slices.Contains(subjects, f) {
+			return r == nil
+		}
+		r.othersSucceeded, t.stale = now, true
+		return true
+	})
+}
+
+// suspectedParts returns the parts with active crashes of which it is not known that requests without
+// them succeed.
+func (t *Table) suspectedParts() (out []Fingerprint) {
+	for f, r := range t.records {
+		if !f.IsPart() {
+			continue
+		}
+		if active := r.activeCrashes(); len(active) > 0 && !r.othersSucceeded.After(active[0].At) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+func (t *Table) successesOf(f Fingerprint) *successCache {
+	if f.IsPart() {
+		return &t.parts
+	}
+	return &t.contents
+}
+
+// learnsFromSuccess reports whether a success changes what is known. Parts without active crashes
+// are not updated, because common ones succeed in most requests.
+func (r *record) learnsFromSuccess(now time.Time, isPart bool) bool {
+	return len(r.activeCrashes()) > 0 || !isPart && now.Sub(r.lastSuccess.value) >= successInterval
 }
 
 // RetractCrash records that an incarnation reported as crashed was reached again.
@@ -173,7 +224,7 @@
 	if r == nil {
 		r = &record{}
 		t.records[c.Content] = r
-		if t.successes.has(c.Content) {
+		if t.successesOf(c.Content).has(c.Content) {
 			// The exact time of the success is unknown and irrelevant: it only has to precede the
 			// crash.
 			r.lastSuccess = versioned[time.Time]{c.At.Add(-1), t.nextSeq(), true}
@@ -191,7 +242,7 @@
 	slices.SortFunc(r.crashes, func(a, b versioned[Crash]) int {
 		return cmp.Or(a.value.At.Compare(b.value.At), cmp.Compare(a.value.Incarnation.Target, b.value.Incarnation.Target))
 	})
-	r.crashes = r.crashes[max(len(r.crashes)-maxCrashesPerContent, 0):]
+	r.crashes = r.crashes[max(len(r.crashes)-maxCrashesPerRecord, 0):]
 }
 
 func (t *Table) updateSuccess(r *record, at time.Time, local bool) {
@@ -230,13 +281,26 @@
 			}
 		}
 	}
-	if len(t.records) > maxContents {
-		for _, f := range t.evictionOrder(now)[:evictionBatch] {
+	for _, parts := range []bool{false, true} {
+		if t.count(parts) <= maxRecords {
+			continue
+		}
+		for _, f := range t.evictionOrder(now, parts)[:evictionBatch] {
 			delete(t.records, f)
 		}
 	}
 }
 
+// count returns the number of records of parts, or of contents.
+func (t *Table) count(parts bool) (n int) {
+	for f := range t.records {
+		if f.IsPart() == parts {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *record) retention() time.Duration {
 	if len(r.activeCrashes()) >= crashThreshold {
 		return maxProbeDelay
@@ -244,24 +308,25 @@
 	return suspectRetention
 }
 
-// evictionOrder returns all contents in the order in which they are evicted: those of the
+// evictionOrder returns all parts, or all contents, in the order in which they are evicted: those of the
 // caller with the most records first, then those of all other callers. Each of these two
 // groups begins with its idle suspects (see idleSuspect). Contents that are otherwise equal
 // are ordered by the time of their last crash, oldest first.
-func (t *Table) evictionOrder(now time.Time) []Fingerprint {
+func (t *Table) evictionOrder(now time.Time, parts bool) []Fingerprint {
 	count := map[Caller]int{}
 	var largest Caller
+	var out []Fingerprint
 	for f := range t.records {
+		if f.IsPart() != parts {
+			continue
+		}
+		out = append(out, f)
 		c := f.Caller()
 		count[c]++
 		if count[c] > count[largest] || count[c] == count[largest] && bytes.Compare(c[:], largest[:]) < 0 {
 			largest = c
 		}
 	}
-	var out []Fingerprint
-	for f := range t.records {
-		out = append(out, f)
-	}
 	slices.SortFunc(out, func(f, g Fingerprint) int {
 		return cmp.Or(
 			-compareBool(f.Caller() == largest, g.Caller() == largest),
@@ -357,7 +422,7 @@
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.records) >= maxContents-evictionBatch {
+	if max(t.count(false), t.count(true)) >= maxRecords-evictionBatch {
 		return 0
 	}
 	if t.digestAt != t.seq {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -27,11 +27,11 @@
 }
 
 // notHome is the home argument of Judge at an entry that probes no content.
-func notHome() bool { return false }
+func notHome(Fingerprint) bool { return false }
 
-// refused reports whether an entry that does not probe refuses the content.
-func refused(t *Table, now time.Duration, f Fingerprint) bool {
-	v, _ := t.Judge(at(now), f, notHome)
+// refused reports whether an entry that does not probe refuses a request with these subjects.
+func refused(t *Table, now time.Duration, subjects ...Fingerprint) bool {
+	v, _ := t.Judge(at(now), subjects, notHome)
 	return v == Refuse
 }
 
@@ -46,9 +46,9 @@
 	x.RecordCrashes(at(0), crash(bad, 2, 200*time.Millisecond)) // the same incarnation
 	assert.Assert(t, !refused(x, time.Second, bad))
 	x.RecordCrashes(at(0), crash(bad, 3, 300*time.Millisecond))
-	v, f := x.Judge(at(time.Second), bad, notHome)
+	v, f := x.Judge(at(time.Second), []Fingerprint{bad}, notHome)
 	assert.Equal(t, v, Refuse)
-	assert.DeepEqual(t, f, Finding{Crashes: 3, First: at(0), Last: at(300 * time.Millisecond), Reporters: []string{"entry-0"},
+	assert.DeepEqual(t, f, Finding{Subject: bad, Crashes: 3, First: at(0), Last: at(300 * time.Millisecond), Reporters: []string{"entry-0"},
 		ProbeAt: at(300*time.Millisecond + initialProbeDelay)})
 	assert.Assert(t, !refused(x, time.Second, poll))
 }
@@ -175,7 +175,7 @@
 func TestContentThatStartsToCrash(t *testing.T) {
 	x := NewTable()
 	x.RecordSuccess(at(0), bad)
-	for l := range recentSuccessThreshold {
+	for l := range manyMoments {
 		assert.Assert(t, !refused(x, time.Minute, bad), "after %d crashes", l)
 		when := time.Duration(1+l) * 200 * time.Millisecond
 		x.RecordCrashes(at(when), crash(bad, l, when))
@@ -222,7 +222,7 @@
 		x.RecordCrashes(at(0), crash(bad, l, 0))
 	}
 	probed := func(now time.Duration, home bool) bool {
-		v, _ := x.Judge(at(now), bad, func() bool { return home })
+		v, _ := x.Judge(at(now), []Fingerprint{bad}, func(Fingerprint) bool { return home })
 		return v == Probe
 	}
 	assert.Assert(t, !probed(initialProbeDelay-1, true))
@@ -252,7 +252,7 @@
 	}
 	assert.Assert(t, refused(x, now, bad))
 	u, _ := x.Changes(0, 1)
-	assert.Assert(t, len(u.Crashes) <= maxContents*3, "%d crashes kept", len(u.Crashes))
+	assert.Assert(t, len(u.Crashes) <= maxRecords*3, "%d crashes kept", len(u.Crashes))
 	assert.Equal(t, x.Digest(), uint64(0), "nearly full tables are not compared")
 	assert.Assert(t, refused(x, now, content(9, 999)), "newest content of the flood")
 }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -24,29 +25,63 @@
 	evaluationInterval = 50 * time.Millisecond
 )
 
-// Judge decides whether a content may be sent, and returns the finding on one that is
-// quarantined. home reports whether this entry is the one that probes the content. After Judge
-// has returned Probe, it returns Refuse until the outcome of the probe is known or the probe
-// delay has passed again.
-func (t *Table) Judge(now time.Time, f Fingerprint, home func() bool) (Verdict, Finding) {
+// Judge decides whether a request may be sent, given its subjects: its content and the parts of its
+// prompt. It returns the finding on one that is quarantined. home reports whether this entry is the
+// one that probes a subject. After Judge has returned Probe, it returns Refuse until the outcome of
+// the probe is known or the probe delay has passed again.
+func (t *Table) Judge(now time.Time, subjects []Fingerprint, home func(Fingerprint) bool) (Verdict, Finding) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[f]
-	if r == nil || len(r.crashes) < crashThreshold { // saves the evaluation: most suspects are bystanders
+	var probes []Finding
+	for _, f := range subjects {
+		finding, found := t.finding(now, f)
+		if !found {
+			continue
+		}
+		if now.Before(t.probeAt(finding)) || !home(f) {
+			return Refuse, finding
+		}
+		probes = append(probes, finding)
+	}
+	if len(probes) == 0 {
 		return Send, Finding{}
 	}
-	if t.stale && (len(t.records) <= smallTableSize || now.Sub(t.evaluatedAt) >= evaluationInterval) {
-		t.findings, t.stale, t.evaluatedAt = evaluate(t.records), false, now
+	for _, finding := range probes {
+		t.records[finding.Subject].lastProbe = now
 	}
-	finding, found := t.findings[f]
-	if !found {
-		return Send, Finding{}
+	return Probe, probes[0]
+}
+
+// finding returns the finding on a content or part that is quarantined. The caller holds the lock.
+func (t *Table) finding(now time.Time, f Fingerprint) (Finding, bool) {
+	r := t.records[f]
+	if r == nil || len(r.crashes) < crashThreshold { // saves the evaluation: most suspects are bystanders
+		return Finding{}, false
 	}
-	if probeAt := later(finding.ProbeAt, r.lastProbe.Add(probeDelay(finding.Crashes))); now.Before(probeAt) || !home() {
-		return Refuse, finding
+	t.evaluate(now)
+	finding, found := t.findings[f]
+	return finding, found
+}
+
+// probeAt returns when the next probe may be sent. The caller holds the lock.
+func (t *Table) probeAt(f Finding) time.Time {
+	return later(f.ProbeAt, t.records[f.Subject].lastProbe.Add(f.ProbeAt.Sub(f.Last)))
+}
+
+// Findings returns the findings on all contents and parts that are quarantined.
+func (t *Table) Findings(now time.Time) map[Fingerprint]Finding {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evaluate(now)
+	return maps.Clone(t.findings)
+}
+
+// evaluate updates the findings if the evidence has changed. The caller holds the lock.
+func (t *Table) evaluate(now time.Time) {
+	if !t.stale || len(t.records) > smallTableSize && now.Sub(t.evaluatedAt) < evaluationInterval {
+		return
 	}
-	r.lastProbe = now
-	return Probe, finding
+	t.findings, t.stale, t.evaluatedAt = newEvaluation(t.records).findings(), false, now
 }
 
 func later(a, b time.Time) time.Time {
@@ -56,31 +91,33 @@
 	return a
 }
 
-// suspect is a content with its active crashes.
+// suspect is a content or part with its active crashes.
 type suspect struct {
-	content   Fingerprint
-	crashes   []Crash // by time
-	succeeded bool    // at least once
+	subject         Fingerprint
+	crashes         []Crash // by time
+	succeeded       bool    // at least once
+	othersSucceeded bool    // requests without the part did, since its first crash
 }
 
-// inFlightAt reports whether the content was in flight when the incarnation ended.
+// inFlightAt reports whether the suspect was in flight when the incarnation ended.
 func (s *suspect) inFlightAt(inc Incarnation) bool {
 	return slices.ContainsFunc(s.crashes, func(c Crash) bool { return c.Incarnation == inc })
 }
 
+// sameKind reports whether both are contents, or both are parts.
+func (s *suspect) sameKind(o *suspect) bool { return s.subject.IsPart() == o.subject.IsPart() }
+
 // evaluation is the state of one evaluation of all records.
 type evaluation struct {
-	suspects  []*suspect // by descending number of crashes
+	suspects  []*suspect // in the order in which they are examined
 	inFlight  map[Incarnation][]*suspect
 	crashes   []Crash              // one per incarnation, by time
-	explained map[Incarnation]bool // crashes attributed to a content that has been found to be a cause
+	explained map[Incarnation]bool // crashes attributed to a suspect that has been found to be a cause
 }
 
-// evaluate returns the findings on the contents to quarantine. Contents with the most
-// crashes are examined first; the crashes of a content found to be a cause do not count
-// against the contents examined after it.
-func evaluate(records map[Fingerprint]*record) map[Fingerprint]Finding {
-	e := newEvaluation(records)
+// findings returns the findings on what to quarantine. The crashes of a suspect found to be a cause
+// do not count against those examined after it.
+func (e *evaluation) findings() map[Fingerprint]Finding {
 	out := map[Fingerprint]Finding{}
 	for _, s := range e.suspects {
 		if !e.isCause(s) {
@@ -89,7 +126,7 @@
 		for _, c := range s.crashes {
 			e.explained[c.Incarnation] = true
 		}
-		out[s.content] = newFinding(s.crashes)
+		out[s.subject] = newFinding(s.subject, s.crashes)
 	}
 	return out
 }
@@ -101,7 +138,7 @@
 		if len(active) == 0 {
 			continue
 		}
-		s := &suspect{f, active, !r.lastSuccess.value.IsZero()}
+		s := &suspect{f, active, !r.lastSuccess.value.IsZero(), r.othersSucceeded.After(active[0].At)}
 		e.suspects = append(e.suspects, s)
 		for _, c := range active {
 			if e.inFlight[c.Incarnation] == nil {
@@ -111,42 +148,80 @@
 		}
 	}
 	slices.SortFunc(e.suspects, func(a, b *suspect) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), bytes.Compare(a.content[:], b.content[:]))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(len(b.crashes), len(a.crashes)), bytes.Compare(a.subject[:], b.subject[:]))
 	})
 	slices.SortFunc(e.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 	return e
 }
 
-// isCause reports whether a content is considered the cause of its crashes, based on the
-// crashes that no other content explains.
+// rank returns the place of the suspect's kind in the order in which suspects are examined; within
+// a rank, those with the most crashes come first.
+func (s *suspect) rank() int {
+	switch {
+	case !s.subject.IsPart():
+		return 1
+	case s.succeeded:
+		return 2
+	}
+	return 0
+}
+
+// isCause reports whether a suspect is considered the cause of its crashes, based on those that no
+// other suspect explains.
 func (e *evaluation) isCause(s *suspect) bool {
 	unexplained := slices.DeleteFunc(slices.Clone(s.crashes), func(c Crash) bool { return e.explained[c.Incarnation] })
 	switch {
 	case len(unexplained) < crashThreshold:
 		return false
+	case s.subject.IsPart() && e.isExplainedByContent(s, unexplained):
+		return false
 	case len(unexplained) == crashThreshold && slices.ContainsFunc(unexplained, func(c Crash) bool { return e.hasRival(s, c.Incarnation) }):
 		return false
-	case s.succeeded:
-		return len(groupByTime(unexplained)) >= recentSuccessThreshold
+	case s.subject.IsPart() && s.succeeded && !s.othersSucceeded: // the targets may crash under any request
+		return false
+	case s.succeeded, s.subject.IsPart() && !s.othersSucceeded:
+		return len(groupByTime(unexplained)) >= manyMoments
 	}
 	n := e.weightedCount(s, unexplained)
 	return n >= ambiguousThreshold || n >= crashThreshold && !e.isAmbiguous(s, unexplained)
 }
 
-// hasRival reports whether another content that was in flight when the incarnation ended
-// also has an unexplained crash on another incarnation. Where several causes are active at
+// isExplainedByContent reports whether a single content was in flight at nearly all of the crashes of
+// a part.
+func (e *evaluation) isExplainedByContent(s *suspect, unexplained []Crash) bool {
+	for o, n := range e.sharedCrashes(unexplained) {
+		if !o.subject.IsPart() && !o.succeeded && len(unexplained)-n < minContents {
+			return true
+		}
+	}
+	return false
+}
+
+// sharedCrashes returns at how many of the crashes each suspect was in flight.
+func (e *evaluation) sharedCrashes(crashes []Crash) map[*suspect]int {
+	shared := map[*suspect]int{}
+	for _, c := range crashes {
+		for _, o := range e.inFlight[c.Incarnation] {
+			shared[o]++
+		}
+	}
+	return shared
+}
+
+// hasRival reports whether another suspect of the same kind that was in flight when the incarnation
+// ended also has an unexplained crash on another incarnation. Where several causes are active at
 // once, a bystander at one crash of each reaches three crashes before any of the causes
 // does: in 600 simulated storms of three causes one bystander was quarantined without this
 // check and none with it, at the same number of crashes.
 func (e *evaluation) hasRival(s *suspect, inc Incarnation) bool {
 	return slices.ContainsFunc(e.inFlight[inc], func(o *suspect) bool {
-		return o != s && !o.succeeded && slices.ContainsFunc(o.crashes, func(c Crash) bool {
+		return o != s && o.sameKind(s) && !o.succeeded && slices.ContainsFunc(o.crashes, func(c Crash) bool {
 			return !e.explained[c.Incarnation] && !s.inFlightAt(c.Incarnation)
 		})
 	})
 }
 
-// weightedCount counts the unexplained crashes of a content; a group of them within
+// weightedCount counts the unexplained crashes of a suspect; a group of them within
 // correlationWindow that coincides with many crashes of other targets counts once.
 func (e *evaluation) weightedCount(s *suspect, unexplained []Crash) int {
 	n := 0
@@ -186,30 +261,24 @@
 	return n
 }
 
-// isAmbiguous reports whether another content with at least as many crashes may have caused
-// so many of the unexplained crashes of s that fewer than crashThreshold remain.
+// isAmbiguous reports whether another suspect of the same kind with at least as many crashes may have
+// caused so many of the unexplained crashes of s that fewer than crashThreshold remain.
 func (e *evaluation) isAmbiguous(s *suspect, unexplained []Crash) bool {
-	shared := map[*suspect]int{}
-	for _, c := range unexplained {
-		for _, o := range e.inFlight[c.Incarnation] {
-			shared[o]++
-		}
-	}
-	for o, n := range shared {
-		if o != s && !o.succeeded && len(o.crashes) >= len(s.crashes) && len(unexplained)-n < crashThreshold {
+	for o, n := range e.sharedCrashes(unexplained) {
+		if o != s && o.sameKind(s) && !o.succeeded && len(o.crashes) >= len(s.crashes) && len(unexplained)-n < crashThreshold {
 			return true
 		}
 	}
 	return false
 }
 
-func newFinding(crashes []Crash) Finding {
-	f := Finding{Crashes: len(crashes), First: crashes[0].At, Last: crashes[len(crashes)-1].At}
+func newFinding(subject Fingerprint, crashes []Crash) Finding {
+	f := Finding{Subject: subject, Crashes: len(crashes), First: crashes[0].At, Last: crashes[len(crashes)-1].At}
 	for _, c := range crashes {
 		if !slices.Contains(f.Reporters, c.Reporter) {
 			f.Reporters = append(f.Reporters, c.Reporter)
 		}
 	}
-	f.ProbeAt = f.Last.Add(probeDelay(f.Crashes))
+	f.ProbeAt = nextProbe(subject, crashes)
 	return f
 }
