gateway: a stream that ends with its connection before any event is broken off

Callers saw: 200 and a complete, empty stream, where the engine had ended after the header of an answer with neither a length nor chunks.

Cause: the end of such an answer is the end of its connection, and that between two events counted as the end of the stream, also before the first one.

Change: an end of such a stream before its first event is a broken connection: the request is sent to another target, the end is examined as a crash, and if nothing else is left the caller gets 502. Between two later events it stays the end, inside an event it was broken off before.

Why it works: an answer without any event is not what an engine writes; a stream that is resumed after its last event is then broken off rather than called complete, which callers can tell.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,10 +78,14 @@
 	}
 }
 
-// receiveFirstEvent reads the first event of a stream, or the end of a stream without events.
+// receiveFirstEvent reads the first event of a stream, or the end of a stream without events. If
+// the stream ends with its connection, that end may be the target's own.
 func (a *attempt) receiveFirstEvent() result {
 	a.stream = &eventReader{r: bufio.NewReader(a.resp), memory: &a.memory}
 	a.first, a.firstErr = a.stream.next()
+	if a.firstErr == io.EOF && a.resp.Unframed() {
+		a.firstErr = io.ErrUnexpectedEOF
+	}
 	return a.streamResult(a.firstErr)
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -39,6 +39,8 @@
 	// in what engines of this kind can do; the fake ones do more.
 	Slots  int
 	StepMs float64
+	// Unframed makes the answers of targets end with their connections.
+	Unframed bool
 	// RetryExtra is the part of the retry budgets that does not depend on the number of requests; 0
 	// leaves the budgets unchecked.
 	RetryExtra int
@@ -147,7 +149,7 @@
 	for i := range f.cfg.Engines + f.cfg.PlainTargets {
 		var link *Link
 		// Every other target keeps its ID when it restarts.
-		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)], KeepID: i%2 == 1}
+		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)], KeepID: i%2 == 1, Unframed: f.cfg.Unframed}
 		if i < f.cfg.Engines {
 			cfg.Service, cfg.Model, cfg.InitialVersion = engineService, model, 1
 			cfg.RequireFencing = i%2 == 0
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// Guards against answers with neither a length nor chunks that are cut off or taken for broken while
+// entries and agents stop and configurations change. Nothing breaks answers off in this run.
+func TestSoakAnswersThatEndWithTheirConnections(t *testing.T) {
+	runAndCheck(t, Config{Seed: 9901, Only: regexp.MustCompile("entry stopped|agent stopped|settings changed|^configuration$"), Duration: 4 * time.Second, Entries: 5,
+		Engines: 4, PlainTargets: plainTargets, Unframed: true, Bin: buildPrograms(t), Dir: seedDir(t, 9901), Logf: t.Logf})
+}
+
 // Guards against a retry budget that starts full with each process, so that entries that are
 // restarted in a series retry without bound.
 func TestSoakRestartsDoNotRenewTheRetryBudget(t *testing.T) {
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -159,8 +159,12 @@
 	r.pool.put(r.conn, keepAlive(r.Header))
 }
 
+// Unframed reports whether the response has neither a length nor chunks, so that it ends with its
+// connection.
+func (r *Response) Unframed() bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+
 func (r *Response) reusable() bool {
-	if !r.complete || r.Response.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if !r.complete || r.Response.Close || r.Unframed() {
 		return false
 	}
 	if r.sent == nil {
