--- a/gateway/control.go
+++ b/gateway/control.go
@@ -73,6 +73,7 @@
 	// unknownEvacuations counts evacuations of failure domains that are not configured.
 	unknownEvacuations metrics.Gauge
 	slow               slowTargets
+	quarantine         quarantineMonitor
 	foreign            metrics.Gauge // items of the target list that describe no usable target
 	configFaults       metrics.Gauge // values of the configuration that are not usable
 	// endedWithRequests counts targets that disappeared from the list after requests of
@@ -125,7 +126,7 @@
 	if o.Config.Off.Has(mechanism.AdmissionLevel) {
 		o.Level = nil
 	}
-	return &Control{cfg: o.Config, level: o.Level, monitor: newLevelMonitor(o.Metrics, o.Log), slow: newSlowTargets(o.Metrics),
+	return &Control{cfg: o.Config, level: o.Level, monitor: newLevelMonitor(o.Metrics, o.Log), slow: newSlowTargets(o.Metrics), quarantine: newQuarantineMonitor(o.Metrics),
 		unknownEvacuations: metrics.NewRegisteredGauge("control.unknown_evacuations", o.Metrics),
 		foreign:            metrics.NewRegisteredGauge("control.foreign_entries", o.Metrics),
 		configFaults:       metrics.NewRegisteredGauge("control.config_faults", o.Metrics),
@@ -151,6 +152,7 @@
 			case <-ticker.C:
 				c.updateUnreadable()
 				c.slow.update(c.balancer.SlowTargets(clock.Now()), c.log)
+				c.quarantine.update(clock.Now(), c.gateway.findings(), c.log)
 				c.updateLevel(clock.Now())
 				if c.roster.Pending() || c.evacuations.holding || c.registrations.pending() {
 					break wait
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -60,6 +60,14 @@
 	return verdict != quarantine.Send
 }
 
+// findings returns what is quarantined now.
+func (g *Gateway) findings() map[quarantine.Fingerprint]quarantine.Finding {
+	if g.cfg.Off.Has(mechanism.Quarantine) {
+		return nil
+	}
+	return g.cfg.Crashes.Findings(clock.Now())
+}
+
 // logFinding adds what is known about the quarantined request to a log record.
 func (x *exchange) logFinding(f logrus.Fields, now time.Time) {
 	addFinding(f, *x.finding, now)
