quarantine: an entry that starts waits before it probes

Callers saw: nothing yet; found by reading, as a place where a start gives a share of a common bound anew, like that of the retry budget.

Cause: which probes were sent is known only to the process that sent them. One that starts and becomes the one that probes sent another at once, whose target may crash while the outcome of the one before is unknown, so that each restart of that entry could cost a target.

Evidence: TestStartedEntryDoesNotProbeAtOnce failed (a probe at once).

Change: a process sends no probe within the first probe delay, 30 s, after it has learned of a crash of the content or part.

Why it works: a probe ends within the timeout of its route, and its outcome is then known to all; a process that has known the evidence for longer is as before.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -63,6 +63,7 @@
 type record struct {
 	crashes     []versioned[Crash] // by time
 	lastSuccess versioned[time.Time]
+	createdAt   time.Time // at this process
 	lastProbe   time.Time // when this process last allowed the content to be sent as a probe
 	// othersSucceeded is when a request without the part first succeeded at this process after the
 	// first active crash of the part.
@@ -222,7 +223,7 @@
 	}
 	r := t.records[c.Content]
 	if r == nil {
-		r = &record{}
+		r = &record{createdAt: now}
 		t.records[c.Content] = r
 		if t.successesOf(c.Content).has(c.Content) {
 			// The exact time of the success is unknown and irrelevant: it only has to precede the
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -236,6 +236,24 @@
 	assert.Equal(t, probeDelay(100), maxProbeDelay)
 }
 
+// Guards against one probe for each start of the entry that probes: the process before it may have
+// sent one whose outcome is not known yet.
+func TestStartedEntryDoesNotProbeAtOnce(t *testing.T) {
+	before, started := NewTable(), NewTable()
+	for l := range 3 {
+		before.RecordCrashes(at(0), crash(bad, l, 0))
+	}
+	now := initialProbeDelay + time.Second
+	exchange(before, started, at(now))
+	probes := func(after time.Duration) bool {
+		v, _ := started.Judge(at(now+after), []Fingerprint{bad}, func(Fingerprint) bool { return true })
+		return v == Probe
+	}
+	assert.Assert(t, !probes(0))
+	assert.Assert(t, !probes(initialProbeDelay-1))
+	assert.Assert(t, probes(initialProbeDelay))
+}
+
 // A thousand contents of one caller that all crash targets do not evict the records of
 // other callers.
 func TestFloodOfOneCaller(t *testing.T) {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -63,9 +63,11 @@
 	return finding, found
 }
 
-// probeAt returns when the next probe may be sent. The caller holds the lock.
+// probeAt returns when the next probe may be sent. A process that has just learned of the crashes does
+// not know of probes that were sent before. The caller holds the lock.
 func (t *Table) probeAt(f Finding) time.Time {
-	return later(f.ProbeAt, t.records[f.Subject].lastProbe.Add(f.ProbeAt.Sub(f.Last)))
+	r := t.records[f.Subject]
+	return later(later(f.ProbeAt, r.createdAt.Add(initialProbeDelay)), r.lastProbe.Add(f.ProbeAt.Sub(f.Last)))
 }
 
 // Findings returns the findings on all contents and parts that are quarantined.
