quarantine, gateway: what is suspected is called a subject; the digest is computed once for each change

Reading as a newcomer: a crash's Content was the content of a request or a part of a prompt, and an exchange had subjects and suspects for the same list. The digest counted all records at each report of another entry; it is kept until the evidence changes, as before.

No decision changes. go test ./quarantine ./gateway ./peer passes.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -45,7 +45,7 @@
 	}
 	x.bodyComplete = true
 	x.content = x.fingerprint()
-	x.suspects = x.subjects()
+	x.subjects = x.quarantineSubjects()
 	return ReasonNone
 }
 
--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -105,7 +105,7 @@
 		x.lastLossAt = now
 	}
 	for _, f := range subjects {
-		x.addUnreported(quarantine.Crash{Content: f, Incarnation: incarnation, At: now, Reporter: e.host})
+		x.addUnreported(quarantine.Crash{Subject: f, Incarnation: incarnation, At: now, Reporter: e.host})
 	}
 	e.report(x)
 	return x, true
@@ -113,7 +113,7 @@
 
 // addUnreported adds a crash unless it is already known: requests have parts of prompts in common.
 func (x *crashSuspect) addUnreported(c quarantine.Crash) {
-	if slices.ContainsFunc(x.unreported, func(old quarantine.Crash) bool { return old.Content == c.Content }) {
+	if slices.ContainsFunc(x.unreported, func(old quarantine.Crash) bool { return old.Subject == c.Subject }) {
 		return
 	}
 	x.unreported = append(x.unreported, c)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -31,7 +31,7 @@
 	body     []byte
 	memory   *holding // nil before the body is read, and without a budget
 	content  quarantine.Fingerprint
-	suspects []quarantine.Fingerprint // the content and the parts of the prompt
+	subjects []quarantine.Fingerprint // the content and the parts of the prompt
 	finding  *quarantine.Finding      // set if the request is quarantined
 	probing  bool                     // the request is sent once as a probe although it is quarantined
 	start    time.Time
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -257,9 +257,8 @@
 // Inflight returns the number of requests being served.
 func (g *Gateway) Inflight() int64 { return g.inflight.Load() }
 
-// SetEntries sets how many entries share the retry budget; 0 means that it is not known. Existing budgets are resized
-// rather than replaced: a new budget is full, so that retries would be unbounded during a
-// network partition, when entries join and leave every second.
+// SetEntries sets how many entries share the retry budget; 0 means that it is not known. Existing
+// budgets are resized rather than replaced, because a new one does not know what was spent.
 func (g *Gateway) SetEntries(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -24,9 +24,9 @@
 		URI: x.r.RequestURI, Body: x.body})
 }
 
-// subjects returns what may be quarantined of the request: its content, and the parts of its prompt
+// quarantineSubjects returns what may be quarantined of the request: its content, and the parts of its prompt
 // in their order.
-func (x *exchange) subjects() []quarantine.Fingerprint {
+func (x *exchange) quarantineSubjects() []quarantine.Fingerprint {
 	out := make([]quarantine.Fingerprint, 0, 1+len(x.call.Parts))
 	out = append(out, x.content)
 	for _, id := range x.call.Parts {
@@ -42,7 +42,7 @@
 	if x.probing || x.g.cfg.Off.Has(mechanism.Quarantine) {
 		return false
 	}
-	verdict, finding := x.g.cfg.Crashes.Judge(clock.Now(), x.suspects, x.g.cfg.Probes)
+	verdict, finding := x.g.cfg.Crashes.Judge(clock.Now(), x.subjects, x.g.cfg.Probes)
 	if verdict == quarantine.Send {
 		return false
 	}
@@ -56,7 +56,7 @@
 	if x.g.cfg.Off.Has(mechanism.Quarantine) {
 		return false
 	}
-	verdict, _ := x.g.cfg.Crashes.Judge(clock.Now(), x.suspects, func(quarantine.Fingerprint) bool { return false })
+	verdict, _ := x.g.cfg.Crashes.Judge(clock.Now(), x.subjects, func(quarantine.Fingerprint) bool { return false })
 	return verdict != quarantine.Send
 }
 
@@ -71,7 +71,7 @@
 // logFinding adds what is known about the quarantined request to a log record.
 func (x *exchange) logFinding(f logrus.Fields, now time.Time) {
 	addFinding(f, *x.finding, now)
-	if i := slices.Index(x.suspects, x.finding.Subject); i > 0 {
+	if i := slices.Index(x.subjects, x.finding.Subject); i > 0 {
 		f["prompt_part"] = x.call.Parts[i-1]
 	}
 }
@@ -87,7 +87,7 @@
 // If the target has ended, it waits for crashes of the same content that other entries
 // observed at the same moment.
 func (x *exchange) recordLostConnection(ctx context.Context, c dispatch.Choice, sent time.Time) {
-	if !x.g.balancer.Serving(c.Target) || !x.g.crashDetector.connectionLost(ctx, c.Instance, x.suspects, sent, clock.Now()) {
+	if !x.g.balancer.Serving(c.Target) || !x.g.crashDetector.connectionLost(ctx, c.Instance, x.subjects, sent, clock.Now()) {
 		return
 	}
 	x.g.stats.lostWithTarget.Inc(1)
@@ -100,7 +100,7 @@
 func (x *exchange) recordSuccess(a *attempt, res result) {
 	proven := []quarantine.Fingerprint{x.content}
 	if res.reason == ReasonNone && a.answersPrompt() {
-		proven = x.suspects
+		proven = x.subjects
 	}
 	x.g.cfg.Crashes.RecordSuccess(clock.Now(), proven...)
 	x.g.crashDetector.recordAnswer(a.choice.Instance, a.sentAt)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -261,7 +261,7 @@
 	content := f.gateway.cfg.Hasher.Fingerprint(quarantine.Content{Caller: "blue", Method: http.MethodPost, Host: "h.example", URI: "/safe/x", Body: []byte("b")})
 	for i := range 3 {
 		at := time.Now().Add(-time.Minute + time.Duration(i)*time.Second)
-		f.gateway.cfg.Crashes.RecordCrashes(at, quarantine.Crash{Content: content, Incarnation: quarantine.Incarnation{Target: fmt.Sprint(i)}, At: at})
+		f.gateway.cfg.Crashes.RecordCrashes(at, quarantine.Crash{Subject: content, Incarnation: quarantine.Incarnation{Target: fmt.Sprint(i)}, At: at})
 	}
 	f.gateway.cfg.Probes = func(quarantine.Fingerprint) bool { return false }
 	assert.Equal(t, f.call(http.MethodPost, "/safe/x", "b").status, http.StatusBadRequest)
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -225,7 +225,7 @@
 	content := f.gateway.cfg.Hasher.Fingerprint(quarantine.Content{Caller: "blue", Method: http.MethodPost, Host: "h.example", URI: "/safe/x", Body: []byte("b")})
 	for i := range 3 {
 		at := time.Now().Add(-time.Minute + time.Duration(i)*time.Second)
-		f.gateway.cfg.Crashes.RecordCrashes(at, quarantine.Crash{Content: content, Incarnation: quarantine.Incarnation{Target: fmt.Sprint(i)}, At: at})
+		f.gateway.cfg.Crashes.RecordCrashes(at, quarantine.Crash{Subject: content, Incarnation: quarantine.Incarnation{Target: fmt.Sprint(i)}, At: at})
 	}
 	assert.Equal(t, f.call(http.MethodPost, "/safe/x", "b").status, http.StatusOK)
 	assert.Equal(t, pausing.count(), 1)
@@ -472,7 +472,7 @@
 		content := f.gateway.cfg.Hasher.Fingerprint(quarantine.Content{Caller: "blue", Method: http.MethodPost, Host: "h.example", URI: "/safe/x", Body: []byte("b")})
 		for i := range 3 {
 			at := time.Now().Add(-time.Minute + time.Duration(i)*time.Second)
-			f.gateway.cfg.Crashes.RecordCrashes(time.Now(), quarantine.Crash{Content: content, Incarnation: quarantine.Incarnation{Target: fmt.Sprint(i)}, At: at})
+			f.gateway.cfg.Crashes.RecordCrashes(time.Now(), quarantine.Crash{Subject: content, Incarnation: quarantine.Incarnation{Target: fmt.Sprint(i)}, At: at})
 		}
 		pauseThenAnswer(w, r)
 	})
--- a/mesh/crashes.go
+++ b/mesh/crashes.go
@@ -12,7 +12,8 @@
 )
 
 // All processes replicate the records of requests that were running when targets crashed. A
-// record identifies its request by the content, a fingerprint of what the request contains.
+// record identifies what was running by a fingerprint: of the content of a request, or of a part of its
+// prompt.
 // An entry sends its own observations to the others at once. Each process sends all of its
 // records when a link opens, so that a process that starts or was cut off receives them
 // with its first messages; agents keep them so that they survive a restart of all entries.
@@ -86,11 +87,11 @@
 	}
 	out := &peer.Crashes{}
 	for _, c := range n.Crashes {
-		out.Crashes = append(out.Crashes, peer.CrashReport{Content: c.Content[:], Target: c.Incarnation.Target, StartMs: c.Incarnation.StartMs,
+		out.Crashes = append(out.Crashes, peer.CrashReport{Content: c.Subject[:], Target: c.Incarnation.Target, StartMs: c.Incarnation.StartMs,
 			AgeMs: now.Sub(c.At).Milliseconds(), Reporter: c.Reporter, Retracted: c.Retracted})
 	}
 	for _, s := range n.Survivals {
-		out.Survivals = append(out.Survivals, peer.SurvivalReport{Content: s.Content[:], AgeMs: now.Sub(s.At).Milliseconds()})
+		out.Survivals = append(out.Survivals, peer.SurvivalReport{Content: s.Subject[:], AgeMs: now.Sub(s.At).Milliseconds()})
 	}
 	return out
 }
@@ -102,12 +103,12 @@
 		if len(c.Content) != len(quarantine.Fingerprint{}) {
 			continue
 		}
-		n.Crashes = append(n.Crashes, quarantine.Crash{Content: quarantine.Fingerprint(c.Content),
+		n.Crashes = append(n.Crashes, quarantine.Crash{Subject: quarantine.Fingerprint(c.Content),
 			Incarnation: quarantine.Incarnation{Target: c.Target, StartMs: c.StartMs}, At: now.Add(-fromMilliseconds(c.AgeMs)), Reporter: c.Reporter, Retracted: c.Retracted})
 	}
 	for _, s := range msg.Survivals {
 		if len(s.Content) == len(quarantine.Fingerprint{}) {
-			n.Survivals = append(n.Survivals, quarantine.Survival{Content: quarantine.Fingerprint(s.Content),
+			n.Survivals = append(n.Survivals, quarantine.Survival{Subject: quarantine.Fingerprint(s.Content),
 				At: now.Add(-fromMilliseconds(s.AgeMs))})
 		}
 	}
--- a/mesh/crashes_test.go
+++ b/mesh/crashes_test.go
@@ -24,7 +24,7 @@
 // recordThreeCrashes makes the entry observe three crashes with crashingContent.
 func (e *entry) recordThreeCrashes() {
 	for i := range 3 {
-		e.crashes.RecordCrashes(time.Now(), quarantine.Crash{Content: crashingContent, Incarnation: quarantine.Incarnation{Target: fmt.Sprint("i-", i), StartMs: 5}, At: time.Now(), Reporter: e.addr})
+		e.crashes.RecordCrashes(time.Now(), quarantine.Crash{Subject: crashingContent, Incarnation: quarantine.Incarnation{Target: fmt.Sprint("i-", i), StartMs: 5}, At: time.Now(), Reporter: e.addr})
 	}
 }
 
--- a/peer/crashes.go
+++ b/peer/crashes.go
@@ -11,10 +11,10 @@
 // Kind implements Message.
 func (*Crashes) Kind() Kind { return kindCrashes }
 
-// CrashReport reports that a target's process ended while a request content was in
-// progress there.
+// CrashReport reports that a target's process ended while a request content, or a request with a part
+// in its prompt, was in progress there.
 type CrashReport struct {
-	Content   []byte // fingerprint
+	Content   []byte // fingerprint of the content or part
 	Target    string // instance ID
 	StartMs   int64  // start of that process, Unix milliseconds; 0 if unknown
 	AgeMs     int64  // time since the connection to the target broke
--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -158,7 +158,7 @@
 	crashedBy := map[*cause]bool{}
 	for _, r := range lost {
 		for _, f := range r.subjects() {
-			u.Crashes = append(u.Crashes, Crash{Content: f, Incarnation: s.incarnations[i], At: at(now), Reporter: "e"})
+			u.Crashes = append(u.Crashes, Crash{Subject: f, Incarnation: s.incarnations[i], At: at(now), Reporter: "e"})
 		}
 		if c := s.causeOf(r); c != nil {
 			crashedBy[c] = true
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -34,9 +34,10 @@
 	StartMs int64  // Unix milliseconds; 0 if unknown
 }
 
-// Crash records that an incarnation of a target ended while a content was in flight there.
+// Crash records that an incarnation of a target ended while a content, or a request with a part in
+// its prompt, was in flight there.
 type Crash struct {
-	Content     Fingerprint
+	Subject     Fingerprint // the content or part
 	Incarnation Incarnation
 	At          time.Time // when the reporting entry lost the connection
 	Reporter    string    // host of the reporting entry
@@ -44,9 +45,9 @@
 	Retracted bool
 }
 
-// Survival records that a target completed a request with a suspected content.
+// Survival records that a target completed a request with a suspected content or part.
 type Survival struct {
-	Content Fingerprint
+	Subject Fingerprint
 	At      time.Time
 }
 
@@ -117,7 +118,7 @@
 		t.addCrash(now, c, local)
 	}
 	for _, s := range u.Survivals {
-		if r := t.records[s.Content]; r != nil {
+		if r := t.records[s.Subject]; r != nil {
 			t.updateSuccess(r, s.At, local)
 		}
 	}
@@ -221,11 +222,11 @@
 	if now.Sub(c.At) >= maxProbeDelay {
 		return
 	}
-	r := t.records[c.Content]
+	r := t.records[c.Subject]
 	if r == nil {
 		r = &record{createdAt: now}
-		t.records[c.Content] = r
-		if t.successesOf(c.Content).has(c.Content) {
+		t.records[c.Subject] = r
+		if t.successesOf(c.Subject).has(c.Subject) {
 			// The exact time of the success is unknown and irrelevant: it only has to precede the
 			// crash.
 			r.lastSuccess = versioned[time.Time]{c.At.Add(-1), t.nextSeq(), true}
@@ -423,18 +424,23 @@
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.digestAt != t.seq {
+		t.digest, t.digestAt = t.computeDigest(), t.seq
+	}
+	return t.digest
+}
+
+// computeDigest returns the digest of the current records. The caller holds the lock.
+func (t *Table) computeDigest() (digest uint64) {
 	if max(t.count(false), t.count(true)) >= maxRecords-evictionBatch {
 		return 0
 	}
-	if t.digestAt != t.seq {
-		t.digest, t.digestAt = 0, t.seq
-		for _, r := range t.records {
-			for _, c := range r.crashes {
-				t.digest ^= c.value.digest()
-			}
+	for _, r := range t.records {
+		for _, c := range r.crashes {
+			digest ^= c.value.digest()
 		}
 	}
-	return t.digest
+	return digest
 }
 
 func (c Crash) digest() uint64 {
@@ -444,7 +450,7 @@
 		retracted = 1
 	}
 	// Write on a hash never returns an error.
-	_, _ = h.Write(c.Content[:])
+	_, _ = h.Write(c.Subject[:])
 	_, _ = h.Write([]byte(c.Incarnation.Target))
 	_, _ = h.Write([]byte{retracted})
 	return h.Sum64()
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -23,7 +23,7 @@
 func incarnation(n int) Incarnation { return Incarnation{fmt.Sprintf("i-%d", n), int64(n)} }
 
 func crash(f Fingerprint, n int, when time.Duration) Crash {
-	return Crash{Content: f, Incarnation: incarnation(n), At: at(when), Reporter: "entry-0"}
+	return Crash{Subject: f, Incarnation: incarnation(n), At: at(when), Reporter: "entry-0"}
 }
 
 // notHome is the home argument of Judge at an entry that probes no content.
