gateway: the crashes of all requests at a target are reported, with the parts of their prompts

Callers saw: nothing yet; found by reading. Since parts of prompts are suspects, 48 requests at a target with four parts each are 240 of them, and a target's end reported the newest 64: the one that crashed it may have been left out.

Evidence: TestCrashesOfAllRequestsAtATargetAreReported failed with 64 of 240.

Change: 256 of each target are kept until its end is known.

--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -31,8 +31,9 @@
 	// ended.
 	suspectRetention = 30 * time.Second
 	// maxCrashesPerSuspect bounds the unreported crashes of each suspect; the newest are
-	// kept. There may be several, since a target serves requests concurrently.
-	maxCrashesPerSuspect = 64
+	// kept. There may be several, since a target serves requests concurrently, and each has
+	// parts of its prompt beside its content.
+	maxCrashesPerSuspect = 256
 )
 
 // incarnationOf returns the identity of a target's incarnation, that is, of one run of its
--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/clock/clocktest"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/quarantine"
@@ -91,3 +92,24 @@
 		}
 	}
 }
+
+// Guards against parts of prompts that crowd out the contents of other requests at the same target.
+func TestCrashesOfAllRequestsAtATargetAreReported(t *testing.T) {
+	const requests, partsEach = 48, 4
+	table := quarantine.NewTable()
+	e := newCrashDetector(table, "host", logrus.New())
+	i := fleet.Instance{ID: "i-0", Addr: newTarget(t, okHandler).addr()}
+	hasher, now := quarantine.NewHasher(""), time.Now()
+	for n := range requests {
+		subjects := []quarantine.Fingerprint{{byte(n), 1}}
+		for k := range partsEach {
+			subjects = append(subjects, hasher.Part("s", fmt.Sprintf("%d-%d", n, k)))
+		}
+		e.recordLoss(i, subjects, now, now)
+	}
+	e.mu.Lock()
+	e.markEnded(e.suspects[incarnationOf(i)], "test")
+	e.mu.Unlock()
+	u, _ := table.Changes(0, 1)
+	assert.Equal(t, len(u.Crashes), requests*(1+partsEach))
+}
