routing, command: retries that arrive late stay within the budget of the window in which they arrive

Callers saw: nothing by themselves. A service that is short of targets would get more retries in a window than its budget allows when what was sent to it had been held up on the way.

Cause: the budget counts sends, the bound counts arrivals. What is sent into a cut or slow link arrives up to 3 s later (the TCP user timeout; then it is dropped), so that a window of 10 s may get what was sent in 13 s. Each request added 0.16 retries where 0.2 are allowed, which covers 12.5 s.

Evidence: TestRetriesThatArriveLateStayWithinTheBudget failed before: 24 beyond the budget at 600 requests/s, 374 at 5,000; none at 50 and 200, where the unused part of the extra covers them.

Change: each request adds 0.2 x 10 / (10 + 3) = 0.154, from the window and the user timeout. The part that does not depend on requests keeps its fraction of 0.8.

Why it works: with a steady rate, a window gets at most the reserve and what 13 s of requests add, which is then 0.2 for each request of a window.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/gateway"
+	"github.com/springgate/springgate/httpclient"
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/mesh"
 	"github.com/springgate/springgate/mirror"
@@ -18,6 +19,7 @@
 	"github.com/springgate/springgate/peer"
 	"github.com/springgate/springgate/platform"
 	"github.com/springgate/springgate/quarantine"
+	"github.com/springgate/springgate/routing"
 	"github.com/springgate/springgate/settings"
 	"github.com/springgate/springgate/targetconn"
 	"github.com/springgate/springgate/telemetry"
@@ -88,6 +90,12 @@
 	return nil
 }
 
+// retryRatio returns how many retries each request adds to the budget of its service.
+func retryRatio(s *platform.Settings) float64 {
+	window := cmp.Or(s.RetryWindow(), gateway.DefaultRetryWindow)
+	return routing.ArrivalRatio(s.Bounds.RetryBudgetRatio, window, httpclient.DeliveryTimeout)
+}
+
 func newEntryProcess(p *platformProcess, off mechanism.Off, contentKey string, memoryBudget int64) *entryProcess {
 	s := p.settings
 	e := &entryProcess{platformProcess: p}
@@ -101,7 +109,7 @@
 		Table: table, TargetDomain: e.balancer.DomainOf, Log: telemetry.Part(p.log, "mesh"), Metrics: p.metrics})
 	e.reserver = mesh.NewReserver(e.mesh, e.balancer, off)
 	e.gateway = gateway.New(gateway.Config{Off: off, Domain: s.Domain, MirrorState: mirrorState(table), Crashes: crashes, Level: level,
-		Hasher: quarantine.NewHasher(contentKey), Host: p.self.Host, Probes: e.mesh.Probes, RetryRatio: budgetShare * s.Bounds.RetryBudgetRatio,
+		Hasher: quarantine.NewHasher(contentKey), Host: p.self.Host, Probes: e.mesh.Probes, RetryRatio: retryRatio(s),
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra, RetryWindow: s.RetryWindow(), Memory: p.newBudget(memoryBudget)}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = e.mesh.NewFollower(mirror.Config{}, platform.NewStore(s.Store.Addr), telemetry.Part(p.log, "mirror"))
--- a/command/platform.go
+++ b/command/platform.go
@@ -41,9 +41,9 @@
 	// rosterCatchUp is how long after an outage of the store running targets may be missing
 	// from the store's list: they register again within about 2 s.
 	rosterCatchUp = 2500 * time.Millisecond
-	// budgetShare is the fraction of the retry budget, the retries allowed to all entries
-	// together, that the entries use. Each entry spends its part without coordination with
-	// the others; the rest covers the resulting error.
+	// budgetShare is the fraction that the entries use of the retries that all entries together may
+	// send without regard to the number of requests. Each entry spends its part without coordination
+	// with the others; the rest covers the resulting error.
 	budgetShare = 0.8
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = time.Second
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,13 +161,16 @@
 	RetryRatio, RetryBurst float64
 	// RetryWindow is the window over which the retries of a service are counted. For that long
 	// after the start of a process its budgets hold only what its requests add, because an
-	// earlier process of this host may have spent the rest. Default 10 s.
+	// earlier process of this host may have spent the rest. Default DefaultRetryWindow.
 	RetryWindow time.Duration
 	// MinRemaining is the least remaining time with which a target can still serve a
 	// request. With less, a failed request is not sent to another target. Default 30 ms.
 	MinRemaining time.Duration
 }
 
+// DefaultRetryWindow is the window over which retries are counted if the platform names none.
+const DefaultRetryWindow = 10 * time.Second
+
 func (c Config) applyDefaults() Config {
 	if c.MirrorState == nil {
 		c.MirrorState = func() MirrorState { return MirrorState{} }
@@ -189,7 +192,7 @@
 	c.MaxBufferedResponse = cmp.Or(c.MaxBufferedResponse, int64(256<<10))
 	c.RetryAfter = cmp.Or(c.RetryAfter, 1.0/3)
 	c.RetrySpread = cmp.Or(c.RetrySpread, 0.2)
-	c.RetryWindow = cmp.Or(c.RetryWindow, 10*time.Second)
+	c.RetryWindow = cmp.Or(c.RetryWindow, DefaultRetryWindow)
 	c.MinRemaining = cmp.Or(c.MinRemaining, 30*time.Millisecond)
 	return c
 }
--- a/httpclient/dialer.go
+++ b/httpclient/dialer.go
@@ -11,9 +11,9 @@
 // TCP timeouts after which a connection to an unresponsive peer is closed. If the link is
 // down, no reset arrives, so without these timeouts a write or read would hang for minutes.
 const (
-	// userTimeout is how long sent data may remain unacknowledged (TCP_USER_TIMEOUT). It is
-	// longer than two retransmissions take on a lossy link.
-	userTimeout       = 3 * time.Second
+	// DeliveryTimeout is how long sent data may remain unacknowledged (TCP_USER_TIMEOUT); it is
+	// not delivered later. It is longer than two retransmissions take on a lossy link.
+	DeliveryTimeout   = 3 * time.Second
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
@@ -36,7 +36,7 @@
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(DeliveryTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/routing/budget_test.go
+++ b/routing/budget_test.go
@@ -13,12 +13,13 @@
 
 // fleetBudget is the retry budget of a service at all entries of a fleet, in simulated time.
 type fleetBudget struct {
-	now      time.Time
-	ratio    float64
-	extra    float64
-	entries  []*Budget
-	requests []time.Time
-	retries  []time.Time
+	now       time.Time
+	ratio     float64
+	extra     float64
+	entries   []*Budget
+	requests  []time.Time
+	retries   []time.Time // when each arrived at a target
+	heldUntil time.Time   // before that, nothing arrives
 }
 
 func newFleetBudget(entries int, ratio, extra float64) *fleetBudget {
@@ -41,11 +42,18 @@
 	f.entries[i].Success()
 	for made < retries && f.entries[i].Spend(f.now) {
 		made++
-		f.retries = append(f.retries, f.now)
+		f.retries = append(f.retries, later(f.now, f.heldUntil))
 	}
 	return made
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // excess returns by how much the retries of any window exceed the budget at most.
 func (f *fleetBudget) excess() (most float64) {
 	before := func(list []time.Time, at time.Time) int {
@@ -106,3 +114,25 @@
 	f.now = f.now.Add(1)
 	assert.Equal(t, f.request(0, 10), 8)
 }
+
+// From one moment on all requests want a retry, and for as long as what is sent may still be delivered
+// nothing arrives; then all of it does.
+func TestRetriesThatArriveLateStayWithinTheBudget(t *testing.T) {
+	const ratio, extra, entries = 0.2, 106.0, 5
+	const failing, deliveryTimeout = 20 * time.Second, 3 * time.Second
+	for _, perS := range []int{50, 200, 600, 5000} {
+		f := newFleetBudget(entries, ArrivalRatio(ratio, budgetWindow, deliveryTimeout), 0.8*extra)
+		begin := f.now
+		f.heldUntil = begin.Add(failing + deliveryTimeout)
+		for i := range 40 * perS {
+			f.now = begin.Add(time.Duration(i) * time.Second / time.Duration(perS))
+			retries := 0
+			if f.now.Sub(begin) >= failing {
+				retries = 1
+			}
+			f.request(i%entries, retries)
+		}
+		f.ratio, f.extra = ratio, extra
+		assert.Check(t, f.excess() <= 0, "%d requests/s: %.0f beyond the budget", perS, f.excess())
+	}
+}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -35,6 +35,13 @@
 	return c
 }
 
+// ArrivalRatio returns the Ratio with which the retries that arrive at targets within a window stay
+// within a given ratio of the requests, if each may arrive up to delay after it was sent: one window
+// may get what was sent during a window and a delay.
+func ArrivalRatio(ratio float64, window, delay time.Duration) float64 {
+	return ratio * float64(window) / float64(window+delay)
+}
+
 // Budget is the retry budget of one service at one entry.
 type Budget struct {
 	cfg BudgetConfig
