quarantine: a part of prompts that crashes targets is recognized though nothing else is sent

Callers saw: while all requests had the part that crashes targets, 11 to 15 targets ended before it was refused, each with all that ran there; five and three more are allowed.

Cause: the quarantine waited for a request without the part to succeed, and counted only eight moments otherwise. Where no such request comes, nothing is to be waited for, and a caller's second target ends in the same moment as the first.

Evidence: TestPartOfPromptsIsQuarantinedThoughNothingElseIsSent failed before: 15 sends in each of six cases (the part first or second; one, two or three attempts of each caller), 8 allowed.

Change: a table also records whether requests without a suspected part are sent. Crashes at which no other part is left that such a request may soon tell apart count by themselves, five of them one after the other; ends within one moment count apart if one content was at both, as that is sent again only after its target has ended.

Why it works: waiting is of use only while a request is on its way whose success separates two parts. A rack that fails at once still counts once, and a part that succeeded before is not touched.

--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -93,6 +93,26 @@
 	}
 }
 
+// Guards against a part of prompts that crashes targets and is not recognized while no request without
+// it succeeds.
+func TestPartOfPromptsIsQuarantinedThoughNothingElseIsSent(t *testing.T) {
+	const crashes, sendsAfter = 5, 3
+	for _, parts := range []string{"bad,system", "system,bad"} {
+		for _, attempts := range []int{1, 2, 3} { // of each caller
+			machine := clocktest.New(t)
+			targets, crashed := newPromptCrashTargets(t, 40, false)
+			entries := newSharedTableGateways(t, 3, targets)
+			for i := range 30 {
+				entries[i%3].call(http.MethodPost, "/stream/x", fmt.Sprint("body ", i/attempts), "Parts", parts, "Id", fmt.Sprint("r", i))
+				machine.Suspend(150 * time.Millisecond)
+				unlistCrashed(entries, targets, crashed)
+			}
+			sends := totalRequests(targets)
+			assert.Check(t, sends <= crashes+sendsAfter, "%s, %d attempts: %d sends", parts, attempts, sends)
+		}
+	}
+}
+
 // Guards against parts of prompts that crowd out the contents of other requests at the same target.
 func TestCrashesOfAllRequestsAtATargetAreReported(t *testing.T) {
 	const requests, partsEach = 48, 4
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,9 +24,9 @@
 //
 // Crashes of a part do not count if a single content that came again and again was there, and a part
 // that never succeeded is examined before the contents: requests that are alike in nothing else are
-// explained by it. Parts that
-// succeeded come last. All prompts may have a part in common, so it matters for a part whether
-// requests without it succeed meanwhile.
+// explained by it. Parts that succeeded come last. All prompts may have a part in common, so it matters
+// for a part whether requests without it succeed meanwhile. Where none is even sent that could tell two
+// parts apart, ambiguousThreshold crashes one after the other are enough.
 package quarantine
 
 import "time"
@@ -42,8 +42,8 @@
 	ambiguousThreshold = 5
 	// manyMoments is the number of successive moments with crashes after which a content that
 	// succeeded recently is quarantined. Such a content is in flight on several targets at a time,
-	// and all of them crash at once when a rack fails. The same holds for a part that no other
-	// request has been seen to succeed without.
+	// and all of them crash at once when a rack fails. The same holds for a part without which
+	// requests are sent but have not been seen to succeed.
 	manyMoments = 8
 	// correlationWindow groups crashes that likely share an external cause, such as the
 	// loss of a rack.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -66,9 +66,9 @@
 	lastSuccess versioned[time.Time]
 	createdAt   time.Time // at this process
 	lastProbe   time.Time // when this process last allowed the content to be sent as a probe
-	// othersSucceeded is when a request without the part first succeeded at this process after the
-	// first active crash of the part.
-	othersSucceeded time.Time
+	// othersSent and othersSucceeded are when a request without the part was first sent by this
+	// process, and first succeeded, after the first active crash of the part.
+	othersSent, othersSucceeded time.Time
 }
 
 // versioned is a value with the sequence number under which this process recorded it.
@@ -84,8 +84,6 @@
 	records     map[Fingerprint]*record
 	contents    successCache
 	parts       successCache
-	suspected   []Fingerprint // parts with active crashes when seq was suspectedAt
-	suspectedAt uint64
 	seq         uint64
 	changed     chan struct{}
 	lastPrune   time.Time
@@ -94,11 +92,15 @@
 	findings    map[Fingerprint]Finding
 	stale       bool      // the findings must be recomputed
 	evaluatedAt time.Time // when the findings were last computed
+	// Suspected parts of which it is not known that requests without them were sent, or succeeded.
+	withoutSend, withoutSuccess uncontrasted
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[Fingerprint]*record{}, changed: make(chan struct{})}
+	return &Table{records: map[Fingerprint]*record{}, changed: make(chan struct{}),
+		withoutSend:    uncontrasted{at: func(r *record) *time.Time { return &r.othersSent }},
+		withoutSuccess: uncontrasted{at: func(r *record) *time.Time { return &r.othersSucceeded }}}
 }
 
 // RecordCrashes adds crashes that this process has observed. It reports whether any of
@@ -142,37 +144,7 @@
 			t.signal()
 		}
 	}
-	t.recordOthersSucceeded(now, subjects)
-}
-
-// recordOthersSucceeded records for all parts with active crashes that a request without them has
-// succeeded: the targets do not crash under every request. The caller holds the lock.
-func (t *Table) recordOthersSucceeded(now time.Time, subjects []Fingerprint) {
-	if t.suspectedAt != t.seq {
-		t.suspected, t.suspectedAt = t.suspectedParts(), t.seq
-	}
-	t.suspected = slices.DeleteFunc(t.suspected, func(f Fingerprint) bool {
-		r := t.records[f]
-		if r == nil || slices.Contains(subjects, f) {
-			return r == nil
-		}
-		r.othersSucceeded, t.stale = now, true
-		return true
-	})
-}
-
-// suspectedParts returns the parts with active crashes of which it is not known that requests without
-// them succeed.
-func (t *Table) suspectedParts() (out []Fingerprint) {
-	for f, r := range t.records {
-		if !f.IsPart() {
-			continue
-		}
-		if active := r.activeCrashes(); len(active) > 0 && !r.othersSucceeded.After(active[0].At) {
-			out = append(out, f)
-		}
-	}
-	return out
+	t.withoutSuccess.record(t, now, subjects)
 }
 
 func (t *Table) successesOf(f Fingerprint) *successCache {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -44,6 +44,7 @@
 		probes = append(probes, finding)
 	}
 	if len(probes) == 0 {
+		t.withoutSend.record(t, now, subjects)
 		return Send, Finding{}
 	}
 	for _, finding := range probes {
@@ -98,7 +99,8 @@
 	subject         Fingerprint
 	crashes         []Crash // by time
 	succeeded       bool    // at least once
-	othersSucceeded bool    // requests without the part did, since its first crash
+	othersSent      bool    // requests without the part were sent since its first crash
+	othersSucceeded bool    // requests without the part succeeded since its first crash
 }
 
 // inFlightAt reports whether the suspect was in flight when the incarnation ended.
@@ -145,7 +147,7 @@
 		if len(active) == 0 {
 			continue
 		}
-		s := &suspect{f, active, !r.lastSuccess.value.IsZero(), r.othersSucceeded.After(active[0].At)}
+		s := &suspect{f, active, !r.lastSuccess.value.IsZero(), r.othersSent.After(active[0].At), r.othersSucceeded.After(active[0].At)}
 		e.suspects = append(e.suspects, s)
 		for _, c := range active {
 			if e.inFlight[c.Incarnation] == nil {
@@ -197,10 +199,37 @@
 	switch {
 	case s.succeeded && !s.othersSucceeded: // the targets may crash under any request
 		return false
-	case s.succeeded || !s.othersSucceeded:
-		return len(groupByTime(evidence)) >= manyMoments
+	case s.othersSucceeded && !s.succeeded:
+		return len(evidence) >= crashThreshold && e.isConclusive(s, evidence)
+	case !s.succeeded && e.successiveCrashes(e.withoutTestedParts(s, evidence)) >= ambiguousThreshold:
+		return true
 	}
-	return len(evidence) >= crashThreshold && e.isConclusive(s, evidence)
+	return len(groupByTime(evidence)) >= manyMoments
+}
+
+// withoutTestedParts returns the crashes at which no other part was in flight that may be told apart
+// soon, because requests without it have been sent and may succeed.
+func (e *evaluation) withoutTestedParts(s *suspect, crashes []Crash) []Crash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool {
+		return slices.ContainsFunc(e.inFlight[c.Incarnation], func(o *suspect) bool {
+			return o != s && o.sameKind(s) && !o.succeeded && o.othersSent
+		})
+	})
+}
+
+// successiveCrashes counts crashes that cannot have had one external cause: those at different moments,
+// and within a moment those of one content, which is sent again only after its target has ended.
+func (e *evaluation) successiveCrashes(crashes []Crash) (n int) {
+	for _, g := range groupByTime(crashes) {
+		most := 1
+		for o, shared := range e.sharedCrashes(g) {
+			if !o.subject.IsPart() {
+				most = max(most, shared)
+			}
+		}
+		n += most
+	}
+	return n
 }
 
 // isConclusive reports whether crashes at which a suspect was in flight that has never succeeded tell
