quarantine: crashes of requests with many parts keep the table within its limit

Callers saw: nothing yet. A part that crashes targets among requests with hundreds of parts would be forgotten again, and the memory of entries and agents would grow.

Cause: a crash adds a record for each part in flight, and no more than 32 were evicted after it, so that the table grew with each crash of more than 32 new parts. Evicting all that is too many would have taken the records of the cause first, as its last crash is older than that of all new suspects.

Evidence: TestCrashesOfManyPartsKeepTheTableWithinItsLimit failed before: 570 records after three crashes of 202 parts, 512 allowed; and without the second half of the change, the part that had crashed five targets was sent again.

Change: all records beyond the limit are evicted, and 32 more. Parts with three crashes or more come last while they are less than half of the table.

Why it works: a new suspect has one crash, and a part becomes protected with the crash that may make it the cause; half of the table stays open to new suspects.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -203,6 +203,28 @@
 	assert.Equal(t, x.Digest(), uint64(0))
 }
 
+// Guards against a table that grows without bound where one crash adds more records than are evicted at a
+// time.
+func TestCrashesOfManyPartsKeepTheTableWithinItsLimit(t *testing.T) {
+	const crashes, partsEach = 40, 200
+	x := NewTable()
+	x.RecordSuccess(at(-time.Second), content(2, 600), system)
+	for i := range crashes {
+		now := time.Duration(i) * 200 * time.Millisecond
+		u := []Crash{crash(content(2, i), i, now), crash(system, i, now)}
+		if i < ambiguousThreshold {
+			u = append(u, crash(badPart, i, now))
+		}
+		for k := range partsEach {
+			u = append(u, crash(part(1000+i*partsEach+k), i, now))
+		}
+		x.RecordCrashes(at(now), u...)
+		x.RecordSuccess(at(now+1), content(2, 600), system)
+		assert.Assert(t, x.count(true) <= maxRecords, "%d records after %d crashes", x.count(true), i+1)
+	}
+	assert.Assert(t, refused(x, crashes*200*time.Millisecond, content(2, 500), badPart))
+}
+
 func TestFingerprintsOfParts(t *testing.T) {
 	h := NewHasher("")
 	assert.Assert(t, h.Part("s", "a1").IsPart())
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -19,8 +19,8 @@
 	maxCrashesPerRecord = 2 * manyMoments // the newest crashes are kept
 	// pruneInterval is the minimum time between two searches for expired records.
 	pruneInterval = time.Second
-	// evictionBatch is how many records are evicted at once, because the search for them
-	// takes 10 ms of CPU time.
+	// evictionBatch is how many records more than necessary are evicted at once, because the search
+	// for them takes 10 ms of CPU time.
 	evictionBatch = 32
 	// idleSuspectAge is the time since its last crash after which a suspect, a content with
 	// crashes that is not quarantined, is evicted before quarantined contents. A content that
@@ -244,8 +244,8 @@
 	return r.crashes[len(r.crashes)-1].value.At
 }
 
-// evict deletes expired records and, if the table is full, a batch of records in the order
-// of evictionOrder.
+// evict deletes expired records and, if the table is full, those beyond its limit and a batch more in
+// the order of evictionOrder.
 func (t *Table) evict(now time.Time) {
 	if now.Sub(t.lastPrune) >= pruneInterval {
 		t.lastPrune = now
@@ -256,10 +256,11 @@
 		}
 	}
 	for _, parts := range []bool{false, true} {
-		if t.count(parts) <= maxRecords {
+		excess := t.count(parts) - maxRecords
+		if excess <= 0 {
 			continue
 		}
-		for _, f := range t.evictionOrder(now, parts)[:evictionBatch] {
+		for _, f := range t.evictionOrder(now, parts)[:excess+evictionBatch] {
 			delete(t.records, f)
 		}
 	}
@@ -284,28 +285,39 @@
 
 // evictionOrder returns all parts, or all contents, in the order in which they are evicted: those of the
 // caller with the most records first, then those of all other callers. Each of these two
-// groups begins with its idle suspects (see idleSuspect). Contents that are otherwise equal
-// are ordered by the time of their last crash, oldest first.
+// groups begins with its idle suspects (see idleSuspect). Those that are otherwise equal
+// are ordered by the time of their last crash, oldest first, and then by the number of their crashes.
+// Parts that have crashed many targets come last while they are less than half of the table: one
+// crash may bring hundreds of new suspects.
 func (t *Table) evictionOrder(now time.Time, parts bool) []Fingerprint {
 	count := map[Caller]int{}
 	var largest Caller
 	var out []Fingerprint
+	protected := map[Fingerprint]bool{}
 	for f := range t.records {
 		if f.IsPart() != parts {
 			continue
 		}
 		out = append(out, f)
+		if parts && len(t.records[f].activeCrashes()) >= crashThreshold {
+			protected[f] = true
+		}
 		c := f.Caller()
 		count[c]++
 		if count[c] > count[largest] || count[c] == count[largest] && bytes.Compare(c[:], largest[:]) < 0 {
 			largest = c
 		}
 	}
+	if len(protected) > maxRecords/2 {
+		clear(protected)
+	}
 	slices.SortFunc(out, func(f, g Fingerprint) int {
 		return cmp.Or(
+			compareBool(protected[f], protected[g]),
 			-compareBool(f.Caller() == largest, g.Caller() == largest),
 			-compareBool(t.idleSuspect(f, now), t.idleSuspect(g, now)),
 			t.records[f].lastCrash().Compare(t.records[g].lastCrash()),
+			cmp.Compare(len(t.records[f].crashes), len(t.records[g].crashes)),
 			bytes.Compare(f[:], g[:]))
 	})
 	return out
