gateway: a crash is reported with all requests that it ended, however many parts they have

Callers saw: nothing yet. A part that crashes targets would be recognized late among requests with tens of parts each.

Cause: an entry kept 256 crashes of a target until its end was certain, one for each content and part, so that a few requests with many parts drove out the others, the cause among them.

Evidence: TestCrashesOfAllRequestsAtATargetAreReported, now with 40 parts a request instead of 4, failed before: 256 of 1,968 reported.

Change: the lost requests are kept, 128 of them, and become crashes when the end is certain.

Why it works: the bound is on requests, which the places of a target limit.

--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,10 +29,8 @@
 	// does so within seconds, and its next incarnation shows that the previous one has
 	// ended.
 	suspectRetention = 30 * time.Second
-	// maxCrashesPerSuspect bounds the unreported crashes of each suspect; the newest are
-	// kept. There may be several, since a target serves requests concurrently, and each has
-	// parts of its prompt beside its content.
-	maxCrashesPerSuspect = 256
+	// maxLostRequests bounds the unreported lost requests of each suspect; the newest are kept.
+	maxLostRequests = 128
 )
 
 // incarnationOf returns the identity of a target's incarnation, that is, of one run of its
@@ -45,10 +42,16 @@
 // crashSuspect is an incarnation of a target to which connections broke.
 type crashSuspect struct {
 	target     fleet.Instance
-	lastLossAt time.Time          // when the last connection broke before the target ended
-	ended      bool               // the target has ended
-	unreported []quarantine.Crash // crashes that are not reported yet
-	checked    chan struct{}      // closed when the check has finished, whatever its result
+	lastLossAt time.Time     // when the last connection broke before the target ended
+	ended      bool          // the target has ended
+	unreported []lostRequest // that are not reported as crashes yet
+	checked    chan struct{} // closed when the check has finished, whatever its result
+}
+
+// lostRequest is a request during which the connection to its target broke.
+type lostRequest struct {
+	subjects []quarantine.Fingerprint
+	at       time.Time
 }
 
 // crashDetector determines which connections break because their target ended. A reset, a
@@ -105,24 +108,33 @@
 	if !x.ended {
 		x.lastLossAt = now
 	}
-	for _, f := range subjects {
-		x.addUnreported(quarantine.Crash{Subject: f, Incarnation: incarnation, At: now, Reporter: e.host})
-	}
+	x.addUnreported(lostRequest{subjects, now})
 	e.report(x)
 	return x, true
 }
 
-// addUnreported adds a crash unless it is already known: requests have parts of prompts in common.
-func (x *crashSuspect) addUnreported(c quarantine.Crash) {
-	if slices.ContainsFunc(x.unreported, func(old quarantine.Crash) bool { return old.Subject == c.Subject }) {
-		return
+func (x *crashSuspect) addUnreported(r lostRequest) {
+	x.unreported = append(x.unreported, r)
+	x.unreported = x.unreported[max(len(x.unreported)-maxLostRequests, 0):]
+}
+
+// crashes returns one crash for each subject of the unreported requests: requests have parts of prompts
+// in common.
+func (x *crashSuspect) crashes(reporter string) (out []quarantine.Crash) {
+	seen := map[quarantine.Fingerprint]bool{}
+	for _, r := range x.unreported {
+		for _, f := range r.subjects {
+			if !seen[f] {
+				seen[f] = true
+				out = append(out, quarantine.Crash{Subject: f, Incarnation: incarnationOf(x.target), At: r.at, Reporter: reporter})
+			}
+		}
 	}
-	x.unreported = append(x.unreported, c)
-	x.unreported = x.unreported[max(len(x.unreported)-maxCrashesPerSuspect, 0):]
+	return out
 }
 
 // rechecked returns a new suspect with an unfinished check, which takes over the
-// unreported crashes of x. x may be nil.
+// unreported requests of x. x may be nil.
 func (x *crashSuspect) rechecked(t fleet.Instance) *crashSuspect {
 	out := &crashSuspect{target: t, checked: make(chan struct{})}
 	if x != nil {
@@ -187,13 +199,13 @@
 	e.report(x)
 }
 
-// report adds the unreported crashes of an ended incarnation to the table. The caller
+// report adds the unreported requests of an ended incarnation to the table as crashes. The caller
 // holds the lock.
 func (e *crashDetector) report(x *crashSuspect) {
 	if !x.ended {
 		return
 	}
-	e.table.RecordCrashes(clock.Now(), x.unreported...)
+	e.table.RecordCrashes(clock.Now(), x.crashes(e.host)...)
 	x.unreported = nil
 }
 
--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -115,7 +115,7 @@
 
 // Guards against parts of prompts that crowd out the contents of other requests at the same target.
 func TestCrashesOfAllRequestsAtATargetAreReported(t *testing.T) {
-	const requests, partsEach = 48, 4
+	const requests, partsEach = 48, 40
 	table := quarantine.NewTable()
 	e := newCrashDetector(table, "host", logrus.New())
 	i := fleet.Instance{ID: "i-0", Addr: newTarget(t, okHandler).addr()}
