platform, gateway, quarantine: no number of parts leads past the quarantine

Callers saw: 40 of 40 targets ended, and 11 of 30 sound requests failed, where a part that crashes targets stood behind 64 others in each prompt.

Cause: parts beyond the 64th were not looked at, without a sign of it.

Evidence: TestPartBehindManyOthersIsQuarantined (200 and 2,000 parts) and TestOverlongPromptsAreProbed failed before: 40 sends, 8 allowed; 19 of 30 sound requests served.

Change: 256 parts are examined one by one. All further ones of a caller's prompts at a service count as one part, which a success does not clear unless it was a probe: other prompts of that caller may have other further parts. A table holds 2,048 parts instead of 512 (750 KB at most), and suspects with fewer than three crashes are not evaluated.

Why it works: work and memory are bounded by 257 subjects a request, and each part of a prompt belongs to one of them. What it costs: after three ends of targets under prompts with more than 257 parts, such prompts of that caller are refused until a probe succeeds, first 30 s later; others are not touched.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -226,6 +226,7 @@
 		}
 		x.sends++
 	}
+	probe := x.probing
 	x.ran, x.probing = x.ran || res.ran, false
 	if res.held != nil {
 		x.held = res.held
@@ -235,7 +236,7 @@
 	case res.reason == ReasonConnLost || res.reason == ReasonBrokenStream:
 		x.recordLostConnection(a.parent, a.choice, a.sentAt)
 	case res.reason == ReasonNone || res.held != nil:
-		x.recordSuccess(a, res)
+		x.recordSuccess(a, res, probe)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,8 +41,9 @@
 	Prompt    int           // length of the prompt in tokens
 	LastEvent string        // ID of the event after which a stream resumes; empty at its start
 	// Parts are the IDs of the parts of the prompt that other requests may have too, in order and
-	// without duplicates.
-	Parts []string
+	// without duplicates. MoreParts says that the prompt has further ones, which are not listed.
+	Parts     []string
+	MoreParts bool
 }
 
 // ForwardInfo is the metadata in the header of a request that is forwarded to a target.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,6 +23,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// testMaxParts is how many parts of a prompt testDialect lists.
+const testMaxParts = 256
+
 // testDialect uses header names of its own.
 type testDialect struct{}
 
@@ -31,6 +34,9 @@
 	c := Call{ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Remaining: time.Duration(ms) * time.Millisecond}
 	if h.Get("Parts") != "" {
 		c.Parts = strings.Split(h.Get("Parts"), ",")
+		if len(c.Parts) > testMaxParts {
+			c.Parts, c.MoreParts = c.Parts[:testMaxParts], true
+		}
 	}
 	return c
 }
--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -113,6 +113,67 @@
 	}
 }
 
+// Guards against a part that crashes targets and stands behind more parts than are examined.
+func TestPartBehindManyOthersIsQuarantined(t *testing.T) {
+	const crashes, sendsAfter = 5, 3
+	for _, n := range []int{200, 2000} {
+		machine := clocktest.New(t)
+		targets, crashed := newPromptCrashTargets(t, 40, false)
+		entries := newSharedTableGateways(t, 3, targets)
+		sends, served := 0, 0
+		for i := range 30 {
+			before := totalRequests(targets)
+			f, body := entries[i%3], fmt.Sprint("body ", i)
+			f.call(http.MethodPost, "/stream/x", body, "Parts", manyParts(n, i)+",bad", "Id", fmt.Sprint("r", i))
+			sends += totalRequests(targets) - before
+			machine.Suspend(150 * time.Millisecond)
+			unlistCrashed(entries, targets, crashed)
+			if f.call(http.MethodPost, "/stream/x", "sound "+body, "Parts", manyParts(50, -i)).status == http.StatusOK {
+				served++
+			}
+		}
+		assert.Check(t, sends <= crashes+sendsAfter, "%d parts: %d sends", n, sends)
+		assert.Check(t, served == 30, "%d parts: %d of 30 sound requests served", n, served)
+	}
+}
+
+// manyParts returns a list of n parts of which only the first occurs in other requests.
+func manyParts(n, request int) string {
+	parts := []string{"system"}
+	for k := range n - 1 {
+		parts = append(parts, fmt.Sprintf("p%d-%d", request, k))
+	}
+	return strings.Join(parts, ",")
+}
+
+// Guards against sound prompts that are too long to be examined and clear the bad ones, and against a
+// verdict on these that lasts.
+func TestOverlongPromptsAreProbed(t *testing.T) {
+	const crashes, sendsAfter = 5, 3
+	machine := clocktest.New(t)
+	targets, crashed := newPromptCrashTargets(t, 40, false)
+	entries := newSharedTableGateways(t, 1, targets)
+	call := func(i int, last string) answer {
+		return entries[0].call(http.MethodPost, "/stream/x", fmt.Sprint("body ", i), "Parts", manyParts(2*testMaxParts, i)+","+last, "Id", fmt.Sprint("r", i))
+	}
+	for i := range 20 {
+		call(2*i, "bad")
+		machine.Suspend(150 * time.Millisecond)
+		unlistCrashed(entries, targets, crashed)
+		call(2*i+1, "sound")
+	}
+	n := 0
+	for i := range targets {
+		if crashed(i) {
+			n++
+		}
+	}
+	assert.Check(t, n > 0 && n <= crashes+sendsAfter, "%d targets ended", n)
+	machine.Suspend(time.Minute)
+	assert.Equal(t, call(100, "sound").status, http.StatusOK)
+	assert.Equal(t, call(101, "sound").status, http.StatusOK)
+}
+
 // Guards against parts of prompts that crowd out the contents of other requests at the same target.
 func TestCrashesOfAllRequestsAtATargetAreReported(t *testing.T) {
 	const requests, partsEach = 48, 40
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -16,22 +16,29 @@
 // fingerprint returns the fingerprint of the request's content. All API keys of a team
 // count as one caller.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
-	caller := x.call.Key
+	return x.g.cfg.Hasher.Fingerprint(quarantine.Content{Caller: x.callerName(), Method: x.r.Method, Host: x.r.Host,
+		URI: x.r.RequestURI, Body: x.body})
+}
+
+// callerName returns the name of the caller's team, or the API key where there are no teams.
+func (x *exchange) callerName() string {
 	if x.team != nil {
-		caller = x.team.Name
+		return x.team.Name
 	}
-	return x.g.cfg.Hasher.Fingerprint(quarantine.Content{Caller: caller, Method: x.r.Method, Host: x.r.Host,
-		URI: x.r.RequestURI, Body: x.body})
+	return x.call.Key
 }
 
-// quarantineSubjects returns what may be quarantined of the request: its content, and the parts of its prompt
-// in their order.
+// quarantineSubjects returns what may be quarantined of the request: its content, the parts of its prompt
+// in their order, and the further parts together if not all are listed.
 func (x *exchange) quarantineSubjects() []quarantine.Fingerprint {
-	out := make([]quarantine.Fingerprint, 0, 1+len(x.call.Parts))
+	out := make([]quarantine.Fingerprint, 0, 2+len(x.call.Parts))
 	out = append(out, x.content)
 	for _, id := range x.call.Parts {
 		out = append(out, x.g.cfg.Hasher.Part(x.service, id))
 	}
+	if x.call.MoreParts {
+		out = append(out, x.g.cfg.Hasher.FurtherParts(x.service, x.callerName()))
+	}
 	return out
 }
 
@@ -71,7 +78,10 @@
 // logFinding adds what is known about the quarantined request to a log record.
 func (x *exchange) logFinding(f logrus.Fields, now time.Time) {
 	addFinding(f, *x.finding, now)
-	if i := slices.Index(x.subjects, x.finding.Subject); i > 0 {
+	switch i := slices.Index(x.subjects, x.finding.Subject); {
+	case i > len(x.call.Parts):
+		f["prompt_part"] = "further"
+	case i > 0:
 		f["prompt_part"] = x.call.Parts[i-1]
 	}
 }
@@ -96,11 +106,15 @@
 
 // recordSuccess records that a target has completed a run of the request. An answer says something
 // about the parts of the prompt only if the target has written it for the whole prompt: one that
-// fails may have been made without regard to them.
-func (x *exchange) recordSuccess(a *attempt, res result) {
+// fails may have been made without regard to them. It says nothing about the further parts of other
+// requests, unless it was a probe.
+func (x *exchange) recordSuccess(a *attempt, res result, probe bool) {
 	proven := []quarantine.Fingerprint{x.content}
 	if res.reason == ReasonNone && a.answersPrompt() {
-		proven = x.subjects
+		proven = x.subjects[:1+len(x.call.Parts)]
+		if probe {
+			proven = x.subjects
+		}
 	}
 	x.g.cfg.Crashes.RecordSuccess(clock.Now(), proven...)
 	x.g.crashDetector.recordAnswer(a.choice.Instance, a.sentAt)
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -10,7 +10,7 @@
 func BenchmarkJudgeFullTable(b *testing.B) {
 	x := NewTable()
 	now := time.Duration(0)
-	for i := range maxRecords - evictionBatch {
+	for i := range maxContents - evictionBatch {
 		for l := range 3 {
 			now += 100 * time.Millisecond
 			x.RecordCrashes(at(now), crash(content(9, i), 3*i+l, now))
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -89,6 +89,18 @@
 	return f
 }
 
+// FurtherParts returns the fingerprint that stands for all parts of a caller's prompts at a service beyond
+// those that are listed one by one. It is treated as a part.
+func (h Hasher) FurtherParts(service, caller string) (f Fingerprint) {
+	further := hmac.New(sha256.New, h.key)
+	for _, field := range []string{service, caller, "further parts"} {
+		writeField(further, field)
+	}
+	copy(f[:callerBytes], partMarker[:])
+	copy(f[callerBytes:], further.Sum(nil))
+	return f
+}
+
 // writeField writes a length-prefixed field, so that different lists of fields never
 // produce the same bytes.
 func writeField(h hash.Hash, s string) {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"encoding/binary"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,7 +12,7 @@
 // part returns the fingerprint of part n of prompts.
 func part(n int) (f Fingerprint) {
 	copy(f[:], partMarker[:])
-	f[callerBytes], f[callerBytes+1] = byte(n), byte(n>>8)
+	binary.LittleEndian.PutUint32(f[callerBytes:], uint32(n))
 	return f
 }
 
@@ -32,6 +34,9 @@
 	unique := 0
 	arrive := func(now time.Duration, parts ...Fingerprint) {
 		unique++
+		for k := range s.partsEach {
+			parts = slices.Insert(parts, 1, part(1000+unique*s.partsEach+k))
+		}
 		s.arrive(now, running{content: content(2+unique%5, unique), parts: parts, sends: sendsPerAttempt, retries: 1})
 	}
 	for now := time.Duration(0); now < stormDuration; now += stormStep {
@@ -65,6 +70,22 @@
 	}
 }
 
+// Guards against a bad part that is lost among hundreds of others of its request.
+func TestCrashStormOfAPartBehindManyOthers(t *testing.T) {
+	const seeds, partsEach = 5, 200
+	for seed := range uint64(seeds) {
+		s := newStorm(seed, badPart)
+		s.partsEach = partsEach
+		s.runPrompts(5, badPart)
+		for f := range s.refused {
+			assert.Equal(t, f, badPart, "seed %d: a bystander was refused", seed)
+		}
+		x := s.causes[badPart]
+		assert.Assert(t, x.lateSends <= maxSendsAfterThreshold, "seed %d: sent %d times later than %v after the fifth crash", seed, x.lateSends, settleTime)
+		assert.Assert(t, s.refused[badPart] > 0, "seed %d", seed)
+	}
+}
+
 func TestTwoPartsOfPromptsCrashTargets(t *testing.T) {
 	other := part(98)
 	for seed := range uint64(stormSeeds) {
@@ -199,7 +220,7 @@
 		crashAll(x, 100+i, now, content(9, i), part(100+i))
 	}
 	assert.Assert(t, refused(x, now, content(2, 500), badPart) && refused(x, now, bad))
-	assert.Assert(t, x.count(true) <= maxRecords && x.count(false) <= maxRecords)
+	assert.Assert(t, x.count(true) <= maxParts && x.count(false) <= maxContents)
 	assert.Equal(t, x.Digest(), uint64(0))
 }
 
@@ -220,7 +241,7 @@
 		}
 		x.RecordCrashes(at(now), u...)
 		x.RecordSuccess(at(now+1), content(2, 600), system)
-		assert.Assert(t, x.count(true) <= maxRecords, "%d records after %d crashes", x.count(true), i+1)
+		assert.Assert(t, x.count(true) <= maxParts, "%d records after %d crashes", x.count(true), i+1)
 	}
 	assert.Assert(t, refused(x, crashes*200*time.Millisecond, content(2, 500), badPart))
 }
--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -70,6 +70,7 @@
 	causes       map[Fingerprint]*cause
 	refused      map[Fingerprint]int
 	served       int // requests that ended well
+	partsEach    int // further parts of each prompt that no other has
 }
 
 func newStorm(seed uint64, causes ...Fingerprint) *storm {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -15,7 +15,8 @@
 // the evidence on other callers' contents. Parts of prompts have no caller; their idle suspects
 // are evicted first.
 const (
-	maxRecords          = 512             // of contents, and as many of parts
+	maxContents         = 512
+	maxParts            = 2048            // several requests with hundreds of parts may be in flight at a crash
 	maxCrashesPerRecord = 2 * manyMoments // the newest crashes are kept
 	// pruneInterval is the minimum time between two searches for expired records.
 	pruneInterval = time.Second
@@ -256,7 +257,7 @@
 		}
 	}
 	for _, parts := range []bool{false, true} {
-		excess := t.count(parts) - maxRecords
+		excess := t.count(parts) - maxRecords(parts)
 		if excess <= 0 {
 			continue
 		}
@@ -266,6 +267,14 @@
 	}
 }
 
+// maxRecords returns how many records of parts, or of contents, a table holds.
+func maxRecords(parts bool) int {
+	if parts {
+		return maxParts
+	}
+	return maxContents
+}
+
 // count returns the number of records of parts, or of contents.
 func (t *Table) count(parts bool) (n int) {
 	for f := range t.records {
@@ -308,7 +317,7 @@
 			largest = c
 		}
 	}
-	if len(protected) > maxRecords/2 {
+	if len(protected) > maxParts/2 {
 		clear(protected)
 	}
 	slices.SortFunc(out, func(f, g Fingerprint) int {
@@ -416,8 +425,10 @@
 
 // computeDigest returns the digest of the current records. The caller holds the lock.
 func (t *Table) computeDigest() (digest uint64) {
-	if max(t.count(false), t.count(true)) >= maxRecords-evictionBatch {
-		return 0
+	for _, parts := range []bool{false, true} {
+		if t.count(parts) >= maxRecords(parts)-evictionBatch {
+			return 0
+		}
 	}
 	for _, r := range t.records {
 		for _, c := range r.crashes {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -270,7 +270,7 @@
 	}
 	assert.Assert(t, refused(x, now, bad))
 	u, _ := x.Changes(0, 1)
-	assert.Assert(t, len(u.Crashes) <= maxRecords*3, "%d crashes kept", len(u.Crashes))
+	assert.Assert(t, len(u.Crashes) <= maxContents*3, "%d crashes kept", len(u.Crashes))
 	assert.Equal(t, x.Digest(), uint64(0), "nearly full tables are not compared")
 	assert.Assert(t, refused(x, now, content(9, 999)), "newest content of the flood")
 }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -178,6 +178,9 @@
 // isCause reports whether a suspect is considered the cause of its crashes, based on those that no
 // other suspect explains.
 func (e *evaluation) isCause(s *suspect) bool {
+	if len(s.crashes) < crashThreshold {
+		return false
+	}
 	if s.subject.IsPart() {
 		return e.isCausingPart(s)
 	}
