quarantine: a part is recognized soon though one of the requests with it has been repeated

Callers saw: where one caller repeated its request with a part that crashes targets, up to three more targets ended under others' requests before the part was refused.

Cause: all ends at which a content was that came three times or more were left out of the evidence on the part, although the ends beside them show that the content is not alone.

Change: the first of these ends counts.

Why it works: two further ends under other contents are needed, at which the repeated one was not.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -56,20 +56,26 @@
 	for _, badPerS := range []int{1, 5, 10, 30} {
 		most, sum := 0, 0
 		for seed := range uint64(stormSeeds) {
-			s := newStorm(seed, badPart)
-			s.runPrompts(badPerS, badPart)
-			for f := range s.refused {
-				assert.Equal(t, f, badPart, "seed %d: a bystander was refused", seed)
-			}
-			x := s.causes[badPart]
-			assert.Assert(t, x.lateSends <= maxSendsAfterThreshold, "seed %d: sent %d times later than %v after the fifth crash", seed, x.lateSends, settleTime)
-			most, sum = max(most, x.crashes), sum+x.crashes
+			crashes := checkStormOfAPart(t, seed, badPerS)
+			most, sum = max(most, crashes), sum+crashes
 		}
 		t.Logf("%d requests/s: targets crashed: mean %.1f, maximum %d", badPerS, float64(sum)/stormSeeds, most)
 		assert.Assert(t, most <= stormTargets, "%d targets crashed", most)
 	}
 }
 
+// checkStormOfAPart returns how many targets crashed.
+func checkStormOfAPart(t *testing.T, seed uint64, badPerS int) int {
+	s := newStorm(seed, badPart)
+	s.runPrompts(badPerS, badPart)
+	for f := range s.refused {
+		assert.Equal(t, f, badPart, "seed %d: a bystander was refused", seed)
+	}
+	x := s.causes[badPart]
+	assert.Assert(t, x.lateSends <= maxSendsAfterThreshold, "seed %d: sent %d times later than %v after the fifth crash", seed, x.lateSends, settleTime)
+	return x.crashes
+}
+
 // Guards against a bad part that is lost among hundreds of others of its request.
 func TestCrashStormOfAPartBehindManyOthers(t *testing.T) {
 	const seeds, partsEach = 5, 200
@@ -87,16 +93,20 @@
 }
 
 func TestTwoPartsOfPromptsCrashTargets(t *testing.T) {
-	other := part(98)
 	for seed := range uint64(stormSeeds) {
-		s := newStorm(seed, badPart, other)
-		s.runPrompts(5, badPart, other)
-		for f := range s.refused {
-			assert.Check(t, s.causes[f] != nil, "seed %d: a bystander was refused", seed)
-		}
-		for _, x := range s.causes {
-			assert.Check(t, s.refused[x.content] > 0 && x.lateSends <= maxSendsAfterThreshold, "seed %d: %d late sends", seed, x.lateSends)
-		}
+		checkStormOfTwoParts(t, seed)
+	}
+}
+
+func checkStormOfTwoParts(t *testing.T, seed uint64) {
+	other := part(98)
+	s := newStorm(seed, badPart, other)
+	s.runPrompts(5, badPart, other)
+	for f := range s.refused {
+		assert.Check(t, s.causes[f] != nil, "seed %d: a bystander was refused", seed)
+	}
+	for _, x := range s.causes {
+		assert.Check(t, s.refused[x.content] > 0 && x.lateSends <= maxSendsAfterThreshold, "seed %d: %d late sends", seed, x.lateSends)
 	}
 }
 
@@ -260,19 +270,23 @@
 func TestRequestBesideABadPart(t *testing.T) {
 	for _, fleet := range []int{4, 8, stormTargets} {
 		for seed := range uint64(stormSeeds) {
-			s := newStorm(seed, badPart, bad)
-			s.fleet = fleet
-			s.runBesideABadPart()
-			for f := range s.refused {
-				assert.Check(t, s.causes[f] != nil, "%d targets, seed %d: a bystander was refused", fleet, seed)
-			}
-			for _, x := range s.causes {
-				assert.Check(t, s.refused[x.content] > 0 && x.lateSends <= maxSendsAfterThreshold, "%d targets, seed %d: %d late sends, part: %v", fleet, seed, x.lateSends, x.content.IsPart())
-			}
+			checkRequestBesideABadPart(t, seed, fleet)
 		}
 	}
 }
 
+func checkRequestBesideABadPart(t *testing.T, seed uint64, fleet int) {
+	s := newStorm(seed, badPart, bad)
+	s.fleet = fleet
+	s.runBesideABadPart()
+	for f := range s.refused {
+		assert.Check(t, s.causes[f] != nil, "%d targets, seed %d: a bystander was refused", fleet, seed)
+	}
+	for _, x := range s.causes {
+		assert.Check(t, s.refused[x.content] > 0 && x.lateSends <= maxSendsAfterThreshold, "%d targets, seed %d: %d late sends, part: %v", fleet, seed, x.lateSends, x.content.IsPart())
+	}
+}
+
 // warmUp is how long only sound requests are sent, until each part has succeeded.
 const warmUp = 3 * time.Second
 
--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -211,20 +211,43 @@
 // not even one that was in flight at three crashes.
 func TestCrashStorm(t *testing.T) {
 	most, sum := 0, 0
-	bad := content(1, 1)
 	for seed := range uint64(stormSeeds) {
-		s := newStorm(seed, bad)
-		s.run([]Fingerprint{bad})
-		for c := range s.refused {
-			assert.Equal(t, c, bad, "seed %d: a bystander was quarantined", seed)
-		}
-		x := s.causes[bad]
-		assert.Assert(t, s.refused[bad] > 60, "seed %d: refused %d times", seed, s.refused[bad])
-		assert.Assert(t, x.sendsAfter <= maxSendsAfterThreshold, "seed %d: sent %d times after the threshold", seed, x.sendsAfter)
-		most, sum = max(most, x.crashes), sum+x.crashes
+		crashes := checkCrashStorm(t, seed)
+		most, sum = max(most, crashes), sum+crashes
 	}
 	t.Logf("targets crashed: mean %.1f, maximum %d", float64(sum)/stormSeeds, most)
-	assert.Assert(t, most <= stormTargets/2, "%d targets crashed in one storm", most)
+}
+
+// checkCrashStorm returns how many targets crashed.
+func checkCrashStorm(t *testing.T, seed uint64) int {
+	bad := content(1, 1)
+	s := newStorm(seed, bad)
+	s.run([]Fingerprint{bad})
+	for c := range s.refused {
+		assert.Equal(t, c, bad, "seed %d: a bystander was quarantined", seed)
+	}
+	x := s.causes[bad]
+	assert.Assert(t, s.refused[bad] > 60, "seed %d: refused %d times", seed, s.refused[bad])
+	assert.Assert(t, x.sendsAfter <= maxSendsAfterThreshold, "seed %d: sent %d times after the threshold", seed, x.sendsAfter)
+	assert.Check(t, x.crashes <= stormTargets/2, "seed %d: %d targets crashed", seed, x.crashes)
+	return x.crashes
+}
+
+// Guards against the crashes of a repeated request not counting at all for a part of its prompt.
+func TestStormsWithARepeatedRequestWithABadPart(t *testing.T) {
+	checkStormOfAPart(t, 401, 1)
+	checkRequestBesideABadPart(t, 367, 4)
+}
+
+// Seeds of a longer run at which a bound is not kept.
+func TestStormsOfRareSeeds(t *testing.T) {
+	t.Run("request", func(t *testing.T) { checkCrashStorm(t, 354) })
+	t.Run("two parts", func(t *testing.T) { checkStormOfTwoParts(t, 161) })
+	t.Run("request beside a part", func(t *testing.T) { checkRequestBesideABadPart(t, 276, 4) })
+	t.Run("part in each second request", func(t *testing.T) {
+		crashes := checkStormOfAPart(t, 429, 30)
+		assert.Check(t, crashes <= stormTargets, "%d targets crashed", crashes)
+	})
 }
 
 // Three requests of different callers crash targets at the same time: each of them is
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -195,8 +195,8 @@
 	return e.weightedCount(s, without(s.crashes, e.explainedByContent)) >= ambiguousThreshold
 }
 
-// isCausingPart is isCause for a part. Crashes at which a content was in flight that came again and
-// again do not count, because that may be the cause.
+// isCausingPart is isCause for a part. Of the crashes at which a content was in flight that came again
+// and again one counts, because that content may be the cause of the others.
 func (e *evaluation) isCausingPart(s *suspect) bool {
 	evidence := e.withoutMainContent(without(s.crashes, e.explained))
 	switch {
@@ -254,7 +254,7 @@
 }
 
 // withoutMainContent returns the crashes at which the content was not in flight that was at most of
-// them, if it was at enough to be the cause.
+// them, if it was at enough to be the cause, and the first at which it was.
 func (e *evaluation) withoutMainContent(crashes []Crash) []Crash {
 	var main *suspect
 	most := crashThreshold - 1
@@ -266,7 +266,15 @@
 	if main == nil {
 		return crashes
 	}
-	return slices.DeleteFunc(crashes, func(c Crash) bool { return main.inFlightAt(c.Incarnation) })
+	first := true
+	return slices.DeleteFunc(crashes, func(c Crash) bool {
+		if !main.inFlightAt(c.Incarnation) {
+			return false
+		}
+		drop := !first
+		first = false
+		return drop
+	})
 }
 
 // sharedCrashes returns at how many of the crashes each suspect was in flight.
