--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -40,3 +40,21 @@
 		refused(x, now, bad)
 	}
 }
+
+// A crash storm of a part behind 200 others, while eight requests with as many parts are in flight on
+// each target.
+func BenchmarkJudgeManyParts(b *testing.B) {
+	x := NewTable()
+	now := time.Duration(0)
+	n := 0
+	for b.Loop() {
+		n++
+		now += 100 * time.Millisecond
+		crashes := []Crash{crash(badPart, n, now)}
+		for i := range 8 * 200 {
+			crashes = append(crashes, crash(part(1000+1600*n+i), n, now))
+		}
+		x.RecordCrashes(at(now), crashes...)
+		refused(x, now, badPart)
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -299,17 +299,18 @@
 // Parts that have crashed many targets come last while they are less than half of the table: one
 // crash may bring hundreds of new suspects.
 func (t *Table) evictionOrder(now time.Time, parts bool) []Fingerprint {
+	var list []evictionCandidate
 	count := map[Caller]int{}
 	var largest Caller
-	var out []Fingerprint
-	protected := map[Fingerprint]bool{}
-	for f := range t.records {
+	established := 0
+	for f, r := range t.records {
 		if f.IsPart() != parts {
 			continue
 		}
-		out = append(out, f)
-		if parts && len(t.records[f].activeCrashes()) >= crashThreshold {
-			protected[f] = true
+		x := evictionCandidate{subject: f, established: parts && len(r.activeCrashes()) >= crashThreshold, idle: r.idleSuspect(now), lastCrash: r.lastCrash(), crashes: len(r.crashes)}
+		list = append(list, x)
+		if x.established {
+			established++
 		}
 		c := f.Caller()
 		count[c]++
@@ -317,25 +318,35 @@
 			largest = c
 		}
 	}
-	if len(protected) > maxParts/2 {
-		clear(protected)
-	}
-	slices.SortFunc(out, func(f, g Fingerprint) int {
+	protect := established <= maxParts/2
+	slices.SortFunc(list, func(a, b evictionCandidate) int {
 		return cmp.Or(
-			compareBool(protected[f], protected[g]),
-			-compareBool(f.Caller() == largest, g.Caller() == largest),
-			-compareBool(t.idleSuspect(f, now), t.idleSuspect(g, now)),
-			t.records[f].lastCrash().Compare(t.records[g].lastCrash()),
-			cmp.Compare(len(t.records[f].crashes), len(t.records[g].crashes)),
-			bytes.Compare(f[:], g[:]))
+			compareBool(protect && a.established, protect && b.established),
+			-compareBool(a.subject.Caller() == largest, b.subject.Caller() == largest),
+			-compareBool(a.idle, b.idle),
+			a.lastCrash.Compare(b.lastCrash),
+			cmp.Compare(a.crashes, b.crashes),
+			bytes.Compare(a.subject[:], b.subject[:]))
 	})
+	out := make([]Fingerprint, len(list))
+	for i, x := range list {
+		out[i] = x.subject
+	}
 	return out
 }
 
+// evictionCandidate holds what decides when a record is evicted.
+type evictionCandidate struct {
+	subject     Fingerprint
+	established bool // a part that has crashed many targets
+	idle        bool // see idleSuspect
+	lastCrash   time.Time
+	crashes     int
+}
+
 // idleSuspect reports whether a content is not quarantined and has not crashed a target
 // recently.
-func (t *Table) idleSuspect(f Fingerprint, now time.Time) bool {
-	r := t.records[f]
+func (r *record) idleSuspect(now time.Time) bool {
 	return len(r.activeCrashes()) < crashThreshold && now.Sub(r.lastCrash()) >= idleSuspectAge
 }
 
