--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -199,15 +199,16 @@
 // and again one counts, because that content may be the cause of the others.
 func (e *evaluation) isCausingPart(s *suspect) bool {
 	evidence := e.withoutMainContent(without(s.crashes, e.explained))
+	moments := len(groupByTime(evidence))
 	switch {
-	case s.succeeded && !s.othersSucceeded: // the targets may crash under any request
+	case s.succeeded && s.othersSucceeded:
+		return moments >= manyMoments
+	case s.succeeded: // the targets may crash under any request
 		return false
-	case s.othersSucceeded && !s.succeeded:
+	case s.othersSucceeded:
 		return len(evidence) >= crashThreshold && e.isConclusive(s, evidence)
-	case !s.succeeded && e.successiveCrashes(e.withoutTestedParts(s, evidence)) >= ambiguousThreshold:
-		return true
 	}
-	return len(groupByTime(evidence)) >= manyMoments
+	return moments >= manyMoments || e.successiveCrashes(e.withoutTestedParts(s, evidence)) >= ambiguousThreshold
 }
 
 // withoutTestedParts returns the crashes at which no other part was in flight that may be told apart
@@ -266,13 +267,11 @@
 	if main == nil {
 		return crashes
 	}
-	first := true
+	kept := false
 	return slices.DeleteFunc(crashes, func(c Crash) bool {
-		if !main.inFlightAt(c.Incarnation) {
-			return false
-		}
-		drop := !first
-		first = false
+		there := main.inFlightAt(c.Incarnation)
+		drop := there && kept
+		kept = kept || there
 		return drop
 	})
 }
