--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -93,15 +93,15 @@
 	findings    map[Fingerprint]Finding
 	stale       bool      // the findings must be recomputed
 	evaluatedAt time.Time // when the findings were last computed
-	// Suspected parts of which it is not known that requests without them were sent, or succeeded.
-	withoutSend, withoutSuccess uncontrasted
+	// What has not been observed yet of requests without a suspected part.
+	othersSent, othersSucceeded unobserved
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{records: map[Fingerprint]*record{}, changed: make(chan struct{}),
-		withoutSend:    uncontrasted{at: func(r *record) *time.Time { return &r.othersSent }},
-		withoutSuccess: uncontrasted{at: func(r *record) *time.Time { return &r.othersSucceeded }}}
+		othersSent:      unobserved{at: func(r *record) *time.Time { return &r.othersSent }},
+		othersSucceeded: unobserved{at: func(r *record) *time.Time { return &r.othersSucceeded }}}
 }
 
 // RecordCrashes adds crashes that this process has observed. It reports whether any of
@@ -145,7 +145,7 @@
 			t.signal()
 		}
 	}
-	t.withoutSuccess.record(t, now, subjects)
+	t.othersSucceeded.record(t, now, subjects)
 }
 
 func (t *Table) successesOf(f Fingerprint) *successCache {
--- a/quarantine/contrast.go
+++ b/quarantine/unobserved.go
@@ -5,16 +5,16 @@
 	"time"
 )
 
-// uncontrasted is a list of the parts with active crashes for which something has not been seen yet of
-// a request without the part: that it was sent, or that it succeeded. The table's lock protects it.
-type uncontrasted struct {
-	at    func(*record) *time.Time // where a record says when it was seen
+// unobserved lists the parts with active crashes for which an event, such as a success, has not been
+// observed yet of any request without the part. The table's lock protects it.
+type unobserved struct {
+	at    func(*record) *time.Time // the field that says when the event was first observed
 	parts []Fingerprint
 	seq   uint64 // of the table when the list was made
 }
 
-// record records that it has been seen of a request with the given subjects.
-func (u *uncontrasted) record(t *Table, now time.Time, subjects []Fingerprint) {
+// record records the event of a request with the given subjects for all parts that it does not have.
+func (u *unobserved) record(t *Table, now time.Time, subjects []Fingerprint) {
 	if u.seq != t.seq {
 		u.parts, u.seq = u.list(t), t.seq
 	}
@@ -28,7 +28,7 @@
 	})
 }
 
-func (u *uncontrasted) list(t *Table) (out []Fingerprint) {
+func (u *unobserved) list(t *Table) (out []Fingerprint) {
 	for f, r := range t.records {
 		if !f.IsPart() {
 			continue
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -44,7 +44,7 @@
 		probes = append(probes, finding)
 	}
 	if len(probes) == 0 {
-		t.withoutSend.record(t, now, subjects)
+		t.othersSent.record(t, now, subjects)
 		return Send, Finding{}
 	}
 	for _, finding := range probes {
