--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -17,8 +17,8 @@
 
 // Fingerprint identifies a request by its content, whichever attempt carries it, or a part of
 // prompts, whichever request has it. That of a content begins with a hash of the caller, so that
-// the records of one caller can be limited. It is a keyed hash, so it can be logged and sent to other processes without revealing the body
-// or the API key.
+// the records of one caller can be limited. It is a keyed hash, so it can be logged and sent to other
+// processes without revealing the body or the API key.
 type Fingerprint [callerBytes + contentBytes]byte
 
 // Caller is the part of a fingerprint that identifies the caller.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -3,12 +3,13 @@
 // clock readings are passed as arguments.
 //
 // It protects the fleet against a request whose content crashes every target that starts
-// to process it, and that callers retry through any entry. All attempts of a request, and
-// repeated requests with the same fields and body, are the same content (see Content). A prompt
-// consists of parts, which requests share; where one part crashes targets whatever else the request
-// holds, no two contents need to be alike, so the parts are suspects beside the contents. An entry is a process that sends callers' requests on to targets. Without quarantine, one such
-// request crashed two targets per attempt and caused 40 crashes among 20 engines in 75 s,
-// while 10 to 60 % of the concurrent requests were refused.
+// to process it, and that callers retry through any entry. An entry is a process that sends
+// callers' requests on to targets. All attempts of a request, and repeated requests with the same
+// fields and body, are the same content (see Content). A prompt consists of parts, which requests
+// share; where one part crashes targets whatever else the request holds, no two contents need to be
+// alike, so the parts are suspects beside the contents. Without quarantine, one such request crashed
+// two targets per attempt and caused 40 crashes among 20 engines in 75 s, while 10 to 60 % of the
+// concurrent requests were refused.
 //
 // The evidence is that an incarnation (process start) of a target ended while a content was
 // in flight there. All contents in flight on that incarnation are suspected equally, and so are the
