routing, gateway: entries that join add nothing to the retry budget of a window in which the others spent theirs

Callers saw: nothing by themselves. A service that is short of targets would get more retries in a window than its budget allows when entries are added beside it.

Cause: a new entry added its reserve one window after its start, while the others held the shares of the smaller fleet until they had counted it, up to two seconds after that start. What they spent until then and the new reserve fall into one window.

Evidence: TestRetriesOfEntriesThatJoinStayWithinTheBudget failed before: 4 beyond the budget when a fleet of five doubles and two bursts of 100 and 50 requests all want a retry.

Change: the reserve comes 3 s later, routing.ReserveAt. TestReserveIsAddedOnceTheWindowHasPassed demanded it after exactly one window; it now demands that it comes after these 3 s and not before, and is called ...ForAll.

Why it works: 3 s after the start the others have counted the new entry and cut their budgets to the new share, so that any window that sees the new reserve sees only new shares. That they have by then is read off the intervals (a link at once, a count each second), not measured in a large fleet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,9 +160,9 @@
 	// and RetryBurst the most retries that the budgets of all entries together may
 	// accumulate for a service.
 	RetryRatio, RetryBurst float64
-	// RetryWindow is the window over which the retries of a service are counted. For that long
-	// after the start of a process its budgets hold only what its requests add, because an
-	// earlier process of this host may have spent the rest. Default DefaultRetryWindow.
+	// RetryWindow is the window over which the retries of a service are counted. Until
+	// routing.ReserveAt the budgets of a process hold only what its requests add. Default
+	// DefaultRetryWindow.
 	RetryWindow time.Duration
 	// MinRemaining is the least remaining time with which a target can still serve a
 	// request. With less, a failed request is not sent to another target. Default 30 ms.
@@ -297,7 +297,7 @@
 	if b == nil {
 		share := g.budgetShare()
 		b = routing.NewBudget(routing.BudgetConfig{Ratio: g.cfg.RetryRatio, Reserve: share, Cap: share, NoRefill: true,
-			ReserveAt: g.startedAt.Add(g.cfg.RetryWindow)})
+			ReserveAt: routing.ReserveAt(g.startedAt, g.cfg.RetryWindow)})
 		g.budgets[service] = b
 	}
 	return b
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/notice"
+	"github.com/springgate/springgate/routing"
 	"github.com/springgate/springgate/targetconn"
 	"gotest.tools/v3/assert"
 )
@@ -189,7 +190,7 @@
 
 // passRetryWindow makes the gateway one that has run for long enough to hold its whole retry budget.
 func (f *testGateway) passRetryWindow() {
-	f.gateway.startedAt = time.Now().Add(-f.gateway.cfg.RetryWindow)
+	f.gateway.startedAt = time.Now().Add(-routing.ReserveAt(time.Time{}, f.gateway.cfg.RetryWindow).Sub(time.Time{}))
 }
 
 // answer is the response that the caller received; err is set if it was cut off.
--- a/routing/budget_test.go
+++ b/routing/budget_test.go
@@ -33,7 +33,7 @@
 // restart replaces the process of an entry.
 func (f *fleetBudget) restart(i int) {
 	share := f.extra / float64(len(f.entries))
-	f.entries[i] = NewBudget(BudgetConfig{Ratio: f.ratio, Reserve: share, Cap: share, NoRefill: true, ReserveAt: f.now.Add(budgetWindow)})
+	f.entries[i] = NewBudget(BudgetConfig{Ratio: f.ratio, Reserve: share, Cap: share, NoRefill: true, ReserveAt: ReserveAt(f.now, budgetWindow)})
 }
 
 // request sends a request through an entry, and retries it as often as wanted and allowed.
@@ -106,10 +106,10 @@
 	assert.Assert(t, float64(made) >= 0.9*float64(wanted), "%d of %d retries", made, wanted)
 }
 
-func TestReserveIsAddedOnceTheWindowHasPassed(t *testing.T) {
+func TestReserveIsAddedOnceTheWindowHasPassedForAll(t *testing.T) {
 	f := newFleetBudget(1, 0.1, 8)
 	assert.Equal(t, f.request(0, 10), 0)
-	f.now = f.now.Add(budgetWindow - 1)
+	f.now = f.now.Add(budgetWindow + shareDelay - 1)
 	assert.Equal(t, f.request(0, 10), 0)
 	f.now = f.now.Add(1)
 	assert.Equal(t, f.request(0, 10), 8)
@@ -136,3 +136,29 @@
 		assert.Check(t, f.excess() <= 0, "%d requests/s: %.0f beyond the budget", perS, f.excess())
 	}
 }
+
+// A fleet doubles, and all requests want a retry: those of a burst before its earlier entries have counted
+// the new ones, and those of a burst that comes one window after the new ones started.
+func TestRetriesOfEntriesThatJoinStayWithinTheBudget(t *testing.T) {
+	const ratio, extra, before, after = 0.2, 106.0, 5, 10
+	f := newFleetBudget(before, ArrivalRatio(ratio, budgetWindow, 3*time.Second), 0.8*extra)
+	f.now = f.now.Add(time.Minute)
+	started := f.now
+	for i := before; i < after; i++ {
+		f.entries = append(f.entries, nil)
+		f.restart(i)
+	}
+	burst := func(at time.Duration, requests int, entries []int) {
+		f.now = started.Add(at)
+		for i := range requests {
+			f.request(entries[i%len(entries)], 1)
+		}
+	}
+	burst(time.Second, 100, []int{0, 1, 2, 3, 4})
+	for _, b := range f.entries {
+		b.Resize(0.8 * extra / after)
+	}
+	burst(budgetWindow+time.Second/2, 50, []int{5, 6, 7, 8, 9})
+	f.ratio, f.extra = ratio, extra
+	assert.Check(t, f.excess() <= 0, "%.0f beyond the budget", f.excess())
+}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -22,12 +22,19 @@
 	// NoRefill disables the refill over time: only successes add to the budget.
 	NoRefill bool
 	// ReserveAt is when the reserve is added. Default: at the start.
-	//
-	// A process whose predecessor may have spent its reserve adds its own one only when
-	// the window over which retries are counted has passed since its start.
 	ReserveAt time.Time
 }
 
+// shareDelay is how long after the start of an entry the others may still spend the shares that they
+// had without it: they count it when they have heard it, and resize their budgets each second.
+const shareDelay = 3 * time.Second
+
+// ReserveAt returns when an entry that starts adds its reserve: when the window over which retries are
+// counted no longer holds what an earlier process of its host, or the other entries, may have spent of it.
+func ReserveAt(start time.Time, window time.Duration) time.Time {
+	return start.Add(shareDelay + window)
+}
+
 func (c BudgetConfig) applyDefaults() BudgetConfig {
 	c.Ratio = cmp.Or(c.Ratio, 0.2)
 	c.Reserve = cmp.Or(c.Reserve, 10)
