--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,6 +88,12 @@
 	}
 }
 
+// Guards against a request to a target that has named a limit of none, after entries and the target restarted.
+func TestSoakLimitsAreKeptBesideRestartsAndPauses(t *testing.T) {
+	runAndCheck(t, Config{Seed: 16046, Duration: 3 * time.Second, Entries: 5, Engines: 4, PlainTargets: plainTargets,
+		Bin: buildPrograms(t), Dir: seedDir(t, 16046), Logf: t.Logf})
+}
+
 // plainTargets is the number of plain targets in the fleets of the tests.
 const plainTargets = 3
 
