--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// Guards against a request to a target that has named a limit of none, after entries and the target restarted.
+// Guards against requests beyond the limit of a target that names none, beside restarts and pauses.
 func TestSoakLimitsAreKeptBesideRestartsAndPauses(t *testing.T) {
 	runAndCheck(t, Config{Seed: 16046, Duration: 3 * time.Second, Entries: 5, Engines: 4, PlainTargets: plainTargets,
 		Bin: buildPrograms(t), Dir: seedDir(t, 16046), Logf: t.Logf})
