--- /dev/null
+++ b/review/_driver/padding.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pieceBytes is the size of an event's data in the padded streams: the largest piece of the small
+// deployments.
+const pieceBytes = 420
+
+// padded is the address of a target whose events are as large as those of the small deployments.
+// The stand-in behind it writes shorter ones.
+type padded struct {
+	ln     net.Listener
+	server *http.Server
+	mu     sync.Mutex
+	to     string
+
+	garbling         bool
+	answers, garbled int // since garble was last switched on
+}
+
+// garbledPart is of how many answers one is garbled.
+const garbledPart = 50
+
+// garbageRate is the rate of a garbled answer in bytes a second, below that of the link of an
+// entry's machine (1,000 Mbit/s).
+const garbageRate = 100 << 20
+
+func newPadded() (*padded, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &padded{ln: ln}
+	reverse := &httputil.ReverseProxy{
+		FlushInterval: -1, // each event as it arrives
+		Rewrite: func(r *httputil.ProxyRequest) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			r.SetURL(&url.URL{Scheme: "http", Host: p.to})
+			r.Out.Host = r.In.Host
+		},
+		ModifyResponse: func(r *http.Response) error {
+			if strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
+				r.Body = padEvents(r.Body)
+			}
+			return nil
+		},
+	}
+	p.server = &http.Server{Handler: p.handler(reverse)}
+	go func() { _ = p.server.Serve(ln) }()
+	return p, nil
+}
+
+func (p *padded) addr() string { return p.ln.Addr().String() }
+
+func (p *padded) close() { _ = p.server.Close() }
+
+func (p *padded) point(to string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.to = to
+}
+
+// garble switches on that some answers are bytes that are not a response.
+func (p *padded) garble(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.garbling = on; on {
+		p.answers, p.garbled = 0, 0
+	}
+}
+
+func (p *padded) counts() (answers, garbled int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answers, p.garbled
+}
+
+// instance returns the beginning of the target's IDs.
+func (p *padded) instance() string { return "i-" + strings.ReplaceAll(p.addr(), ":", "-") + "-" }
+
+// handler answers a part of the requests with garbage and passes the others on.
+func (p *padded) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.answers++
+		bad := p.garbling && p.answers%garbledPart == 0
+		if bad {
+			p.garbled++
+		}
+		p.mu.Unlock()
+		if !bad {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		sendGarbage(c)
+	})
+}
+
+// sendGarbage writes bytes that are not a response until the connection is closed.
+func sendGarbage(w io.Writer) {
+	const step = 10 * time.Millisecond
+	b := bytes.Repeat([]byte{'.'}, garbageRate/int(time.Second/step))
+	tick := time.NewTicker(step)
+	defer tick.Stop()
+	for range tick.C {
+		if _, err := w.Write(b); err != nil {
+			return
+		}
+	}
+}
+
+// padEvents lengthens the data lines of a stream.
+func padEvents(body io.ReadCloser) io.ReadCloser {
+	r, w := io.Pipe()
+	go func() {
+		defer body.Close()
+		lines := bufio.NewScanner(body)
+		for lines.Scan() {
+			line := lines.Text()
+			if strings.HasPrefix(line, "data: ") {
+				line += " " + strings.Repeat(".", max(pieceBytes-len(line)-1, 0))
+			}
+			if _, err := fmt.Fprintf(w, "%s\n", line); err != nil {
+				return
+			}
+		}
+		_ = w.CloseWithError(lines.Err())
+	}()
+	return r
+}
