--- a/review/_driver/slowreader.go
+++ b/review/_driver/slowreader.go
@@ -18,8 +18,9 @@
 	// slowPause is how long a slow reader reads nothing in the middle of a stream. It is within the
 	// time that the client allows for the request, which is routeTimeout.
 	slowPause = 3600 * time.Millisecond
-	// receiveBuffer is the size of the client's receive buffer: its link has a small window.
-	receiveBuffer = 2304
+	// receiveBuffer is the size of the client's receive buffer, which Linux doubles to its least: the
+	// client's link has a small window.
+	receiveBuffer = 1152
 	// lostAllowed is how many requests may be lost at any time; around planned work none may.
 	lostAllowed = 3
 	// rounds is how often each client connects. Each round follows a SIGHUP of two of the three
