review: case 2 with the memory of the site, 284 MB

The limit was 256 MB, from the stand-in's settings. Now two of six (share 0.333, the site has 0.419), as many entries as the site, engines at the site's pace, and only requests on kept connections are counted.

--- a/review/_driver/client.go
+++ b/review/_driver/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strings"
 	"sync"
@@ -48,6 +49,7 @@
 	status int           // 0 for none
 	events int
 	served bool
+	kept   bool // sent on a connection that had carried another request
 	note   string
 }
 
@@ -87,7 +89,8 @@
 	r, err := fake.NewRequest(e.node.Callers, hostName, path, fake.Call{ID: o.id, Key: apiKey, Timeout: routeTimeout, Prompt: 100, Parts: []string{"a1", fmt.Sprintf("%x", o.id)}})
 	if err == nil {
 		var resp *http.Response
-		if resp, err = h.Do(r.WithContext(ctx)); err == nil {
+		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { o.kept = i.Reused }})
+		if resp, err = h.Do(r.WithContext(traced)); err == nil {
 			o.status = resp.StatusCode
 			if strings.HasPrefix(path, chatPath) && resp.StatusCode == http.StatusOK {
 				o.events = readEvents(resp.Body)
@@ -108,7 +111,7 @@
 	c.mu.Lock()
 	c.all = append(c.all, o)
 	c.mu.Unlock()
-	c.f.rec.logf("client: %s sent to %s at %.3f s, status %d, %d events, served %t %s", o.id, e.node.Name, o.sent.Seconds(), o.status, o.events, o.served, o.note)
+	c.f.rec.logf("client: %s sent to %s at %.3f s, kept connection %t, status %d, %d events, served %t %s", o.id, e.node.Name, o.sent.Seconds(), o.kept, o.status, o.events, o.served, o.note)
 	return o
 }
 
--- a/review/_driver/fleet.go
+++ b/review/_driver/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"sync"
 	"syscall"
@@ -97,7 +98,7 @@
 		f.engines = append(f.engines, e)
 	}
 	for i := range f.size.plain {
-		p, err := newPadded()
+		p, err := newPadded(f.rec)
 		if err != nil {
 			return err
 		}
@@ -259,7 +260,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	path := filepath.Join(p.dir, p.node.Name+".toml")
-	if err := os.WriteFile(path, []byte(p.node.Settings()), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(p.settings()), 0o600); err != nil {
 		return err
 	}
 	out, err := os.OpenFile(filepath.Join(p.dir, p.node.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -300,7 +301,7 @@
 	p.mu.Lock()
 	seeds := p.node.Seeds
 	p.node.Seeds = append(append([]string(nil), seeds[1:]...), seeds[0])
-	err := os.WriteFile(filepath.Join(p.dir, p.node.Name+".toml"), []byte(p.node.Settings()), 0o600)
+	err := os.WriteFile(filepath.Join(p.dir, p.node.Name+".toml"), []byte(p.settings()), 0o600)
 	p.mu.Unlock()
 	if err == nil {
 		p.signal(syscall.SIGHUP)
@@ -331,3 +332,13 @@
 	}
 	return "", fmt.Errorf("no free port")
 }
+
+// settings returns the settings file of the process.
+func (p *process) settings() string {
+	return memoryLine.ReplaceAllString(p.node.Settings(), fmt.Sprintf("MemoryMb = %d", memoryMb))
+}
+
+// memoryMb is what a process of an entry's machine may hold in the small deployment.
+const memoryMb = 284
+
+var memoryLine = regexp.MustCompile(`MemoryMb = \d+`)
--- a/review/_driver/flood.go
+++ b/review/_driver/flood.go
@@ -14,19 +14,22 @@
 )
 
 const (
-	// memoryLimit is MemoryMb of the settings that the stand-ins write.
-	memoryLimit = 256 << 20
+	memoryLimit = memoryMb << 20
 	// restartDelay is how long after its end the platform starts a process again.
 	restartDelay = 200 * time.Millisecond
 	memoryPoll   = 20 * time.Millisecond
 	// garbleFor is how long the target is faulty: for_s of garble among the troubles of the site.
 	garbleFor = 5500 * time.Millisecond
+	// faultyTargets is how many of the targets give garbled answers: 0.33 of them.
+	faultyTargets = 2
+	// eventGap is the time between two events of the small deployment's engines: five steps.
+	eventGap = 44 * time.Millisecond
 )
 
-// flood lets one of six targets answer some requests with bytes that are not a response. It
+// flood lets two of six targets answer some requests with bytes that are not a response. It
 // checks LOST.
 func flood(rec *record, bin string, trouble bool) (verdict, error) {
-	f, err := newFleet(rec, bin, sizes{entries: 3, plain: 6, pieces: 64})
+	f, err := newFleet(rec, bin, sizes{entries: 5, plain: 6, pieces: 64})
 	if f != nil {
 		defer f.close()
 	}
@@ -37,6 +40,9 @@
 		return failed, err
 	}
 	f.plainKind = fake.KindUnsafe
+	for _, p := range f.padded {
+		p.eventGap = eventGap
+	}
 	f.writeConfig()
 	if err := f.prepareProcesses(); err != nil {
 		return failed, err
@@ -55,17 +61,25 @@
 	c.run(ctx, 16, 60*time.Millisecond, plainStreamPath)
 	time.Sleep(3 * time.Second)
 	if trouble {
-		f.padded[0].garble(true)
-		rec.say("target at %s: 1 of %d answers is bytes that are not a response", f.padded[0].addr(), garbledPart)
+		for _, p := range f.padded[:faultyTargets] {
+			p.garble(true)
+			rec.say("target at %s: 1 of %d answers is bytes that are not a response", p.addr(), garbledPart)
+		}
 	}
 	time.Sleep(garbleFor)
-	f.padded[0].garble(false)
+	for _, p := range f.padded[:faultyTargets] {
+		p.garble(false)
+	}
 	time.Sleep(2 * time.Second)
 	stop()
 	c.wg.Wait()
 	c.writeRuns()
-	answers, garbled := f.padded[0].counts()
-	rec.say("faulty target: %d answers, %d of them garbled", answers, garbled)
+	answers, garbled := 0, 0
+	for _, p := range f.padded[:faultyTargets] {
+		a, g := p.counts()
+		answers, garbled = answers+a, garbled+g
+	}
+	rec.say("faulty targets: %d answers, %d of them garbled", answers, garbled)
 	lost := c.lost()
 	rec.say("%d processes ended over their memory; %d requests run by a sound engine were not answered", ends.Load(), lost)
 	if len(c.all) == 0 || trouble != (garbled > 0) {
@@ -79,12 +93,12 @@
 	return held, nil
 }
 
-// lost returns how many requests ran at a target that was sound, and got no answer.
+// lost returns how many requests came on a kept connection, ran at a target that was sound, and got
+// no answer.
 func (c *clients) lost() (n int) {
-	faulty := c.f.padded[0].instance()
 	for _, o := range c.all {
 		for _, run := range c.f.log.Executions(o.id) {
-			if o.status == 0 && !strings.HasPrefix(run, faulty) {
+			if o.kept && o.status == 0 && !c.f.faulty(run) {
 				n++
 				break
 			}
@@ -133,3 +147,13 @@
 	}
 	return pages * int64(syscall.Getpagesize())
 }
+
+// faulty reports whether a run was at a target that gave garbled answers.
+func (f *fleet) faulty(run string) bool {
+	for _, p := range f.padded[:faultyTargets] {
+		if strings.HasPrefix(run, p.instance()) {
+			return true
+		}
+	}
+	return false
+}
--- a/review/_driver/padding.go
+++ b/review/_driver/padding.go
@@ -15,17 +15,20 @@
 )
 
 // pieceBytes is the size of an event's data in the padded streams: the largest piece of the small
-// deployments.
-const pieceBytes = 420
+// deployment.
+const pieceBytes = 390
 
 // padded is the address of a target whose events are as large as those of the small deployments.
 // The stand-in behind it writes shorter ones.
 type padded struct {
+	rec    *record
 	ln     net.Listener
 	server *http.Server
 	mu     sync.Mutex
 	to     string
 
+	eventGap time.Duration // between two events
+
 	garbling         bool
 	answers, garbled int // since garble was last switched on
 }
@@ -33,16 +36,16 @@
 // garbledPart is of how many answers one is garbled.
 const garbledPart = 50
 
-// garbageRate is the rate of a garbled answer in bytes a second, below that of the link of an
-// entry's machine (1,000 Mbit/s).
-const garbageRate = 100 << 20
+// garbageRate is the most that a garbled answer sends in bytes a second, as much as the link of an
+// entry's machine takes (1,000 Mbit/s).
+const garbageRate = 119 << 20
 
-func newPadded() (*padded, error) {
+func newPadded(rec *record) (*padded, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &padded{ln: ln}
+	p := &padded{rec: rec, ln: ln}
 	reverse := &httputil.ReverseProxy{
 		FlushInterval: -1, // each event as it arrives
 		Rewrite: func(r *httputil.ProxyRequest) {
@@ -53,7 +56,7 @@
 		},
 		ModifyResponse: func(r *http.Response) error {
 			if strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
-				r.Body = padEvents(r.Body)
+				r.Body = padEvents(r.Body, p.eventGap)
 			}
 			return nil
 		},
@@ -117,15 +120,19 @@
 // sendGarbage writes bytes that are not a response until the connection is closed or the target is
 // sound again.
 func (p *padded) sendGarbage(w io.Writer) {
-	const step = 10 * time.Millisecond
-	b := bytes.Repeat([]byte{'.'}, garbageRate/int(time.Second/step))
-	tick := time.NewTicker(step)
-	defer tick.Stop()
-	for range tick.C {
-		if !p.isGarbling() {
-			return
+	b := bytes.Repeat([]byte{'.'}, 64<<10)
+	began, sent := time.Now(), 0
+	defer func() {
+		p.rec.say("target at %s: a garbled answer had %d MB in %v", p.addr(), sent>>20, time.Since(began).Round(time.Millisecond))
+	}()
+	for p.isGarbling() {
+		if float64(sent) > time.Since(began).Seconds()*garbageRate {
+			time.Sleep(time.Millisecond)
+			continue
 		}
-		if _, err := w.Write(b); err != nil {
+		n, err := w.Write(b)
+		sent += n
+		if err != nil {
 			return
 		}
 	}
@@ -137,8 +144,8 @@
 	return p.garbling
 }
 
-// padEvents lengthens the data lines of a stream.
-func padEvents(body io.ReadCloser) io.ReadCloser {
+// padEvents lengthens the data lines of a stream and delays each by gap.
+func padEvents(body io.ReadCloser, gap time.Duration) io.ReadCloser {
 	r, w := io.Pipe()
 	go func() {
 		defer body.Close()
@@ -146,6 +153,7 @@
 		for lines.Scan() {
 			line := lines.Text()
 			if strings.HasPrefix(line, "data: ") {
+				time.Sleep(gap)
 				line += " " + strings.Repeat(".", max(pieceBytes-len(line)-1, 0))
 			}
 			if _, err := fmt.Fprintf(w, "%s\n", line); err != nil {
