--- a/review/_driver/flood.go
+++ b/review/_driver/flood.go
@@ -22,8 +22,12 @@
 	garbleFor = 5500 * time.Millisecond
 	// faultyTargets is how many of the targets give garbled answers: 0.33 of them.
 	faultyTargets = 2
-	// eventGap is the time between two events of the small deployment's engines: five steps.
-	eventGap = 44 * time.Millisecond
+	// eventGap is the time between two events of the targets: 8 of them take as long as the 21 of the
+	// site's mean stream, each five steps of 8.87 ms.
+	eventGap = 115 * time.Millisecond
+	// clientsEach is the number of clients of each entry; together they send 165 requests a second,
+	// as the site's clients do.
+	clientsEach = 33
 )
 
 // flood lets two of six targets answer some requests with bytes that are not a response. It
@@ -58,7 +62,7 @@
 	}
 	time.Sleep(contact + 2*time.Second)
 	c := &clients{f: f}
-	c.run(ctx, 16, 60*time.Millisecond, plainStreamPath)
+	c.run(ctx, clientsEach, 60*time.Millisecond, plainStreamPath)
 	time.Sleep(3 * time.Second)
 	if trouble {
 		for _, p := range f.padded[:faultyTargets] {
