--- a/review/_cases2/fleet.go
+++ b/review/_cases2/fleet.go
@@ -40,7 +40,6 @@
 	record     *record
 	store      *fake.Store
 	origin     *fake.Origin
-	originAddr string // address of the origin in the configuration
 	requestLog *fake.RequestLog
 	engines    []*fake.Target
 	entries    []*entry
@@ -55,9 +54,8 @@
 	process       *soak.Process
 }
 
-// startPlatform starts the stand-ins of the platform. wrapOrigin returns the address at which the
-// origin is configured.
-func startPlatform(rec *record, wrapOrigin func(addr string) (string, error)) (*fleet, error) {
+// startPlatform starts the stand-ins of the platform.
+func startPlatform(rec *record) (*fleet, error) {
 	f := &fleet{record: rec, requestLog: fake.NewRequestLog(), nextPort: 21000 + os.Getpid()*37%5000}
 	var err error
 	if f.dir, err = os.MkdirTemp("", "cases2-"); err != nil {
@@ -69,12 +67,6 @@
 	if f.origin, err = fake.NewOrigin(model, pieces); err != nil {
 		return nil, err
 	}
-	f.originAddr = f.origin.Addr()
-	if wrapOrigin != nil {
-		if f.originAddr, err = wrapOrigin(f.origin.Addr()); err != nil {
-			return nil, err
-		}
-	}
 	return f, nil
 }
 
@@ -167,7 +159,7 @@
 	}
 	cfg := fake.Config{Version: n,
 		Routes: []fake.Route{route("safe", "/safe/", fake.KindSafe, plainService), route("stream", "/stream/", fake.KindStreaming, engineService)},
-		Services: []fake.Service{{Name: plainService, MaxConnections: 200}, {Name: "origin", MaxConnections: 48, Origin: f.originAddr, Zone: domains[0]},
+		Services: []fake.Service{{Name: plainService, MaxConnections: 200}, {Name: "origin", MaxConnections: 48, Origin: f.origin.Addr(), Zone: domains[0]},
 			{Name: engineService, MaxConnections: 200, Engine: &fake.Engine{Slots: 16, Stride: 5, StepMs: 1, ReadPerS: 100000,
 				Models: []fake.EngineModel{{Name: model, WarmS: 0.1}}, Usual: map[string]int{"prompt": 100, "answer": 20}, Layers: 4, Chunks: pieces, ChunkBytes: pieceBytes}}},
 		Limits: map[string]int{"HeaderBytes": 16384, "BodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
@@ -180,32 +172,26 @@
 
 func configKey(n int) string { return fmt.Sprintf("key-of-%d", n) }
 
-// answer is what a client got.
-type answer struct {
-	status     int // 0 if there was no complete answer
-	retryAfter time.Duration
-}
-
-// call sends one attempt of a request over a new connection.
-func call(e *entry, path, id, key string, timeout time.Duration) answer {
+// call sends one attempt of a request over a new connection. It returns the status of the answer, 0 if
+// there was no complete one.
+func call(e *entry, path, id, key string, timeout time.Duration) (status int) {
 	t := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 	defer t.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	r, err := fake.NewRequest(e.callers, hostName, path, fake.Call{ID: id, Key: key, Timeout: timeout, Prompt: 100, Parts: []string{"a1", fmt.Sprintf("%x", id)}})
 	if err != nil {
-		return answer{}
+		return 0
 	}
 	resp, err := (&http.Client{Transport: t}).Do(r.WithContext(ctx))
 	if err != nil {
-		return answer{}
+		return 0
 	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return answer{}
+		return 0
 	}
-	s, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	return answer{resp.StatusCode, time.Duration(s * float64(time.Second))}
+	return resp.StatusCode
 }
 
 // awaitService waits until each entry serves both kinds of request.
@@ -215,8 +201,8 @@
 		var missing []string
 		for _, e := range f.entries {
 			for _, path := range []string{"/safe/", "/stream/"} {
-				if a := call(e, path, fmt.Sprintf("start-%s-%d%s", e.name, n, strings.Trim(path, "/")), lastingKey, 3*time.Second); a.status != http.StatusOK {
-					missing = append(missing, fmt.Sprintf("%s%s: %d", e.name, path, a.status))
+				if status := call(e, path, fmt.Sprintf("start-%s-%d%s", e.name, n, strings.Trim(path, "/")), lastingKey, 3*time.Second); status != http.StatusOK {
+					missing = append(missing, fmt.Sprintf("%s%s: %d", e.name, path, status))
 				}
 			}
 		}
--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -16,9 +16,9 @@
 )
 
 func main() {
-	cases := map[string]func(*record, bool) (int, error){"manifest": playManifest, "storm": playStorm}
+	cases := map[string]func(*record, bool) (int, error){"storm": playStorm}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: _cases2 manifest|storm DIR")
+		fmt.Fprintln(os.Stderr, "usage: _cases2 storm DIR")
 		os.Exit(failed)
 	}
 	rec, err := newRecord(os.Args[2])
--- a/review/_cases2/storm.go
+++ b/review/_cases2/storm.go
@@ -18,12 +18,13 @@
 	applyWithin   = 2 * time.Second  // the bound of configuration
 	historyFor    = 20 * time.Second // how long the store keeps its changes
 	checkGap      = 250 * time.Millisecond
+	deadline      = 3 * time.Second // of a request
 )
 
 // playStorm writes configurations in quick succession and checks, from the bound of configuration
 // after the last one on, that its key is accepted and that the key of the one before is not.
 func playStorm(rec *record, trouble bool) (int, error) {
-	f, err := startPlatform(rec, nil)
+	f, err := startPlatform(rec)
 	if err != nil {
 		return failed, err
 	}
@@ -98,9 +99,9 @@
 				id := fmt.Sprintf("check-%s-%d-%d", e.name, acked.UnixMilli()%100000, time.Now().UnixNano())
 				newest := call(e, "/safe/", id+"-new", configKey(last), deadline)
 				older := call(e, "/safe/", id+"-old", configKey(last-1), deadline)
-				bad := sent > applyWithin && (newest.status == http.StatusUnauthorized || older.status == http.StatusOK)
+				bad := sent > applyWithin && (newest == http.StatusUnauthorized || older == http.StatusOK)
 				f.record.logf("%s, %.2f s after the acknowledgement: key of %d: %d, dropped key of %d: %d, runs %d%s", e.name, sent.Seconds(),
-					last, newest.status, last-1, older.status, len(f.requestLog.Executions(id+"-old")), map[bool]string{true: "  OLDER CONFIGURATION"}[bad])
+					last, newest, last-1, older, len(f.requestLog.Executions(id+"-old")), map[bool]string{true: "  OLDER CONFIGURATION"}[bad])
 				mu.Lock()
 				defer mu.Unlock()
 				if bad {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the scripts of the cases 4 to 6 start beside the programs of the deploy file.
+# Builds what the script of case 5 starts beside the programs of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/ ./review/_cases2
