gateway: log and count what tells a final refusal by mistake from one that is right

Answers of 400 and 431 that net/http gives before any handler were in no log and no metric; lines of no_route and unknown_key named neither host, path nor key; body_broken named no error. Change: a listener that recognizes net/http's own answers counts them by status and logs one a second; the lines of final refusals have host and path, a keyed digest of the key, the copy of the store with its age, and the error of the body. No decision changes.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -41,6 +41,7 @@
 	case errors.As(err, &large):
 		return ReasonBodyTooLarge
 	case err != nil:
+		x.bodyErr = err
 		return ReasonBodyBroken
 	}
 	x.bodyComplete = true
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,6 +47,7 @@
 	lastEvent       string            // ID of the last event relayed
 	events          int
 	bodyComplete    bool // the body has been read
+	bodyErr         error
 	unresumable     bool // the part of the response that was relayed cannot be continued by another target
 	started         bool // the response header has been written to the caller
 	waited          time.Duration
@@ -223,6 +224,7 @@
 		return
 	}
 	f["reason"] = reason
+	x.logFinalRefusal(f, reason)
 	x.level.log(f)
 	if x.started {
 		f["truncated"] = true
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -80,10 +80,15 @@
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
 	s.servers = append(s.servers, server)
-	go s.serve(server, ln)
+	go s.serve(server, s.observed(ln))
 	return nil
 }
 
+// observed returns a listener whose connections are observed for answers that no handler gives.
+func (s *Server) observed(ln net.Listener) net.Listener {
+	return rejectionListener{ln, newRejectionMonitor(s.gateway.stats.registry, s.log)}
+}
+
 func (s *Server) serve(server *http.Server, ln net.Listener) {
 	if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		s.log.WithError(err).Error("Listener failed.")
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -24,6 +24,9 @@
 // Caller is the part of a fingerprint that identifies the caller.
 type Caller [callerBytes]byte
 
+// String returns the hash in hexadecimal.
+func (c Caller) String() string { return hex.EncodeToString(c[:]) }
+
 // Caller returns the part that identifies the caller.
 func (f Fingerprint) Caller() Caller { return Caller(f[:callerBytes]) }
 
