--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -68,13 +68,16 @@
 	started      int
 	incarnations [stormTargets]Incarnation
 	causes       map[Fingerprint]*cause
-	refused      map[Fingerprint]int
-	served       int // requests that ended well
-	partsEach    int // further parts of each prompt that no other has
+	refused      map[Fingerprint]int // not sent, by the cause or the content
+	denied       map[Fingerprint]int // of these, refused for good
+	longest      time.Duration       // that a request runs
+	served       int                 // requests that ended well
+	partsEach    int                 // further parts of each prompt that no other has
 }
 
 func newStorm(seed uint64, causes ...Fingerprint) *storm {
-	s := &storm{rng: rand.New(rand.NewPCG(seed, 3)), fleet: stormTargets, table: NewTable(), causes: map[Fingerprint]*cause{}, refused: map[Fingerprint]int{}}
+	s := &storm{rng: rand.New(rand.NewPCG(seed, 3)), fleet: stormTargets, table: NewTable(), causes: map[Fingerprint]*cause{}, refused: map[Fingerprint]int{},
+		denied: map[Fingerprint]int{}, longest: 900 * time.Millisecond}
 	for _, c := range causes {
 		s.causes[c] = &cause{content: c}
 	}
@@ -100,11 +103,14 @@
 }
 
 func (s *storm) arrive(now time.Duration, r running) {
-	if refused(s.table, now, r.subjects()...) {
+	if verdict, _ := s.table.Judge(at(now), r.subjects(), notHome); verdict != Send {
+		f := r.content
 		if c := s.causeOf(r); c != nil {
-			s.refused[c.content]++
-		} else {
-			s.refused[r.content]++
+			f = c.content
+		}
+		s.refused[f]++
+		if verdict == Refuse {
+			s.denied[f]++
 		}
 		return
 	}
@@ -119,7 +125,7 @@
 		}
 	}
 	r.sends--
-	r.startedAt, r.endsAt = now, now+time.Duration(10+s.rng.IntN(890))*time.Millisecond
+	r.startedAt, r.endsAt = now, now+10*time.Millisecond+time.Duration(s.rng.IntN(int(s.longest/time.Millisecond)-10))*time.Millisecond
 	s.targets[i] = append(s.targets[i], r)
 }
 
