quarantine: refuse for good only where chance is ruled out, hold back what is suspected

What callers saw: proper prompts ended with 400 (ends_targets), which callers do not retry, at all entries while targets crashed for reasons that lie in no request (DENIED). Cause: three crashes with a subject in flight counted as proof, whatever the rate at which targets crashed anyway and however long the subject had been running there. A part that one prompt in twenty shares is at several targets at any time, and a stream lasts seconds before it can succeed; so it meets three crashes by chance. Suspicion and proof got the same, final answer. Change: who is to blame is decided as before. Whether anybody is, is now weighed: the crashes, in moments that cannot have one cause from outside, against those expected by chance in the time that the subject was in flight, at the rate at which other targets crash (a Poisson likelihood ratio). Certain: 400. Suspected: 503 with the time of the next probe, one probe at a time after 1, 4 and 16 s. Explained by chance: sent. Why it works: a request that crashes its targets does so soon after each send, again and again, which chance hardly explains; what is long or often in flight is expected at crashes.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -313,6 +313,7 @@
 	c.gateway.crashDetector.compareListed(list)
 	down, ended := c.outage()
 	c.list = c.roster.Update(clock.Now(), list, down, later(ended, c.restoredAt))
+	c.gateway.cfg.Crashes.SetTargets(len(c.list))
 	if cfg := c.gateway.Config(); cfg != nil {
 		c.balancer.Apply(c.list, cfg.Services)
 	}
--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -51,7 +51,7 @@
 // lostRequest is a request during which the connection to its target broke.
 type lostRequest struct {
 	subjects []quarantine.Fingerprint
-	at       time.Time
+	sent, at time.Time
 }
 
 // crashDetector determines which connections break because their target ended. A reset, a
@@ -108,7 +108,7 @@
 	if !x.ended {
 		x.lastLossAt = now
 	}
-	x.addUnreported(lostRequest{subjects, now})
+	x.addUnreported(lostRequest{subjects, sent, now})
 	e.report(x)
 	return x, true
 }
@@ -121,13 +121,17 @@
 // crashes returns one crash for each subject of the unreported requests: requests have parts of prompts
 // in common.
 func (x *crashSuspect) crashes(reporter string) (out []quarantine.Crash) {
-	seen := map[quarantine.Fingerprint]bool{}
+	index := map[quarantine.Fingerprint]int{}
 	for _, r := range x.unreported {
+		ran := r.at.Sub(r.sent)
 		for _, f := range r.subjects {
-			if !seen[f] {
-				seen[f] = true
-				out = append(out, quarantine.Crash{Subject: f, Incarnation: incarnationOf(x.target), At: r.at, Reporter: reporter})
+			i, seen := index[f]
+			if !seen {
+				index[f] = len(out)
+				out = append(out, quarantine.Crash{Subject: f, Incarnation: incarnationOf(x.target), At: r.at, Ran: ran, Reporter: reporter})
+				continue
 			}
+			out[i].Ran = max(out[i].Ran, ran)
 		}
 	}
 	return out
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -42,19 +42,25 @@
 	return out
 }
 
-// quarantined reports whether the request is refused because targets crash when they run
-// it. It is called before each send, since other entries may have observed a crash since
-// the preceding one.
-func (x *exchange) quarantined() bool {
+// quarantined returns why the request is refused if targets crash when they run it, or may do so. It
+// is called before each send, since other entries may have observed a crash since the preceding one.
+func (x *exchange) quarantined() Reason {
 	if x.probing || x.g.cfg.Off.Has(mechanism.Quarantine) {
-		return false
+		return ReasonNone
 	}
 	verdict, finding := x.g.cfg.Crashes.Judge(clock.Now(), x.subjects, x.g.cfg.Probes)
 	if verdict == quarantine.Send {
-		return false
+		return ReasonNone
 	}
 	x.finding, x.probing = &finding, verdict == quarantine.Probe
-	return verdict == quarantine.Refuse
+	switch verdict {
+	case quarantine.Refuse:
+		return ReasonCrashesTargets
+	case quarantine.Hold:
+		x.nextFreeAt = finding.ProbeAt
+		return ReasonSuspected
+	}
+	return ReasonNone
 }
 
 // contentQuarantined reports whether the request's content, or a part of its prompt, is quarantined now. Unlike quarantined
@@ -91,6 +97,7 @@
 	f["subject"] = x.Subject.String()
 	f["ended"], f["first_age_ms"], f["last_age_ms"] = x.Crashes, now.Sub(x.First).Milliseconds(), now.Sub(x.Last).Milliseconds()
 	f["seen_by"], f["again_in_ms"] = x.Reporters, x.ProbeAt.Sub(now).Milliseconds()
+	f["certain"], f["evidence"] = x.Certain, rounded(x.Evidence)
 }
 
 // recordLostConnection records that the connection to a target broke during the request.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/clock/clocktest"
 	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/quarantine"
 	"github.com/springgate/springgate/revision"
@@ -279,3 +281,39 @@
 	assert.NilError(t, ln.Close())
 	return ln.Addr().String()
 }
+
+// Guards against a final refusal on a suspicion: a request that was in flight at targets that crashed
+// together is told to come back, and is sent once a probe may decide.
+func TestSuspectedRequestIsToldToComeBack(t *testing.T) {
+	x := newTarget(t, okHandler)
+	f := newTestGateway(t, x)
+	content := f.gateway.cfg.Hasher.Fingerprint(quarantine.Content{Caller: "blue", Method: http.MethodPost, Host: "h.example", URI: "/safe/x", Body: []byte("b")})
+	crashed := time.Now()
+	for i := range 4 {
+		f.gateway.cfg.Crashes.RecordCrashes(crashed, quarantine.Crash{Subject: content, Incarnation: quarantine.Incarnation{Target: fmt.Sprint(i)}, At: crashed, Ran: 20 * time.Millisecond})
+	}
+	f.gateway.cfg.Crashes.SetTargets(12)
+	held := f.call(http.MethodPost, "/safe/x", "b", "Left-Ms", "9000")
+	assert.Equal(t, held.status, http.StatusServiceUnavailable)
+	assert.Assert(t, held.header.Get("Retry-After") != "" && strings.Contains(held.body, string(ReasonSuspected)), held.body)
+	assert.Equal(t, x.count(), 0)
+	machine := clocktest.New(t)
+	machine.Suspend(2 * time.Second)
+	assert.Equal(t, f.call(http.MethodPost, "/safe/x", "b").status, http.StatusOK)
+	assert.Equal(t, f.call(http.MethodPost, "/safe/x", "b").status, http.StatusOK)
+}
+
+// Guards against a crash that is reported without the time for which its requests had been running.
+func TestCrashReportsHowLongRequestsRan(t *testing.T) {
+	e := newCrashDetector(quarantine.NewTable(), "host", logrus.New())
+	i, now, subjects := fleet.Instance{ID: "i-0", Addr: newTarget(t, okHandler).addr()}, time.Now(), []quarantine.Fingerprint{{1}}
+	for _, ran := range []time.Duration{time.Second, 3 * time.Second, 2 * time.Second} {
+		e.recordLoss(i, subjects, now.Add(-ran), now)
+	}
+	e.mu.Lock()
+	e.markEnded(e.suspects[incarnationOf(i)], "test")
+	e.mu.Unlock()
+	u, _ := e.table.Changes(0, 1)
+	assert.Equal(t, len(u.Crashes), 1)
+	assert.Equal(t, u.Crashes[0].Ran, 3*time.Second)
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -52,15 +52,16 @@
 
 // choose selects a target for the next send.
 func (x *exchange) choose(ctx context.Context) (dispatch.Choice, Reason) {
-	if x.quarantined() {
-		return dispatch.Choice{}, ReasonCrashesTargets
+	if reason := x.quarantined(); reason != ReasonNone {
+		return dispatch.Choice{}, reason
 	}
 	d := x.demand()
 	choice, reason := x.place(ctx, d)
 	// Other entries may have reported crashes while the request waited for a place.
-	if reason == ReasonNone && x.quarantined() {
-		x.g.balancer.Cancel(choice.Target, d)
-		reason = ReasonCrashesTargets
+	if reason == ReasonNone {
+		if reason = x.quarantined(); reason != ReasonNone {
+			x.g.balancer.Cancel(choice.Target, d)
+		}
 	}
 	x.recordPlacement(reason)
 	return choice, reason
--- a/peer/crashes.go
+++ b/peer/crashes.go
@@ -6,8 +6,21 @@
 type Crashes struct {
 	Crashes   []CrashReport
 	Survivals []SurvivalReport
+	// Added holds the fields that earlier releases do not know.
+	Added CrashesAdded `msgpack:"-"`
 }
 
+// CrashesAdded are fields of Crashes that earlier releases do not know.
+type CrashesAdded struct {
+	// RanMs is for how long each content or part of Crashes had been in progress on its target, in
+	// the same order.
+	RanMs []int64
+}
+
+func (c *Crashes) extension() any { return &c.Added }
+
+func (c *Crashes) hasExtension() bool { return len(c.Added.RanMs) > 0 }
+
 // Kind implements Message.
 func (*Crashes) Kind() Kind { return kindCrashes }
 
--- /dev/null
+++ b/quarantine/chance.go
@@ -0,0 +1,96 @@
+package quarantine
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Levels of evidence, as natural logarithms. A subject whose crashes chance explains well enough is sent on.
+// One that is suspected is held back until a probe decides. Only certainty refuses requests for
+// good: among the thousand subjects that may be in flight at crashes in a few minutes, chance leads to it less
+// than once in a hundred times.
+const (
+	suspicion = 3
+	certainty = 11.5
+)
+
+const (
+	// chanceWindow is the time before a subject's first crash in which crashes count for the rate of
+	// chance crashes.
+	chanceWindow = 5 * time.Second
+	// leastRun is the least time that a request counts as in flight at a crash: connections and
+	// clocks tell no finer.
+	leastRun = 10 * time.Millisecond
+)
+
+// chanceModel tells how likely it is that crashes of targets hit a subject by chance: all targets
+// crash at the same rate whatever they run, which is that of the crashes at which the subject was not in
+// flight, and one more. It compares this with the best explanation by the subject, that it crashes targets at
+// the rate seen while it was in flight.
+type chanceModel struct {
+	targets float64
+	ends    map[Incarnation]time.Time // of all targets that crashed
+}
+
+func newChanceModel(records map[Fingerprint]*record, targets int) chanceModel {
+	m := chanceModel{targets: float64(max(targets, 1)), ends: map[Incarnation]time.Time{}}
+	for _, r := range records {
+		for _, c := range r.crashes {
+			if !c.value.Retracted {
+				m.ends[c.value.Incarnation] = c.value.At
+			}
+		}
+	}
+	return m
+}
+
+// evidence returns the logarithm of the likelihood ratio for the crashes of a subject, which are in order of
+// time.
+func (m chanceModel) evidence(crashes []Crash) float64 {
+	if len(crashes) == 0 {
+		return 0
+	}
+	return poissonEvidence(moments(crashes), m.expected(crashes))
+}
+
+// expected returns how many chance crashes the subject would have met in the time that it was in flight.
+func (m chanceModel) expected(crashes []Crash) float64 {
+	from, to := crashes[0].At.Add(-chanceWindow), crashes[len(crashes)-1].At
+	var inFlight time.Duration
+	for _, c := range crashes {
+		inFlight += max(c.Ran, leastRun)
+	}
+	others := 0
+	for inc, at := range m.ends {
+		own := slices.ContainsFunc(crashes, func(c Crash) bool { return c.Incarnation == inc })
+		if !own && !at.Before(from) && !at.After(to) {
+			others++
+		}
+	}
+	rate := float64(others+1) / (m.targets * to.Sub(from).Seconds())
+	return rate * inFlight.Seconds()
+}
+
+// moments counts the crashes that cannot have had one cause from outside: those at different times, and those
+// of requests that were sent only after the crash before.
+func moments(crashes []Crash) (n int) {
+	var first, last time.Time
+	for i, c := range crashes {
+		if i == 0 || c.At.Sub(first) >= correlationWindow || c.At.Add(-c.Ran).After(last) {
+			n++
+			first = c.At
+		}
+		last = c.At
+	}
+	return n
+}
+
+// poissonEvidence returns the logarithm of the likelihood ratio between the rate seen and the one expected, for
+// n events where some number of them was expected; 0 if no more were seen.
+func poissonEvidence(n int, expected float64) float64 {
+	if float64(n) <= expected {
+		return 0
+	}
+	return float64(n)*math.Log(float64(n)/expected) - float64(n) + expected
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -28,6 +28,11 @@
 // explained by it. Parts that succeeded come last. All prompts may have a part in common, so it matters
 // for a part whether requests without it succeed meanwhile. Where none is even sent that could tell two
 // parts apart, ambiguousThreshold crashes one after the other are enough.
+//
+// This attributes crashes to what was in flight; whether anything in flight caused them is a question of its
+// own. Targets crash for other reasons too, and what is often or long in flight is then there by chance.
+// So the crashes are weighed against chance (see chanceModel). Only where chance is ruled out is a request
+// refused for good; where it is not, requests are held back, while one at a time is sent as a probe.
 package quarantine
 
 import "time"
@@ -67,6 +72,14 @@
 	maxProbeDelay      = 4 * time.Hour
 )
 
+// A content or part that is held back is sent again sooner, because chance may explain its crashes: after
+// initialHoldDelay, in which a run that began before usually ends well, and then after four times the
+// delay for each further moment with crashes.
+const (
+	initialHoldDelay  = time.Second
+	holdBackoffFactor = 4
+)
+
 // suspectRetention is how long after its last crash the evidence is kept on a content that is
 // not quarantined.
 const suspectRetention = 10 * time.Minute
@@ -78,6 +91,18 @@
 	First, Last time.Time   // times of the first and the last crash
 	Reporters   []string    // hosts of the entries that observed the crashes, without duplicates
 	ProbeAt     time.Time   // earliest time of the next probe
+	// Evidence is how much likelier the crashes are if the content or part causes them than by chance, as
+	// a natural logarithm. Certain says that chance is ruled out: the verdict is for good.
+	Evidence float64
+	Certain  bool
+}
+
+// verdict returns what becomes of a request that is no probe.
+func (f Finding) verdict() Verdict {
+	if f.Certain {
+		return Refuse
+	}
+	return Hold
 }
 
 // nextProbe returns when a content or part with the given crashes is sent once more.
@@ -89,6 +114,15 @@
 	return crashes[len(crashes)-1].At.Add(probeDelay(n))
 }
 
+// holdDelay returns the time from the last crash of a content or part that is held back to its next probe.
+func holdDelay(moments int) time.Duration {
+	d := initialHoldDelay
+	for ; moments > crashThreshold && d < initialProbeDelay; moments-- {
+		d *= holdBackoffFactor
+	}
+	return min(d, initialProbeDelay)
+}
+
 // waves counts the groups of crashes between which a probe may have been sent. Several requests with
 // a part may be in flight when the part is quarantined, and each of them crashes another target; only
 // the failed probes of a part prove anything new.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -41,7 +41,9 @@
 	Subject     Fingerprint // the content or part
 	Incarnation Incarnation
 	At          time.Time // when the reporting entry lost the connection
-	Reporter    string    // host of the reporting entry
+	// Ran is for how long the reporting entry had had it in flight on this incarnation.
+	Ran      time.Duration
+	Reporter string // host of the reporting entry
 	// Retracted is true if the incarnation was reached again later: it had not ended.
 	Retracted bool
 }
@@ -93,6 +95,7 @@
 	findings    map[Fingerprint]Finding
 	stale       bool      // the findings must be recomputed
 	evaluatedAt time.Time // when the findings were last computed
+	targets     int       // that are listed; 0 if not known
 	// What has not been observed yet of requests without a suspected part.
 	othersSent, othersSucceeded unobserved
 }
@@ -104,6 +107,14 @@
 		othersSucceeded: unobserved{at: func(r *record) *time.Time { return &r.othersSucceeded }}}
 }
 
+// SetTargets sets how many targets are listed, by which the rate of crashes is judged.
+func (t *Table) SetTargets(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stale = t.stale || t.targets != n
+	t.targets = n
+}
+
 // RecordCrashes adds crashes that this process has observed. It reports whether any of
 // them was new.
 func (t *Table) RecordCrashes(now time.Time, crashes ...Crash) bool {
@@ -210,6 +221,9 @@
 			if c.Retracted && !old.value.Retracted {
 				old.value.Retracted, old.seq, old.local = true, t.nextSeq(), local
 			}
+			if c.Ran > old.value.Ran {
+				old.value.Ran, t.stale = c.Ran, true
+			}
 			return
 		}
 	}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -15,7 +15,8 @@
 const (
 	Send   Verdict = iota
 	Probe          // quarantined, but may be sent once to find out whether it still crashes targets
-	Refuse         // quarantined
+	Hold           // suspected: may be sent later, if a probe shows that it crashes no targets
+	Refuse         // quarantined for good
 )
 
 // Tables with more contents than smallTableSize are evaluated at most once per
@@ -39,7 +40,7 @@
 			continue
 		}
 		if now.Before(t.probeAt(finding)) || !home(f) {
-			return Refuse, finding
+			return finding.verdict(), finding
 		}
 		probes = append(probes, finding)
 	}
@@ -68,7 +69,11 @@
 // not know of probes that were sent before. The caller holds the lock.
 func (t *Table) probeAt(f Finding) time.Time {
 	r := t.records[f.Subject]
-	return later(later(f.ProbeAt, r.createdAt.Add(initialProbeDelay)), r.lastProbe.Add(f.ProbeAt.Sub(f.Last)))
+	firstDelay := initialProbeDelay
+	if !f.Certain {
+		firstDelay = initialHoldDelay
+	}
+	return later(later(f.ProbeAt, r.createdAt.Add(firstDelay)), r.lastProbe.Add(f.ProbeAt.Sub(f.Last)))
 }
 
 // Findings returns the findings on all contents and parts that are quarantined.
@@ -84,7 +89,7 @@
 	if !t.stale || len(t.records) > smallTableSize && now.Sub(t.evaluatedAt) < evaluationInterval {
 		return
 	}
-	t.findings, t.stale, t.evaluatedAt = newEvaluation(t.records).findings(), false, now
+	t.findings, t.stale, t.evaluatedAt = newEvaluation(t.records, t.targets).findings(), false, now
 }
 
 func later(a, b time.Time) time.Time {
@@ -116,6 +121,7 @@
 	suspects []*suspect // in the order in which they are examined
 	inFlight map[Incarnation][]*suspect
 	crashes  []Crash // one per incarnation, by time
+	chance   chanceModel
 	// explained holds the crashes attributed to a suspect that has been found to be a cause, and
 	// explainedByContent those of them that are attributed to a content.
 	explained, explainedByContent map[Incarnation]bool
@@ -129,19 +135,24 @@
 		if !e.isCause(s) {
 			continue
 		}
+		if e.chance.evidence(s.crashes) < suspicion {
+			continue
+		}
+		// Another cause that was there makes a subject no less suspect, but not certain.
+		evidence := e.chance.evidence(without(s.crashes, e.explained))
 		for _, c := range s.crashes {
 			e.explained[c.Incarnation] = true
 			if !s.subject.IsPart() {
 				e.explainedByContent[c.Incarnation] = true
 			}
 		}
-		out[s.subject] = newFinding(s.subject, s.crashes)
+		out[s.subject] = newFinding(s.subject, s.crashes, evidence)
 	}
 	return out
 }
 
-func newEvaluation(records map[Fingerprint]*record) *evaluation {
-	e := &evaluation{inFlight: map[Incarnation][]*suspect{}, explained: map[Incarnation]bool{}, explainedByContent: map[Incarnation]bool{}}
+func newEvaluation(records map[Fingerprint]*record, targets int) *evaluation {
+	e := &evaluation{chance: newChanceModel(records, targets), inFlight: map[Incarnation][]*suspect{}, explained: map[Incarnation]bool{}, explainedByContent: map[Incarnation]bool{}}
 	for f, r := range records {
 		active := r.activeCrashes()
 		if len(active) == 0 {
@@ -355,13 +366,16 @@
 	return false
 }
 
-func newFinding(subject Fingerprint, crashes []Crash) Finding {
-	f := Finding{Subject: subject, Crashes: len(crashes), First: crashes[0].At, Last: crashes[len(crashes)-1].At}
+func newFinding(subject Fingerprint, crashes []Crash, evidence float64) Finding {
+	f := Finding{Subject: subject, Crashes: len(crashes), First: crashes[0].At, Last: crashes[len(crashes)-1].At, Evidence: evidence, Certain: evidence >= certainty}
 	for _, c := range crashes {
 		if !slices.Contains(f.Reporters, c.Reporter) {
 			f.Reporters = append(f.Reporters, c.Reporter)
 		}
 	}
-	f.ProbeAt = nextProbe(subject, crashes)
+	f.ProbeAt = f.Last.Add(holdDelay(moments(crashes)))
+	if f.Certain {
+		f.ProbeAt = nextProbe(subject, crashes)
+	}
 	return f
 }
