dispatch: keep the deadline of each wanted version until it has passed

What callers saw: requests that began on a version up to seconds after it had expired (VERSION), where versions followed each other within its time. Cause: the newest 8 wanted versions were kept, on the assumption that the deadlines of older ones had passed. With more than 8 within the time limit the first deadline moved on with each name and was never reached. Change: a version is dropped once a newer one's deadline has passed too. Beyond 64 the two closest in time become one with the earlier deadline, so that a deadline may come early and never late.

--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -40,9 +40,39 @@
 	return first
 }
 
-// maxVersions bounds the wanted versions that are kept for each model. The deadlines of older
-// versions have passed.
-const maxVersions = 8
+// maxVersions bounds the wanted versions that are kept for each model.
+const maxVersions = 64
+
+// trimmed returns the versions without those that a newer one has replaced whose deadline has passed too. If
+// more than maxVersions remain, the two whose times are closest become one, which is the newer one
+// with the time of the older: a deadline may come a little early and never late.
+func (w wantedVersions) trimmed(timeout time.Duration) wantedVersions {
+	latest := slices.MaxFunc(w, func(a, b wanted) int { return a.since.Compare(b.since) }).since
+	for i := len(w) - 1; i > 0; i-- {
+		if latest.Sub(w[i].since) >= timeout {
+			w = w[i:]
+			break
+		}
+	}
+	for len(w) > maxVersions {
+		i := w.closest()
+		if w[i].since.Before(w[i+1].since) {
+			w[i+1].since = w[i].since
+		}
+		w = slices.Delete(w, i, i+1)
+	}
+	return w
+}
+
+// closest returns the index of the version whose time is closest to that of the next one.
+func (w wantedVersions) closest() (index int) {
+	for i := range len(w) - 1 {
+		if w[i+1].since.Sub(w[i].since).Abs() < w[index+1].since.Sub(w[index].since).Abs() {
+			index = i
+		}
+	}
+	return index
+}
 
 // SetVersion records that the operators want a version of a model served, and since when.
 // Another call for the same version corrects the time. Versions may be recorded in any order.
@@ -58,5 +88,5 @@
 	}
 	i, _ := slices.BinarySearchFunc(w, v.Version, func(x wanted, version int) int { return cmp.Compare(x.version, version) })
 	w = slices.Insert(w, i, wanted{v.Version, since})
-	b.versions[v.Model] = w[max(len(w)-maxVersions, 0):]
+	b.versions[v.Model] = w.trimmed(b.cfg.VersionTimeout)
 }
