mirror: read the full copy where the changes exceed a response

What callers saw: for 20 s after a quick succession of large configurations all entries refused the newest key with 401, and no entry accepted it (CONFIG, and final answers to proper requests). Cause: an answer of the store above 4 MiB counted as a failure of the store, and the same changes, with more of them each time, were asked for again until the store had dropped its history. Change: such an answer says that the changes cannot be told in one response, as a compacted history does; the full copy, which has only the newest value of each key, is read instead. A length above the limit is refused before the body is read. Counter springgate_mirror_changes_oversized_total.

--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -94,6 +94,9 @@
 	default:
 		return nil, errors.Wrapf(ErrStatus, "%d", resp.StatusCode)
 	}
+	if resp.ContentLength > limit {
+		return nil, ErrTooLarge
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "httpclient: read response body")
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -255,15 +255,19 @@
 
 // needsFullCopy reports whether a source cannot tell the changes since the copy's revision.
 func needsFullCopy(err error) bool {
-	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored)
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) || errors.Is(err, ErrOversized)
 }
 
 // readInstead reads the full copy after reading the changes failed with cause.
 func (f *Follower) readInstead(ctx context.Context, src Source, cause error) error {
-	if errors.Is(cause, ErrCompacted) {
+	fields := logrus.Fields{"source": src.Name(), "prefix": f.table.prefix, "revision": f.table.Revision()}
+	switch {
+	case errors.Is(cause, ErrCompacted):
 		f.stats.compacted.Inc(1)
-		f.log.WithFields(logrus.Fields{"source": src.Name(), "prefix": f.table.prefix,
-			"revision": f.table.Revision()}).Info("Source compacted its history, reading the full copy.")
+		f.log.WithFields(fields).Info("Source compacted its history, reading the full copy.")
+	case errors.Is(cause, ErrOversized):
+		f.stats.oversized.Inc(1)
+		f.log.WithFields(fields).Info("Changes are too large for a response, reading the full copy.")
 	}
 	return f.readAll(ctx, src)
 }
--- a/mirror/monitoredstore_test.go
+++ b/mirror/monitoredstore_test.go
@@ -176,7 +176,7 @@
 // A watch that asks for the full copy does not show that the store works: without back-off, all
 // entries would call it several times a second while it is overloaded by their full reads.
 func TestFullReadsThatFailBackOff(t *testing.T) {
-	for _, err := range []error{ErrCompacted, ErrRestored} {
+	for _, err := range []error{ErrCompacted, ErrRestored, ErrOversized} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
--- a/mirror/stats.go
+++ b/mirror/stats.go
@@ -7,6 +7,7 @@
 	registry                     metrics.Registry
 	staleReads, staleReadsFailed metrics.Counter // reads of the store because the copy was stale
 	compacted                    metrics.Counter // times that a source no longer had the history
+	oversized                    metrics.Counter // changes that exceeded the size of a response
 	restores                     metrics.Counter // times that the store was found restored from an older copy
 }
 
@@ -15,6 +16,7 @@
 	return &Stats{registry: r, staleReads: metrics.NewRegisteredCounter("mirror.stale_reads", r),
 		staleReadsFailed: metrics.NewRegisteredCounter("mirror.stale_reads_failed", r),
 		compacted:        metrics.NewRegisteredCounter("mirror.history_compacted", r),
+		oversized:        metrics.NewRegisteredCounter("mirror.changes_oversized", r),
 		restores:         metrics.NewRegisteredCounter("mirror.store_restored", r)}
 }
 
--- a/mirror/table.go
+++ b/mirror/table.go
@@ -29,6 +29,9 @@
 	// ErrRestored says that the store was restored from an older copy of itself since the
 	// requested revision: the full copy must be read.
 	ErrRestored = errors.New("mirror: store restored from an older copy")
+	// ErrOversized says that the changes since the requested revision do not fit into one response:
+	// the full copy must be read, which holds only the last change of each key.
+	ErrOversized = errors.New("mirror: changes exceed the size of a response")
 	// ErrOutdated says that a full copy is older than the copy that it was to replace.
 	ErrOutdated = errors.New("mirror: full copy is outdated")
 	// ErrUnavailable says that a source answered but has no copy to serve.
--- a/mirror/table_test.go
+++ b/mirror/table_test.go
@@ -157,8 +157,15 @@
 	return NewFollower(Options{Table: table, Store: store, Route: route, Log: discardLogger(), Stats: NewStats(metrics.NewRegistry())})
 }
 
-// The store compacts its history: the follower reads the full copy again.
-func TestFollowerReadsAgainAfterCompaction(t *testing.T) {
+// The store compacts its history, or changes are too large for a response: the follower reads the full
+// copy again.
+func TestFollowerReadsTheFullCopyWhereChangesCannotBeRead(t *testing.T) {
+	for _, err := range []error{ErrCompacted, ErrOversized} {
+		checkFullCopyIsRead(t, err)
+	}
+}
+
+func checkFullCopyIsRead(t *testing.T, cause error) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -172,7 +179,7 @@
 		}
 		src.watch = func(after Revision) (Batch, error) {
 			if after < 9 {
-				return Batch{}, ErrCompacted
+				return Batch{}, cause
 			}
 			return Batch{Revision: after}, nil
 		}
