sidecar: read a manifest again once a piece does not match it

Cause: one wrong bit in a list of digests on its way from the origin. Entries read a list again after pieces that do not match; agents kept theirs and fetched the same piece again for ever. Change: a piece that an entry has verified and that does not match the agent's list makes the agent read the list again before its next fetches; what is staged or in memory stays where the digests agree.

--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/weights"
@@ -12,6 +13,7 @@
 // fetchMissing fetches and stages the missing pieces. It stops early if a newer version
 // is announced or if the limit of concurrent fetches rises.
 func (s *Sidecar) fetchMissing(ctx context.Context, parallel func() int) error {
+	s.renewManifest(ctx, s.stage)
 	var missing []int
 	for i, ok := range s.stage.staged {
 		if !ok {
@@ -83,6 +85,9 @@
 func (s *Sidecar) fetchToMemory(ctx context.Context, st *stage, index int) error {
 	began := clock.Now()
 	data, err := s.pieceWithContext(ctx, st.manifest, index)
+	if errors.Is(err, weights.ErrCorrupt) {
+		st.mismatched.Store(true)
+	}
 	if err != nil {
 		return err
 	}
@@ -132,6 +137,7 @@
 		s.prefetched = newStage(m)
 	}
 	st := s.prefetched
+	s.renewManifest(ctx, st)
 	var missing []int
 	for i, data := range st.pieces {
 		if data == nil {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -175,6 +175,7 @@
 	fetched     int
 	unavailable int // a version of which only the first piece is available
 	silent      int // a version of which requests for the manifest get no answer
+	spoilt      int // number of manifests, the first ones, in which a digest is wrong
 }
 
 func (s *fakeSource) Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
@@ -186,6 +187,12 @@
 	for i := range pieces {
 		m.Digests = append(m.Digests, sha256.Sum256([]byte(content(version, i))))
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.spoilt > 0 {
+		s.spoilt--
+		m.Digests[pieces-1][0] ^= 1
+	}
 	return m, nil
 }
 
@@ -197,7 +204,8 @@
 		return nil, weights.ErrNoSource
 	}
 	s.fetched++
-	return []byte(content(m.Version, index)), nil
+	data := []byte(content(m.Version, index))
+	return data, m.Verify(index, data)
 }
 
 // startSidecar starts a sidecar inside a synctest bubble. stop stops it.
@@ -269,6 +277,28 @@
 	})
 }
 
+// Guards against engines that stay empty, or on the version before, because one digest of a manifest
+// was corrupted on its way and the manifest was kept.
+func TestManifestWithAWrongDigestIsReadAgain(t *testing.T) {
+	for _, spoilt := range []int{1, 3} {
+		e := &fakeEngine{staged: map[int]string{}}
+		runSidecar(t, Config{}, e, &fakeSource{spoilt: spoilt}, func(s *Sidecar, published func() peer.EngineState) {
+			s.Assign(time.Now(), newAssignment(1, 0, 0))
+			time.Sleep(6 * time.Second)
+			assert.Equal(t, published().Version, 1, "%d wrong manifests, none loaded", spoilt)
+			assert.Assert(t, !e.loadedInvalid)
+		})
+		// The newer version is prefetched into memory first.
+		e = &fakeEngine{staged: map[int]string{}, serves: 1}
+		runSidecar(t, Config{}, e, &fakeSource{spoilt: spoilt}, func(s *Sidecar, published func() peer.EngineState) {
+			s.Assign(time.Now(), newAssignment(2, 1, 2))
+			time.Sleep(12 * time.Second)
+			assert.Equal(t, published().Version, 2, "%d wrong manifests, version 1 loaded", spoilt)
+			assert.Assert(t, !e.loadedInvalid)
+		})
+	}
+}
+
 // Staged bytes may become corrupt before the load is ordered, so they are checked again.
 func TestCorruptPieceIsStagedAgain(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -29,6 +29,7 @@
 	pieces        [][]byte    // in the agent's memory: fetched, but not staged yet; by index
 	checked       []time.Time // when each staged piece was last known to be valid
 	missing       int         // number of pieces not staged at the engine
+	mismatched    atomic.Bool // a piece does not match the manifest, of which either may be corrupt
 	started       time.Time
 	transferTimes transferTimes
 }
@@ -43,6 +44,23 @@
 		checked: make([]time.Time, n), missing: n, started: clock.Now()}
 }
 
+// replaceManifest takes over another manifest of the version. What is known of pieces with the same
+// digest as before is kept.
+func (s *stage) replaceManifest(m *weights.Manifest) {
+	old := s.manifest
+	s.manifest = m
+	for i := range m.Digests {
+		if m.Digests[i] == old.Digests[i] {
+			continue
+		}
+		s.pieces[i], s.checked[i] = nil, time.Time{}
+		if s.staged[i] {
+			s.staged[i] = false
+			s.missing++
+		}
+	}
+}
+
 func (s *stage) complete() bool { return s != nil && s.missing == 0 }
 
 func (s *stage) isFor(model string, version int) bool {
@@ -86,6 +104,25 @@
 	return m, errors.Wrap(err, "sidecar: read manifest")
 }
 
+// renewManifest reads the manifest of a stage again if a piece has not matched it: the manifest, too, may
+// have been corrupted on its way. The entries do the same, so that their manifest is no worse.
+func (s *Sidecar) renewManifest(ctx context.Context, st *stage) {
+	if !st.mismatched.Swap(false) {
+		return
+	}
+	m, err := s.manifest(ctx, st.model, st.version)
+	if err != nil || len(m.Digests) != len(st.manifest.Digests) {
+		st.mismatched.Store(true) // tried again with the next fetches
+		s.log.WithError(err).WithField("version", st.version).Info("Manifest could not be read again.")
+		return
+	}
+	changed := !slices.Equal(m.Digests, st.manifest.Digests)
+	s.log.WithFields(logrus.Fields{"version": st.version, "changed": changed}).Warn("Manifest read again, since a piece did not match it.")
+	if changed {
+		st.replaceManifest(m)
+	}
+}
+
 // beginStage starts the staging of a version. It uses the prefetched pieces if there are any.
 // Otherwise it checks which pieces are staged already, since these survive crashes of the
 // engine and restarts of the agent.
