soak: targets that crash in a series for no request's sake, and an oracle for final refusals

Cause: the oracle took only 401, 403 and 404 for a denial, and no fault crashed targets unless a request did, so that a sound request refused with 400 passed unseen.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -66,13 +66,14 @@
 	client *http.Client
 	rng    *rand.Rand
 	sent   int
-	team   string // of the permanent key that it sends
-	secret string // that key
+	team   string   // of the permanent key that it sends
+	secret string   // that key
+	shared []string // IDs of the parts that begin its prompts
 }
 
 func newCaller(f *Fleet, entry *Process, name string, rng *rand.Rand) *caller {
 	t := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
-	return &caller{fleet: f, entry: entry, name: name, rng: rng, team: lastingTeam, secret: permanentKey, client: &http.Client{Transport: t}}
+	return &caller{fleet: f, entry: entry, name: name, rng: rng, team: lastingTeam, secret: permanentKey, shared: commonParts, client: &http.Client{Transport: t}}
 }
 
 func (c *caller) sendRequests(ctx context.Context) {
@@ -102,8 +103,8 @@
 	return c.callPrompt(ctx, k, key, body, "")
 }
 
-// sharedParts is the number of parts that begin the prompts of callers.
-const sharedParts = 3
+// commonParts are the parts that begin the prompts of most callers.
+var commonParts = []string{"a0", "a1", "a2"}
 
 // callPrompt is like callBody, with a part in the prompt that crashes targets, or "".
 func (c *caller) callPrompt(ctx context.Context, k kind, key int, body, crashingPart string) Attempt {
@@ -118,7 +119,7 @@
 	// The call continues when the load ends, so that each request has an outcome.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), clientTimeout)
 	defer cancel()
-	parts := []string{fmt.Sprintf("a%d", c.sent%sharedParts), fmt.Sprintf("%x", a.ID)}
+	parts := []string{c.shared[c.sent%len(c.shared)], fmt.Sprintf("%x", a.ID)}
 	if crashingPart != "" {
 		parts = slices.Insert(parts, c.sent%2, crashingPart)
 	}
@@ -149,6 +150,7 @@
 	a.Status = resp.StatusCode
 	a.AnnouncedLeaving = fake.LeavingIncarnation(resp.Header)
 	signed := fake.Signed(resp.Header)
+	a.Signed = signed
 	switch {
 	case resp.StatusCode/100 == 2 && !signed:
 		a.Fault = "success response without a target's signature"
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -98,7 +98,8 @@
 var onceFaults = []fault{{"request crashes targets", sendCrashingRequests}, {"targets name limits", announceLimits},
 	{"targets say that they leave", announceLeaving}, {"targets ask for rest", requestBackoff}, {"targets pause", pauseTargets},
 	{"store restored", restoreStore}, {"a team asks for too much", sendBulk}, {"incomplete uploads", sendIncompleteUploads},
-	{"entries restart while targets refuse", restartWhileTargetsRefuse}, {"part of prompts crashes targets", sendCrashingPrompts}}
+	{"entries restart while targets refuse", restartWhileTargetsRefuse}, {"part of prompts crashes targets", sendCrashingPrompts},
+	{"targets crash in series", crashInSeries}}
 
 // injectOnceFaults starts the onceFaults.
 func (f *Fleet) injectOnceFaults(running *sync.WaitGroup, count map[string]int) {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -39,6 +39,9 @@
 	// in what engines of this kind can do; the fake ones do more.
 	Slots  int
 	StepMs float64
+	// EventInterval is the time between two events of a target's streams; 0 means the default of the
+	// fake targets.
+	EventInterval time.Duration
 	// Unframed makes the answers of targets end with their connections.
 	Unframed bool
 	// RetryExtra is the part of the retry budgets that does not depend on the number of requests; 0
@@ -149,7 +152,7 @@
 	for i := range f.cfg.Engines + f.cfg.PlainTargets {
 		var link *Link
 		// Every other target keeps its ID when it restarts.
-		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)], KeepID: i%2 == 1, Unframed: f.cfg.Unframed}
+		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)], KeepID: i%2 == 1, Unframed: f.cfg.Unframed, EventInterval: f.cfg.EventInterval}
 		if i < f.cfg.Engines {
 			cfg.Service, cfg.Model, cfg.InitialVersion = engineService, model, 1
 			cfg.RequireFencing = i%2 == 0
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -17,6 +17,7 @@
 	Key              int    // number of the rotating key sent; 0 for the permanent key, -1 if the entry restarted meanwhile
 	Began, End       int64  // sequence numbers of events at the callers, not times
 	Status           int    // 0 if there was no response
+	Signed           bool   // the response is a target's
 	Fault            string // what was wrong with the response
 	Truncated        bool   // the response ended early, detectably for the caller
 	FaultFree        bool   // its entry and targets had no fault, except for a graceful stop of the entry
@@ -62,6 +63,7 @@
 	InvariantBackoff          = "a target receives no request from an entry during the back-off that it requested"
 	InvariantKnownStays       = "what an entry knows stays in force when the store is restored"
 	InvariantRetryBudget      = "a service receives no more retries than its budget allows"
+	InvariantNotDenied        = "few proper requests get a status that callers do not retry"
 	InvariantRateLimit        = "a target receives no more requests than the limit that it announces"
 )
 
@@ -113,6 +115,9 @@
 	for _, a := range overLimit(attempts, facts) {
 		add(InvariantRateLimit, a)
 	}
+	for _, a := range deniedProperRequests(attempts) {
+		add(InvariantNotDenied, a)
+	}
 	for _, a := range configRegressions(attempts) {
 		add(InvariantConfigMonotonic, a)
 	}
