targetconn: bound what is read of bytes that are no response

What callers saw: requests that sound targets had run ended without an answer (LOST), as entries exceeded their memory and were killed. Cause: the head of a response was read into memory line by line without a limit; a faulty target's bytes without a line break were one line. Interim responses, and the body of a response to another request, had no limit either (they cost time, not memory). Change: 64 KiB for a head with the interim responses before it, 1 MiB for the body of a response to another request; then the connection is closed and the exchange counts as garbled. Bodies and events had bounds before.

--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -85,14 +85,20 @@
 		if id := idOf(hr.Header); id == "" || id == r.ID {
 			return &Response{Response: hr, conn: c, sent: sent}, nil
 		}
-		if _, err := io.Copy(io.Discard, hr.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(hr.Body, maxSkippedBytes))
+		if err != nil {
 			return nil, errors.Wrap(ErrInvalidResponse, err.Error())
 		}
+		if n == maxSkippedBytes {
+			return nil, errors.Wrap(ErrInvalidResponse, "response to another request is too large")
+		}
 	}
 	return nil, errors.Wrap(ErrInvalidResponse, "too many responses to other requests")
 }
 
 func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.head.beginHead()
+	defer c.head.endHead()
 	for {
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, errors.Wrap(ErrNoReply, err.Error())
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -54,6 +54,7 @@
 type Conn struct {
 	nc      net.Conn
 	br      *bufio.Reader
+	head    *headLimiter // that br reads from
 	addr    string
 	idleAt  time.Time     // when the connection was returned to the pool
 	idleFor time.Duration // how long after idleAt the connection may be reused
@@ -105,7 +106,8 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
-	return &Conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), addr: addr}, nil
+	head := &headLimiter{r: nc}
+	return &Conn{nc: nc, br: bufio.NewReaderSize(head, readBufferSize), head: head, addr: addr}, nil
 }
 
 // put returns a connection to the pool after a response was read completely.
