gateway: let callers stand still within their time

What callers saw: streams that the engine had ended were reset in the middle (LOST), where the caller had read nothing for over 3 s of its 6 s. Cause: TCP_USER_TIMEOUT of 3 s on callers' connections, meant for peers that do not answer. The kernel applies it to a receive window that stays closed too, and drops what was written and not read. Change: on callers' connections it is the idle timeout. Writes are bounded by the request instead: 3 s after its time they fail, and the connection is closed. Connections to targets and between entries are as before. A caller that vanishes is now noticed by its request's time at the latest, where it was 3 s.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/httpclient"
 	"github.com/springgate/springgate/mechanism"
 	"github.com/springgate/springgate/quarantine"
 )
@@ -72,15 +73,23 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	x.boundWrites(time.Time{}) // the deadline of the request before on this connection
 	if reason := x.admit(); reason != ReasonNone {
 		x.refuse(reason)
 		return
 	}
+	x.boundWrites(time.Now().Add(clock.Until(x.deadline) + httpclient.DeliveryTimeout))
 	ctx, cancel := clock.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.run(ctx)
 }
 
+// boundWrites sets until when writes to the caller may wait for it to read.
+func (x *exchange) boundWrites(until time.Time) {
+	// The error is ignored: a connection without deadlines is closed by its timeouts.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(until)
+}
+
 // admit matches the request with the configuration, checks the admission level, and reads the body.
 func (x *exchange) admit() Reason {
 	x.config = x.g.Config()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -55,8 +55,12 @@
 	gateway *Gateway
 	log     logrus.FieldLogger
 	servers []*http.Server
+	addrs   []net.Addr // that the servers listen on
 }
 
+// callerAddr returns the address on which the server listens for callers.
+func (s *Server) callerAddr() string { return s.addrs[0].String() }
+
 // NewServer returns a server that is not listening yet.
 func NewServer(cfg ServerConfig, g *Gateway, log logrus.FieldLogger) *Server {
 	return &Server{cfg: cfg.applyDefaults(), gateway: g, log: log}
@@ -72,14 +76,15 @@
 }
 
 func (s *Server) listen(ctx context.Context, addr string, h http.Handler) error {
-	lc := httpclient.ListenConfig()
+	// A caller may stand still for as long as its request lasts; each request bounds its own writes.
+	lc := httpclient.ListenConfig(idleTimeout)
 	ln, err := lc.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "gateway: listen")
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
-	s.servers = append(s.servers, server)
+	s.servers, s.addrs = append(s.servers, server), append(s.addrs, ln.Addr())
 	go s.serve(server, s.observed(ln))
 	return nil
 }
--- a/httpclient/dialer.go
+++ b/httpclient/dialer.go
@@ -22,24 +22,28 @@
 // Dialer returns a dialer with the given timeout whose connections detect an unresponsive
 // peer.
 func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, Control: setUserTimeout,
+	return &net.Dialer{Timeout: timeout, Control: userTimeout(DeliveryTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
 }
 
 // ListenConfig returns a listener configuration whose accepted connections detect an
-// unresponsive peer.
-func ListenConfig() net.ListenConfig {
-	return net.ListenConfig{Control: setUserTimeout,
+// unresponsive peer. A peer that reads nothing for delivery counts as one, even if it answers: TCP
+// does not tell a receive window that stays closed from a lost peer.
+func ListenConfig(delivery time.Duration) net.ListenConfig {
+	return net.ListenConfig{Control: userTimeout(delivery),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(DeliveryTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// userTimeout returns a control function that sets TCP_USER_TIMEOUT.
+func userTimeout(d time.Duration) func(_, _ string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var sockErr error
+		err := c.Control(func(fd uintptr) {
+			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return sockErr
 	}
-	return sockErr
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -260,7 +260,7 @@
 
 // Listen starts a server on addr. Its connections are counted by meter.
 func Listen(addr string, self Hello, h Handler, meter *Meter) (*Server, error) {
-	lc := httpclient.ListenConfig()
+	lc := httpclient.ListenConfig(httpclient.DeliveryTimeout)
 	ln, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer: listen")
