quarantine: only prompts tell a part of prompts from what all of them have

What callers would see: 400 for every prompt of a service, at all entries, after three crashes of its targets. Cause: that requests without a part are served meanwhile is what tells a part from one that all prompts have. A request without any prompt counted, which runs at other targets and succeeds whatever the part does; so a part that all prompts begin with was taken for the cause. Beside that, nothing at all had to succeed for a verdict for good. Change: only requests with parts count as others; a part is certain only if one of them was answered since its first crash. Without that it is held back at most, with single probes. TestProbesOfAPart now serves another prompt meanwhile, without which its part is held back.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -200,6 +200,7 @@
 	for i := range 10 {
 		crashAll(x, i, time.Duration(i)*200*time.Millisecond, content(2, i), badPart)
 	}
+	x.RecordSuccess(at(time.Second), content(2, 700), system) // other requests are served meanwhile
 	last := 1800 * time.Millisecond
 	judge := func(now time.Duration) Verdict {
 		v, _ := x.Judge(at(now), []Fingerprint{content(2, 500), badPart}, func(Fingerprint) bool { return true })
--- a/quarantine/unobserved.go
+++ b/quarantine/unobserved.go
@@ -13,8 +13,12 @@
 	seq   uint64 // of the table when the list was made
 }
 
-// record records the event of a request with the given subjects for all parts that it does not have.
+// record records the event of a request with the given subjects for all parts that it does not have. Requests
+// without any part tell nothing: they may run at other targets.
 func (u *unobserved) record(t *Table, now time.Time, subjects []Fingerprint) {
+	if !slices.ContainsFunc(subjects, Fingerprint.IsPart) {
+		return
+	}
 	if u.seq != t.seq {
 		u.parts, u.seq = u.list(t), t.seq
 	}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -139,15 +139,17 @@
 		if s.evidence < suspicion {
 			continue
 		}
-		// Another cause that was there makes a subject no less suspect, but not certain.
+		// Another cause that was there makes a subject no less suspect, but not certain; nor is a part without
+		// which nothing succeeds, as the part that all prompts begin with.
 		evidence := e.chance.evidence(e.ownCrashes(s))
+		certain := evidence >= certainty && (s.othersSucceeded || !s.subject.IsPart())
 		for _, c := range s.crashes {
 			e.explained[c.Incarnation] = true
 			if !s.subject.IsPart() {
 				e.explainedByContent[c.Incarnation] = true
 			}
 		}
-		out[s.subject] = newFinding(s.subject, s.crashes, evidence)
+		out[s.subject] = newFinding(s.subject, s.crashes, evidence, certain)
 	}
 	return out
 }
@@ -381,8 +383,8 @@
 	return false
 }
 
-func newFinding(subject Fingerprint, crashes []Crash, evidence float64) Finding {
-	f := Finding{Subject: subject, Crashes: len(crashes), First: crashes[0].At, Last: crashes[len(crashes)-1].At, Evidence: evidence, Certain: evidence >= certainty}
+func newFinding(subject Fingerprint, crashes []Crash, evidence float64, certain bool) Finding {
+	f := Finding{Subject: subject, Crashes: len(crashes), First: crashes[0].At, Last: crashes[len(crashes)-1].At, Evidence: evidence, Certain: certain}
 	for _, c := range crashes {
 		if !slices.Contains(f.Reporters, c.Reporter) {
 			f.Reporters = append(f.Reporters, c.Reporter)
