quarantine: a part is refused for good only after five crashes of its own

Cause: entries that had just started had been sending the part for a second only, and few targets had anything in flight, so that the rate of chance crashes and the time in flight were estimated too low: three crashes gave 13.3 at one entry and 9 to 10 at the others. Whatever the crashes are attributed to is held back, without a least evidence. Further parts of a team's prompts, which are several, are probed after 30 s and not after 1 s: one that succeeds says little about the others.

--- a/quarantine/chance.go
+++ b/quarantine/chance.go
@@ -7,14 +7,10 @@
 	"time"
 )
 
-// Levels of evidence, as natural logarithms. A subject whose crashes chance explains well enough is sent on.
-// One that is suspected is held back until a probe decides. Only certainty refuses requests for
-// good: among the thousand subjects that may be in flight at crashes in a few minutes, chance leads to it less
-// than once in a hundred times.
-const (
-	suspicion = 3
-	certainty = 11.5
-)
+// certainty is the evidence, a natural logarithm, from which requests are refused for good: among the
+// thousand subjects that may be in flight at crashes in a few minutes, chance leads to it less than once in a
+// hundred times. With less, requests are held back until a probe decides.
+const certainty = 11.5
 
 const (
 	// chanceWindow is the time before a subject's first crash in which crashes count for the rate of
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -34,8 +34,16 @@
 // in the requests of several callers.
 var partMarker = Caller{'p', 'a', 'r', 't'}
 
-// IsPart reports whether the fingerprint identifies a part of prompts, not the content of a request.
-func (f Fingerprint) IsPart() bool { return f.Caller() == partMarker }
+// furtherMarker is partMarker for the further parts of a caller's prompts together.
+var furtherMarker = Caller{'m', 'o', 'r', 'e'}
+
+// IsPart reports whether the fingerprint identifies a part of prompts, or further parts together, not the
+// content of a request.
+func (f Fingerprint) IsPart() bool { return f.Caller() == partMarker || f.isFurther() }
+
+// isFurther reports whether the fingerprint stands for several parts, so that a request with it that
+// succeeds says little about the others.
+func (f Fingerprint) isFurther() bool { return f.Caller() == furtherMarker }
 
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
@@ -99,7 +107,7 @@
 	for _, field := range []string{service, caller, "further parts"} {
 		writeField(further, field)
 	}
-	copy(f[:callerBytes], partMarker[:])
+	copy(f[:callerBytes], furtherMarker[:])
 	copy(f[callerBytes:], further.Sum(nil))
 	return f
 }
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -69,10 +69,7 @@
 // not know of probes that were sent before. The caller holds the lock.
 func (t *Table) probeAt(f Finding) time.Time {
 	r := t.records[f.Subject]
-	firstDelay := initialProbeDelay
-	if !f.Certain {
-		firstDelay = initialHoldDelay
-	}
+	firstDelay := min(f.ProbeAt.Sub(f.Last), initialProbeDelay)
 	return later(later(f.ProbeAt, r.createdAt.Add(firstDelay)), r.lastProbe.Add(f.ProbeAt.Sub(f.Last)))
 }
 
@@ -136,13 +133,9 @@
 		if !e.isCause(s) {
 			continue
 		}
-		if s.evidence < suspicion {
-			continue
-		}
-		// Another cause that was there makes a subject no less suspect, but not certain; nor is a part without
-		// which nothing succeeds, as the part that all prompts begin with.
-		evidence := e.chance.evidence(e.ownCrashes(s))
-		certain := evidence >= certainty && (s.othersSucceeded || !s.subject.IsPart())
+		own := e.ownCrashes(s) // another cause that was there makes a subject no less suspect, but not certain
+		evidence := e.chance.evidence(own)
+		certain := evidence >= certainty && (!s.subject.IsPart() || s.isCertainPart(own))
 		for _, c := range s.crashes {
 			e.explained[c.Incarnation] = true
 			if !s.subject.IsPart() {
@@ -154,6 +147,12 @@
 	return out
 }
 
+// isCertainPart reports whether its own crashes allow to refuse a part for good, which concerns many callers: a few
+// are not enough, and one without which no prompt succeeds may be what all prompts begin with.
+func (s *suspect) isCertainPart(own []Crash) bool {
+	return s.othersSucceeded && len(own) >= ambiguousThreshold
+}
+
 func newEvaluation(records map[Fingerprint]*record, targets int) *evaluation {
 	e := &evaluation{chance: newChanceModel(records, targets), inFlight: map[Incarnation][]*suspect{}, explained: map[Incarnation]bool{}, explainedByContent: map[Incarnation]bool{}}
 	for f, r := range records {
@@ -391,7 +390,7 @@
 		}
 	}
 	f.ProbeAt = f.Last.Add(holdDelay(moments(crashes)))
-	if f.Certain {
+	if f.Certain || subject.isFurther() {
 		f.ProbeAt = nextProbe(subject, crashes)
 	}
 	return f
--- a/soak/denied_test.go
+++ b/soak/denied_test.go
@@ -47,3 +47,11 @@
 	add(2, denied)
 	assert.Equal(t, len(deniedProperRequests(attempts)), 2)
 }
+
+// Guards against a part that a third of all prompts have being refused for good after three crashes, at entries
+// that have just started.
+func TestSoakPopularPartIsNotDeniedBesideAllFaults(t *testing.T) {
+	const seed = 17047
+	runAndCheck(t, Config{Seed: seed, Duration: 3 * time.Second, Entries: 5, Engines: 4, PlainTargets: plainTargets,
+		Bin: buildPrograms(t), Dir: seedDir(t, seed), Logf: t.Logf})
+}
