--- a/soak/denied_test.go
+++ b/soak/denied_test.go
@@ -55,3 +55,10 @@
 	runAndCheck(t, Config{Seed: seed, Duration: 3 * time.Second, Entries: 5, Engines: 4, PlainTargets: plainTargets,
 		Bin: buildPrograms(t), Dir: seedDir(t, seed), Logf: t.Logf})
 }
+
+// Guards against a request that crashes targets being sent on while a paused target holds several of it.
+func TestSoakCrashingRequestIsHeldBackBesideAllFaults(t *testing.T) {
+	const seed = 17040
+	runAndCheck(t, Config{Seed: seed, Duration: 3 * time.Second, Entries: 5, Engines: 4, PlainTargets: plainTargets,
+		Bin: buildPrograms(t), Dir: seedDir(t, seed), Logf: t.Logf})
+}
