sidecar: log what an order is based on

A load that is not whole could not be told from the logs: neither the age of the checks nor puts without an answer nor the engine's process that the order was meant for was logged, and fencing orders were not logged at all.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -294,7 +294,9 @@
 		s.publishState(as.Model, r.serves(as.Model, as.Layers), true, r.StartTimeMs)
 	}
 	order := s.newLoadOrder(as.Model, version, r)
-	fields := logrus.Fields{"model": as.Model, "version": version, "running": r.Running, "sequence": order.Precondition, "token": order.Token}
+	fields := logrus.Fields{"model": as.Model, "version": version, "running": r.Running, "sequence": order.Precondition, "token": order.Token,
+		"engine_start_ms": r.StartTimeMs, "check_age_ms": clock.Since(s.stage.oldestCheck()).Milliseconds(),
+		"unconfirmed_puts": s.unconfirmedPuts.count(len(s.stage.staged), clock.Now())}
 	err := s.sendOrder(ctx, order)
 	s.stats.count(err)
 	switch {
@@ -346,7 +348,10 @@
 	if s.inDoubt.probeToken == 0 {
 		s.tokens.raiseAbovePrevious(clock.Now())
 		lower := s.newLoadOrder(model, serving, r)
-		err = s.sendOrder(ctx, s.newLoadOrder(model, serving, r))
+		fencing := s.newLoadOrder(model, serving, r)
+		err = s.sendOrder(ctx, fencing)
+		s.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": serving, "sequence": fencing.Precondition,
+			"token": fencing.Token, "engine_start_ms": r.StartTimeMs}).Info("Fencing order sent.")
 		switch {
 		case err == nil:
 			s.inDoubt.probeToken = lower.Token
--- a/sidecar/verify.go
+++ b/sidecar/verify.go
@@ -43,6 +43,17 @@
 	return now.Before(u.all) || now.Before(u.until[index])
 }
 
+// count returns the number of pieces, out of n, whose put may still arrive.
+func (u *unconfirmedPuts) count(n int, now time.Time) int {
+	open := 0
+	for i := range n {
+		if u.has(i, now) {
+			open++
+		}
+	}
+	return open
+}
+
 // checkResult is the result of reading a staged piece.
 type checkResult uint8
 
