sidecar: a put counts as a check from when it was sent

Cause: a piece counted as checked from the moment at which the answer to its put arrived. Where that answer took 3 s or more, or the agent stood still meanwhile, a piece that had turned bad on the engine since was loaded as one that had just been checked. Evidence: TestPieceCorruptedBeforeLateAnswerToItsPutIsStagedAgain failed before: "e.loadedInvalid is true: answer after 3.1s". Whether the users saw this is not known. Why it works: the check is dated by the sending, the earliest moment at which the engine can have held the piece, as the reads have it already.

--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -23,8 +24,8 @@
 	announced, concurrency := s.assigned().Version, parallel()
 	proceed := func() bool { return s.assigned().Version == announced && parallel() <= concurrency }
 	return forEachIndex(ctx, missing, concurrency, proceed, func(i int) (func(), error) {
-		err := s.fetch(ctx, i)
-		return func() { s.recordCheck(i, true, clock.Now()) }, err
+		sent, err := s.fetch(ctx, i)
+		return func() { s.recordCheck(i, true, sent) }, err
 	})
 }
 
@@ -59,26 +60,28 @@
 	return firstErr
 }
 
-// fetch fetches one piece, unless the agent already has it in memory, and stages it.
-func (s *Sidecar) fetch(ctx context.Context, index int) error {
+// fetch fetches one piece, unless the agent already has it in memory, and stages it. It returns the
+// time at which the piece was sent to the engine: it may become corrupt there while the answer is
+// in transit.
+func (s *Sidecar) fetch(ctx context.Context, index int) (sent time.Time, err error) {
 	ctx, cancel := clock.WithTimeout(ctx, s.cfg.FetchTimeout)
 	defer cancel()
 	if s.stage.pieces[index] == nil {
 		if err := s.fetchToMemory(ctx, s.stage, index); err != nil {
-			return err
+			return time.Time{}, err
 		}
 	}
 	if s.inDoubt.fromPreviousAgent() {
-		return errPreviousAgentOrder
+		return time.Time{}, errPreviousAgentOrder
 	}
-	began := clock.Now()
+	sent = clock.Now()
 	if err := s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, s.stage.pieces[index]); err != nil {
 		s.unconfirmedPuts.add(index, clock.Now().Add(s.cfg.OrderGrace))
-		return err
+		return time.Time{}, err
 	}
-	s.stage.transferTimes.staging.Add(int64(clock.Since(began)))
+	s.stage.transferTimes.staging.Add(int64(clock.Since(sent)))
 	s.stage.pieces[index] = nil // staged at the engine; release the memory
-	return nil
+	return sent, nil
 }
 
 // fetchToMemory fetches one piece into the agent's memory.
--- a/sidecar/stage_test.go
+++ b/sidecar/stage_test.go
@@ -13,11 +13,12 @@
 	"gotest.tools/v3/assert"
 )
 
-// hookedEngine calls hooks before reads, puts and orders.
+// hookedEngine calls hooks before reads, puts and orders, and after puts.
 type hookedEngine struct {
 	*fakeEngine
 	read    func(index int) error // an error stands for a read without an answer
 	put     func(index int)
+	wasPut  func(index int) // called before a put is answered
 	ordered func(o LoadOrder)
 }
 
@@ -34,7 +35,11 @@
 	if w.put != nil {
 		w.put(index)
 	}
-	return w.fakeEngine.PutPiece(ctx, addr, model, index, data)
+	err := w.fakeEngine.PutPiece(ctx, addr, model, index, data)
+	if w.wasPut != nil {
+		w.wasPut(index)
+	}
+	return err
 }
 
 func (w hookedEngine) StartLoad(ctx context.Context, addr string, o LoadOrder) error {
@@ -214,3 +219,25 @@
 		assert.Assert(t, n > 5 && n < 20, "%d orders in 10 s", n)
 	})
 }
+
+// A piece becomes corrupt before the answer to its put arrives, seconds later.
+func TestPieceCorruptedBeforeLateAnswerToItsPutIsStagedAgain(t *testing.T) {
+	for _, answerTime := range seconds(3.1, 4.1, 5.1) {
+		e := &fakeEngine{staged: map[int]string{}, serves: 1}
+		var once sync.Once
+		w := hookedEngine{fakeEngine: e, wasPut: func(index int) {
+			if index == pieces-1 {
+				once.Do(func() {
+					e.set(func() { e.staged[index] = "corrupt" })
+					time.Sleep(answerTime)
+				})
+			}
+		}}
+		runSidecar(t, Config{FirstStart: true}, w, &fakeSource{}, func(s *Sidecar, published func() peer.EngineState) {
+			s.Assign(time.Now(), newAssignment(2, 0, 1))
+			time.Sleep(20 * time.Second)
+			assert.Equal(t, published().Version, 2)
+		})
+		assert.Assert(t, !e.loadedInvalid, "answer after %s", answerTime)
+	}
+}
