weights: a manifest has as many digests as the model has pieces

Cause: a manifest was taken with any number of digests, from the origin or another entry, and a stage counts as complete by its manifest. With one digest too few the last piece stayed missing, or that of the version before, and the load was ordered. Evidence: TestManifestWithTooFewPiecesCompletesNoStage (agent) and TestManifestWithTooFewPiecesIsReadAgain (entry) failed before: "e.loadedInvalid is true" and "15 (int) != 16 (testPieces int)". Why it works: the number comes from the configuration, which entries pass to agents; entries and agents both check it where a manifest arrives, and read it again from the next source. The assignments of the agent's tests named 4 pieces where the engine had 8; they name 8 now.

--- a/command/gateway.go
+++ b/command/gateway.go
@@ -113,7 +113,7 @@
 		RetryBurst: budgetShare * s.Bounds.RetryBudgetExtra, RetryWindow: s.RetryWindow(), Memory: p.newBudget(memoryBudget)}, platform.Dialect{}, e.balancer, e.conns, e.reserver,
 		gateway.NewStats(p.metrics), telemetry.Part(p.log, "gateway"))
 	e.follower = e.mesh.NewFollower(mirror.Config{}, platform.NewStore(s.Store.Addr), telemetry.Part(p.log, "mirror"))
-	e.relay = weights.NewRelay(weights.Config{Off: off}, p.self, e.mesh.Entries, e.holders, e.origin, platform.NewOrigin(), p.call,
+	e.relay = weights.NewRelay(weights.Config{Off: off}, p.self, e.mesh.Entries, e.holders, e.origin, e.pieceCount, platform.NewOrigin(), p.call,
 		telemetry.Part(p.log, "weights"))
 	e.control = gateway.NewControl(gateway.ControlOptions{Addr: p.self.Addr, Config: gateway.ControlConfig{Off: off, VersionTimeout: s.VersionTimeout()},
 		Gateway: e.gateway, Balancer: e.balancer, Decoder: platform.Decoder{}, Table: table,
@@ -161,6 +161,14 @@
 	return nil
 }
 
+// pieceCount returns the number of pieces of a model by the configuration in force; 0 if unknown.
+func (e *entryProcess) pieceCount(model string) int {
+	if c := e.gateway.Config(); c != nil {
+		return c.PieceCount(model)
+	}
+	return 0
+}
+
 // sweep periodically closes idle connections that are no longer needed and updates the
 // number of entries that share the retry budget.
 func (e *entryProcess) sweep(ctx context.Context) {
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -154,6 +154,17 @@
 	return nil, r.Public || !c.hasTeams
 }
 
+// PieceCount returns the number of pieces that a model's weights are split into, or 0 if no service
+// has the model.
+func (c *Config) PieceCount(model string) int {
+	for _, s := range c.Services {
+		if s.Engine != nil && s.Engine.Model == model {
+			return s.Engine.Chunks
+		}
+	}
+	return 0
+}
+
 // FirstOrigin returns the origin of weights whose service name sorts first, or nil.
 func (c *Config) FirstOrigin() *Origin {
 	var first *Service
--- a/sidecar/plan_test.go
+++ b/sidecar/plan_test.go
@@ -13,7 +13,7 @@
 var start = time.Unix(1_800_000_000, 0)
 
 func newAssignment(version, turn, turns int) peer.Assignment {
-	return peer.Assignment{Model: "m", Version: version, Layers: 16, Pieces: 4, TimeoutMs: 8000, Turn: turn, Turns: turns}
+	return peer.Assignment{Model: "m", Version: version, Layers: 16, Pieces: pieces, TimeoutMs: 8000, Turn: turn, Turns: turns}
 }
 
 func serving(version int) Report {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -176,6 +176,7 @@
 	unavailable int // a version of which only the first piece is available
 	silent      int // a version of which requests for the manifest get no answer
 	spoilt      int // number of manifests, the first ones, in which a digest is wrong
+	short       int // number of manifests, the first ones, that lack the last digest
 }
 
 func (s *fakeSource) Manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
@@ -193,6 +194,10 @@
 		s.spoilt--
 		m.Digests[pieces-1][0] ^= 1
 	}
+	if s.short > 0 {
+		s.short--
+		m.Digests = m.Digests[:pieces-1]
+	}
 	return m, nil
 }
 
@@ -299,6 +304,17 @@
 	}
 }
 
+// Guards against loads without the last piece because a manifest did not list it.
+func TestManifestWithTooFewPiecesCompletesNoStage(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, serves: 1}
+	runSidecar(t, Config{}, e, &fakeSource{short: 1}, func(s *Sidecar, published func() peer.EngineState) {
+		s.Assign(time.Now(), newAssignment(2, 0, 1))
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, !e.loadedInvalid)
+		assert.Equal(t, published().Version, 2)
+	})
+}
+
 // Staged bytes may become corrupt before the load is ordered, so they are checked again.
 func TestCorruptPieceIsStagedAgain(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -96,12 +96,19 @@
 // an order of the previous agent.
 var errPreviousAgentOrder = errors.New("sidecar: load order of a previous agent may still take effect")
 
-// manifest reads the manifest of a version.
+// manifest reads the manifest of a version. It returns an error if the manifest does not list as many
+// pieces as the assignment.
 func (s *Sidecar) manifest(ctx context.Context, model string, version int) (*weights.Manifest, error) {
 	ctx, cancel := clock.WithTimeout(ctx, s.cfg.FetchTimeout)
 	defer cancel()
 	m, err := s.source.Manifest(ctx, model, version)
-	return m, errors.Wrap(err, "sidecar: read manifest")
+	if as := s.assigned(); err == nil && as.Model == model {
+		err = m.CheckLength(as.Pieces)
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "sidecar: read manifest")
+	}
+	return m, nil
 }
 
 // renewManifest reads the manifest of a stage again if a piece has not matched it: the manifest, too, may
--- a/weights/manifest.go
+++ b/weights/manifest.go
@@ -40,6 +40,15 @@
 	return nil
 }
 
+// CheckLength returns ErrCorrupt unless the manifest lists as many pieces as the model is split
+// into; zero pieces means that the number is not known.
+func (m *Manifest) CheckLength(pieces int) error {
+	if pieces > 0 && len(m.Digests) != pieces {
+		return errors.Wrapf(ErrCorrupt, "manifest of %s version %d lists %d pieces instead of %d", m.Model, m.Version, len(m.Digests), pieces)
+	}
+	return nil
+}
+
 // Origin is the client of the origin server of the weights.
 type Origin interface {
 	Manifest(ctx context.Context, addr, model string, version int) (*Manifest, error)
--- a/weights/order_test.go
+++ b/weights/order_test.go
@@ -96,7 +96,7 @@
 			return nil, errors.New("no such peer")
 		}
 		r := NewRelay(Config{}, peer.Presence{Addr: "a1", Domain: "a"}, func() []peer.Presence { return nil }, noHolders,
-			func() *fleet.Origin { return &fleet.Origin{Addr: "origin", Domain: "a"} }, o, noPeers, log)
+			func() *fleet.Origin { return &fleet.Origin{Addr: "origin", Domain: "a"} }, func(string) int { return slowOriginPieces }, o, noPeers, log)
 		r.Prefetch(t.Context(), testModel, 2, slowOriginPieces)
 		time.Sleep(perPiece*(slowOriginPieces-missing) + perPiece/2)
 		o.setUnavailable(true)
--- a/weights/relay.go
+++ b/weights/relay.go
@@ -66,6 +66,10 @@
 // PeerCall sends a request to an entry or agent and returns the reply.
 type PeerCall func(ctx context.Context, addr string, m peer.Message) (peer.Message, error)
 
+// PieceCount returns the number of pieces that a model's weights are split into, or 0 if it is not
+// known.
+type PieceCount func(model string) int
+
 // Holders returns the addresses of the agents in a failure domain that have a version staged.
 type Holders func(domain, model string, version int) []string
 
@@ -78,6 +82,7 @@
 	entries      func() []peer.Presence // live entries except this one
 	holders      Holders
 	origin       func() *fleet.Origin
+	pieceCount   PieceCount
 	originClient Origin
 	call         PeerCall
 	log          logrus.FieldLogger
@@ -101,10 +106,10 @@
 }
 
 // NewRelay returns an empty relay.
-func NewRelay(cfg Config, self peer.Presence, entries func() []peer.Presence, holders Holders, origin func() *fleet.Origin, originClient Origin,
-	call PeerCall, log logrus.FieldLogger) *Relay {
+func NewRelay(cfg Config, self peer.Presence, entries func() []peer.Presence, holders Holders, origin func() *fleet.Origin, pieceCount PieceCount,
+	originClient Origin, call PeerCall, log logrus.FieldLogger) *Relay {
 	cfg = cfg.applyDefaults()
-	return &Relay{cfg: cfg, self: self, entries: entries, holders: holders, origin: origin, originClient: originClient, call: call, log: log,
+	return &Relay{cfg: cfg, self: self, entries: entries, holders: holders, origin: origin, pieceCount: pieceCount, originClient: originClient, call: call, log: log,
 		inFlight: syncx.NewSingleFlight(), versions: map[string][]*heldVersion{}}
 }
 
@@ -164,10 +169,21 @@
 	return nil, errors.Wrapf(ErrNoSource, "manifest of %s version %d: %v", q.Model, q.Version, last)
 }
 
+// manifestFrom reads the manifest from a source. One that lists another number of pieces than the
+// configuration is corrupt: a stage with all its pieces would look complete.
 func (r *Relay) manifestFrom(ctx context.Context, src source, q *peer.GetManifest) (*Manifest, error) {
+	read := r.peerManifest
 	if src.isOrigin() {
-		return r.originManifest(ctx, q)
+		read = r.originManifest
+	}
+	m, err := read(ctx, src, q)
+	if err != nil {
+		return nil, err
 	}
+	return m, m.CheckLength(r.pieceCount(q.Model))
+}
+
+func (r *Relay) peerManifest(ctx context.Context, src source, q *peer.GetManifest) (*Manifest, error) {
 	ctx, cancel := clock.WithTimeout(ctx, r.cfg.PeerTimeout)
 	defer cancel()
 	msg, err := r.call(ctx, src.addr, &peer.GetManifest{Model: q.Model, Version: q.Version, Hops: q.Hops + 1, LocalOnly: src.localOnly})
@@ -213,7 +229,7 @@
 	return m, nil
 }
 
-func (r *Relay) originManifest(ctx context.Context, q *peer.GetManifest) (*Manifest, error) {
+func (r *Relay) originManifest(ctx context.Context, _ source, q *peer.GetManifest) (*Manifest, error) {
 	o := r.origin()
 	if o == nil {
 		return nil, ErrNoSource
--- a/weights/relay_test.go
+++ b/weights/relay_test.go
@@ -31,6 +31,7 @@
 	silent           bool // requests for manifests get no answer
 	manifests        int  // number of requests for manifests
 	corruptPieces    int  // number of following pieces to corrupt
+	shortManifests   int  // number of manifests, the first ones, that lack the last digest
 	corruptManifests int
 	pieces           map[int]int // number of times each piece was sent
 }
@@ -56,6 +57,10 @@
 		o.corruptManifests--
 		m.Digests[3][0] ^= 1
 	}
+	if o.shortManifests > 0 {
+		o.shortManifests--
+		m.Digests = m.Digests[:testPieces-1]
+	}
 	return m, nil
 }
 
@@ -98,7 +103,7 @@
 			return out
 		}
 		origin := func() *fleet.Origin { return &fleet.Origin{Addr: "origin", Domain: "a"} }
-		n.relays[addr] = NewRelay(Config{HolderWait: 1, RetryPause: 1}, self, others, n.holders, origin, n.origin, n.call, log)
+		n.relays[addr] = NewRelay(Config{HolderWait: 1, RetryPause: 1}, self, others, n.holders, origin, func(string) int { return testPieces }, n.origin, n.call, log)
 	}
 	return n
 }
@@ -351,3 +356,12 @@
 	r.Prefetch(t.Context(), testModel, 2, testPieces)
 	assert.Equal(t, r.versions[testModel][0].version, 3)
 }
+
+func TestManifestWithTooFewPiecesIsReadAgain(t *testing.T) {
+	n := newNetwork(map[string]string{"a1": "a"})
+	n.hold(1)
+	n.origin.shortManifests = 1
+	m, err := n.relays["a1"].Manifest(t.Context(), &peer.GetManifest{Model: testModel, Version: 1})
+	assert.NilError(t, err)
+	assert.Equal(t, len(m.Digests), testPieces)
+}
