sidecar: an engine is used only with loads that are proven to be whole

Cause: the check of the staged pieces and the engine's taking of them are two steps, and nobody looked after the second. A put of another version that had been given up could land between them; the agent could stand still between them; and an order, also one that only fences older orders, could reach the next process of the engine, which has begun as many orders (none) as the one of the report, and loads whatever is staged. Why it works: every load that has begun, by whosever order, shows in the count of orders. The agent then reads all staged pieces back, most of the time while the engine is still loading. Valid pieces were valid when the load began, unless the agent put one since. Until that is shown the engine is reported to hold nothing. A fencing order that has begun a load (202) or isn't answered within 0.1 s takes the engine out of use at once. Left: loads of the agent before are trusted unless they are still in progress.

--- a/sidecar/doubt.go
+++ b/sidecar/doubt.go
@@ -12,6 +12,9 @@
 type LoadOrder struct {
 	Model   string
 	Version int
+	// Layers are the layers that the engine is to hold; the zero value is all of them. The
+	// engine keeps those that it holds of the version and drops the others.
+	Layers LayerRange
 	// Precondition is the Sequence of the report on which the order is based. An engine
 	// that has begun another order since that report refuses this one.
 	Precondition int64
--- /dev/null
+++ b/sidecar/fence.go
@@ -0,0 +1,80 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/springgate/springgate/clock"
+)
+
+// fence makes the engine refuse older orders. It sends an order for the version that the
+// engine serves, which changes nothing, but the engine records the order's token. Then it
+// sends an order with a lower token as a test: if the engine does not refuse that one, it
+// does not enforce tokens. fence returns the time until the next reconcile.
+func (s *Sidecar) fence(ctx context.Context, model string, serving int, r Report) time.Duration {
+	var err error
+	if s.inDoubt.probeToken == 0 {
+		s.tokens.raiseAbovePrevious(clock.Now())
+		lower := s.newLoadOrder(model, serving, r)
+		fencing := s.newLoadOrder(model, serving, r)
+		var begun bool
+		begun, err = s.sendFencing(ctx, fencing, r)
+		s.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": serving, "sequence": fencing.Precondition,
+			"token": fencing.Token, "engine_start_ms": r.StartTimeMs, "begun": begun}).Info("Fencing order sent.")
+		if begun {
+			return s.cfg.PollBusy
+		}
+		switch {
+		case err == nil:
+			s.inDoubt.probeToken = lower.Token
+		case errors.Is(err, ErrOrderFenced):
+			s.tokens.raise()
+			return s.cfg.PollBusy
+		}
+	}
+	if s.inDoubt.probeToken != 0 {
+		lower := s.newLoadOrder(model, serving, r)
+		lower.Token = s.inDoubt.probeToken
+		_, err = s.sendFencing(ctx, lower, r)
+		if errors.Is(err, ErrOrderFenced) {
+			s.settle(clock.Now(), "fenced")
+			return 0
+		}
+		s.inDoubt.ignoresTokens = err == nil
+	}
+	s.inDoubt.backOff(clock.Now(), s.cfg)
+	if err != nil && !errors.Is(err, ErrOrderInDoubt) && s.inDoubt.attempts >= previousAgentAttempts {
+		s.inDoubt.ignoresTokens = true
+	}
+	s.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": serving, "tries": s.inDoubt.attempts,
+		"unfenced": s.inDoubt.ignoresTokens}).Info("Older load orders not fenced.")
+	return s.cfg.PollBusy
+}
+
+// fenceWait is the wait for the answer to a fencing order after which the engine is reported to
+// serve nothing. It is shorter than a load.
+const fenceWait = 100 * time.Millisecond
+
+// sendFencing sends an order for the version that the engine serves. If the engine has restarted
+// since the report, the order makes it load whatever is staged, so it must not be used.
+func (s *Sidecar) sendFencing(ctx context.Context, o LoadOrder, r Report) (begun bool, err error) {
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		begun, err = s.sendOrder(ctx, o)
+	}()
+	timer := clock.NewTimer(fenceWait)
+	defer timer.Stop()
+	select {
+	case <-answered:
+	case <-timer.C:
+		s.publishState(o.Model, 0, true, r.StartTimeMs)
+		<-answered
+	}
+	if begun {
+		s.publishState(o.Model, 0, true, r.StartTimeMs)
+	}
+	return begun, err
+}
--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -75,8 +75,9 @@
 		return time.Time{}, errPreviousAgentOrder
 	}
 	sent = clock.Now()
+	s.puts.recordSent(sent)
 	if err := s.engine.PutPiece(ctx, s.engineAddr, s.stage.model, index, s.stage.pieces[index]); err != nil {
-		s.unconfirmedPuts.add(index, clock.Now().Add(s.cfg.OrderGrace))
+		s.puts.recordUnanswered(index, clock.Now().Add(s.cfg.OrderGrace))
 		return time.Time{}, err
 	}
 	s.stage.transferTimes.staging.Add(int64(clock.Since(sent)))
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -10,7 +10,8 @@
 // Report is an engine's status report.
 type Report struct {
 	Models []fleet.ModelVersion
-	Busy   bool // the engine is carrying out an order
+	Layers LayerRange // held layers of the model; the zero value if not reported
+	Busy   bool       // the engine is carrying out an order
 	// Sequence is the number of orders that the engine has begun since its start.
 	// An engine that does not count them reports 0.
 	Sequence    int64
@@ -27,6 +28,20 @@
 	return i.LoadedVersion(&fleet.EngineModel{Model: model, Layers: layers})
 }
 
+// held returns the layers that the engine holds of a model.
+func (r Report) held(model string) held {
+	for _, m := range r.Models {
+		if m.Model != model {
+			continue
+		}
+		if r.Layers != (LayerRange{}) {
+			return held{m.Version, r.Layers}
+		}
+		return held{m.Version, LayerRange{0, max(m.Layers, 1)}}
+	}
+	return held{}
+}
+
 // Action is a kind of step of a sidecar.
 type Action uint8
 
--- /dev/null
+++ b/sidecar/proof_test.go
@@ -0,0 +1,155 @@
+package sidecar
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/springgate/springgate/peer"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// runUsed runs a sidecar for 40 s. It returns what the engine was reported to serve in the end, and
+// whether it was ever reported to serve a version while it held bad layers.
+func runUsed(t *testing.T, cfg Config, e *fakeEngine, engine Engine, a peer.Assignment) (last peer.EngineState, usedUnsound bool) {
+	synctest.Test(t, func(t *testing.T) {
+		s, published, stop := startSidecar(t, cfg, engine, &fakeSource{})
+		s.Assign(time.Now(), a)
+		for range 4000 {
+			time.Sleep(10 * time.Millisecond)
+			p := published()
+			e.set(func() { usedUnsound = usedUnsound || !p.Loading && p.Version == e.serves && e.unsound() })
+		}
+		last = published()
+		stop()
+	})
+	return last, usedUnsound
+}
+
+// The engine restarts between a report and the fencing order that is based on it, so that the order
+// loads whatever is staged.
+func TestLoadByFencingOrderAtRestartedEngineIsNotUsed(t *testing.T) {
+	for name, staged := range map[string]map[int]string{"nothing staged": {}, "another version staged": stagedVersion(7)} {
+		for _, startTimeMs := range []int64{0, 1000} {
+			e := &fakeEngine{staged: staged, serves: 1, startTimeMs: startTimeMs}
+			fenced := false
+			w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+				if o.Version == 1 && !fenced {
+					fenced = true
+					e.set(func() {
+						e.newProcess()
+						e.startTimeMs *= 2
+					})
+				}
+			}}
+			last, usedUnsound := runUsed(t, Config{}, e, w, newAssignment(2, 1, 2))
+			assert.Assert(t, fenced && e.loadedInvalid, name)
+			assert.Assert(t, !usedUnsound, name)
+			assert.Equal(t, last.Version, 2, name)
+			assert.Assert(t, !e.unsound(), name)
+		}
+	}
+}
+
+// A delayed put of another version arrives after the last check and before the order.
+func TestLoadOfPieceReplacedAfterItsCheckIsNotUsed(t *testing.T) {
+	for index := range pieces {
+		e := &fakeEngine{staged: map[int]string{}, serves: 1}
+		replaced := false
+		w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+			if o.Version == 2 && !replaced {
+				replaced = true
+				e.set(func() { e.staged[index] = content(7, index) })
+			}
+		}}
+		last, usedUnsound := runUsed(t, Config{}, e, w, newAssignment(2, 0, 1))
+		assert.Assert(t, replaced && e.loadedInvalid)
+		assert.Assert(t, !usedUnsound, "piece %d", index)
+		assert.Equal(t, last.Version, 2, "piece %d", index)
+		assert.Assert(t, !e.unsound(), "piece %d", index)
+	}
+}
+
+// The agent is paused between the last check and the order. Pieces become corrupt meanwhile.
+func TestLoadAfterPauseBetweenCheckAndOrderIsNotUsed(t *testing.T) {
+	for _, serves := range []int{0, 1} {
+		e := &fakeEngine{staged: map[int]string{}, serves: serves}
+		paused := false
+		w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+			if o.Version == 2 && !paused {
+				paused = true
+				e.set(func() { e.staged[3] = "corrupt" })
+				time.Sleep(4 * time.Second)
+			}
+		}}
+		last, usedUnsound := runUsed(t, Config{}, e, w, newAssignment(2, 0, 1))
+		assert.Assert(t, paused && e.loadedInvalid)
+		assert.Assert(t, !usedUnsound)
+		assert.Equal(t, last.Version, 2)
+		assert.Assert(t, !e.unsound())
+	}
+}
+
+// An engine whose layers cannot be ordered one by one holds a bad load until a newer version comes.
+func TestBadLoadOfEngineWithoutLayersIsNotUsed(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, serves: 1}
+	w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+		if o.Version == 2 {
+			e.set(func() { e.staged[3] = "corrupt" })
+		}
+	}}
+	a := newAssignment(2, 0, 1)
+	a.Layers = 1
+	last, usedUnsound := runUsed(t, Config{}, e, w, a)
+	assert.Assert(t, e.loadedInvalid && !usedUnsound)
+	assert.Equal(t, last.Version, 0)
+	assert.Equal(t, e.orders, 1)
+}
+
+// An engine that was left with bad layers is loaded again layer by layer, whatever goes wrong meanwhile.
+func TestEngineIsNeverUsedWithBadLayers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		e := &fakeEngine{staged: map[int]string{}, serves: rapid.IntRange(0, 1).Draw(rt, "serves"), startTimeMs: 1000,
+			ignoresTokens: rapid.Bool().Draw(rt, "unfenced"), survivesRestart: true}
+		// What happens as each of the first orders and reads reaches the engine.
+		faults := rapid.SliceOfN(rapid.IntRange(0, 5), 0, 12).Draw(rt, "orders")
+		pausesMs := rapid.SliceOfN(rapid.IntRange(0, 4000), 12, 12).Draw(rt, "pauses")
+		index := rapid.IntRange(0, pieces-1)
+		indexes := rapid.SliceOfN(index, 12, 12).Draw(rt, "pieces")
+		n := 0
+		w := hookedEngine{fakeEngine: e, ordered: func(LoadOrder) {
+			if n >= len(faults) {
+				return
+			}
+			k := n
+			n++
+			e.set(func() {
+				switch faults[k] {
+				case 1:
+					e.staged[indexes[k]] = "corrupt"
+				case 2:
+					e.staged[indexes[k]] = content(7, indexes[k])
+				case 3, 4: // a crash, or a loss of power
+					e.newProcess()
+					e.startTimeMs++
+					if faults[k] == 4 {
+						e.staged = map[int]string{}
+					}
+				case 5:
+					e.late = append(e.late, time.Duration(pausesMs[k])*time.Millisecond)
+				}
+			})
+			if faults[k] < 5 {
+				time.Sleep(time.Duration(pausesMs[k]) * time.Millisecond)
+			}
+		}}
+		last, usedUnsound := runUsed(t, Config{}, e, w, newAssignment(2, 0, 1))
+		if usedUnsound || e.unsound() {
+			rt.Fatalf("used an engine with bad layers")
+		}
+		if last.Version != 2 {
+			rt.Fatalf("serves version %d after %d orders", last.Version, n)
+		}
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -20,8 +20,10 @@
 	PutPiece(ctx context.Context, addr, model string, index int, data []byte) error
 	StagedPiece(ctx context.Context, addr, model string, index int) ([]byte, error)
 	// StartLoad orders the engine to load the staged pieces once its running requests
-	// have ended. The errors of LoadOrder tell whether the order may still take effect.
-	StartLoad(ctx context.Context, addr string, o LoadOrder) error
+	// have ended. It reports whether the engine has begun to load; an engine that holds the
+	// ordered layers already accepts the order without a load. The errors of LoadOrder tell
+	// whether the order may still take effect.
+	StartLoad(ctx context.Context, addr string, o LoadOrder) (begun bool, err error)
 }
 
 // Sidecar is the agent of one engine. Run owns its state, except for the fields guarded by mu.
@@ -34,17 +36,18 @@
 	stats      *Stats
 	log        logrus.FieldLogger
 
-	stage           *stage // version being staged or staged at the engine
-	prefetched      *stage // pieces of a newer version in memory
-	published       peer.EngineState
-	pace            paceFilter
-	up              bool // the last report was successful
-	polled          bool // a report has been requested before
-	reached         bool // a report was successful at least once
-	step            Step
-	inDoubt         inDoubtOrder
-	tokens          tokens
-	unconfirmedPuts unconfirmedPuts
+	stage      *stage // version being staged or staged at the engine
+	prefetched *stage // pieces of a newer version in memory
+	published  peer.EngineState
+	pace       paceFilter
+	up         bool // the last report was successful
+	polled     bool // a report has been requested before
+	reached    bool // a report was successful at least once
+	step       Step
+	inDoubt    inDoubtOrder
+	tokens     tokens
+	proof      loadProof
+	puts       putLog
 
 	sequence    int64     // Report.Sequence of the last report
 	startTimeMs int64     // Report.StartTimeMs of the last report
@@ -69,7 +72,7 @@
 	if !cfg.FirstStart {
 		putsUntil = clock.Now().Add(cfg.OrderGrace)
 	}
-	return &Sidecar{cfg: cfg, unconfirmedPuts: unconfirmedPuts{all: putsUntil}, engine: engine, engineAddr: addr, source: source, publish: publish, stats: stats, log: log,
+	return &Sidecar{cfg: cfg, puts: putLog{all: putsUntil}, engine: engine, engineAddr: addr, source: source, publish: publish, stats: stats, log: log,
 		inDoubt: inDoubtOrder{open: true, lastSent: clock.Now()}, wake: make(chan struct{}, 1)}
 }
 
@@ -121,6 +124,7 @@
 // reconcile reads the engine's report, carries out one step and returns the time until the
 // next call.
 func (s *Sidecar) reconcile(ctx context.Context) time.Duration {
+	requested := clock.Now()
 	r, err := s.report(ctx)
 	if err != nil {
 		s.engineLost(err)
@@ -136,6 +140,13 @@
 	if as.Model == "" {
 		return s.cfg.Poll
 	}
+	if !s.prove(ctx, requested, as, r) {
+		s.publishState(as.Model, 0, true, r.StartTimeMs)
+		return s.cfg.PollBusy
+	}
+	if s.proof.unsound {
+		r.Models = nil // the engine is to load a version as if it held none
+	}
 	serves := r.serves(as.Model, as.Layers)
 	s.pace.update(now, r.Pace)
 	s.publishState(as.Model, serves, r.Busy, r.StartTimeMs)
@@ -283,6 +294,9 @@
 
 // load checks the staged pieces again and orders the engine to load them.
 func (s *Sidecar) load(ctx context.Context, as assignmentState, version int, r Report) time.Duration {
+	if s.proof.stuck(version, as.Layers) {
+		return s.cfg.Poll
+	}
 	age := s.cfg.VerifyAge
 	if s.inDoubt.known() {
 		age = 0 // the order may take effect at any time until the next check
@@ -294,10 +308,12 @@
 		s.publishState(as.Model, r.serves(as.Model, as.Layers), true, r.StartTimeMs)
 	}
 	order := s.newLoadOrder(as.Model, version, r)
+	order.Layers = s.proof.nextLayers(version, as.Layers)
 	fields := logrus.Fields{"model": as.Model, "version": version, "running": r.Running, "sequence": order.Precondition, "token": order.Token,
-		"engine_start_ms": r.StartTimeMs, "check_age_ms": clock.Since(s.stage.oldestCheck()).Milliseconds(),
-		"unconfirmed_puts": s.unconfirmedPuts.count(len(s.stage.staged), clock.Now())}
-	err := s.sendOrder(ctx, order)
+		"from_layer": order.Layers.From, "to_layer": order.Layers.To, "engine_start_ms": r.StartTimeMs, "check_age_ms": clock.Since(s.stage.oldestCheck()).Milliseconds(),
+		"unconfirmed_puts": s.puts.unconfirmed(len(s.stage.staged), clock.Now())}
+	begun, err := s.sendOrder(ctx, order)
+	fields["begun"] = begun
 	s.stats.count(err)
 	switch {
 	case err == nil:
@@ -329,52 +345,12 @@
 
 // sendOrder sends an order, and records the time if the order has precondition 0 and gets
 // no answer (see reopenAfterRestart).
-func (s *Sidecar) sendOrder(ctx context.Context, order LoadOrder) error {
+func (s *Sidecar) sendOrder(ctx context.Context, order LoadOrder) (begun bool, err error) {
 	ctx, cancel := clock.WithTimeout(ctx, s.cfg.OrderTimeout)
 	defer cancel()
-	err := s.engine.StartLoad(ctx, s.engineAddr, order)
+	begun, err = s.engine.StartLoad(ctx, s.engineAddr, order)
 	if errors.Is(err, ErrOrderInDoubt) && order.Precondition == 0 {
 		s.sentAtZero = clock.Now()
 	}
-	return err
-}
-
-// fence makes the engine refuse older orders. It sends an order for the version that the
-// engine serves, which changes nothing, but the engine records the order's token. Then it
-// sends an order with a lower token as a test: if the engine does not refuse that one, it
-// does not enforce tokens. fence returns the time until the next reconcile.
-func (s *Sidecar) fence(ctx context.Context, model string, serving int, r Report) time.Duration {
-	var err error
-	if s.inDoubt.probeToken == 0 {
-		s.tokens.raiseAbovePrevious(clock.Now())
-		lower := s.newLoadOrder(model, serving, r)
-		fencing := s.newLoadOrder(model, serving, r)
-		err = s.sendOrder(ctx, fencing)
-		s.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": serving, "sequence": fencing.Precondition,
-			"token": fencing.Token, "engine_start_ms": r.StartTimeMs}).Info("Fencing order sent.")
-		switch {
-		case err == nil:
-			s.inDoubt.probeToken = lower.Token
-		case errors.Is(err, ErrOrderFenced):
-			s.tokens.raise()
-			return s.cfg.PollBusy
-		}
-	}
-	if s.inDoubt.probeToken != 0 {
-		lower := s.newLoadOrder(model, serving, r)
-		lower.Token = s.inDoubt.probeToken
-		err = s.sendOrder(ctx, lower)
-		if errors.Is(err, ErrOrderFenced) {
-			s.settle(clock.Now(), "fenced")
-			return 0
-		}
-		s.inDoubt.ignoresTokens = err == nil
-	}
-	s.inDoubt.backOff(clock.Now(), s.cfg)
-	if err != nil && !errors.Is(err, ErrOrderInDoubt) && s.inDoubt.attempts >= previousAgentAttempts {
-		s.inDoubt.ignoresTokens = true
-	}
-	s.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": serving, "tries": s.inDoubt.attempts,
-		"unfenced": s.inDoubt.ignoresTokens}).Info("Older load orders not fenced.")
-	return s.cfg.PollBusy
+	return begun, err
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -31,7 +31,9 @@
 	down          bool
 	staged        map[int]string
 	serves        int
-	loadedInvalid bool // an order took effect while pieces were missing, corrupt or of another version
+	layers        LayerRange   // held of the served version; the zero value is all
+	badLayers     map[int]bool // held layers that were loaded from missing or corrupt pieces, or those of another version
+	loadedInvalid bool         // an order took effect while pieces were missing, corrupt or of another version
 	orders        int
 	reads         int
 	loading       time.Time
@@ -66,11 +68,59 @@
 	}
 	r := Report{Busy: time.Now().Before(e.loading), Sequence: e.sequence, StartTimeMs: e.startTimeMs, Pace: e.pace}
 	if e.serves > 0 {
-		r.Models = []fleet.ModelVersion{{Model: "m", Version: e.serves, Layers: 16}}
+		r.Layers = e.held()
+		r.Models = []fleet.ModelVersion{{Model: "m", Version: e.serves, Layers: r.Layers.To - r.Layers.From}}
 	}
 	return r, nil
 }
 
+const engineLayers = 16
+
+// held returns the layers that the engine holds if it serves a version.
+func (e *fakeEngine) held() LayerRange {
+	if e.layers == (LayerRange{}) {
+		return LayerRange{0, engineLayers}
+	}
+	return e.layers
+}
+
+// orderedLayers returns the layers that the engine is to hold.
+func orderedLayers(o LoadOrder) LayerRange {
+	if o.Layers == (LayerRange{}) {
+		return LayerRange{0, engineLayers}
+	}
+	return o.Layers
+}
+
+// loadLayers loads the ordered layers from the staged pieces, except for those that are held already.
+func (e *fakeEngine) loadLayers(o LoadOrder) {
+	before := held{e.serves, e.held()}
+	e.serves, e.layers = o.Version, o.Layers
+	kept := e.badLayers
+	e.badLayers = map[int]bool{}
+	now := e.held()
+	for l := now.From; l < now.To; l++ {
+		if before.version == o.Version && before.layers.overlaps(LayerRange{l, l + 1}) {
+			e.badLayers[l] = kept[l]
+			continue
+		}
+		for i := l * pieces / engineLayers; i*engineLayers < (l+1)*pieces; i++ {
+			e.badLayers[l] = e.badLayers[l] || e.staged[i] != content(o.Version, i)
+		}
+		e.loadedInvalid = e.loadedInvalid || e.badLayers[l]
+	}
+}
+
+// unsound reports whether the engine would make tokens with a bad layer.
+func (e *fakeEngine) unsound() bool {
+	for l := range engineLayers {
+		if e.badLayers[l] {
+			return e.serves != 0 && e.held() == LayerRange{0, engineLayers} && !time.Now().Before(e.loading)
+		}
+	}
+	return false
+}
+
 func (e *fakeEngine) PutPiece(ctx context.Context, _, _ string, index int, data []byte) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -102,7 +152,7 @@
 	return []byte(e.staged[index]), nil
 }
 
-func (e *fakeEngine) StartLoad(ctx context.Context, _ string, o LoadOrder) error {
+func (e *fakeEngine) StartLoad(ctx context.Context, _ string, o LoadOrder) (begun bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down || len(e.late) == 0 || o.Version == e.serves && !e.lateAll {
@@ -115,52 +165,55 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			if e.starts == starts || e.survivesRestart { // otherwise the order was lost with its connection
-				_ = e.apply(o) // the caller has timed out
+				_, _ = e.apply(o) // the caller has timed out
 			}
 		})
 	}
 	e.mu.Unlock()
 	<-ctx.Done()
 	e.mu.Lock()
-	return ErrOrderInDoubt
+	return false, ErrOrderInDoubt
 }
 
-// apply carries out an order on the currently staged pieces.
-func (e *fakeEngine) apply(o LoadOrder) error {
+// apply carries out an order on the currently staged pieces. It reports whether a load has begun.
+func (e *fakeEngine) apply(o LoadOrder) (begun bool, err error) {
 	switch {
 	case e.down:
-		return errors.New("refused")
+		return false, errors.New("refused")
 	case !e.noOrderCount && !e.ignoresTokens && o.Token < e.token:
-		return ErrOrderFenced
+		return false, ErrOrderFenced
 	case time.Now().Before(e.loading), !e.noOrderCount && o.Precondition != e.sequence, e.noOrderCount && e.serves == o.Version:
-		return ErrOrderStale
+		return false, ErrOrderStale
 	}
 	e.token = max(e.token, o.Token)
-	if e.serves == o.Version {
-		return nil
+	if e.serves == o.Version && e.held() == orderedLayers(o) {
+		return false, nil
 	}
 	e.orders++
 	if !e.noOrderCount {
 		e.sequence++
 	}
-	for i := range pieces {
-		e.loadedInvalid = e.loadedInvalid || e.staged[i] != content(o.Version, i)
-	}
-	e.serves = o.Version
+	e.loadLayers(o)
 	e.loading = time.Now().Add(300 * time.Millisecond)
-	return nil
+	return true, nil
 }
 
 // restart resets the state of the engine except for the staged pieces.
 func (e *fakeEngine) restart() {
 	e.set(func() {
-		e.down, e.serves, e.loading, e.sequence, e.token = true, 0, time.Time{}, 0, 0
-		e.starts++
+		e.down = true
+		e.newProcess()
 	})
 	time.Sleep(300 * time.Millisecond)
 	e.set(func() { e.down = false })
 }
 
+// newProcess resets the state of the engine except for the staged pieces.
+func (e *fakeEngine) newProcess() {
+	e.serves, e.layers, e.badLayers, e.loading, e.sequence, e.token = 0, LayerRange{}, nil, time.Time{}, 0, 0
+	e.starts++
+}
+
 // set calls f with the engine locked.
 func (e *fakeEngine) set(f func()) {
 	e.mu.Lock()
@@ -643,7 +696,10 @@
 	runSidecar(t, Config{}, e, &fakeSource{delay: 100 * time.Millisecond}, func(s *Sidecar, published func() peer.EngineState) {
 		late := LoadOrder{Model: "m", Version: 2, Token: uint64(time.Now().Add(3 * time.Second).UnixMilli())}
 		time.AfterFunc(500*time.Millisecond, func() {
-			e.set(func() { assert.ErrorIs(t, e.apply(late), ErrOrderFenced) })
+			e.set(func() {
+				_, err := e.apply(late)
+				assert.ErrorIs(t, err, ErrOrderFenced)
+			})
 		})
 		s.Assign(time.Now(), newAssignment(3, 0, 1))
 		time.Sleep(8 * time.Second)
--- a/sidecar/stage_test.go
+++ b/sidecar/stage_test.go
@@ -42,7 +42,7 @@
 	return err
 }
 
-func (w hookedEngine) StartLoad(ctx context.Context, addr string, o LoadOrder) error {
+func (w hookedEngine) StartLoad(ctx context.Context, addr string, o LoadOrder) (bool, error) {
 	if w.ordered != nil {
 		w.ordered(o)
 	}
@@ -75,7 +75,7 @@
 					}
 					return nil
 				}}
-				time.AfterFunc(700*time.Millisecond, func() { e.set(func() { _ = e.apply(LoadOrder{Model: "m", Version: 2, Token: 1}) }) })
+				time.AfterFunc(700*time.Millisecond, func() { e.set(func() { _, _ = e.apply(LoadOrder{Model: "m", Version: 2, Token: 1}) }) })
 				s, published, stop := startSidecar(t, Config{}, w, &fakeSource{delay: 500 * time.Millisecond})
 				s.Assign(time.Now(), newAssignment(3, 0, 1))
 				time.Sleep(30 * time.Second)
@@ -125,7 +125,7 @@
 		a := newAssignment(3, 0, 1)
 		a.Earlier = []peer.AnnouncedVersion{{Version: 2, AgeMs: 1500}}
 		s.Assign(time.Now(), a)
-		time.AfterFunc(600*time.Millisecond, func() { e.set(func() { _ = e.apply(LoadOrder{Model: "m", Version: 2, Token: 1}) }) })
+		time.AfterFunc(600*time.Millisecond, func() { e.set(func() { _, _ = e.apply(LoadOrder{Model: "m", Version: 2, Token: 1}) }) })
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, published().Version, 3)
 		assert.Assert(t, !e.loadedInvalid)
@@ -182,7 +182,7 @@
 func TestEngineIgnoringTokensIsNotConsideredFenced(t *testing.T) {
 	e := &fakeEngine{staged: stagedVersion(2), serves: 1, ignoresTokens: true}
 	runSidecar(t, Config{}, e, &fakeSource{delay: 200 * time.Millisecond}, func(s *Sidecar, published func() peer.EngineState) {
-		time.AfterFunc(600*time.Millisecond, func() { e.set(func() { _ = e.apply(LoadOrder{Model: "m", Version: 2, Token: 1}) }) })
+		time.AfterFunc(600*time.Millisecond, func() { e.set(func() { _, _ = e.apply(LoadOrder{Model: "m", Version: 2, Token: 1}) }) })
 		s.Assign(time.Now(), thirdAfterSecond())
 		time.Sleep(10 * time.Second)
 		assert.Equal(t, published().Version, 3)
@@ -197,14 +197,14 @@
 	sent    *atomic.Int64
 }
 
-func (r refusingEngine) StartLoad(ctx context.Context, addr string, o LoadOrder) error {
+func (r refusingEngine) StartLoad(ctx context.Context, addr string, o LoadOrder) (bool, error) {
 	if o.Version != r.version {
 		return r.fakeEngine.StartLoad(ctx, addr, o)
 	}
 	if r.sent.Add(1) == 1 {
-		return ErrOrderInDoubt
+		return false, ErrOrderInDoubt
 	}
-	return errors.New("status 503")
+	return false, errors.New("status 503")
 }
 
 // The back-off between repeats of an order increases also when the repeats are refused,
--- a/sidecar/stats.go
+++ b/sidecar/stats.go
@@ -21,9 +21,11 @@
 	// Load orders that got no answer, not counting repeats, and those of them whose
 	// outcome has become known.
 	ordersInDoubt, ordersSettled metrics.Counter
-	ordersStale                  metrics.Counter   // refused: the engine's state had changed
-	ordersFenced                 metrics.Counter   // refused: the token was too low
-	stageTime                    metrics.Histogram // from the manifest to the last piece, ms
+	ordersStale                  metrics.Counter // refused: the engine's state had changed
+	ordersFenced                 metrics.Counter // refused: the token was too low
+	// Loads after whose beginning the staged pieces were valid, and all others.
+	loadsProven, loadsUnproven metrics.Counter
+	stageTime                  metrics.Histogram // from the manifest to the last piece, ms
 }
 
 // NewStats registers the metrics and returns them.
@@ -36,6 +38,8 @@
 		ordersSettled: metrics.NewRegisteredCounter("sidecar.orders.settled", r),
 		ordersStale:   metrics.NewRegisteredCounter("sidecar.orders.stale", r),
 		ordersFenced:  metrics.NewRegisteredCounter("sidecar.orders.fenced", r),
+		loadsProven:   metrics.NewRegisteredCounter("sidecar.loads.proven", r),
+		loadsUnproven: metrics.NewRegisteredCounter("sidecar.loads.unproven", r),
 		stageTime:     metrics.NewRegisteredHistogram("sidecar.stage_ms", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))}
 }
 
--- a/sidecar/verify.go
+++ b/sidecar/verify.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,40 +19,6 @@
 // preceding checks took too long.
 const maxVerifyAttempts = 3
 
-// unconfirmedPuts are the pieces whose put to the engine was not answered. until has, for
-// each index, the time until which the put may still arrive and overwrite a newer piece.
-type unconfirmedPuts struct {
-	mu    sync.Mutex
-	until map[int]time.Time
-	all   time.Time // until when puts of a previous agent, of any index, may still arrive
-}
-
-func (u *unconfirmedPuts) add(index int, until time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.until == nil {
-		u.until = map[int]time.Time{}
-	}
-	u.until[index] = until
-}
-
-func (u *unconfirmedPuts) has(index int, now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return now.Before(u.all) || now.Before(u.until[index])
-}
-
-// count returns the number of pieces, out of n, whose put may still arrive.
-func (u *unconfirmedPuts) count(n int, now time.Time) int {
-	open := 0
-	for i := range n {
-		if u.has(i, now) {
-			open++
-		}
-	}
-	return open
-}
-
 // checkResult is the result of reading a staged piece.
 type checkResult uint8
 
@@ -102,7 +67,7 @@
 func (s *Sidecar) readBack(ctx context.Context, age time.Duration, concurrency int) checkCounts {
 	var due []int
 	for i, at := range s.stage.checked {
-		if clock.Since(at) >= age || s.unconfirmedPuts.has(i, clock.Now()) {
+		if clock.Since(at) >= age || s.puts.mayArrive(i, clock.Now()) {
 			due = append(due, i)
 		}
 	}
