dispatch: an engine is not used before its agent has seen its restart

Cause: an entry that knew a report of an earlier incarnation only fell back to the instance list, which names the version that the new process has loaded, by an order whose load the agent has not examined. Evidence: TestEngineIsNotUsedBeforeItsAgentHasSeenItsRestart failed before: "i-1 != no_target". Why it works: while an agent speaks for the address, only its word counts, and of a process that it has not seen it has said nothing. An engine whose agent is not reachable is still used by the list.

--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -113,6 +113,19 @@
 	assert.Equal(t, picked(b, start), "i-2", "the agent reports a later incarnation than the list")
 }
 
+// Guards against requests to an engine whose new process was loaded before its agent has seen it.
+func TestEngineIsNotUsedBeforeItsAgentHasSeenItsRestart(t *testing.T) {
+	first, second := engine(1, 1), engine(1, 1)
+	first.StartMs, second.StartMs = 1000, 2000
+	b := newTestBalancer(engineModel(), Config{}, first)
+	b.SetState(first.Addr, EngineState{Version: 1, StartMs: 1000})
+	assert.Equal(t, picked(b, start), "i-1")
+	b.Apply([]*fleet.Instance{second}, map[string]*fleet.Service{testService: {Name: testService, Engine: engineModel()}})
+	assert.Equal(t, picked(b, start), "no_target")
+	b.DeleteState(second.Addr)
+	assert.Equal(t, picked(b, start), "i-1", "no agent speaks for it")
+}
+
 // Targets that do not report their start time are identified by their ID alone.
 func TestUnknownStartTimeMatchesAnyIncarnation(t *testing.T) {
 	first, second := engine(1, 1), engine(1, 1)
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -193,11 +193,15 @@
 	return t.LoadedVersion(t.model), false
 }
 
-// reportOf returns the state of a target's engine as reported by its agent, unless the report is
-// of an earlier incarnation.
+// reportOf returns the state of a target's engine as reported by its agent. An incarnation that the
+// agent has not seen yet holds nothing that can be used, whatever the instance list says: only the
+// agent knows whether its load is whole.
 func (b *Balancer) reportOf(t *Target) (s EngineState, reported bool) {
 	s, reported = b.states[t.Addr]
-	return s, reported && (s.StartMs >= t.StartMs || s.StartMs == 0)
+	if s.StartMs != 0 && s.StartMs < t.StartMs {
+		return EngineState{}, reported
+	}
+	return s, reported
 }
 
 // servesUntil returns when the version that a target serves expires; zero if no newer version
