fake, soak: count tokens made with loads that were not whole

Cause: answers were made with weights that were not whole. The soak could not show most of the ways to this: the fake engine answered puts and orders in one step, its staged pieces never turned bad, it was away for 1.5 s at each crash, and the judge knew mixes of versions only.

The soak failed a run with any mixed load; it fails one with any token made with a bad load now, as the rule is about tokens: an agent may see after the acceptance that a load was not whole and have no request sent there.

--- a/soak/facts.go
+++ b/soak/facts.go
@@ -18,6 +18,7 @@
 	Leaving         map[string]time.Duration   // when the store had marked a target incarnation as leaving or removed it
 	Crashes         map[string][]time.Duration // when targets crashed while running a request, by request body
 	SchedulingDelay map[string]time.Duration   // by how much targets were late with each request because this process waited for CPU
+	BadTokens       map[string]int             // tokens of each request that were made with weights that were not whole
 	Limits          []LimitSpan
 	// Arrivals are the requests that reached each target incarnation, in order.
 	Arrivals map[string][]Arrival
@@ -91,7 +92,7 @@
 	for _, x := range requestLog.Backoffs() {
 		backoffs[x.Incarnation] = append(backoffs[x.Incarnation], Backoff{x.Request, x.At.Sub(r.start), x.Duration})
 	}
-	return Facts{Restores: slices.Clone(r.restores), Backoffs: backoffs, Limits: slices.Clone(r.limits), Arrivals: arrivals, Runs: requestLog.AllExecutions(), Reached: requestLog.Reached(), Configs: maps.Clone(r.configs), Leaving: maps.Clone(r.leaving), Crashes: crashes, SchedulingDelay: requestLog.Delays()}
+	return Facts{BadTokens: requestLog.BadTokens(), Restores: slices.Clone(r.restores), Backoffs: backoffs, Limits: slices.Clone(r.limits), Arrivals: arrivals, Runs: requestLog.AllExecutions(), Reached: requestLog.Reached(), Configs: maps.Clone(r.configs), Leaving: maps.Clone(r.leaving), Crashes: crashes, SchedulingDelay: requestLog.Delays()}
 }
 
 // leavingSince returns the earliest time at which one of the target incarnations that a
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -349,8 +349,8 @@
 // Result is the outcome of a run.
 type Result struct {
 	Violations      []Violation
-	Mixed           []fake.MixedLoad // engine loads that started without all pieces of their version
-	Unserved        []string         // what entries did not serve and engines had not loaded within recoveryTimeout after the faults
+	BadLoads        []fake.BadLoad // engine loads that started without all pieces of their version
+	Unserved        []string       // what entries did not serve and engines had not loaded within recoveryTimeout after the faults
 	Attempts        int
 	Served          int              // attempts with a complete response of status 200
 	Faults          map[string]int   // number of faults drawn, by name
@@ -386,7 +386,7 @@
 	load.Wait()
 	r := &Result{Unserved: unserved, Faults: faults}
 	for _, e := range f.engines {
-		r.Mixed = append(r.Mixed, e.MixedLoads()...)
+		r.BadLoads = append(r.BadLoads, e.BadLoads()...)
 	}
 	for _, p := range slices.Concat(f.entries, f.agents) {
 		r.UnexpectedExits += p.UnexpectedExits()
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -64,6 +64,7 @@
 	InvariantKnownStays       = "what an entry knows stays in force when the store is restored"
 	InvariantRetryBudget      = "a service receives no more retries than its budget allows"
 	InvariantNotDenied        = "few proper requests get a status that callers do not retry"
+	InvariantWholeWeights     = "no token is made with weights that were not whole when they were loaded"
 	InvariantRateLimit        = "a target receives no more requests than the limit that it announces"
 )
 
@@ -82,6 +83,9 @@
 		if facts.sentToLeaving(a) {
 			add(InvariantLeavingTarget, a)
 		}
+		if facts.BadTokens[a.ID] > 0 {
+			add(InvariantWholeWeights, a)
+		}
 		if facts.wentBack(a) {
 			add(InvariantKnownStays, a)
 		}
