soak: a process that is started again is not at its first start

Cause: the settings of each start had Bootstrap = true, which the platform sets only when the whole system starts for the first time.

Change: Bootstrap is true at the first start of a process only.

--- a/soak/process.go
+++ b/soak/process.go
@@ -41,6 +41,7 @@
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.node.FirstStart = p.node.FirstStart && p.starts == 0
 	if err := p.writeSettings(); err != nil {
 		return err
 	}
