soak: faults around loads of weights

Cause: answers were made with weights that were not whole, and no run of the soak could show it: no staged piece rots, nothing between an agent and its engine is late but the taking up of orders, agents pause for 1.7 s at most, and engines are away for 1.5 s when they crash.

Change: six faults that last for the whole run: versions, pieces that rot, calls between agent and engine that are late, engines that restart within milliseconds, with a loss of power one time in four, and agents that pause for 3 to 6 s or are killed. Moments are those of calls, each kind as often as another, since a random moment is rarely that of an order. Only runs that name them have these faults, so that the other runs stay as they are. Engines have a new ID with each start in these runs, as the protocol has it.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -168,6 +168,7 @@
 	}
 	var running sync.WaitGroup
 	f.injectOnceFaults(&running, count)
+	f.injectWeightFaults(&running, count)
 	for end := time.Now().Add(f.cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		if choice.empty() {
 			time.Sleep(time.Until(end))
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -155,6 +155,8 @@
 		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)], KeepID: i%2 == 1, Unframed: f.cfg.Unframed, EventInterval: f.cfg.EventInterval}
 		if i < f.cfg.Engines {
 			cfg.Service, cfg.Model, cfg.InitialVersion = engineService, model, 1
+			// Orders that are on their way while an engine restarts name its incarnation by its ID.
+			cfg.KeepID = cfg.KeepID && len(named(f.cfg.Only, weightFaults)) == 0
 			cfg.RequireFencing = i%2 == 0
 			cfg.MinOrderDelay, cfg.MaxOrderDelay = lateOrderMin, lateOrderMax
 		}
