--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -155,6 +155,8 @@
 		cfg := fake.TargetConfig{Service: plainService, Domain: domains[i%len(domains)], KeepID: i%2 == 1, Unframed: f.cfg.Unframed, EventInterval: f.cfg.EventInterval}
 		if i < f.cfg.Engines {
 			cfg.Service, cfg.Model, cfg.InitialVersion = engineService, model, 1
+			// Orders that are on their way while an engine restarts name its incarnation by its ID.
+			cfg.KeepID = cfg.KeepID && len(named(f.cfg.Only, weightFaults)) == 0
 			cfg.RequireFencing = i%2 == 0
 			cfg.MinOrderDelay, cfg.MaxOrderDelay = lateOrderMin, lateOrderMax
 		}
@@ -349,8 +351,8 @@
 // Result is the outcome of a run.
 type Result struct {
 	Violations      []Violation
-	Mixed           []fake.MixedLoad // engine loads that started without all pieces of their version
-	Unserved        []string         // what entries did not serve and engines had not loaded within recoveryTimeout after the faults
+	BadLoads        []fake.BadLoad // engine loads that started without all pieces of their version
+	Unserved        []string       // what entries did not serve and engines had not loaded within recoveryTimeout after the faults
 	Attempts        int
 	Served          int              // attempts with a complete response of status 200
 	Faults          map[string]int   // number of faults drawn, by name
@@ -386,7 +388,7 @@
 	load.Wait()
 	r := &Result{Unserved: unserved, Faults: faults}
 	for _, e := range f.engines {
-		r.Mixed = append(r.Mixed, e.MixedLoads()...)
+		r.BadLoads = append(r.BadLoads, e.BadLoads()...)
 	}
 	for _, p := range slices.Concat(f.entries, f.agents) {
 		r.UnexpectedExits += p.UnexpectedExits()
