gateway: requests that outlive the drain get a final answer

Callers saw: in a planned stop of an entry, the connection of a request that was still at its target at the end of the drain was closed without an answer, also of requests that may not be repeated. Cause: Drain returned when its time was over, and the process ended. Nothing told the exchanges, so none of them answered; the 400 ms kept before SIGKILL were kept for closing connections only. Evidence: on TestRequestsStillAtTheirTargetWhenTheDrainEndsAreAnswered failed for safe, unsafe and stream: drain_test.go:55: assertion failed: error is not nil: Post "http://127.0.0.1:46761/unsafe/x": EOF drain_test.go:60: assertion failed: 0 (<-answered int) != 502 (http.StatusBadGateway int) Change: the drain has an end, DrainMargin before the process is killed. At it the contexts of all exchanges are cancelled with a cause of their own. A request that was sent gets 502, one that was not gets 503 (true: its attempt ends before the answer is written), a held error response of a target is still delivered, a stream that has begun is broken off so that it doesn't look complete. A response that is already read is relayed as before. The server waits for these answers until 50 ms before the kill.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -178,7 +178,7 @@
 	case errors.Is(context.Cause(a.ctx), errSilent):
 		res.reason, res.silent = a.silenceReason(), sent
 	case a.ctx.Err() != nil:
-		res.reason, res.silent = ReasonTimeout, sent
+		res.reason, res.silent = endReason(a.ctx), sent
 	case !sent:
 		res.reason = ReasonDialFailed
 	case errors.Is(err, targetconn.ErrInvalidResponse):
@@ -246,7 +246,7 @@
 func (a *attempt) report(res result) {
 	r := dispatch.Result{PendingPrefill: a.pendingPrefill, Latency: clock.Since(a.sentAt), Kind: a.x.route.Name}
 	switch res.reason {
-	case ReasonNone, ReasonTimeout, ReasonCallerGone, ReasonVersionExpired, ReasonOvertaken, ReasonNoMemory, ReasonReaderStalled:
+	case ReasonNone, ReasonTimeout, ReasonStopping, ReasonCallerGone, ReasonVersionExpired, ReasonOvertaken, ReasonNoMemory, ReasonReaderStalled:
 	case ReasonTargetRefused:
 		r.Latency = 0
 	case ReasonOtherInstance:
--- /dev/null
+++ b/gateway/drain_test.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// endsAtOnce makes a drain end its requests at once, long before the process is killed.
+func endsAtOnce() ServerConfig {
+	return ServerConfig{DrainTimeout: time.Minute, DrainMargin: time.Minute - time.Millisecond, AcceptFor: time.Millisecond}
+}
+
+// stop drains the server and closes its connections, as the end of the process does.
+func (s *Server) stop() {
+	s.Drain()
+	for _, server := range s.servers {
+		server.Close()
+	}
+}
+
+// post sends a request of the named route and returns its status, or 0 if it got no answer, and
+// the error of reading the body.
+func post(t *testing.T, addr, route string, body io.Reader) (status int, err error) {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr+"/"+route+"/x", body)
+	assert.Check(t, err)
+	r.Host = "h.example"
+	r.Header.Set("Key", "secret")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, err
+}
+
+// Guards against requests that get no answer because they are still at their target when the drain ends.
+func TestRequestsStillAtTheirTargetWhenTheDrainEndsAreAnswered(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			started, release := make(chan struct{}), make(chan struct{})
+			x := newTarget(t, func(http.ResponseWriter, *http.Request) {
+				close(started)
+				<-release
+			})
+			defer close(release)
+			s := startServer(t, endsAtOnce(), x)
+			answered := make(chan int, 1)
+			go func() {
+				status, err := post(t, s.callerAddr(), route, http.NoBody)
+				assert.Check(t, err)
+				answered <- status
+			}()
+			<-started
+			s.stop()
+			assert.Equal(t, <-answered, http.StatusBadGateway)
+			assert.Equal(t, x.count(), 1)
+		})
+	}
+}
+
+// Guards against streams that look complete because the drain has ended them.
+func TestStreamThatTheDrainEndsIsBrokenOff(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	x := newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		writeSigned(w, http.StatusOK, eventText(1))
+		w.(http.Flusher).Flush()
+		close(started)
+		<-release
+	})
+	defer close(release)
+	s := startServer(t, endsAtOnce(), x)
+	failed := make(chan error, 1)
+	go func() {
+		status, err := post(t, s.callerAddr(), "stream", http.NoBody)
+		assert.Check(t, status == http.StatusOK)
+		failed <- err
+	}()
+	<-started
+	s.stop()
+	assert.Assert(t, <-failed != nil)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -81,6 +81,8 @@
 	x.boundWrites(time.Now().Add(clock.Until(x.deadline) + httpclient.DeliveryTimeout))
 	ctx, cancel := clock.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	ctx, release := x.g.drain.bound(ctx)
+	defer release()
 	x.run(ctx)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,6 +210,7 @@
 
 	config   atomic.Pointer[fleet.Config]
 	draining atomic.Bool
+	drain    drain
 	inflight atomic.Int64
 
 	retryDetector *dispatch.RetryDetector
@@ -230,7 +231,7 @@
 	if cfg.Memory != nil {
 		stats.watchMemory(cfg.Memory)
 	}
-	return &Gateway{cfg: cfg, dialect: d, balancer: balancer, pool: pool, reserver: reserver, stats: stats, log: log,
+	return &Gateway{cfg: cfg, dialect: d, balancer: balancer, pool: pool, reserver: reserver, stats: stats, log: log, drain: newDrain(),
 		retryDetector: dispatch.NewRetryDetector(cfg.RetryAfter, cfg.RetrySpread), crashDetector: newCrashDetector(cfg.Crashes, cfg.Host, log), startedAt: clock.Now(), budgets: map[string]*routing.Budget{}}
 }
 
@@ -255,8 +256,11 @@
 func (g *Gateway) Ready() bool { return g.config.Load() != nil && !g.draining.Load() }
 
 // Drain makes the gateway not ready, and makes callers close their connections after the
-// next response.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// next response. Requests that are not answered by until are ended then.
+func (g *Gateway) Drain(until time.Time) {
+	g.draining.Store(true)
+	g.drain.endAt(until)
+}
 
 // Inflight returns the number of requests being served.
 func (g *Gateway) Inflight() int64 { return g.inflight.Load() }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -348,7 +348,7 @@
 func TestDrainingClosesConnectionsAfterTheResponse(t *testing.T) {
 	f := newTestGateway(t, newTarget(t, okHandler))
 	assert.Assert(t, f.gateway.Ready())
-	f.gateway.Drain()
+	f.gateway.Drain(time.Now().Add(time.Minute))
 	assert.Assert(t, !f.gateway.Ready())
 	r := httptest.NewRequest(http.MethodGet, "http://h.example/safe/x", nil)
 	r.Header.Set("Key", "secret")
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -40,7 +40,7 @@
 		case <-timer.C:
 			return choice, x.unplaced(verdict, choice, d)
 		case <-ctx.Done():
-			return choice, ReasonTimeout
+			return choice, endReason(ctx)
 		}
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -108,7 +108,10 @@
 	if res.reason == ReasonCallerGone || res.reason == ReasonReaderStalled || res.reason == ReasonNoMemory || x.unresumable {
 		return res.reason
 	}
-	if ctx.Err() != nil || clock.Until(x.deadline) < x.g.cfg.MinRemaining {
+	if ctx.Err() != nil {
+		return endReason(ctx)
+	}
+	if clock.Until(x.deadline) < x.g.cfg.MinRemaining {
 		return ReasonTimeout
 	}
 	if res.ran && (!x.route.Idempotent() || x.started && x.g.cfg.Off.Has(mechanism.Resume)) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,8 +21,8 @@
 	// DrainTimeout is the time from the start of the drain until the process is killed.
 	// Default 8 s.
 	DrainTimeout time.Duration
-	// DrainMargin is how long before the end of DrainTimeout connections are closed.
-	// Default 400 ms.
+	// DrainMargin is how long before the end of DrainTimeout requests are ended that are not
+	// answered: the time in which their callers get an answer. Default 400 ms.
 	DrainMargin time.Duration
 	// AcceptFor is how long requests are still accepted after the drain has started. The
 	// load balancer sends new connections until it has made two readiness checks, 1 s
@@ -109,12 +109,16 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Drain continues to serve until all requests have ended or the drain times out.
+// exitMargin is how long before the end of DrainTimeout the last connections are closed.
+const exitMargin = 50 * time.Millisecond
+
+// Drain continues to serve until all requests have ended or the drain times out. Requests that
+// take longer are ended while there is still time to answer their callers.
 func (s *Server) Drain() {
 	start := clock.Now()
-	s.gateway.Drain()
+	s.gateway.Drain(start.Add(s.cfg.DrainTimeout - s.cfg.DrainMargin))
 	s.log.WithField("inflight", s.gateway.Inflight()).Info("Draining.")
-	ctx, cancel := clock.WithTimeout(context.Background(), s.cfg.DrainTimeout-s.cfg.DrainMargin)
+	ctx, cancel := clock.WithTimeout(context.Background(), s.cfg.DrainTimeout-exitMargin)
 	defer cancel()
 	loop.Sleep(ctx, s.cfg.AcceptFor)
 	// No new requests are accepted from here on, so that each accepted request can be
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -87,7 +87,7 @@
 		return resp.StatusCode
 	}
 	assert.Equal(t, status(), http.StatusOK)
-	s.gateway.Drain()
+	s.gateway.Drain(time.Now().Add(time.Minute))
 	assert.Equal(t, status(), http.StatusServiceUnavailable)
 }
 
