targetconn: reset the connection of an abandoned request

What callers saw: nothing; their requests were served after they had left.

Cause: the connection to the silent target was closed in time (3 ms after the caller had left), but in the ordinary way. The kernel still delivers what was written before such a close, also what a partition or a closed window holds up, and a target can't tell it from a caller that has only finished sending.

Evidence: TestAbandonedExchangeResetsTheConnection and TestRequestAtAFrozenTarget... failed before: abort_test.go:40: assertion failed: error is nil, not "connection reset by peer" (syscall.ECONNRESET syscall.Errno) withdrawal_test.go:71: assertion failed: error is nil, not "connection reset by peer" (syscall.ECONNRESET syscall.Errno) (likewise abort_test.go:56, withdrawal_test.go:81 and :89).

Change: an exchange that ends without its whole response sets SO_LINGER to 0 before it closes. After a whole response, and for idle connections, it stays an ordinary close.

Why it works: a reset drops what is unsent or unacknowledged at the sender, and the receiver learns with certainty that nobody waits for the answer.

--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -54,18 +54,18 @@
 type IDFunc func(http.Header) string
 
 // Do sends r to the target at addr and reads the header of the response.
-// Cancelling ctx closes the connection, also while the body is read, so that
+// Cancelling ctx resets the connection, also while the body is read, so that
 // the target stops processing the request.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request, idOf IDFunc) (*Response, error) {
 	c, err := p.get(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { c.nc.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	resp, err := c.roundTrip(r, idOf)
 	if err != nil {
 		stop()
-		c.nc.Close()
+		c.abort()
 		return nil, err
 	}
 	resp.pool, resp.stop = p, stop
@@ -158,11 +158,14 @@
 	}
 	r.closed = true
 	notCancelled := r.stop()
-	if !notCancelled || !r.reusable() {
+	switch {
+	case !notCancelled || !r.complete:
+		r.conn.abort()
+	case !r.reusable():
 		r.conn.nc.Close()
-		return
+	default:
+		r.pool.put(r.conn, keepAlive(r.Header))
 	}
-	r.pool.put(r.conn, keepAlive(r.Header))
 }
 
 // Unframed reports whether the response has neither a length nor chunks, so that it ends with its
@@ -170,7 +173,7 @@
 func (r *Response) Unframed() bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
 
 func (r *Response) reusable() bool {
-	if !r.complete || r.Response.Close || r.Unframed() {
+	if r.Response.Close || r.Unframed() {
 		return false
 	}
 	if r.sent == nil {
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -110,6 +110,17 @@
 	return &Conn{nc: nc, br: bufio.NewReaderSize(head, readBufferSize), head: head, addr: addr}, nil
 }
 
+// abort resets the connection because the exchange is abandoned. After an ordinary close the
+// kernel still delivers what was written, and a target cannot tell it from a caller that has only
+// finished sending.
+func (c *Conn) abort() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		// The error is ignored: the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	c.nc.Close()
+}
+
 // put returns a connection to the pool after a response was read completely.
 // targetIdle is the idle timeout announced by the target, or zero.
 func (p *Pool) put(c *Conn, targetIdle time.Duration) {
