httpclient: bound the head of a response

Seen: an engine, the origin or the store that sends a head without end was read up to 10 MiB a call, the default of net/http. Cause: MaxResponseHeaderBytes was not set. Package targetconn has its own bound, which these clients do not use. Change: heads, with the interim responses before them, are bounded to 64 KiB as in targetconn. TestLargeHeadIsRead holds that a head of 32 KiB is read.

--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -24,6 +24,9 @@
 	// shortIdleDialTimeout is the dial timeout of a client made by NewShortIdle; the longest
 	// round trip to its server is 6 ms.
 	shortIdleDialTimeout = 500 * time.Millisecond
+	// maxHeadBytes bounds the head of a response with the interim responses before it: a faulty server
+	// may send one without end.
+	maxHeadBytes = 64 << 10
 )
 
 // Errors returned by ReadAll.
@@ -51,14 +54,15 @@
 	return httpc.NewServiceWithClient(name, &http.Client{Transport: t})
 }
 
-// Transport returns a transport that reuses connections, ignores proxy settings and does
-// not decompress bodies.
+// Transport returns a transport that reuses connections, ignores proxy settings, does not
+// decompress bodies and bounds heads.
 func Transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         Dialer(dialTimeout).DialContext,
-		MaxIdleConnsPerHost: idleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            Dialer(dialTimeout).DialContext,
+		MaxIdleConnsPerHost:    idleConnsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
