platform: bodies of an engine and of the origin are held within a budget

Seen: by a test, 64 reads of staged pieces that an engine answers without end hold 268 MB at once; agents have 152 MB. An agent reads 4, then 16, then 64 pieces at the same time when its checks take too long, and 16 MiB of each were accepted. The origin was read with the same limit by entries. Cause: each body had a limit, but all together had none; and the limit was twice what a frame between entries and agents carries. The reader that reserves each buffer before it is made was that of the gateway; it is now package bounded, which both use. What a complete body takes after it was read, until it is verified, is not in the budget.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/springgate/springgate/bounded"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 	"github.com/springgate/springgate/fleet"
@@ -171,7 +172,7 @@
 	sent := !errors.Is(err, targetconn.ErrDial)
 	res := result{ran: sent, sent: sent}
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, bounded.ErrNoMemory):
 		res.reason = ReasonNoMemory
 	case errors.Is(context.Cause(a.ctx), errVersionExpired):
 		res.reason = ReasonVersionExpired
@@ -218,7 +219,7 @@
 	}
 	a.cancel(nil)
 	if res.held == nil {
-		a.memory.shrink(a.memory.bytes)
+		a.memory.Shrink(a.memory.bytes)
 	}
 	x.inFlight--
 	if res.sent {
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/springgate/springgate/bounded"
 )
 
 // readBody reads the body of the request, within the budget of bytes if there is one.
@@ -15,16 +16,17 @@
 	if size > limit {
 		return ReasonBodyTooLarge
 	}
-	first := firstBuffer(size)
+	first := bounded.FirstBuffer(size)
 	if !x.reserve(requestOverhead + first) {
 		return ReasonNoMemory
 	}
 	if x.memory == nil {
-		size, first = -1, firstBuffer(-1)
+		size, first = -1, bounded.FirstBuffer(-1)
 	}
 	buffer := allocation{h: x.memory, bytes: first}
 	x.memory.await(phaseBody)
-	b, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), first, limit, &buffer, x.memory.progress)
+	body := progressReader{http.MaxBytesReader(x.w, x.r.Body, limit), x.memory}
+	b, err := bounded.ReadAll(body, first, limit, &buffer)
 	if !x.memory.proceed() {
 		return ReasonBodyStalled
 	}
@@ -32,11 +34,24 @@
 	return x.finishBody(err)
 }
 
+// progressReader records what it reads of the caller as progress.
+type progressReader struct {
+	r      io.Reader
+	memory *holding
+}
+
+// Read implements io.Reader.
+func (p progressReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	p.memory.progress(n)
+	return n, err
+}
+
 // finishBody converts the error of reading the body into a reason.
 func (x *exchange) finishBody(err error) Reason {
 	var large *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, bounded.ErrNoMemory):
 		return ReasonNoMemory
 	case errors.As(err, &large):
 		return ReasonBodyTooLarge
@@ -50,45 +65,6 @@
 	return ReasonNone
 }
 
-// firstBufferSize is the size in bytes of the first buffer for content of unknown length.
-const firstBufferSize = 4 << 10
-
-// firstBuffer returns the size of the first buffer for content whose length is size, or unknown if
-// that is negative. One byte more than the content lets the end be read without another buffer.
-func firstBuffer(size int64) int64 {
-	if size < 0 {
-		return firstBufferSize
-	}
-	return size + 1
-}
-
-// readAll reads r, which returns no more than limit bytes without an error, until its end.
-// memory has first bytes, which is the size of the first buffer; each larger buffer is
-// reserved beside the one that it replaces. On an error it returns what was read.
-func readAll(r io.Reader, first, limit int64, memory *allocation, progress func(int)) ([]byte, error) {
-	b := make([]byte, 0, first)
-	for {
-		n, err := r.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		progress(n)
-		switch {
-		case err == io.EOF:
-			return b, nil
-		case err != nil:
-			return b, err
-		case len(b) < cap(b):
-			continue
-		}
-		old := int64(cap(b))
-		size := max(min(2*old, limit+1), old+1)
-		if !memory.grow(size) {
-			return b, errNoMemory
-		}
-		b = append(make([]byte, 0, size), b...)
-		memory.shrink(old)
-	}
-}
-
 // unreadTimeout is how long the rest of a refused request's body is still received, so that the
 // caller reads the response before the connection is reset; the timeout that net/http uses too.
 const unreadTimeout = 500 * time.Millisecond
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -15,11 +15,8 @@
 // goroutines and buffers of the connections to its caller and its target, and headers.
 const requestOverhead = 24 << 10
 
-// Errors of requests that the budget of bytes refuses or ends.
-var (
-	errNoMemory      = errors.New("gateway: the budget of bytes is used")
-	errReaderStalled = errors.New("gateway: the caller has not read the response, and memory is short")
-)
+// errReaderStalled is the error of a request that the budget of bytes ends.
+var errReaderStalled = errors.New("gateway: the caller has not read the response, and memory is short")
 
 // phase is what a request does, as far as it may be ended when memory is short.
 type phase uint8
@@ -121,8 +118,8 @@
 	bytes int64
 }
 
-// grow reserves n more bytes. It returns false if there is no room for them.
-func (a *allocation) grow(n int64) bool {
+// Grow implements bounded.Memory.
+func (a *allocation) Grow(n int64) bool {
 	if a.h == nil {
 		return true
 	}
@@ -135,8 +132,8 @@
 	return true
 }
 
-// shrink gives back n bytes.
-func (a *allocation) shrink(n int64) {
+// Shrink implements bounded.Memory.
+func (a *allocation) Shrink(n int64) {
 	if a.h != nil && n > 0 {
 		a.h.budget.Shrink(a.h.bytes, n)
 		a.bytes -= n
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/springgate/springgate/bounded"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/clock/clocktest"
 	"github.com/springgate/springgate/fleet"
@@ -283,8 +284,8 @@
 		route, part string
 		most        int64 // held, with what replaced buffers hold
 	}{
-		{"stream", "data: " + strings.Repeat("x", 32*kib) + "\n\n", requestOverhead + firstBufferSize + 128*kib},
-		{"unsafe", strings.Repeat("x", 32*kib), requestOverhead + 2*firstBufferSize + 2*256*kib},
+		{"stream", "data: " + strings.Repeat("x", 32*kib) + "\n\n", requestOverhead + bounded.FirstBuffer(-1) + 128*kib},
+		{"unsafe", strings.Repeat("x", 32*kib), requestOverhead + 2*bounded.FirstBuffer(-1) + 2*256*kib},
 	} {
 		t.Run(c.route, func(t *testing.T) {
 			machine := clocktest.New(t)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/springgate/springgate/bounded"
 	"github.com/springgate/springgate/clock"
 )
 
@@ -70,10 +71,10 @@
 	}
 	limit := a.x.g.cfg.MaxBufferedResponse
 	body, err := a.readPlain(limit)
-	if err != nil && err != errNoMemory {
+	if err != nil && err != bounded.ErrNoMemory {
 		return a.failure(err)
 	}
-	if err == errNoMemory || int64(len(body)) == limit {
+	if err == bounded.ErrNoMemory || int64(len(body)) == limit {
 		a.large = body
 		return result{}
 	}
@@ -85,7 +86,7 @@
 	return result{}
 }
 
-// readPlain reads up to limit bytes of the response. Its error is errNoMemory if there is no
+// readPlain reads up to limit bytes of the response. Its error is bounded.ErrNoMemory if there is no
 // memory for all of them; it then returns the bytes that were read, none if there was no memory at
 // all.
 func (a *attempt) readPlain(limit int64) ([]byte, error) {
@@ -93,11 +94,11 @@
 	if a.x.memory == nil || size > limit {
 		size = -1
 	}
-	first := firstBuffer(size)
-	if !a.memory.grow(first) {
-		return []byte{}, errNoMemory
+	first := bounded.FirstBuffer(size)
+	if !a.memory.Grow(first) {
+		return []byte{}, bounded.ErrNoMemory
 	}
-	return readAll(io.LimitReader(a.resp, limit), first, limit, &a.memory, func(int) {})
+	return bounded.ReadAll(io.LimitReader(a.resp, limit), first, limit, &a.memory)
 }
 
 func (a *attempt) relayPlain() result {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/springgate/springgate/bounded"
 	"github.com/springgate/springgate/clock"
 	"github.com/springgate/springgate/dispatch"
 )
@@ -29,18 +30,18 @@
 // maxSmallEvent is the size of an event in bytes that requestOverhead covers.
 const maxSmallEvent = 4 << 10
 
-// appendLine appends a part of an event. Its error is errNoMemory if there is no room for it.
+// appendLine appends a part of an event. Its error is bounded.ErrNoMemory if there is no room for it.
 func (e *eventReader) appendLine(raw, line []byte) ([]byte, error) {
 	n := len(raw) + len(line)
 	if n <= cap(raw) || n <= maxSmallEvent {
 		return append(raw, line...), nil
 	}
 	size := int64(max(2*cap(raw), n))
-	if !e.memory.grow(size) {
-		return raw, errNoMemory
+	if !e.memory.Grow(size) {
+		return raw, bounded.ErrNoMemory
 	}
 	raw = append(append(make([]byte, 0, size), raw...), line...)
-	e.memory.shrink(e.large)
+	e.memory.Shrink(e.large)
 	e.large = size
 	return raw, nil
 }
@@ -49,7 +50,7 @@
 // events, and io.ErrUnexpectedEOF if it ends inside an event.
 func (e *eventReader) next() (event, error) {
 	var ev event
-	e.memory.shrink(e.large)
+	e.memory.Shrink(e.large)
 	e.large = 0
 	for {
 		line, err := e.r.ReadSlice('\n')
--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/springgate/springgate/bounded"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 )
@@ -80,7 +81,10 @@
 
 // ReadAll returns the body of a 200 response of at most limit bytes and returns an error for
 // any other response. It closes the body.
-func ReadAll(resp *http.Response, limit int64) ([]byte, error) {
+func ReadAll(resp *http.Response, limit int64) ([]byte, error) { return ReadWithin(nil, resp, limit) }
+
+// ReadWithin is like ReadAll, within a budget for the bodies that are read at the same time.
+func ReadWithin(budget *bounded.Budget, resp *http.Response, limit int64) ([]byte, error) {
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -101,11 +105,25 @@
 	if resp.ContentLength > limit {
 		return nil, ErrTooLarge
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "httpclient: read response body")
+	return readBody(resp, limit, budget)
+}
+
+// readBody reads a body of at most limit bytes.
+func readBody(resp *http.Response, limit int64, budget *bounded.Budget) ([]byte, error) {
+	length := resp.ContentLength
+	if budget == nil {
+		length = -1 // so that a length alone takes no memory
+	}
+	first := bounded.FirstBuffer(length)
+	if !budget.Grow(first) {
+		return nil, bounded.ErrNoMemory
 	}
-	if int64(len(b)) > limit {
+	b, err := bounded.ReadAll(io.LimitReader(resp.Body, limit+1), first, limit+1, budget)
+	budget.Shrink(int64(cap(b)))
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(err, "httpclient: read response body")
+	case int64(len(b)) > limit:
 		return nil, ErrTooLarge
 	}
 	return b, nil
