--- a/targetconn/headlimit_test.go
+++ b/targetconn/headlimit_test.go
@@ -70,3 +70,47 @@
 	}
 	assert.Equal(t, s.conns.Load(), int64(1))
 }
+
+// Guards against a target whose head has very many short fields, which take sixteen times their bytes when parsed.
+func TestHeadOfVeryManyFieldsIsRefused(t *testing.T) {
+	for fields, accepted := range map[int]bool{maxHeadLines / 2: true, 8 * maxHeadLines: false} {
+		s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+			r, _, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			var head strings.Builder
+			for i := range fields {
+				fmt.Fprintf(&head, "%x:\r\n", i)
+			}
+			assert.Assert(t, head.Len() < maxHeadBytes)
+			// The error is ignored: the connection is closed while the head is sent.
+			_, _ = fmt.Fprint(nc, response(requestID(r.Header), "\n\n\n", head.String()))
+		})
+		_, err := do(t.Context(), NewPool(Config{}), s.addr, request("id"))
+		assert.Equal(t, err == nil, accepted, "%d fields: %v", fields, err)
+		assert.Assert(t, accepted || errors.Is(err, ErrInvalidResponse))
+		s.wg.Wait()
+	}
+}
+
+// A body of many lines that arrives with its head is none of it.
+func TestLinesOfABodyAreNoneOfItsHead(t *testing.T) {
+	body := strings.Repeat("\n", 2*maxHeadLines)
+	s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+		for {
+			r, _, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			fmt.Fprint(nc, response(requestID(r.Header), body, ""))
+		}
+	})
+	p := NewPool(Config{})
+	for i := range 3 {
+		got, err := do(t.Context(), p, s.addr, request(fmt.Sprint("id", i)))
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), body)
+	}
+	assert.Equal(t, s.conns.Load(), int64(1))
+}
