gateway: a foreign entry doesn't outdate a target's own for good

What callers saw: after a restore of the store, a target whose entry another writer had overwritten before was used at that writer's address for good; its own entry, which the store listed again, counted as outdated.

Cause: across eras the registration with the latest start and heartbeat counts. A number that the target never reaches wins for ever. Only for targets that had left was there an end (restoredExpiry).

Change: the same end holds for each outdated entry. A live target writes its own again with the next heartbeat (about 1 s) and the store removes that of a dead one after three, so one that is listed for 10 s is that of a live target.

Evidence: TestForeignEntryOfLatestHeartbeatDoesNotOutliveARestore on the code before, for a heartbeat of 2^53 and for a start in 2096: restore_test.go:552: assertion failed: - "y": "elsewhere.example:80", + "y": "y.example:80",

--- a/gateway/registrations.go
+++ b/gateway/registrations.go
@@ -10,9 +10,10 @@
 // restored comes back from a copy that is some seconds old.
 const registrationRetention = time.Minute
 
-// restoredExpiry is how long the entry of a target that has left may be listed after a restore. The
-// store removes the entry of a target that sends no heartbeats after three heartbeat intervals,
-// about 4 s. One that stays longer lives: it had only been missing.
+// restoredExpiry is how long an entry that the store lists after a restore may be outdated by the
+// known one. A live target writes its entry again with the next heartbeat, and the store removes
+// the entry of a target that sends none after three heartbeat intervals, about 4 s. An entry that
+// stays longer is that of a live target: the known one had been missing, or was not its own.
 const restoredExpiry = 10 * time.Second
 
 // registrations remembers the newest registration of each target, so that a store that was
@@ -30,10 +31,10 @@
 	era      int64     // the store's era when the registration was last listed
 	left     bool      // the target is no longer listed, and was removed from the list in that era
 	leftAt   time.Time // when it was found missing; zero while it is listed
-	listedAt time.Time // since when a store of a later era lists it though it has left
+	listedAt time.Time // since when a store of a later era lists an outdated one
 }
 
-// pending reports whether targets are left out that are listed.
+// pending reports whether outdated registrations are listed.
 func (r *registrations) pending() bool {
 	for _, k := range r.known {
 		if !k.listedAt.IsZero() {
@@ -50,11 +51,11 @@
 	out := make([]*fleet.Instance, 0, len(list))
 	for _, i := range list {
 		old, known := r.known[i.ID]
-		if known && old.left && old.listedAt.IsZero() {
+		if known && old.listedAt.IsZero() {
 			old.listedAt = now
 		}
 		switch {
-		case !known || era == old.era || !old.outdates(i) || old.left && now.Sub(old.listedAt) >= restoredExpiry:
+		case !known || era == old.era || !old.outdates(i) || now.Sub(old.listedAt) >= restoredExpiry:
 			next[i.ID] = registration{instance: i, era: era}
 		default:
 			next[i.ID] = old
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -531,6 +531,31 @@
 	return c, err
 }
 
+// Guards against a foreign entry under a target's key that outdates the target's own for good.
+func TestForeignEntryOfLatestHeartbeatDoesNotOutliveARestore(t *testing.T) {
+	for name, change := range map[string]func(*storedTarget){
+		"heartbeat": func(v *storedTarget) { v.Beat = 1 << 53 },
+		"start":     func(v *storedTarget) { v.StartMs = 4e12 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRestoreTest(t)
+				old := f.store.snapshot()
+				f.putTarget("y", "b", func(v *storedTarget) { v.Addr = "elsewhere.example:80"; change(v) })
+				f.read()
+				f.restore(old)
+				f.wait(restoredExpiry + time.Second)
+				addrs := map[string]string{}
+				for _, i := range f.control.list {
+					addrs[i.ID] = i.Addr
+				}
+				assert.DeepEqual(t, addrs, map[string]string{"x": "x.example:80", "y": "y.example:80"})
+				f.checkUsed("once the store has long listed the target's own entry", "x", "y")
+			})
+		})
+	}
+}
+
 // Targets of a service that a configuration drops have not left.
 func TestTargetsOfAServiceThatIsAddedAgainAreUsedAfterARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
