--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,6 +185,13 @@
 		}
 		f.Add(b)
 	}
+	for _, odd := range []string{"\x96\x00\xdd\xff\xff\xff\xff", "\x96\x00\xc0\x00\x00\x00\x00\x81\xa1x" + strings.Repeat("\x91", 10_000) + "\xc0", "\xdf\xff\xff\xff\xff"} {
+		b, err := rawFrame(5, flagOpen, kindMirrorBatch, []byte(odd))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
 	f.Add([]byte{0, 0, 0, 1, 2})
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
