--- a/soak/weights_test.go
+++ b/soak/weights_test.go
@@ -52,7 +52,7 @@
 	go func() {
 		defer close(ended)
 		for len(strikes) == 0 {
-			get("/stage-get/m?PieceIndex=0")
+			get(fake.StagedPiecePath("m", 0))
 			get("/report")
 		}
 		get("/report")
