sidecar: a load that begins before another was seen to end leaves neither proven

What callers saw: nothing; found on reading the proof of loads again. Cause: where an agent stood still over the end of a load and the beginning of the next, only the pieces of the second were examined, and layers of the first could remain. Change: such a load counts as not proven, so that all layers are replaced.

--- a/sidecar/proof.go
+++ b/sidecar/proof.go
@@ -39,7 +39,7 @@
 	asOf        time.Time // when the last report with this sequence was requested
 	staged      int       // version whose pieces were all valid after the last of these had begun; 0 if none
 	examined    bool      // a load has been examined that may not have ended yet
-	skipped     bool      // more than one load began between two reports
+	skipped     bool      // a load began before the one before it was seen to have ended
 	held        held      // after the last load that has ended
 	unsound     bool      // some of the held layers are not proven
 	attempts    int       // reads of the staged pieces that were not answered
@@ -59,7 +59,7 @@
 		p.asOf = asOf
 		return false
 	}
-	p.skipped = p.skipped || r.Sequence > p.sequence+1
+	p.skipped = p.skipped || p.examined || r.Sequence > p.sequence+1
 	return true
 }
 
@@ -82,7 +82,7 @@
 	switch {
 	case p.examined:
 		kept := h.keepsLayersOf(p.held)
-		proven := p.staged != 0 && p.staged == h.version && !(kept && p.skipped)
+		proven := p.staged != 0 && p.staged == h.version && !p.skipped
 		p.unsound = h.version != 0 && (!proven || kept && p.unsound)
 		p.examined, p.skipped = false, false
 	case h.version == 0:
