--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -107,6 +107,19 @@
 	assert.Equal(t, e.orders, 1)
 }
 
+// Guards against layers of a load that was never examined, because the next load began before it was seen to end.
+func TestLoadAfterOneThatWasNotSeenToEndIsNotProven(t *testing.T) {
+	all, second := held{2, LayerRange{0, engineLayers}}, held{2, LayerRange{1, engineLayers}}
+	p := loadProof{}
+	p.observe(start, Report{}, "m", held{1, all.layers})
+	assert.Assert(t, p.observe(start, Report{Sequence: 1, Busy: true}, "m", second))
+	p.record(Report{Sequence: 1}, 0)
+	assert.Assert(t, p.observe(start, Report{Sequence: 2}, "m", all))
+	p.record(Report{Sequence: 2}, 2)
+	p.conclude(all)
+	assert.Assert(t, p.unsound)
+}
+
 // An engine that was left with bad layers is loaded again layer by layer, whatever goes wrong meanwhile.
 func TestEngineIsNeverUsedWithBadLayers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
