dispatch: an engine is not used if its agent was lost during a load

Cause: an entry that lost its connection to an agent forgot the agent's last word and used the instance list. An agent that is killed or stands still after its order was accepted and before it has examined the load, or that has found the load bad, left the engine to be used with it: the list names the version whatever it was loaded from. Evidence: TestEngineIsNotUsedIfItsAgentIsLostDuringALoad failed before: "i-1 != no_target: {Version:1 Loading:true StartMs:0 Pace:0}". Why it works: the last word stays in force for the incarnation that it was about, if it was that the engine is loading or holds nothing, until an agent speaks for the address again. A later incarnation holds nothing by itself, and is used by the list as before. Left: an entry that starts anew has no last word, and an agent that starts anew trusts the load.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -21,9 +21,13 @@
 	StartMs int64 // start time of the engine in Unix milliseconds; 0 if unknown
 	// Pace is how many times as long as by its cost model the engine takes, as it states; 0 if
 	// unknown.
-	Pace float64
+	Pace      float64
+	agentLost bool // the agent no longer reports the state
 }
 
+// usable reports whether the engine holds a version and is not loading another.
+func (s EngineState) usable() bool { return s.Version != 0 && !s.Loading }
+
 // Target is an instance together with this entry's view of it. Its fields are guarded by the
 // Balancer's mutex.
 type Target struct {
@@ -130,11 +134,19 @@
 	b.notifyChanged()
 }
 
-// DeleteState removes an engine's state because its agent no longer reports it.
+// DeleteState removes an engine's state because its agent no longer reports it. The instance list
+// applies then, but not to an incarnation that the agent has last reported to be unusable: the
+// list does not tell whether a load that the agent has not examined is whole.
 func (b *Balancer) DeleteState(addr string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.states, addr)
+	s, reported := b.states[addr]
+	if !reported || s.usable() {
+		delete(b.states, addr)
+		return
+	}
+	s.agentLost = true
+	b.states[addr] = s
 }
 
 // Changed returns a channel that is closed when a target may have become available.
--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -126,6 +126,26 @@
 	assert.Equal(t, picked(b, start), "i-1", "no agent speaks for it")
 }
 
+// Guards against requests to an engine whose agent was lost before it had examined a load.
+func TestEngineIsNotUsedIfItsAgentIsLostDuringALoad(t *testing.T) {
+	for _, startMs := range []int64{0, 1000} {
+		for _, last := range []EngineState{{Version: 1, Loading: true, StartMs: startMs}, {Version: 0, StartMs: startMs}} {
+			first, second := engine(1, 2), engine(1, 2)
+			first.StartMs, second.StartMs = 1000, 2000
+			b := newTestBalancer(engineModel(), Config{}, first)
+			b.SetState(first.Addr, last)
+			b.DeleteState(first.Addr)
+			assert.Equal(t, picked(b, start), "no_target", "%+v", last)
+			b.SetState(first.Addr, EngineState{Version: 2, StartMs: startMs})
+			assert.Equal(t, picked(b, start), "i-1")
+			b.SetState(first.Addr, last)
+			b.DeleteState(first.Addr)
+			b.Apply([]*fleet.Instance{second}, map[string]*fleet.Service{testService: {Name: testService, Engine: engineModel()}})
+			assert.Equal(t, picked(b, start) == "i-1", startMs != 0, "its last word was about an earlier incarnation")
+		}
+	}
+}
+
 // Targets that do not report their start time are identified by their ID alone.
 func TestUnknownStartTimeMatchesAnyIncarnation(t *testing.T) {
 	first, second := engine(1, 1), engine(1, 1)
