sidecar: a load that the count of orders does not show is examined

Cause: a load counted as new only if the count of orders had risen, or another version was held. An engine whose report names no start time and that restarts between two reports counts from 0 again: once an order that was delayed has begun a load there the count and the version are those of the report before, and whatever was staged was used for good. Why it works: an engine that carries out an order that the agent has not seen begin shows it by Busy, or by other layers at the same count. The load is examined then, and stays due until it has been. Engines that count no orders are examined while they load, too, not only after it. Left: a load at such an engine that begins and ends between two reports (0.4 s when idle).

--- a/sidecar/proof.go
+++ b/sidecar/proof.go
@@ -38,6 +38,7 @@
 	sequence    int64     // Report.Sequence up to which the loads have been examined
 	asOf        time.Time // when the last report with this sequence was requested
 	staged      int       // version whose pieces were all valid after the last of these had begun; 0 if none
+	due         bool      // a load has begun that has not been examined
 	examined    bool      // a load has been examined that may not have ended yet
 	skipped     bool      // more than one load began between two reports
 	held        held      // after the last load that has ended
@@ -54,8 +55,8 @@
 	case !fleet.SameIncarnation(p.startTimeMs, r.StartTimeMs) || r.Sequence < p.sequence:
 		*p = loadProof{model: model, startTimeMs: r.StartTimeMs} // an engine holds no layers when it starts
 	}
-	// The version of an engine that does not count orders changes at the same sequence.
-	if r.Sequence == p.sequence && (r.Busy || p.examined || h.version == 0 || h.version == p.held.version) {
+	p.due = p.due || p.hasBegun(r, h)
+	if !p.due {
 		p.asOf = asOf
 		return false
 	}
@@ -63,6 +64,19 @@
 	return true
 }
 
+// hasBegun reports whether a load has begun since the last report. A load that the sequence does not
+// show is one of an engine that does not count orders, or of a next process of the engine that has
+// begun as many and does not report its start time.
+func (p *loadProof) hasBegun(r Report, h held) bool {
+	switch {
+	case r.Sequence != p.sequence:
+		return true
+	case p.examined:
+		return false
+	}
+	return r.Busy || h.version != 0 && h != p.held
+}
+
 // trust assumes that the loads of a previous agent are proven, except for one that is in progress.
 func (p *loadProof) trust(r Report, model string, h held) {
 	*p = loadProof{model: model, startTimeMs: r.StartTimeMs, sequence: r.Sequence, held: h}
@@ -74,7 +88,7 @@
 // record records the result of examining the last load that began. staged is the version whose
 // pieces were all valid, or 0.
 func (p *loadProof) record(r Report, staged int) {
-	p.sequence, p.staged, p.examined, p.attempts = r.Sequence, staged, true, 0
+	p.sequence, p.staged, p.due, p.examined, p.attempts = r.Sequence, staged, false, true, 0
 }
 
 // conclude updates the proof when no load is in progress any more.
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +92,43 @@
 	}
 }
 
+// reportHookEngine calls a hook before each report, with the number of reports so far.
+type reportHookEngine struct {
+	*fakeEngine
+	reports  *int
+	reported func(n int)
+}
+
+func (w reportHookEngine) Report(ctx context.Context, addr string) (Report, error) {
+	*w.reports++
+	w.reported(*w.reports)
+	return w.fakeEngine.Report(ctx, addr)
+}
+
+// The next process of an engine without a start time has begun as many orders, by a delayed one.
+func TestLoadOfRestartedEngineWithSameOrderCountIsNotUsed(t *testing.T) {
+	for _, staged := range []map[int]string{{}, stagedVersion(7)} {
+		e := &fakeEngine{staged: map[int]string{}, serves: 1}
+		w := reportHookEngine{fakeEngine: e, reports: new(int), reported: func(n int) {
+			if n != 50 { // long after version 2 was loaded
+				return
+			}
+			e.set(func() {
+				assert.Equal(t, e.sequence, int64(1))
+				e.newProcess()
+				e.staged = staged
+				begun, err := e.apply(LoadOrder{Model: "m", Version: 2, Token: 1})
+				assert.Assert(t, begun && err == nil)
+			})
+		}}
+		last, usedUnsound := runUsed(t, Config{}, e, w, newAssignment(2, 0, 1))
+		assert.Assert(t, e.loadedInvalid)
+		assert.Assert(t, !usedUnsound)
+		assert.Equal(t, last.Version, 2)
+		assert.Assert(t, !e.unsound())
+	}
+}
+
 // An engine whose layers cannot be ordered one by one holds a bad load until a newer version comes.
 func TestBadLoadOfEngineWithoutLayersIsNotUsed(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
