sidecar: bad layers stay known as bad when the agent restarts

Cause: bad layers are replaced by three orders, for the first layer, for the others and for all. An agent that was started between two of them trusted the layers that it found, ordered all, and the engine kept the bad ones: after the first order the bad first layer, for good. Evidence: TestBadLayersAreReplacedBesideRestartsOfTheAgent failed before: "usedUnsound is true: from layer 0, delivered true". Why it works: an engine holds some of its layers only while they are being replaced, so a new agent takes them as not proven and replaces them all; from the first layer alone the next order is always for the others, also if a load is in progress when the agent starts. Left: an engine that holds all layers when a new agent starts is trusted still.

--- a/sidecar/proof.go
+++ b/sidecar/proof.go
@@ -48,10 +48,10 @@
 
 // observe updates the proof from a report. It reports whether a load has begun that has not been
 // examined.
-func (p *loadProof) observe(asOf time.Time, r Report, model string, h held) bool {
+func (p *loadProof) observe(asOf time.Time, r Report, model string, h held, layers int) bool {
 	switch {
 	case p.model != model:
-		p.trust(r, model, h)
+		p.trust(r, model, h, layers)
 	case !fleet.SameIncarnation(p.startTimeMs, r.StartTimeMs) || r.Sequence < p.sequence:
 		*p = loadProof{model: model, startTimeMs: r.StartTimeMs} // an engine holds no layers when it starts
 	}
@@ -78,10 +78,16 @@
 }
 
 // trust assumes that the loads of a previous agent are proven, except for one that is in progress.
-func (p *loadProof) trust(r Report, model string, h held) {
-	*p = loadProof{model: model, startTimeMs: r.StartTimeMs, sequence: r.Sequence, held: h}
-	if r.Busy {
-		p.sequence, p.held = r.Sequence-1, held{}
+// An engine holds only some of the layers while a previous agent has bad ones replaced.
+func (p *loadProof) trust(r Report, model string, h held, layers int) {
+	partial := h.version != 0 && r.serves(model, layers) == 0
+	*p = loadProof{model: model, startTimeMs: r.StartTimeMs, sequence: r.Sequence, held: h, unsound: partial}
+	if !r.Busy {
+		return
+	}
+	p.sequence = r.Sequence - 1
+	if !partial {
+		p.held = held{}
 	}
 }
 
@@ -112,12 +118,14 @@
 func (p *loadProof) nextLayers(version, layers int) LayerRange {
 	first := LayerRange{0, 1}
 	switch {
-	case !p.unsound || p.held.version != version || layers < 2:
+	case p.held.version != version || layers < 2:
 		return LayerRange{}
 	case p.held.layers == first:
 		return LayerRange{1, layers}
+	case p.unsound:
+		return first
 	}
-	return first
+	return LayerRange{}
 }
 
 // stuck reports whether the engine cannot load a version, since it holds layers of the version that
@@ -134,7 +142,7 @@
 // again.
 func (s *Sidecar) prove(ctx context.Context, asOf time.Time, as assignmentState, r Report) bool {
 	h := r.held(as.Model)
-	if s.proof.observe(asOf, r, as.Model, h) {
+	if s.proof.observe(asOf, r, as.Model, h, as.Layers) {
 		staged, ok := s.stagedAfterLoad(ctx, as.Model, r, h)
 		if !ok {
 			return false
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,6 +130,50 @@
 	}
 }
 
+// The agent is restarted before or after an order by which bad layers are replaced.
+func TestBadLayersAreReplacedBesideRestartsOfTheAgent(t *testing.T) {
+	for _, atFrom := range []int{0, 1} {
+		for _, delivered := range []bool{false, true} {
+			if atFrom == 0 && !delivered {
+				continue // no layer has been dropped yet
+			}
+			e := &fakeEngine{staged: map[int]string{}, serves: 1}
+			var usedUnsound bool
+			synctest.Test(t, func(t *testing.T) {
+				killed := make(chan struct{})
+				spoil := sync.OnceFunc(func() { e.set(func() { e.staged[0], e.staged[3] = "corrupt", "corrupt" }) })
+				kill := sync.OnceFunc(func() { close(killed) })
+				w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+					if o.Version == 2 {
+						spoil()
+					}
+					if o.Layers != (LayerRange{}) && o.Layers.From == atFrom {
+						kill()
+						if !delivered {
+							e.set(func() { e.late = seconds(-1) })
+						}
+					}
+				}}
+				s, _, stop := startSidecar(t, Config{}, w, &fakeSource{})
+				s.Assign(time.Now(), newAssignment(2, 0, 1))
+				<-killed
+				stop()
+				s, published, stop := startSidecar(t, Config{}, e, &fakeSource{})
+				s.Assign(time.Now(), newAssignment(2, 0, 1))
+				for range 4000 {
+					time.Sleep(10 * time.Millisecond)
+					p := published()
+					e.set(func() { usedUnsound = usedUnsound || !p.Loading && p.Version == e.serves && e.unsound() })
+				}
+				assert.Equal(t, published().Version, 2)
+				stop()
+			})
+			assert.Assert(t, e.loadedInvalid)
+			assert.Assert(t, !usedUnsound, "from layer %d, delivered %v", atFrom, delivered)
+		}
+	}
+}
+
 // An engine whose layers cannot be ordered one by one holds a bad load until a newer version comes.
 func TestBadLoadOfEngineWithoutLayersIsNotUsed(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
