sidecar: layers of a bad load are dropped before they are replaced

Cause: only the agent knew that a load was bad. Until all pieces were staged again, which takes as long as a piece is unavailable, the engine reported all layers of the version, so that an agent that was started meanwhile, or an entry without a word of the agent, used it. Evidence: TestBadLoadIsNotUsedAfterRestartOfTheAgent failed before: "usedUnsound is true". Why it works: the order for the first layer, by which the replacement begins anyway, is sent as soon as the load has ended and was found bad, without regard to what is staged: it drops the other layers, and the engine itself says that it doesn't hold the version. The order takes place once for each load; if it is refused or lost, the replacement goes on as before.

--- a/sidecar/proof.go
+++ b/sidecar/proof.go
@@ -43,6 +43,7 @@
 	skipped     bool      // more than one load began between two reports
 	held        held      // after the last load that has ended
 	unsound     bool      // some of the held layers are not proven
+	dropOrdered bool      // the engine has been ordered once to drop the held layers
 	attempts    int       // reads of the staged pieces that were not answered
 }
 
@@ -94,7 +95,8 @@
 // record records the result of examining the last load that began. staged is the version whose
 // pieces were all valid, or 0.
 func (p *loadProof) record(r Report, staged int) {
-	p.sequence, p.staged, p.due, p.examined, p.attempts = r.Sequence, staged, false, true, 0
+	p.sequence, p.staged, p.attempts = r.Sequence, staged, 0
+	p.due, p.examined, p.dropOrdered = false, true, false
 }
 
 // conclude updates the proof when no load is in progress any more.
@@ -128,6 +130,20 @@
 	return LayerRange{}
 }
 
+// toBeDropped reports whether the engine holds all layers of a version, is idle and has not been
+// ordered yet to drop those that are not proven.
+func (p *loadProof) toBeDropped(r Report, layers int) bool {
+	return p.unsound && !p.dropOrdered && !r.Busy && layers >= 2 && p.held.layers == LayerRange{0, layers}
+}
+
+// drop orders the first layer alone of the held version, before the pieces for another load are staged. So
+// neither an entry nor the next agent, which know of the load only what the engine reports, uses the engine.
+func (s *Sidecar) drop(ctx context.Context, as assignmentState, r Report) time.Duration {
+	s.proof.dropOrdered = true
+	s.tokens.raiseAbovePrevious(clock.Now())
+	return s.order(ctx, as, s.proof.held.version, r)
+}
+
 // stuck reports whether the engine cannot load a version, since it holds layers of the version that
 // are not proven and cannot be dropped.
 func (p *loadProof) stuck(version, layers int) bool {
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -174,6 +174,41 @@
 	}
 }
 
+// An agent finds a load bad and cannot replace it before it restarts, since a piece is unavailable.
+func TestBadLoadIsNotUsedAfterRestartOfTheAgent(t *testing.T) {
+	e, source := &fakeEngine{staged: map[int]string{}, serves: 1}, &fakeSource{}
+	w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+		if o.Version == 2 {
+			e.set(func() { e.staged[3] = "corrupt" })
+			source.mu.Lock()
+			defer source.mu.Unlock()
+			source.unavailable = 2
+		}
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		s, _, stop := startSidecar(t, Config{}, w, source)
+		s.Assign(time.Now(), newAssignment(2, 0, 1))
+		time.Sleep(2 * time.Second)
+		stop()
+		assert.Assert(t, e.loadedInvalid)
+		s, published, stop := startSidecar(t, Config{}, e, source)
+		s.Assign(time.Now(), newAssignment(2, 0, 1))
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			p, usedUnsound := published(), false
+			e.set(func() { usedUnsound = !p.Loading && p.Version == e.serves && e.unsound() })
+			assert.Assert(t, !usedUnsound)
+		}
+		source.mu.Lock()
+		source.unavailable = 0
+		source.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, published().Version, 2)
+		assert.Assert(t, !e.unsound())
+		stop()
+	})
+}
+
 // An engine whose layers cannot be ordered one by one holds a bad load until a newer version comes.
 func TestBadLoadOfEngineWithoutLayersIsNotUsed(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -146,6 +146,9 @@
 	}
 	if s.proof.unsound {
 		r.Models = nil // the engine is to load a version as if it held none
+		if s.proof.toBeDropped(r, as.Layers) && !s.inDoubt.open {
+			return s.drop(ctx, as, r)
+		}
 	}
 	serves := r.serves(as.Model, as.Layers)
 	s.pace.update(now, r.Pace)
@@ -304,14 +307,21 @@
 	if !s.verifyForOrder(ctx, age) {
 		return 0 // the next step stages the bad pieces again
 	}
+	return s.order(ctx, as, version, r)
+}
+
+// order orders the engine to load the staged pieces, and records the outcome.
+func (s *Sidecar) order(ctx context.Context, as assignmentState, version int, r Report) time.Duration {
 	if !s.inDoubt.known() { // while an order is repeated the engine may serve for long; it is not reported as loading
 		s.publishState(as.Model, r.serves(as.Model, as.Layers), true, r.StartTimeMs)
 	}
 	order := s.newLoadOrder(as.Model, version, r)
 	order.Layers = s.proof.nextLayers(version, as.Layers)
 	fields := logrus.Fields{"model": as.Model, "version": version, "running": r.Running, "sequence": order.Precondition, "token": order.Token,
-		"from_layer": order.Layers.From, "to_layer": order.Layers.To, "engine_start_ms": r.StartTimeMs, "check_age_ms": clock.Since(s.stage.oldestCheck()).Milliseconds(),
-		"unconfirmed_puts": s.puts.unconfirmed(len(s.stage.staged), clock.Now())}
+		"from_layer": order.Layers.From, "to_layer": order.Layers.To, "engine_start_ms": r.StartTimeMs}
+	if s.stage != nil {
+		fields["check_age_ms"], fields["unconfirmed_puts"] = clock.Since(s.stage.oldestCheck()).Milliseconds(), s.puts.unconfirmed(len(s.stage.staged), clock.Now())
+	}
 	begun, err := s.sendOrder(ctx, order)
 	fields["begun"] = begun
 	s.stats.count(err)
