sidecar: refused load orders back off

What callers saw: nothing known; an engine that refuses an order for good, such as one for a part of its layers, was ordered 25 times a second, each time after its checks and with a line in the log. Cause: only repeats of an order in doubt backed off. Evidence: TestRefusedOrdersBackOff failed before: "251 orders in 10 s". Why it works: the pause doubles with each refusal up to that of an idle agent (0.4 s). A token that is too low is still raised at once.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -48,6 +48,7 @@
 	tokens     tokens
 	proof      loadProof
 	puts       putLog
+	refusals   int // load orders refused since the last accepted one
 
 	sequence    int64     // Report.Sequence of the last report
 	startTimeMs int64     // Report.StartTimeMs of the last report
@@ -327,6 +328,7 @@
 	s.stats.count(err)
 	switch {
 	case err == nil:
+		s.refusals = 0
 		s.log.WithFields(fields).Info("Load order accepted.")
 		if s.inDoubt.open {
 			s.settle(clock.Now(), "answered")
@@ -343,11 +345,19 @@
 			s.settle(clock.Now(), "fenced")
 		case s.inDoubt.known():
 			s.inDoubt.backOff(clock.Now(), s.cfg) // each repeat reads all pieces, which costs time
+		case !errors.Is(err, ErrOrderFenced): // the next token may be high enough
+			s.refusals++
+			return s.refusalPause()
 		}
 	}
 	return s.cfg.PollBusy
 }
 
+// refusalPause returns the time until the next reconcile after a refused order.
+func (s *Sidecar) refusalPause() time.Duration {
+	return min(s.cfg.PollBusy<<min(s.refusals, 16), s.cfg.Poll)
+}
+
 // newLoadOrder returns an order that is based on a report.
 func (s *Sidecar) newLoadOrder(model string, version int, r Report) LoadOrder {
 	return LoadOrder{Model: model, Version: version, Precondition: r.Sequence, Token: s.tokens.next(clock.Now())}
--- a/sidecar/stage_test.go
+++ b/sidecar/stage_test.go
@@ -220,6 +220,32 @@
 	})
 }
 
+// Guards against load orders that are repeated without a pause: each needs recent checks of all pieces.
+func TestRefusedOrdersBackOff(t *testing.T) {
+	n := 0
+	e := &fakeEngine{staged: map[int]string{}, serves: 1}
+	w := refusingAllEngine{e, &n}
+	runSidecar(t, Config{}, w, &fakeSource{}, func(s *Sidecar, _ func() peer.EngineState) {
+		s.Assign(time.Now(), newAssignment(2, 0, 1))
+		time.Sleep(10 * time.Second)
+	})
+	assert.Assert(t, n > 5 && n < 40, "%d orders in 10 s", n)
+}
+
+// refusingAllEngine refuses all orders for version 2.
+type refusingAllEngine struct {
+	*fakeEngine
+	refused *int
+}
+
+func (r refusingAllEngine) StartLoad(ctx context.Context, addr string, o LoadOrder) (bool, error) {
+	if o.Version != 2 {
+		return r.fakeEngine.StartLoad(ctx, addr, o)
+	}
+	*r.refused++
+	return false, errors.New("status 400")
+}
+
 // A piece becomes corrupt before the answer to its put arrives, seconds later.
 func TestPieceCorruptedBeforeLateAnswerToItsPutIsStagedAgain(t *testing.T) {
 	for _, answerTime := range seconds(3.1, 4.1, 5.1) {
