mesh: reports of an agent never go back to an older one

What callers saw: answers made with weights that are not whole are possible (WHOLE). Cause: an entry hears of an engine from its agent and from the entry that forwards the agent's reports. When the stream of the newer report ended, as with an agent that is killed, the older one came into effect again: that the engine serves, although its agent had taken it out of use since. Evidence: TestReportsOfAnAgentNeverGoBack failed before: "1 (int) != 0 (int): the agent has withdrawn version 5". Why it works: of one agent process the newest report stays in effect while any is left. That of another process of the agent takes over as before, since its clock may be behind. Left: an older report that arrives when none is left.

--- a/mesh/reports.go
+++ b/mesh/reports.go
@@ -57,8 +57,8 @@
 }
 
 // remove deletes a source's report of an engine. It returns the report now in effect, and whether
-// that changed. If no report of the engine is left, it returns the removed one and known is
-// false.
+// that changed. An older report of the same agent process does not come into effect again. If no report
+// of the engine is left, it returns the removed one and known is false.
 func (e engineReports) remove(from reportSource, engine string) (rep engineReport, known, changed bool) {
 	old, existed := e.newest(engine)
 	delete(e[engine], from)
@@ -66,7 +66,7 @@
 		delete(e, engine)
 	}
 	rep, known = e.newest(engine)
-	changed = existed && (!known || old.newerThan(rep))
+	changed = existed && (!known || old.newerThan(rep) && old.agent.Incarnation != rep.agent.Incarnation)
 	if !known {
 		rep = old
 	}
