--- a/sidecar/proof.go
+++ b/sidecar/proof.go
@@ -38,24 +38,26 @@
 	sequence    int64     // Report.Sequence up to which the loads have been examined
 	asOf        time.Time // when the last report with this sequence was requested
 	staged      int       // version whose pieces were all valid after the last of these had begun; 0 if none
+	due         bool      // a load has begun that has not been examined
 	examined    bool      // a load has been examined that may not have ended yet
 	skipped     bool      // a load began before the one before it was seen to have ended
 	held        held      // after the last load that has ended
 	unsound     bool      // some of the held layers are not proven
+	dropOrdered bool      // the engine has been ordered once to drop the held layers
 	attempts    int       // reads of the staged pieces that were not answered
 }
 
 // observe updates the proof from a report. It reports whether a load has begun that has not been
 // examined.
-func (p *loadProof) observe(asOf time.Time, r Report, model string, h held) bool {
+func (p *loadProof) observe(asOf time.Time, r Report, model string, h held, layers int) bool {
 	switch {
 	case p.model != model:
-		p.trust(r, model, h)
+		p.trust(r, model, h, layers)
 	case !fleet.SameIncarnation(p.startTimeMs, r.StartTimeMs) || r.Sequence < p.sequence:
 		*p = loadProof{model: model, startTimeMs: r.StartTimeMs} // an engine holds no layers when it starts
 	}
-	// The version of an engine that does not count orders changes at the same sequence.
-	if r.Sequence == p.sequence && (r.Busy || p.examined || h.version == 0 || h.version == p.held.version) {
+	p.due = p.due || p.hasBegun(r, h)
+	if !p.due {
 		p.asOf = asOf
 		return false
 	}
@@ -63,18 +65,38 @@
 	return true
 }
 
+// hasBegun reports whether a load has begun since the last report. A load that the sequence does not
+// show is one of an engine that does not count orders, or of a next process of the engine that has
+// begun as many and does not report its start time.
+func (p *loadProof) hasBegun(r Report, h held) bool {
+	switch {
+	case r.Sequence != p.sequence:
+		return true
+	case p.examined:
+		return false
+	}
+	return r.Busy || h.version != 0 && h != p.held
+}
+
 // trust assumes that the loads of a previous agent are proven, except for one that is in progress.
-func (p *loadProof) trust(r Report, model string, h held) {
-	*p = loadProof{model: model, startTimeMs: r.StartTimeMs, sequence: r.Sequence, held: h}
-	if r.Busy {
-		p.sequence, p.held = r.Sequence-1, held{}
+// An engine holds only some of the layers while a previous agent has bad ones replaced.
+func (p *loadProof) trust(r Report, model string, h held, layers int) {
+	partial := h.version != 0 && r.serves(model, layers) == 0
+	*p = loadProof{model: model, startTimeMs: r.StartTimeMs, sequence: r.Sequence, held: h, unsound: partial}
+	if !r.Busy {
+		return
+	}
+	p.sequence = r.Sequence - 1
+	if !partial {
+		p.held = held{}
 	}
 }
 
 // record records the result of examining the last load that began. staged is the version whose
 // pieces were all valid, or 0.
 func (p *loadProof) record(r Report, staged int) {
-	p.sequence, p.staged, p.examined, p.attempts = r.Sequence, staged, true, 0
+	p.sequence, p.staged, p.attempts = r.Sequence, staged, 0
+	p.due, p.examined, p.dropOrdered = false, true, false
 }
 
 // conclude updates the proof when no load is in progress any more.
@@ -98,12 +120,28 @@
 func (p *loadProof) nextLayers(version, layers int) LayerRange {
 	first := LayerRange{0, 1}
 	switch {
-	case !p.unsound || p.held.version != version || layers < 2:
+	case p.held.version != version || layers < 2:
 		return LayerRange{}
 	case p.held.layers == first:
 		return LayerRange{1, layers}
+	case p.unsound:
+		return first
 	}
-	return first
+	return LayerRange{}
+}
+
+// toBeDropped reports whether the engine holds all layers of a version, is idle and has not been
+// ordered yet to drop those that are not proven.
+func (p *loadProof) toBeDropped(r Report, layers int) bool {
+	return p.unsound && !p.dropOrdered && !r.Busy && layers >= 2 && p.held.layers == LayerRange{0, layers}
+}
+
+// drop orders the first layer alone of the held version, before the pieces for another load are staged. So
+// neither an entry nor the next agent, which know of the load only what the engine reports, uses the engine.
+func (s *Sidecar) drop(ctx context.Context, as assignmentState, r Report) time.Duration {
+	s.proof.dropOrdered = true
+	s.tokens.raiseAbovePrevious(clock.Now())
+	return s.order(ctx, as, s.proof.held.version, r)
 }
 
 // stuck reports whether the engine cannot load a version, since it holds layers of the version that
@@ -120,7 +158,7 @@
 // again.
 func (s *Sidecar) prove(ctx context.Context, asOf time.Time, as assignmentState, r Report) bool {
 	h := r.held(as.Model)
-	if s.proof.observe(asOf, r, as.Model, h) {
+	if s.proof.observe(asOf, r, as.Model, h, as.Layers) {
 		staged, ok := s.stagedAfterLoad(ctx, as.Model, r, h)
 		if !ok {
 			return false
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +93,122 @@
 	}
 }
 
+// reportHookEngine calls a hook before each report, with the number of reports so far.
+type reportHookEngine struct {
+	*fakeEngine
+	reports  *int
+	reported func(n int)
+}
+
+func (w reportHookEngine) Report(ctx context.Context, addr string) (Report, error) {
+	*w.reports++
+	w.reported(*w.reports)
+	return w.fakeEngine.Report(ctx, addr)
+}
+
+// The next process of an engine without a start time has begun as many orders, by a delayed one.
+func TestLoadOfRestartedEngineWithSameOrderCountIsNotUsed(t *testing.T) {
+	for _, staged := range []map[int]string{{}, stagedVersion(7)} {
+		e := &fakeEngine{staged: map[int]string{}, serves: 1}
+		w := reportHookEngine{fakeEngine: e, reports: new(int), reported: func(n int) {
+			if n != 50 { // long after version 2 was loaded
+				return
+			}
+			e.set(func() {
+				assert.Equal(t, e.sequence, int64(1))
+				e.newProcess()
+				e.staged = staged
+				begun, err := e.apply(LoadOrder{Model: "m", Version: 2, Token: 1})
+				assert.Assert(t, begun && err == nil)
+			})
+		}}
+		last, usedUnsound := runUsed(t, Config{}, e, w, newAssignment(2, 0, 1))
+		assert.Assert(t, e.loadedInvalid)
+		assert.Assert(t, !usedUnsound)
+		assert.Equal(t, last.Version, 2)
+		assert.Assert(t, !e.unsound())
+	}
+}
+
+// The agent is restarted before or after an order by which bad layers are replaced.
+func TestBadLayersAreReplacedBesideRestartsOfTheAgent(t *testing.T) {
+	for _, atFrom := range []int{0, 1} {
+		for _, delivered := range []bool{false, true} {
+			if atFrom == 0 && !delivered {
+				continue // no layer has been dropped yet
+			}
+			e := &fakeEngine{staged: map[int]string{}, serves: 1}
+			var usedUnsound bool
+			synctest.Test(t, func(t *testing.T) {
+				killed := make(chan struct{})
+				spoil := sync.OnceFunc(func() { e.set(func() { e.staged[0], e.staged[3] = "corrupt", "corrupt" }) })
+				kill := sync.OnceFunc(func() { close(killed) })
+				w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+					if o.Version == 2 {
+						spoil()
+					}
+					if o.Layers != (LayerRange{}) && o.Layers.From == atFrom {
+						kill()
+						if !delivered {
+							e.set(func() { e.late = seconds(-1) })
+						}
+					}
+				}}
+				s, _, stop := startSidecar(t, Config{}, w, &fakeSource{})
+				s.Assign(time.Now(), newAssignment(2, 0, 1))
+				<-killed
+				stop()
+				s, published, stop := startSidecar(t, Config{}, e, &fakeSource{})
+				s.Assign(time.Now(), newAssignment(2, 0, 1))
+				for range 4000 {
+					time.Sleep(10 * time.Millisecond)
+					p := published()
+					e.set(func() { usedUnsound = usedUnsound || !p.Loading && p.Version == e.serves && e.unsound() })
+				}
+				assert.Equal(t, published().Version, 2)
+				stop()
+			})
+			assert.Assert(t, e.loadedInvalid)
+			assert.Assert(t, !usedUnsound, "from layer %d, delivered %v", atFrom, delivered)
+		}
+	}
+}
+
+// An agent finds a load bad and cannot replace it before it restarts, since a piece is unavailable.
+func TestBadLoadIsNotUsedAfterRestartOfTheAgent(t *testing.T) {
+	e, source := &fakeEngine{staged: map[int]string{}, serves: 1}, &fakeSource{}
+	w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+		if o.Version == 2 {
+			e.set(func() { e.staged[3] = "corrupt" })
+			source.mu.Lock()
+			defer source.mu.Unlock()
+			source.unavailable = 2
+		}
+	}}
+	synctest.Test(t, func(t *testing.T) {
+		s, _, stop := startSidecar(t, Config{}, w, source)
+		s.Assign(time.Now(), newAssignment(2, 0, 1))
+		time.Sleep(2 * time.Second)
+		stop()
+		assert.Assert(t, e.loadedInvalid)
+		s, published, stop := startSidecar(t, Config{}, e, source)
+		s.Assign(time.Now(), newAssignment(2, 0, 1))
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			p, usedUnsound := published(), false
+			e.set(func() { usedUnsound = !p.Loading && p.Version == e.serves && e.unsound() })
+			assert.Assert(t, !usedUnsound)
+		}
+		source.mu.Lock()
+		source.unavailable = 0
+		source.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, published().Version, 2)
+		assert.Assert(t, !e.unsound())
+		stop()
+	})
+}
+
 // An engine whose layers cannot be ordered one by one holds a bad load until a newer version comes.
 func TestBadLoadOfEngineWithoutLayersIsNotUsed(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
