soak: faults around loads come more often

Change: the moments of these faults are 0.3 to 2.5 s apart (0.5 to 4 s before), the scenario lasts 6 s instead of 8 s, with a seed of its own.

--- a/soak/weights.go
+++ b/soak/weights.go
@@ -18,8 +18,8 @@
 	loadVersionMax = 6 * time.Second
 	// momentMin and momentMax bound the time between two moments at which a fault strikes an
 	// engine or its agent; momentOffset is how long after a call it strikes at most.
-	momentMin    = 500 * time.Millisecond
-	momentMax    = 4 * time.Second
+	momentMin    = 300 * time.Millisecond
+	momentMax    = 2500 * time.Millisecond
 	momentOffset = 3 * time.Millisecond
 )
 
--- a/soak/weights_test.go
+++ b/soak/weights_test.go
@@ -15,8 +15,8 @@
 // the staged pieces and the order to load them are two steps, between which pieces rot, late
 // puts arrive, engines restart, and agents stop.
 func TestSoakWeightsStayWhole(t *testing.T) {
-	runAndCheck(t, Config{Seed: 18001, Only: regexp.MustCompile("^weights"), Duration: 8 * time.Second, Entries: 2, Engines: 8, PlainTargets: 1,
-		Bin: buildPrograms(t), Dir: seedDir(t, 18001), Logf: t.Logf})
+	runAndCheck(t, Config{Seed: 18609, Only: regexp.MustCompile("^weights"), Duration: 6 * time.Second, Entries: 2, Engines: 8, PlainTargets: 1,
+		Bin: buildPrograms(t), Dir: seedDir(t, 18609), Logf: t.Logf})
 }
 
 // Faults that last for the whole run come only in runs that name them.
