dispatch: use a target again that answered 421 once something new is known of it

What callers saw: 503 (saturated) while engines that had recovered stood idle.

Cause: a 421 was taken as proof that another instance had the address. An engine that does not hold its weights yet answers 421 too, and is asked too early when its agent's report is from before a restart. Target.replaced was set by any 421 and cleared by nothing but a restart with a known start time.

Change: a choice keeps its basis, the revision of the list entry and the number of the agent's report. A 421 excludes the target on that basis; once either has changed it may be chosen again. Pace and other targets' reports change nothing, and a 421 that comes after the change excludes nothing.

Why it works: the engine itself writes its entry, under its own id, when its weights change, and its agent reports it earlier. Where another instance has the address, each such change costs one more 421, which proves that the request has not run.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -21,7 +21,8 @@
 	StartMs int64 // start time of the engine in Unix milliseconds; 0 if unknown
 	// Pace is how many times as long as by its cost model the engine takes, as it states; 0 if
 	// unknown.
-	Pace float64
+	Pace   float64
+	serial uint64 // of the report; see Basis
 }
 
 // Target is an instance together with this entry's view of it. Its fields are guarded by the
@@ -35,7 +36,8 @@
 	responsiveTo    map[string]bool // other entries that currently receive data from the target
 	load            Load            // own plus entryLoads
 	health          health
-	replaced        bool
+	misdirected     bool // the target did not accept a request that was chosen on misdirectedOn
+	misdirectedOn   Basis
 	connectionsLost int // requests of this entry whose connection to the target was lost
 	pace            pacer
 	speed           engineSpeed // of a model engine
@@ -49,22 +51,23 @@
 type Balancer struct {
 	cfg Config
 
-	mu         sync.Mutex
-	policy     *residency.Policy
-	services   map[string][]*Target
-	byID       map[string]*Target
-	used       map[*Target]bool           // targets of which OwnLoads, SilentTargets or ResponsiveTargets may tell
-	addrs      map[string]bool            // of all targets
-	reported   map[string]map[string]bool // targets at which other entries reported loads, by entry and target ID
-	homeLoads  []homeLoad                 // loads told by home entries, oldest first
-	objectives map[string]*objectiveStats // by service
-	states     map[string]EngineState     // by address, as reported by agents
-	versions   map[string]wantedVersions  // by model
-	common     map[string]commonSlowdown  // by service
-	latencies  map[kindKey]kindLatency    // of plain targets
-	notices    *notice.Table
-	rng        *rand.Rand
-	changed    chan struct{} // closed when a target may have become available
+	mu          sync.Mutex
+	policy      *residency.Policy
+	services    map[string][]*Target
+	byID        map[string]*Target
+	used        map[*Target]bool           // targets of which OwnLoads, SilentTargets or ResponsiveTargets may tell
+	addrs       map[string]bool            // of all targets
+	reported    map[string]map[string]bool // targets at which other entries reported loads, by entry and target ID
+	homeLoads   []homeLoad                 // loads told by home entries, oldest first
+	objectives  map[string]*objectiveStats // by service
+	states      map[string]EngineState     // by address, as reported by agents
+	stateSerial uint64                     // of the latest change of a state
+	versions    map[string]wantedVersions  // by model
+	common      map[string]commonSlowdown  // by service
+	latencies   map[kindKey]kindLatency    // of plain targets
+	notices     *notice.Table
+	rng         *rand.Rand
+	changed     chan struct{} // closed when a target may have become available
 }
 
 // NewBalancer returns a Balancer without targets.
@@ -126,7 +129,7 @@
 func (b *Balancer) SetState(addr string, s EngineState) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.states[addr] = s
+	b.states[addr] = b.numbered(s, b.states[addr])
 	b.notifyChanged()
 }
 
@@ -193,7 +196,8 @@
 	PendingPrefill int           // prompt tokens of the request if no first event arrived, else zero
 	Failed         bool          // the target failed the request
 	ConnectFailed  bool          // no connection could be established
-	Replaced       bool          // another instance now uses the target's address
+	Misdirected    bool          // the target's address did not accept a request for this target
+	Basis          Basis         // on which the target was chosen
 	Silent         bool          // the request was abandoned because the target sent nothing
 	ConnectionLost bool          // the connection broke before the response was complete
 	Latency        time.Duration // until the complete response; zero if there was none
@@ -219,8 +223,8 @@
 		t.connectionsLost++
 	}
 	switch {
-	case r.Replaced:
-		t.replaced = true
+	case r.Misdirected:
+		b.recordMisdirected(t, r.Basis)
 	case r.ConnectFailed:
 		t.health.eject(now)
 	case r.Failed && r.Silent && len(t.responsiveTo) == 0:
--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -100,7 +100,7 @@
 	b.SetLoads("other", map[string]Load{"i-1": {Requests: 5, PendingPrefill: 3000}})
 	c, v := b.Pick(start, testService, demand(), nil)
 	assert.Equal(t, v, Chosen)
-	b.Finish(start, c.Target, Result{Replaced: true})
+	b.Finish(start, c.Target, Result{Misdirected: true})
 	services := map[string]*fleet.Service{testService: {Name: testService, Engine: engineModel()}}
 	b.Apply([]*fleet.Instance{second}, services)
 	assert.Equal(t, picked(b, start), "no_target", "the new incarnation has no version loaded, whatever the agent reported before")
@@ -308,7 +308,7 @@
 func TestReplacedTargetIsNotChosen(t *testing.T) {
 	b := newTestBalancer(nil, Config{}, plain(1))
 	c, _ := b.Pick(start, testService, demand(), nil)
-	b.Finish(start, c.Target, Result{Replaced: true})
+	b.Finish(start, c.Target, Result{Misdirected: true})
 	assert.Equal(t, picked(b, start), "no_target")
 }
 
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -35,8 +35,9 @@
 	// with the list.
 	Instance      fleet.Instance
 	EntryRevision revision.Revision // revision of the target's list entry at the time of the choice
-	Unlisted      bool              // the target's list entry had recently disappeared
-	LastResort    bool              // no other target is expected to answer
+	Basis         Basis
+	Unlisted      bool // the target's list entry had recently disappeared
+	LastResort    bool // no other target is expected to answer
 	// StartBy is when the request must have started at the target, because the version that it
 	// serves expires then; zero for no limit.
 	StartBy   time.Time
@@ -82,7 +83,7 @@
 			freeAt = earliest(freeAt, at)
 			continue
 		}
-		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, EntryRevision: t.Revision, Unlisted: t.Unlisted, Load: t.load,
+		c := candidate{Choice: Choice{Target: t, Instance: t.Instance, EntryRevision: t.Revision, Basis: b.basisOf(t), Unlisted: t.Unlisted, Load: t.load,
 			Limit: state.Limit, Paced: r.bounded}}
 		c.Slowdown, _ = b.slowdownOf(now, t, d.Prompt)
 		c.Forecast = b.forecast(now, t, d).scale(c.Slowdown)
@@ -167,7 +168,7 @@
 // usable reports whether a target may get requests: an engine must hold all layers of a version
 // of its model that has not expired, and must not be loading another.
 func (b *Balancer) usable(now time.Time, t *Target) bool {
-	if t.Draining || t.replaced {
+	if t.Draining || b.misdirected(t) {
 		return false
 	}
 	if t.model == nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -250,7 +250,7 @@
 	case ReasonTargetRefused:
 		r.Latency = 0
 	case ReasonOtherInstance:
-		r.Replaced = true
+		r.Misdirected, r.Basis = true, a.choice.Basis
 	case ReasonDialFailed:
 		r.ConnectFailed = true
 	default:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,7 @@
 	ID            string           // of the request that the response answers
 	Signed        bool             // the response has the target's signature
 	NotRun        bool             // the target states that it did not run the request
-	OtherInstance bool             // not the addressed instance answered, but another one at its address
+	OtherInstance bool             // another instance uses the address, or the addressed one does not hold its weights
 	Notice        notice.Statement // the back-off, rate limit or departure that the target announces
 }
 
