sidecar: bound the time of a staged piece read for an entry

Seen: by a test, a read of a staged piece that an entry has asked for lasts as long as the entry waits: an engine that does not end its answer is read until the entry resets the stream, which an entry that stands still does not do. Cause: ServePiece alone called the engine without Config.CallTimeout. Change: one function reads staged pieces, with that timeout, for the checks and for entries. The entry is told that the piece is not there and goes on to its next source.

--- a/sidecar/stage.go
+++ b/sidecar/stage.go
@@ -146,13 +146,20 @@
 	return nil
 }
 
+// stagedPiece reads a piece that is staged at the engine.
+func (s *Sidecar) stagedPiece(ctx context.Context, model string, index int) ([]byte, error) {
+	ctx, cancel := clock.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	return s.engine.StagedPiece(ctx, s.engineAddr, model, index)
+}
+
 // ServePiece sends a piece that is staged at the engine to an entry, which verifies it.
 func (s *Sidecar) ServePiece(ctx context.Context, st *peer.Stream, first peer.Message) {
 	q, ok := first.(*peer.GetPiece)
 	if !ok {
 		return
 	}
-	data, err := s.engine.StagedPiece(ctx, s.engineAddr, q.Model, q.Index)
+	data, err := s.stagedPiece(ctx, q.Model, q.Index)
 	if err != nil {
 		s.log.WithError(err).WithFields(logrus.Fields{"model": q.Model, "version": q.Version, "piece": q.Index}).Info("Staged piece could not be read for entry.")
 	}
--- a/sidecar/verify.go
+++ b/sidecar/verify.go
@@ -54,9 +54,7 @@
 
 // checkPiece reads back and verifies one staged piece.
 func (s *Sidecar) checkPiece(ctx context.Context, index int) checkResult {
-	ctx, cancel := clock.WithTimeout(ctx, s.cfg.CallTimeout)
-	defer cancel()
-	data, err := s.engine.StagedPiece(ctx, s.engineAddr, s.stage.model, index)
+	data, err := s.stagedPiece(ctx, s.stage.model, index)
 	switch {
 	case errors.Is(err, ErrNotStaged):
 		return bad
