gateway: judge lines of a stream whole

Seen: by tests, an event with a line that fills the read buffer of 4 KiB (or a multiple of it) was taken for two, as its line break alone looked like the empty line that ends an event; and the last part of a longer line that begins with "id:" was taken for the id of its event. A stream that breaks between the two halves is resumed behind the id of the first one, so that a caller can lack the second; not seen in a run of the program. Cause: each part of a line that the buffer holds was judged as if it were a line. Change: a line is read whole into its event, as before within the bounds of the event and the budget, and judged then. An id of more than 4 KiB is none, so that no request keeps one beside its event. Evidence: on the code before, go test -race ./gateway -run "TestLineThatFills|TestEndOfALong": longlines_test.go:22: assertion failed: (the event ends after "data: xxxxxxxxxx" and lacks "data: rest") longlines_test.go:36: assertion failed: 9 (ev.id string) != 7 (string) With it the package passes, one run.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,32 +53,43 @@
 	e.memory.Shrink(e.large)
 	e.large = 0
 	for {
-		line, err := e.r.ReadSlice('\n')
-		var memoryErr error
-		if ev.raw, memoryErr = e.appendLine(ev.raw, line); memoryErr != nil {
-			return event{}, memoryErr
-		}
-		if len(ev.raw) > maxEvent {
-			return event{}, bufio.ErrBufferFull
-		}
-		switch {
-		case err == bufio.ErrBufferFull:
-			continue
-		case err == io.EOF && len(ev.raw) > 0:
-			return event{}, io.ErrUnexpectedEOF
-		case err != nil:
+		begin := len(ev.raw)
+		var err error
+		if ev.raw, err = e.readLine(ev.raw); err != nil {
 			return event{}, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(ev.raw[begin:], "\r\n")
 		if len(line) == 0 {
 			return ev, nil
 		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok && len(id) <= maxSmallEvent {
 			ev.id = string(bytes.TrimSpace(id))
 		}
 	}
 }
 
+// readLine reads the rest of a line and appends it to the event.
+func (e *eventReader) readLine(raw []byte) ([]byte, error) {
+	for {
+		part, err := e.r.ReadSlice('\n')
+		var memoryErr error
+		if raw, memoryErr = e.appendLine(raw, part); memoryErr != nil {
+			return raw, memoryErr
+		}
+		switch {
+		case len(raw) > maxEvent:
+			return raw, bufio.ErrBufferFull
+		case err == nil:
+			return raw, nil
+		case err == bufio.ErrBufferFull: // of the reader
+			continue
+		case err == io.EOF && len(raw) > 0:
+			return raw, io.ErrUnexpectedEOF
+		}
+		return raw, err
+	}
+}
+
 // receiveFirstEvent reads the first event of a stream, or the end of a stream without events. If
 // the stream ends with its connection, that end may be the target's own.
 func (a *attempt) receiveFirstEvent() result {
