peer: bound the first frame of a connection

Seen: by a test, four bytes that name a frame of 8 MiB make a process hold 8 MiB for them until the handshake times out after 5 s. The bytes need not come from a process of the system: the addresses of seeds may be stale, and an address is given to something else. Cause: the first frame had the limit of the frames that carry pieces of weights. Change: it has 4 KiB; a Hello has four short texts and two numbers. Evidence: on the code before, go test -race ./peer -run TestLargeFirst: handshake_test.go:25: assertion failed: expression is false: errors.Is(err, ErrFrameSize): peer: handshake: read pipe: i/o timeout With it the package passes, one run.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -106,7 +106,7 @@
 		_, err := nc.Write(b)
 		sent <- err
 	}()
-	f, err := readFrame(nc)
+	f, err := readFrameWithin(nc, maxHello)
 	if err != nil {
 		return Hello{}, errors.Wrap(err, "peer: handshake")
 	}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -23,6 +23,8 @@
 	// MaxFrame bounds the payload of one frame in bytes. It fits a weight
 	// chunk of 8 MiB and the fields around it.
 	MaxFrame = 8<<20 + 4096
+	// maxHello bounds the payload of the first frame, whose sender may be no process of the system.
+	maxHello = 4 << 10
 )
 
 type flags uint8
@@ -79,13 +81,16 @@
 }
 
 // readFrame reads one frame.
-func readFrame(r io.Reader) (frame, error) {
+func readFrame(r io.Reader) (frame, error) { return readFrameWithin(r, MaxFrame) }
+
+// readFrameWithin reads one frame with a payload of at most limit bytes.
+func readFrameWithin(r io.Reader, limit uint32) (frame, error) {
 	var head [lengthSize + headSize]byte
 	if _, err := io.ReadFull(r, head[:lengthSize]); err != nil {
 		return frame{}, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n < headSize || n > headSize+MaxFrame {
+	if n < headSize || n > headSize+limit {
 		return frame{}, ErrFrameSize
 	}
 	if _, err := io.ReadFull(r, head[lengthSize:]); err != nil {
