--- a/targetconn/headlimit_test.go
+++ b/targetconn/headlimit_test.go
@@ -114,3 +114,37 @@
 	}
 	assert.Equal(t, s.conns.Load(), int64(1))
 }
+
+// Guards against framing without end in the body of a response that is relayed.
+func TestEndlessFramingOfABodyIsNotRead(t *testing.T) {
+	const most = 4 << 20 // with what the kernel buffers
+	filler := strings.Repeat("x", 32<<10)
+	for name, c := range map[string]struct{ first, repeated string }{
+		"size of a chunk":      {"", strings.Repeat("0", 32<<10)},
+		"extension of a chunk": {"5;", filler},
+		"many extensions":      {"", strings.Repeat("1;"+filler[:1<<10]+"\r\nx\r\n", 32)},
+		"field of a trailer":   {"0\r\nA: ", filler},
+		"fields of a trailer":  {"0\r\n", strings.Repeat("A: b\r\n", 5<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+				r, _, ok := readRequest(br)
+				if !ok {
+					return
+				}
+				assert.NilError(t, nc.(*net.TCPConn).SetWriteBuffer(64<<10))
+				_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s", idHeader, requestID(r.Header), c.first)
+				for err == nil && sent.Load() < 16*most {
+					var n int
+					n, err = fmt.Fprint(nc, c.repeated)
+					sent.Add(int64(n))
+				}
+			})
+			_, err := do(t.Context(), NewPool(Config{}), s.addr, request("id"))
+			assert.Assert(t, err != nil)
+			s.wg.Wait()
+			assert.Assert(t, sent.Load() < most, "%d bytes sent", sent.Load())
+		})
+	}
+}
