peer: check the structure of a payload before it is decoded

Seen: by tests, an array of a payload that claims 4 Mi elements and holds none makes the decoder allocate 201 MB (a manifest) or 471 MB (the changes of the store); in a trial one that claims 10^9 ended the process, with the requests of all its callers. Change: before it is decoded a payload is walked through without allocating for elements. Evidence: on the code before, go test -race ./peer -run Claimed: structure_test.go:41: assertion failed: n is >= 4 << 20: bytes allocated structure_test.go:41: assertion failed: n is >= 4 << 20: bytes allocated With it the package passes, one run, and FuzzFrame ran 21 s without a finding. BenchmarkCall, 3 runs each: 52 to 58 us before, 56 to 62 us after, on a machine shared with others; allocations are unchanged.

--- a/peer/frame.go
+++ b/peer/frame.go
@@ -108,6 +108,9 @@
 	if m == nil {
 		return nil, ErrKind
 	}
+	if err := checkStructure(f.payload); err != nil {
+		return nil, err
+	}
 	payload := bytes.NewReader(f.payload)
 	dec := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(dec)
--- a/peer/packing.go
+++ b/peer/packing.go
@@ -44,6 +44,9 @@
 	if len(data) > maxUnpacked {
 		return nil, errors.Wrap(ErrPayload, "events exceed the size limit")
 	}
+	if err := checkStructure(data); err != nil {
+		return nil, err
+	}
 	var events []MirrorEvent
 	if err := msgpack.Unmarshal(data, &events); err != nil {
 		return nil, errors.Wrap(ErrPayload, err.Error())
