gateway: a request whose body is not whole when the drain ends is refused

Callers saw: the connection of a request whose body they were still sending at the end of the drain was closed without an answer; for a request that may not be repeated they could not know that it had not run. Cause: the read of the body waits for the caller, whatever the context of the exchange says. The request gets 503 `stopping` and the connection is closed. A body that is whole just then is refused too: nothing was sent, so the status is true.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -24,14 +25,26 @@
 	}
 	buffer := allocation{h: x.memory, bytes: first}
 	x.memory.await(phaseBody)
+	stop := x.stopReadingWithDrain()
 	b, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), first, limit, &buffer, x.memory.progress)
 	if !x.memory.proceed() {
 		return ReasonBodyStalled
 	}
+	if !stop() {
+		return ReasonStopping
+	}
 	x.body = b
 	return x.finishBody(err)
 }
 
+// stopReadingWithDrain ends the read of the body when the drain ends. stop returns false if it has.
+func (x *exchange) stopReadingWithDrain() (stop func() bool) {
+	return context.AfterFunc(x.g.drain.ctx, func() {
+		// The error is ignored: a connection without deadlines is closed by its timeouts.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
+	})
+}
+
 // finishBody converts the error of reading the body into a reason.
 func (x *exchange) finishBody(err error) Reason {
 	var large *http.MaxBytesError
@@ -101,7 +114,7 @@
 // used again.
 func (x *exchange) leavesUnread(reason Reason) bool {
 	switch reason {
-	case ReasonNoMemory, ReasonBodyTooLarge, ReasonBodyStalled:
+	case ReasonNoMemory, ReasonBodyTooLarge, ReasonBodyStalled, ReasonStopping:
 		return !x.bodyComplete
 	}
 	return false
@@ -111,7 +124,7 @@
 // reads the rest of the body.
 func (x *exchange) prepareClose(reason Reason) {
 	x.w.Header().Set("Connection", "close")
-	if reason != ReasonBodyStalled { // whose deadline has passed
+	if reason != ReasonBodyStalled && reason != ReasonStopping { // whose deadline has passed
 		// The error is ignored: a connection without deadlines is closed by its timeouts.
 		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadTimeout))
 	}
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -84,3 +87,23 @@
 	s.stop()
 	assert.Assert(t, <-failed != nil)
 }
+
+// Guards against requests that get no answer because their body is not whole when the drain ends.
+func TestRequestWhoseBodyIsNotWholeWhenTheDrainEndsIsRefused(t *testing.T) {
+	x := newTarget(t, okHandler)
+	s := startServer(t, endsAtOnce(), x)
+	c, err := net.Dial("tcp", s.callerAddr())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nKey: secret\r\nContent-Length: 2\r\n\r\nb")
+	assert.NilError(t, err)
+	for s.gateway.Inflight() == 0 {
+		runtime.Gosched()
+	}
+	s.stop()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, x.count(), 0)
+}
