gateway: a draining entry passes on only requests that should end in time

Callers saw: requests that came late in the drain were passed on although their like ran for longer than what was left of it, and were ended at its end; one that may not be repeated was lost, though nothing had run before. Cause: AcceptFor was the only limit. It bounds when a request's head is read, not when the request is sent: a body that arrives slowly, a wait for a place or a retry come later. And it assumes runs of 5 s at most. If it ends later than the drain, the request gets 503 `stopping` (502 if an earlier send may have run) and can go to another entry at once. A stream that has begun goes on as far as it can. Requests that end by their deadline within the drain are passed on as before (TestRequestThatEndsWithinTheDrainIsPassedOn).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -227,6 +227,9 @@
 		}
 		x.sends++
 	}
+	if res.reason == ReasonNone {
+		x.g.runTimes.observe(x.route.Name, clock.Since(a.sentAt))
+	}
 	probe := x.probing
 	x.ran, x.probing = x.ran || res.ran, false
 	if res.held != nil {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/dispatch"
 )
 
 // errStopping is the cause with which requests are ended that outlive the drain.
@@ -16,20 +18,22 @@
 type drain struct {
 	ctx    context.Context // cancelled when the drain ends
 	finish context.CancelCauseFunc
+	until  atomic.Pointer[time.Time] // nil before the drain begins
 }
 
-func newDrain() drain {
+func newDrain() *drain {
 	ctx, finish := context.WithCancelCause(context.Background())
-	return drain{ctx: ctx, finish: finish}
+	return &drain{ctx: ctx, finish: finish}
 }
 
-// endAt ends the drain at the given time.
-func (d drain) endAt(at time.Time) {
+// begin begins the drain, which ends at the given time.
+func (d *drain) begin(at time.Time) {
+	d.until.Store(&at)
 	clock.AfterFunc(clock.Until(at), func() { d.finish(errStopping) })
 }
 
 // bound returns a context that is also cancelled when the drain ends.
-func (d drain) bound(parent context.Context) (context.Context, context.CancelFunc) {
+func (d *drain) bound(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	stop := context.AfterFunc(d.ctx, func() { cancel(errStopping) })
 	return ctx, func() {
@@ -38,6 +42,19 @@
 	}
 }
 
+// allows reports whether a request ends before the drain if it runs from now on for the given time.
+func (d *drain) allows(run time.Duration) bool {
+	until := d.until.Load()
+	return until == nil || clock.Until(*until) > run
+}
+
+// endsInTime reports whether the request would end before the drain at the chosen target. A stream
+// that has begun goes on as far as it can.
+func (x *exchange) endsInTime(c dispatch.Choice) bool {
+	run := max(c.Forecast.FirstEvent, x.g.runTimes.peak(x.route.Name))
+	return x.started || x.g.drain.allows(min(run, clock.Until(x.deadline)))
+}
+
 // endReason is the reason of a request whose context has ended.
 func endReason(ctx context.Context) Reason {
 	if errors.Is(context.Cause(ctx), errStopping) {
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/clock/clocktest"
 	"gotest.tools/v3/assert"
 )
 
@@ -107,3 +109,45 @@
 	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, x.count(), 0)
 }
+
+// Guards against requests that are passed on late in the drain although their like run for longer than
+// what is left of it.
+func TestRequestThatWouldOutliveTheDrainIsNotPassedOn(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			machine := clocktest.New(t)
+			x := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+				machine.Suspend(10 * time.Second)
+				streamHandler(1, 1)(w, r)
+			})
+			f := newTestGateway(t, x)
+			call := func(left string) int {
+				return f.call(http.MethodPost, "/"+route+"/x", "b", "Left-Ms", left).status
+			}
+			assert.Equal(t, call("25000"), http.StatusOK)
+			f.gateway.Drain(clock.Now().Add(9 * time.Second))
+			assert.Equal(t, call("25000"), http.StatusServiceUnavailable)
+			assert.Equal(t, x.count(), 1)
+		})
+	}
+}
+
+// Guards against requests that are refused in a drain although they end within it, by their deadline
+// at the latest.
+func TestRequestThatEndsWithinTheDrainIsPassedOn(t *testing.T) {
+	machine := clocktest.New(t)
+	pause := 10 * time.Second
+	x := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		machine.Suspend(pause)
+		okHandler(w, r)
+	})
+	f := newTestGateway(t, x)
+	call := func(left string) int {
+		return f.call(http.MethodPost, "/unsafe/x", "b", "Left-Ms", left).status
+	}
+	assert.Equal(t, call("25000"), http.StatusOK)
+	pause = 0
+	f.gateway.Drain(clock.Now().Add(9 * time.Second))
+	assert.Equal(t, call("8000"), http.StatusOK)
+	assert.Equal(t, x.count(), 2)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,7 +210,8 @@
 
 	config   atomic.Pointer[fleet.Config]
 	draining atomic.Bool
-	drain    drain
+	drain    *drain
+	runTimes *runTimes
 	inflight atomic.Int64
 
 	retryDetector *dispatch.RetryDetector
@@ -231,7 +232,7 @@
 	if cfg.Memory != nil {
 		stats.watchMemory(cfg.Memory)
 	}
-	return &Gateway{cfg: cfg, dialect: d, balancer: balancer, pool: pool, reserver: reserver, stats: stats, log: log, drain: newDrain(),
+	return &Gateway{cfg: cfg, dialect: d, balancer: balancer, pool: pool, reserver: reserver, stats: stats, log: log, drain: newDrain(), runTimes: newRunTimes(),
 		retryDetector: dispatch.NewRetryDetector(cfg.RetryAfter, cfg.RetrySpread), crashDetector: newCrashDetector(cfg.Crashes, cfg.Host, log), startedAt: clock.Now(), budgets: map[string]*routing.Budget{}}
 }
 
@@ -256,10 +257,11 @@
 func (g *Gateway) Ready() bool { return g.config.Load() != nil && !g.draining.Load() }
 
 // Drain makes the gateway not ready, and makes callers close their connections after the
-// next response. Requests that are not answered by until are ended then.
+// next response. Requests that would not end by until are refused, and those that have not ended
+// by then are ended.
 func (g *Gateway) Drain(until time.Time) {
 	g.draining.Store(true)
-	g.drain.endAt(until)
+	g.drain.begin(until)
 }
 
 // Inflight returns the number of requests being served.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -57,9 +57,8 @@
 	}
 	d := x.demand()
 	choice, reason := x.place(ctx, d)
-	// Other entries may have reported crashes while the request waited for a place.
 	if reason == ReasonNone {
-		if reason = x.quarantined(); reason != ReasonNone {
+		if reason = x.barred(choice); reason != ReasonNone {
 			x.g.balancer.Cancel(choice.Target, d)
 		}
 	}
@@ -67,6 +66,15 @@
 	return choice, reason
 }
 
+// barred returns why the request must not be sent to the chosen target after all. Other entries may
+// have reported crashes while the request waited for a place.
+func (x *exchange) barred(c dispatch.Choice) Reason {
+	if !x.endsInTime(c) {
+		return ReasonStopping
+	}
+	return x.quarantined()
+}
+
 func (x *exchange) recordAnswered() {
 	took := clock.Since(x.start)
 	x.g.stats.answered.Inc(1)
