entry: requests that outlive the drain get an outcome

Callers saw: in a planned stop of an entry of `springgate serve`, the connection of a request that ran for longer than `--drain-timeout` was closed without an answer. One without an attempt in progress is `shutting-down` (not run, unless an earlier attempt may have), any other is `shutting-down-running` (unknown, 502), a part of an answer is broken off. The entry waits up to 5 s for these answers to be written; a second signal still stops it at once.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,8 @@
 	http     *http.Server
 	inflight atomic.Int64
 	leaving  atomic.Bool
+	stopping context.Context // cancelled when requests are ended that the drain has not waited for
+	stop     context.CancelFunc
 
 	mu           sync.Mutex
 	retryBudgets map[string]*routing.Budget
@@ -84,6 +86,7 @@
 	log = log.WithFields(logrus.Fields{"host": cfg.Control.Host, "failure_domain": cfg.Control.Domain})
 	e := &Entry{log: telemetry.Part(log, "entry"), access: telemetry.Part(log, "access"),
 		metrics: metrics.NewRegistry(), retryBudgets: map[string]*routing.Budget{}}
+	e.stopping, e.stop = context.WithCancel(context.Background())
 	e.reasons = telemetry.NewReasons(e.metrics)
 	e.count = newCounters(e.metrics)
 	self := peer.Hello{Host: cfg.Control.Host, Incarnation: cfg.Control.Incarnation,
@@ -141,7 +144,8 @@
 }
 
 // Drain makes /readyz fail and keeps serving for Config.ShutdownDelay. It then
-// stops accepting connections and waits for the requests in flight.
+// stops accepting connections and waits for the requests in flight. Those that take longer
+// than Config.DrainTimeout are answered with what is known of them.
 func (e *Entry) Drain(ctx context.Context) {
 	if e.leaving.Swap(true) {
 		return
@@ -150,15 +154,29 @@
 	e.node.Leave()
 	e.http.SetKeepAlivesEnabled(false)
 	loop.Sleep(ctx, e.cfg.ShutdownDelay)
-	ctx, cancel := clock.WithTimeout(ctx, e.cfg.DrainTimeout)
+	drainCtx, cancel := clock.WithTimeout(ctx, e.cfg.DrainTimeout)
 	defer cancel()
-	if err := e.http.Shutdown(ctx); err != nil {
+	if err := e.http.Shutdown(drainCtx); err != nil {
 		e.log.WithError(err).Warn("Drain timed out.")
+		e.endRequests(ctx)
 		return
 	}
 	e.log.Info("Drained.")
 }
 
+// answerTimeout bounds the wait for the answers to requests that the drain has not waited for.
+const answerTimeout = 5 * time.Second
+
+// endRequests ends all requests and waits until their callers are answered.
+func (e *Entry) endRequests(ctx context.Context) {
+	e.stop()
+	ctx, cancel := clock.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	if err := e.http.Shutdown(ctx); err != nil {
+		e.log.WithError(err).Warn("Remaining requests are cut off.")
+	}
+}
+
 // Ready reports whether the load balancer should send requests to this entry.
 func (e *Entry) Ready() bool {
 	return !e.leaving.Load() && e.node.Snapshot().Fleet() != nil && e.node.Awake(clock.Now())
@@ -198,6 +216,7 @@
 	}
 	ctx, cancel := clock.WithDeadline(r.Context(), x.deadline.Add(resultGrace))
 	defer cancel()
+	defer context.AfterFunc(e.stopping, cancel)()
 	x.finish(x.run(ctx), "")
 }
 
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -228,12 +228,14 @@
 	return x.machine.ConnectionLost()
 }
 
-// ended reports whether the caller has disconnected or the deadline has passed,
-// with the resulting action.
+// ended reports whether the caller has disconnected, the drain has timed out or the
+// deadline has passed, with the resulting action.
 func (x *exchange) ended(ctx context.Context) (submission.Action, bool) {
 	switch {
 	case x.r.Context().Err() != nil:
 		return x.machine.Abandon(outcome.CallerLeft), true
+	case x.entry.stopping.Err() != nil:
+		return x.machine.EntryStopped(), true
 	case ctx.Err() != nil:
 		return x.machine.DeadlineExceeded(), true
 	}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -60,12 +60,13 @@
 	hosts      map[string]*testHost
 	names      []string
 	entry      *entry.Entry
+	stopEntry  context.CancelFunc
 	versions   map[digest.Digest]*spread.Manifest
 	versionIDs []digest.Digest
 	affinity   int // length of the body prefix used for affinity, in bytes
 }
 
-func newFleet(t testing.TB, engines, plains int) *testFleet {
+func newFleet(t testing.TB, engines, plains int, options ...func(*entry.Config)) *testFleet {
 	f := &testFleet{t: t, runs: standin.NewRuns(), hosts: map[string]*testHost{}, versions: map[digest.Digest]*spread.Manifest{}}
 	var err error
 	f.log, err = telemetry.NewLogger(io.Discard, "error", telemetry.FormatText)
@@ -89,10 +90,16 @@
 		assert.NilError(t, err)
 		f.addHost(&testHost{name: fmt.Sprintf("p%d", i), url: p.URL(), plain: p})
 	}
-	f.entry, err = entry.New(entry.Config{Control: f.controlConfig("entry"), Listen: loopback, ShutdownDelay: time.Millisecond},
+	cfg := entry.Config{Control: f.controlConfig("entry"), Listen: loopback, ShutdownDelay: time.Millisecond}
+	for _, o := range options {
+		o(&cfg)
+	}
+	f.entry, err = entry.New(cfg,
 		configservice.New(f.platform.URL()), hostlist.New(f.platform.URL()), f.log)
 	assert.NilError(t, err)
-	go f.entry.Run(t.Context())
+	ctx, stop := context.WithCancel(t.Context())
+	f.stopEntry = stop
+	go f.entry.Run(ctx)
 	f.publishHosts()
 	t.Cleanup(f.platform.Close)
 	return f
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -60,7 +60,10 @@
 	BodyTooLarge            Reason = "body-too-large"
 	CallerLeft              Reason = "caller-left"
 	ShuttingDown            Reason = "shutting-down"
-	EntryFull               Reason = "entry-full"
+	// ShuttingDownRunning is the reason if the entry stops while the request may have been
+	// running.
+	ShuttingDownRunning Reason = "shutting-down-running"
+	EntryFull           Reason = "entry-full"
 )
 
 // Info describes one reason.
@@ -112,6 +115,7 @@
 	{CallerLeft, Unknown, 499, false, "The caller closed the connection."},
 	{EntryFull, NotRun, http.StatusServiceUnavailable, false, "The entry has too many requests in flight."},
 	{ShuttingDown, NotRun, http.StatusServiceUnavailable, true, "The entry is shutting down."},
+	{ShuttingDownRunning, Unknown, http.StatusBadGateway, false, "The entry shut down while the request may have run."},
 }
 
 // All returns the descriptions of all reasons in a fixed order.
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -303,13 +303,24 @@
 
 // DeadlineExceeded reports that the caller's deadline has passed.
 func (m *Machine) DeadlineExceeded() Action {
+	return m.end(outcome.DeadlineExceeded, outcome.DeadlineExceededRunning)
+}
+
+// EntryStopped reports that the entry stops and cannot wait for the result.
+func (m *Machine) EntryStopped() Action {
+	return m.end(outcome.ShuttingDown, outcome.ShuttingDownRunning)
+}
+
+// end ends the submission with one reason if no attempt is in progress, and with another one if
+// the current attempt may have run.
+func (m *Machine) end(unplaced, running outcome.Reason) Action {
 	switch m.phase {
 	case done:
 		return Action{}
 	case choosing, backingOff:
-		return m.finishUnplaced(outcome.DeadlineExceeded, 0)
+		return m.finishUnplaced(unplaced, 0)
 	}
-	return m.finish(outcome.Unknown, outcome.DeadlineExceededRunning)
+	return m.finish(outcome.Unknown, running)
 }
 
 // Abandon ends the submission on the caller's side, for instance because the
--- a/submission/submission_test.go
+++ b/submission/submission_test.go
@@ -52,3 +52,23 @@
 	assert.Equal(t, tries(outcome.QueueFull), 2)
 	assert.Equal(t, tries(outcome.Leaving), 4)
 }
+
+// Guards against a stop of the entry that claims of a request in flight that it has not run.
+func TestStopOfTheEntryIsTruthful(t *testing.T) {
+	m, _ := submission.New(submission.Request{})
+	a := m.EntryStopped()
+	assert.Equal(t, a.Outcome, outcome.NotRun)
+	assert.Equal(t, a.Reason, outcome.ShuttingDown)
+
+	m, _ = submission.New(submission.Request{})
+	m.HostChosen()
+	a = m.EntryStopped()
+	assert.Equal(t, a.Outcome, outcome.Unknown)
+	assert.Equal(t, a.Reason, outcome.ShuttingDownRunning)
+	assert.Assert(t, !a.Abort)
+
+	m, _ = submission.New(submission.Request{})
+	m.HostChosen()
+	m.Head(1)
+	assert.Assert(t, m.EntryStopped().Abort, "a part of the answer was forwarded")
+}
