entry: a request whose body is not whole when the drain times out is refused

Callers saw: the connection of a request whose body they were still sending when the drain of an entry of `springgate serve` timed out was closed without an answer. Cause: the read of the body waits for the caller, before the request has a state machine that could be told. A body that is streamed belongs to an attempt, whose outcome is reported as before.

--- a/entry/body.go
+++ b/entry/body.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/springgate/springgate/outcome"
@@ -51,6 +52,12 @@
 	return b, nil
 }
 
+// stopReading ends the read of the body.
+func (x *exchange) stopReading() {
+	// The error is ignored: a connection without deadlines is closed with the server.
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
+}
+
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -1,10 +1,14 @@
 package entry_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/springgate/springgate/caller"
 	"github.com/springgate/springgate/entry"
 	"github.com/springgate/springgate/outcome"
 	"github.com/springgate/springgate/standin"
@@ -44,3 +48,25 @@
 	assert.Equal(t, a.problem.Outcome, outcome.Unknown)
 	assert.Equal(t, a.problem.Reason, outcome.ShuttingDownRunning)
 }
+
+// Guards against requests that get no answer because their body is not whole when the drain ends.
+func TestRequestWhoseBodyIsNotWholeWhenTheDrainEndsIsRefused(t *testing.T) {
+	f := newFleet(t, 0, 1, drainAtOnce)
+	f.publish(0)
+	f.waitReady("plain")
+	c, err := net.Dial("tcp", f.entry.CallerAddr())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /plain/x HTTP/1.1\r\nHost: h\r\n"+standin.CallHeader+": cut\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	assert.NilError(t, err)
+	br := bufio.NewReader(c)
+	_, err = http.ReadResponse(br, nil) // the entry reads the body
+	assert.NilError(t, err)
+	f.drainAndStop()
+	resp, err := http.ReadResponse(br, nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, resp.Header.Get(caller.HeaderOutcome), string(outcome.NotRun))
+	assert.Equal(t, f.runs.Count("cut"), 0)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -252,8 +252,11 @@
 		timeout = min(timeout, x.req.Timeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	stop := context.AfterFunc(x.entry.stopping, x.stopReading)
 	x.body, err = readBody(x.w, x.r, x.entry.cfg.MaxBody)
 	switch {
+	case !stop():
+		return outcome.ShuttingDown, ""
 	case errors.Is(err, errBodyTooLarge):
 		return outcome.BodyTooLarge, ""
 	case err != nil:
