gateway: what must not be repeated and is of unknown length is not passed on late in a drain

Callers saw: a request that must not be repeated, the first of its route at an entry, was passed on in a drain and ended at its end, without having been refused while that was still true. Cause: without a run time of the route only the forecast of the target counts, 50 ms at a plain target that has not answered yet. Requests that may be repeated are passed on as before.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -51,8 +51,17 @@
 // endsInTime reports whether the request would end before the drain at the chosen target. A stream
 // that has begun goes on as far as it can.
 func (x *exchange) endsInTime(c dispatch.Choice) bool {
-	run := max(c.Forecast.FirstEvent, x.g.runTimes.peak(x.route.Name))
-	return x.started || x.g.drain.allows(min(run, clock.Until(x.deadline)))
+	return x.started || x.g.drain.allows(x.maxRun(c))
+}
+
+// maxRun returns how long the request may run at the chosen target: until its deadline if it must
+// not be repeated and nothing is known of its route.
+func (x *exchange) maxRun(c dispatch.Choice) time.Duration {
+	left, peak := clock.Until(x.deadline), x.g.runTimes.peak(x.route.Name)
+	if peak == 0 && !x.route.Idempotent() {
+		return left
+	}
+	return min(max(c.Forecast.FirstEvent, peak), left)
 }
 
 // endReason is the reason of a request whose context has ended.
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -151,3 +151,18 @@
 	assert.Equal(t, call("8000"), http.StatusOK)
 	assert.Equal(t, x.count(), 2)
 }
+
+// Guards against requests that must not be repeated and are passed on in a drain although nothing is
+// known of how long their like run.
+func TestUnknownRequestThatMayOutliveTheDrainIsNotPassedOn(t *testing.T) {
+	x := newTarget(t, okHandler)
+	f := newTestGateway(t, x)
+	call := func(route, left string) int {
+		return f.call(http.MethodPost, "/"+route+"/x", "b", "Left-Ms", left).status
+	}
+	f.gateway.Drain(clock.Now().Add(9 * time.Second))
+	assert.Equal(t, call("unsafe", "25000"), http.StatusServiceUnavailable)
+	assert.Equal(t, x.count(), 0)
+	assert.Equal(t, call("unsafe", "5000"), http.StatusOK)
+	assert.Equal(t, call("safe", "25000"), http.StatusOK)
+}
