soak: a planned stop of a real entry answers the request that outlives it

A test of the process as a whole: one entry with a grace of 1 s, one target that has the request and is silent, SIGTERM. It holds where the process really ends.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -44,6 +44,9 @@
 	EventInterval time.Duration
 	// Unframed makes the answers of targets end with their connections.
 	Unframed bool
+	// Grace is the time between the signal to stop and the kill in the processes' settings; 0 means
+	// the time after which the fleet kills them. It is written in whole seconds.
+	Grace time.Duration
 	// RetryExtra is the part of the retry budgets that does not depend on the number of requests; 0
 	// leaves the budgets unchecked.
 	RetryExtra int
@@ -191,7 +194,7 @@
 	free := newPorts()
 	for i := range f.cfg.Entries {
 		n := fake.Node{Name: fmt.Sprintf("entry-%d", i), Domain: domains[i%len(domains)], Serves: []string{"front", "control"},
-			Grace: shutdownGrace, FirstStart: true, RetryExtra: f.cfg.RetryExtra}
+			Grace: cmp.Or(f.cfg.Grace, shutdownGrace), FirstStart: true, RetryExtra: f.cfg.RetryExtra}
 		link, err := NewLink(f.store.Addr())
 		if err != nil {
 			return err
