command: signals that arrive while a process on the platform starts are handled

Callers saw: a stop of an entry right after its start was no drain. The entry stayed ready, took requests during the whole grace and was killed with them, those that may not be repeated among them. A change of the settings at that moment ended the process. Cause: signals were registered last, after the listeners. Until then SIGHUP ends the process; SIGTERM doesn't, since go-zero, which the program contains, registers a handler for it when the process begins. It does nothing here, and the signal is gone. Not measured: how long the time was on a machine of the platform. What is left is the time until the command begins.

--- a/command/platform.go
+++ b/command/platform.go
@@ -59,6 +59,7 @@
 	self      peer.Presence
 	pool      *peer.Pool
 	meter     *peer.Meter
+	signals   <-chan os.Signal
 }
 
 // platformFlags holds the flags of `springgate gateway` and `springgate-agent sidecar`, which
@@ -79,9 +80,12 @@
 	s.Address(&f.admin, "admin-listen", "address of /healthz, /readyz and /metrics", "", false)
 }
 
-// newPlatformProcess reads the settings and sets up logging, memory limits and metrics. The role
-// is announced to peers.
+// newPlatformProcess reads the settings and sets up signals, logging, memory limits and metrics. The
+// role is announced to peers.
 func newPlatformProcess(f platformFlags, role string) (*platformProcess, error) {
+	// A signal that arrives while the process starts is kept for waitForSignal.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return nil, err
@@ -98,7 +102,7 @@
 		debug.SetMemoryLimit(limit)
 	}
 	debug.SetGCPercent(gcPercent)
-	p := &platformProcess{settings: s, log: log, logWriter: out, metrics: metrics.NewRegistry(), meter: &peer.Meter{}}
+	p := &platformProcess{settings: s, log: log, logWriter: out, metrics: metrics.NewRegistry(), meter: &peer.Meter{}, signals: signals}
 	if err := p.meter.Register(p.metrics); err != nil {
 		return nil, err
 	}
@@ -142,9 +146,7 @@
 // logs the new seeds; changes, such as of addresses, take effect at the next start.
 func (p *platformProcess) waitForSignal() {
 	log := telemetry.Part(p.log, "main")
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range signals {
+	for sig := range p.signals {
 		if sig != syscall.SIGHUP {
 			log.WithField("signal", sig.String()).Info("Stopping.")
 			return
