command: a signal to stop that arrives while a process starts drains it

Callers saw: a stop of a process of `springgate serve` or `springgate-agent serve` right after its start was no drain: it went on until it was killed, with its requests. Evidence: with the registration after the start, as before: panic: test timed out after 20s, running tests: TestSignalToStopDuringTheStartDrainsTheProcess (20s) Change: runUntilSignal registers the signals and then starts the process. The admin server of an agent ends with Run.

--- a/command/agent.go
+++ b/command/agent.go
@@ -47,18 +47,26 @@
 			}
 			cfg.Control, cfg.AnswerMemory, cfg.LinkRate = o.control, answerMemory, float64(linkRate)
 			cfg.Idempotency.KeyWindow = o.keyWindow
-			cs, hl := o.clients()
-			a, err := agent.New(cfg, cs, hl, log)
-			if err != nil {
-				return err
-			}
-			if admin != "" {
-				stop, err := operator.ServeAdmin(admin, a.Ready, a.Metrics())
-				if err != nil {
-					return err
+			return runUntilSignal(ctx, func() (process, error) {
+				cs, hl := o.clients()
+				a, err := agent.New(cfg, cs, hl, log)
+				if err != nil || admin == "" {
+					return a, err
 				}
-				defer stop()
-			}
-			return runUntilSignal(ctx, a)
+				stop, err := operator.ServeAdmin(admin, a.Ready, a.Metrics())
+				return administeredAgent{a, stop}, err
+			})
 		}}
 }
+
+// administeredAgent is an agent with a server for health checks and metrics.
+type administeredAgent struct {
+	*agent.Agent
+	stopAdmin func()
+}
+
+// Run implements process.
+func (a administeredAgent) Run(ctx context.Context) {
+	defer a.stopAdmin()
+	a.Agent.Run(ctx)
+}
--- a/command/platform_test.go
+++ b/command/platform_test.go
@@ -1,13 +1,17 @@
 package command
 
 import (
+	"context"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
+	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/platform"
 	"github.com/springgate/springgate/platform/fake"
+	"github.com/springgate/springgate/telemetry"
 	"github.com/zeromicro/go-zero/core/proc"
 	"gotest.tools/v3/assert"
 )
@@ -38,3 +42,25 @@
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	assert.Equal(t, <-p.signals, syscall.SIGHUP)
 }
+
+// startedProcess records whether it has been drained.
+type startedProcess struct{ drained atomic.Bool }
+
+// Run implements process.
+func (p *startedProcess) Run(ctx context.Context) { <-ctx.Done() }
+
+// Drain implements process.
+func (p *startedProcess) Drain(context.Context) { p.drained.Store(true) }
+
+// Guards against processes of one's own platform that lose the signal to stop while they start.
+func TestSignalToStopDuringTheStartDrainsTheProcess(t *testing.T) {
+	assert.NilError(t, telemetry.ConfigureGoZero(logrus.New()))
+	p := &startedProcess{}
+	err := runUntilSignal(t.Context(), func() (process, error) {
+		assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		<-proc.Done()
+		return p, nil
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, p.drained.Load())
+}
--- a/command/springgate.go
+++ b/command/springgate.go
@@ -110,12 +110,16 @@
 	Drain(ctx context.Context)
 }
 
-// runUntilSignal runs p. The first SIGTERM or SIGINT drains it; a second one stops it at
-// once.
-func runUntilSignal(ctx context.Context, p process) error {
+// runUntilSignal runs the process that start returns. The first SIGTERM or SIGINT, also during the
+// start, drains it; a second one stops it at once.
+func runUntilSignal(ctx context.Context, start func() (process, error)) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	p, err := start()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -154,12 +158,10 @@
 				return err
 			}
 			cfg.Control, cfg.MaxBody = o.control, maxBody
-			cs, hl := o.clients()
-			e, err := entry.New(cfg, cs, hl, log)
-			if err != nil {
-				return err
-			}
-			return runUntilSignal(ctx, e)
+			return runUntilSignal(ctx, func() (process, error) {
+				cs, hl := o.clients()
+				return entry.New(cfg, cs, hl, log)
+			})
 		}}
 }
 
