--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/clock/clocktest"
 	"gotest.tools/v3/assert"
 )
 
@@ -84,3 +89,80 @@
 	s.stop()
 	assert.Assert(t, <-failed != nil)
 }
+
+// Guards against requests that get no answer because their body is not whole when the drain ends.
+func TestRequestWhoseBodyIsNotWholeWhenTheDrainEndsIsRefused(t *testing.T) {
+	x := newTarget(t, okHandler)
+	s := startServer(t, endsAtOnce(), x)
+	c, err := net.Dial("tcp", s.callerAddr())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nKey: secret\r\nContent-Length: 2\r\n\r\nb")
+	assert.NilError(t, err)
+	for s.gateway.Inflight() == 0 {
+		runtime.Gosched()
+	}
+	s.stop()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, x.count(), 0)
+}
+
+// Guards against requests that are passed on late in the drain although their like run for longer than
+// what is left of it.
+func TestRequestThatWouldOutliveTheDrainIsNotPassedOn(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			machine := clocktest.New(t)
+			x := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+				machine.Suspend(10 * time.Second)
+				streamHandler(1, 1)(w, r)
+			})
+			f := newTestGateway(t, x)
+			call := func(left string) int {
+				return f.call(http.MethodPost, "/"+route+"/x", "b", "Left-Ms", left).status
+			}
+			assert.Equal(t, call("25000"), http.StatusOK)
+			f.gateway.Drain(clock.Now().Add(9 * time.Second))
+			assert.Equal(t, call("25000"), http.StatusServiceUnavailable)
+			assert.Equal(t, x.count(), 1)
+		})
+	}
+}
+
+// Guards against requests that are refused in a drain although they end within it, by their deadline
+// at the latest.
+func TestRequestThatEndsWithinTheDrainIsPassedOn(t *testing.T) {
+	machine := clocktest.New(t)
+	pause := 10 * time.Second
+	x := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		machine.Suspend(pause)
+		okHandler(w, r)
+	})
+	f := newTestGateway(t, x)
+	call := func(left string) int {
+		return f.call(http.MethodPost, "/unsafe/x", "b", "Left-Ms", left).status
+	}
+	assert.Equal(t, call("25000"), http.StatusOK)
+	pause = 0
+	f.gateway.Drain(clock.Now().Add(9 * time.Second))
+	assert.Equal(t, call("8000"), http.StatusOK)
+	assert.Equal(t, x.count(), 2)
+}
+
+// Guards against requests that must not be repeated and are passed on in a drain although nothing is
+// known of how long their like run.
+func TestUnknownRequestThatMayOutliveTheDrainIsNotPassedOn(t *testing.T) {
+	x := newTarget(t, okHandler)
+	f := newTestGateway(t, x)
+	call := func(route, left string) int {
+		return f.call(http.MethodPost, "/"+route+"/x", "b", "Left-Ms", left).status
+	}
+	f.gateway.Drain(clock.Now().Add(9 * time.Second))
+	assert.Equal(t, call("unsafe", "25000"), http.StatusServiceUnavailable)
+	assert.Equal(t, x.count(), 0)
+	assert.Equal(t, call("unsafe", "5000"), http.StatusOK)
+	assert.Equal(t, call("safe", "25000"), http.StatusOK)
+}
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -229,10 +229,10 @@
 func TestLoadAfterOneThatWasNotSeenToEndIsNotProven(t *testing.T) {
 	all, second := held{2, LayerRange{0, engineLayers}}, held{2, LayerRange{1, engineLayers}}
 	p := loadProof{}
-	p.observe(start, Report{}, "m", held{1, all.layers})
-	assert.Assert(t, p.observe(start, Report{Sequence: 1, Busy: true}, "m", second))
+	p.observe(start, Report{}, "m", held{1, all.layers}, engineLayers)
+	assert.Assert(t, p.observe(start, Report{Sequence: 1, Busy: true}, "m", second, engineLayers))
 	p.record(Report{Sequence: 1}, 0)
-	assert.Assert(t, p.observe(start, Report{Sequence: 2}, "m", all))
+	assert.Assert(t, p.observe(start, Report{Sequence: 2}, "m", all, engineLayers))
 	p.record(Report{Sequence: 2}, 2)
 	p.conclude(all)
 	assert.Assert(t, p.unsound)
