--- a/revision/revision.go
+++ b/revision/revision.go
@@ -16,6 +16,9 @@
 // EraBits is the number of bits of a Revision for the era.
 const EraBits = 63 - numberBits
 
+// MaxNumber is the largest number of a state.
+const MaxNumber = 1<<numberBits - 1
+
 // New returns the revision of the state with a number in an era. Stores that know no eras
 // have era 0.
 func New(era, number int64) Revision { return Revision(era<<numberBits | number) }
@@ -24,7 +27,7 @@
 func (r Revision) Era() int64 { return int64(r) >> numberBits }
 
 // Number returns the number of the state within its era.
-func (r Revision) Number() int64 { return int64(r) & (1<<numberBits - 1) }
+func (r Revision) Number() int64 { return int64(r) & MaxNumber }
 
 // String returns "era/number", or the number alone in era 0.
 func (r Revision) String() string {
