gateway: a new agent is told of a load that the agent before it may not have examined

Why it works: entries remember whether the engine could be used when its agent was lost, and tell the next agent with the assignment, which then reads the staged pieces back before it reports the engine. Agents of the release before skip the field.

--- a/gateway/assign.go
+++ b/gateway/assign.go
@@ -88,6 +88,9 @@
 func (c *Control) updateOrders() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.unproven.prune(func(addr string) bool {
+		return slices.ContainsFunc(c.list, func(i *fleet.Instance) bool { return i.Addr == addr })
+	})
 	for service, a := range c.assignments {
 		if !a.explicit {
 			continue
@@ -166,6 +169,7 @@
 	out := &peer.Assignment{Entry: c.addr, PiecesUnreadable: a.unreadable, Model: a.model.Model, Version: a.version, Layers: a.model.Layers, Pieces: a.model.Chunks,
 		AgeMs: clock.Since(a.since).Milliseconds(), AgeEstimated: a.estimated, TimeoutMs: c.cfg.VersionTimeout.Milliseconds(), Turns: len(a.order)}
 	out.Earlier = a.earlier(clock.Now(), c.cfg.VersionTimeout)
+	out.Added.Unproven = c.unproven.leftTo(agent)
 	out.Turn = max(slices.Index(a.order, agent.EngineAddr), 0)
 	return out, c.changed
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -92,6 +92,7 @@
 	mu          sync.Mutex
 	assignments map[string]*assignment // by service
 	holders     map[string]holder      // by address of the engine
+	unproven    unprovenLoads
 	changed     chan struct{}
 }
 
@@ -134,7 +135,7 @@
 		addr:               o.Addr, gateway: o.Gateway, balancer: o.Balancer, decoder: o.Decoder, table: o.Table,
 		outage: o.Outage, relay: o.Relay, log: o.Log, roster: o.Roster,
 		decoded: map[string]decodedInstance{}, versionRev: map[string]mirror.Revision{}, versions: map[string]int{}, evacuations: evacuations{catchUp: o.Roster.CatchUp}, assignments: map[string]*assignment{},
-		holders: map[string]holder{},
+		holders: map[string]holder{}, unproven: unprovenLoads{},
 		changed: make(chan struct{})}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -87,11 +87,18 @@
 		c.setHolder(agent, peer.EngineState{})
 		return
 	}
+	c.recordReport(agent, *s)
 	c.setHolder(agent, *s)
 	c.log.WithFields(logrus.Fields{"addr": s.Addr, "model": s.Model, "version": s.Version, "loading": s.Loading, "pace_percent": s.StatedPace()}).Info("Engine state received.")
 	c.balancer.SetState(s.Addr, dispatch.EngineState{Version: s.Version, Loading: s.Loading, StartMs: s.StartMs, Pace: float64(s.StatedPace()) / 100})
 }
 
+func (c *Control) recordReport(agent peer.Presence, s peer.EngineState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unproven.report(agent, s)
+}
+
 // setHolder records which version an agent's engine holds.
 func (c *Control) setHolder(agent peer.Presence, s peer.EngineState) {
 	c.mu.Lock()
--- a/peer/presence.go
+++ b/peer/presence.go
@@ -173,8 +173,20 @@
 	// Earlier are the versions announced before, oldest first. Until all engines serve
 	// the newest version, the deadlines of the earlier ones apply as well.
 	Earlier []AnnouncedVersion
+	// Added holds the fields that earlier releases do not know.
+	Added AssignmentAdded `msgpack:"-"`
+}
+
+// AssignmentAdded are fields of Assignment that earlier releases do not know.
+type AssignmentAdded struct {
+	// Unproven is true if a previous agent was lost while the engine could not be used: it
+	// may have ordered a load whose outcome it did not examine.
+	Unproven bool
 }
 
+func (a *Assignment) extension() any     { return &a.Added }
+func (a *Assignment) hasExtension() bool { return a.Added.Unproven }
+
 // AnnouncedVersion is a version that the operators announced, and the time since then.
 type AnnouncedVersion struct {
 	Version      int
--- a/sidecar/proof.go
+++ b/sidecar/proof.go
@@ -34,6 +34,7 @@
 // last report without the load. An engine whose load is not proven is reported to hold no version.
 type loadProof struct {
 	model       string    // "" until the first report
+	inherited   bool      // the loads are those of a previous agent, which is taken to have examined them
 	startTimeMs int64     // of the engine process
 	sequence    int64     // Report.Sequence up to which the loads have been examined
 	asOf        time.Time // when the last report with this sequence was requested
@@ -47,15 +48,18 @@
 	attempts    int       // reads of the staged pieces that were not answered
 }
 
-// observe updates the proof from a report. It reports whether a load has begun that has not been
-// examined.
-func (p *loadProof) observe(asOf time.Time, r Report, model string, h held, layers int) bool {
+// observe updates the proof from a report. unproven says that a previous agent may have left a load
+// that it had not examined. observe reports whether a load is to be examined.
+func (p *loadProof) observe(asOf time.Time, r Report, model string, h held, layers int, unproven bool) bool {
 	switch {
 	case p.model != model:
 		p.trust(r, model, h, layers)
 	case !fleet.SameIncarnation(p.startTimeMs, r.StartTimeMs) || r.Sequence < p.sequence:
 		*p = loadProof{model: model, startTimeMs: r.StartTimeMs} // an engine holds no layers when it starts
 	}
+	if unproven && p.inherited {
+		p.due, p.inherited, p.held = true, false, held{}
+	}
 	p.due = p.due || p.hasBegun(r, h)
 	if !p.due {
 		p.asOf = asOf
@@ -82,7 +86,7 @@
 // An engine holds only some of the layers while a previous agent has bad ones replaced.
 func (p *loadProof) trust(r Report, model string, h held, layers int) {
 	partial := h.version != 0 && r.serves(model, layers) == 0
-	*p = loadProof{model: model, startTimeMs: r.StartTimeMs, sequence: r.Sequence, held: h, unsound: partial}
+	*p = loadProof{model: model, inherited: true, startTimeMs: r.StartTimeMs, sequence: r.Sequence, held: h, unsound: partial}
 	if !r.Busy {
 		return
 	}
@@ -96,7 +100,7 @@
 // pieces were all valid, or 0.
 func (p *loadProof) record(r Report, staged int) {
 	p.sequence, p.staged, p.attempts = r.Sequence, staged, 0
-	p.due, p.examined, p.dropOrdered = false, true, false
+	p.inherited, p.due, p.examined, p.dropOrdered = false, false, true, false
 }
 
 // conclude updates the proof when no load is in progress any more.
@@ -158,7 +162,7 @@
 // again.
 func (s *Sidecar) prove(ctx context.Context, asOf time.Time, as assignmentState, r Report) bool {
 	h := r.held(as.Model)
-	if s.proof.observe(asOf, r, as.Model, h, as.Layers) {
+	if s.proof.observe(asOf, r, as.Model, h, as.Layers, as.unproven) {
 		staged, ok := s.stagedAfterLoad(ctx, as.Model, r, h)
 		if !ok {
 			return false
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -229,15 +229,35 @@
 func TestLoadAfterOneThatWasNotSeenToEndIsNotProven(t *testing.T) {
 	all, second := held{2, LayerRange{0, engineLayers}}, held{2, LayerRange{1, engineLayers}}
 	p := loadProof{}
-	p.observe(start, Report{}, "m", held{1, all.layers}, engineLayers)
-	assert.Assert(t, p.observe(start, Report{Sequence: 1, Busy: true}, "m", second, engineLayers))
+	p.observe(start, Report{}, "m", held{1, all.layers}, engineLayers, false)
+	assert.Assert(t, p.observe(start, Report{Sequence: 1, Busy: true}, "m", second, engineLayers, false))
 	p.record(Report{Sequence: 1}, 0)
-	assert.Assert(t, p.observe(start, Report{Sequence: 2}, "m", all, engineLayers))
+	assert.Assert(t, p.observe(start, Report{Sequence: 2}, "m", all, engineLayers, false))
 	p.record(Report{Sequence: 2}, 2)
 	p.conclude(all)
 	assert.Assert(t, p.unsound)
 }
 
+// An agent is lost before it has examined a load that is not whole, and entries tell the next agent so.
+func TestUnprovenLoadOfPreviousAgentIsExamined(t *testing.T) {
+	for _, firstStart := range []bool{false, true} {
+		for name, staged := range map[string]string{"corrupt": "corrupt", "of another version": content(7, 3)} {
+			e := &fakeEngine{staged: stagedVersion(2), serves: 1}
+			e.staged[3] = staged
+			_, err := e.apply(LoadOrder{Model: "m", Version: 2})
+			assert.NilError(t, err)
+			e.loading = time.Time{}
+			assert.Assert(t, e.unsound())
+			a := newAssignment(2, 0, 1)
+			a.Added.Unproven = true
+			last, usedUnsound := runUsed(t, Config{FirstStart: firstStart}, e, e, a)
+			assert.Assert(t, !usedUnsound, name)
+			assert.Equal(t, last.Version, 2, name)
+			assert.Assert(t, !e.unsound(), name)
+		}
+	}
+}
+
 // An engine that was left with bad layers is loaded again layer by layer, whatever goes wrong meanwhile.
 func TestEngineIsNeverUsedWithBadLayers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/sidecar/wanted.go
+++ b/sidecar/wanted.go
@@ -36,6 +36,7 @@
 	peer.Assignment
 	versions []announcedVersion // oldest first; the last is the assignment's
 	failing  map[string]bool    // entries that fail to read the newest version
+	unproven bool               // an entry has told that a previous agent left a load that it may not have examined
 }
 
 // merge returns the state with an entry's assignment added. All entries send assignments. The
@@ -54,6 +55,7 @@
 	if as.Model == a.Model && as.Version == a.Version && a.Turns == 0 {
 		out.Turn, out.Turns = as.Turn, as.Turns // the entry does not know the engines yet
 	}
+	out.unproven = as.unproven || a.Added.Unproven
 	if a.Version == out.Version {
 		out.failing[a.Entry] = a.PiecesUnreadable
 	}
