command: catch signals before the start, so that a SIGHUP in it does not end the process

An entry or agent whose settings change while it starts is ended by the SIGHUP, and restarted by the platform.

Cause: the signals were caught only in waitForSignal, after listeners, mesh and copies of the store had been started; until then SIGHUP has its default effect.

Evidence, with the signals caught in waitForSignal as before, TestHangUpDuringTheStartDoesNotEndTheProcess: signal: hangup FAIL github.com/springgate/springgate/command 0.049s

Change: the signals are caught before the settings are read; waitForSignal takes them from there. A SIGTERM during the start is now followed by an ordered stop too.

Result: the test passes, 5 of 5 with the race detector.

--- a/command/platform.go
+++ b/command/platform.go
@@ -59,6 +59,7 @@
 	self      peer.Presence
 	pool      *peer.Pool
 	meter     *peer.Meter
+	signals   chan os.Signal
 }
 
 // platformFlags holds the flags of `springgate gateway` and `springgate-agent sidecar`, which
@@ -82,6 +83,7 @@
 // newPlatformProcess reads the settings and sets up logging, memory limits and metrics. The role
 // is announced to peers.
 func newPlatformProcess(f platformFlags, role string) (*platformProcess, error) {
+	signals := catchSignals()
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return nil, err
@@ -98,7 +100,7 @@
 		debug.SetMemoryLimit(limit)
 	}
 	debug.SetGCPercent(gcPercent)
-	p := &platformProcess{settings: s, log: log, logWriter: out, metrics: metrics.NewRegistry(), meter: &peer.Meter{}}
+	p := &platformProcess{settings: s, log: log, logWriter: out, metrics: metrics.NewRegistry(), meter: &peer.Meter{}, signals: signals}
 	if err := p.meter.Register(p.metrics); err != nil {
 		return nil, err
 	}
@@ -138,13 +140,19 @@
 	return operator.ServeAdmin(f.admin, ready, p.metrics)
 }
 
+// catchSignals begins to collect the signals that waitForSignal handles, which would end the process
+// otherwise.
+func catchSignals() chan os.Signal {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
 // waitForSignal returns on SIGTERM or SIGINT. On SIGHUP it reads the settings file again and
 // logs the new seeds; changes, such as of addresses, take effect at the next start.
 func (p *platformProcess) waitForSignal() {
 	log := telemetry.Part(p.log, "main")
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range signals {
+	for sig := range p.signals {
 		if sig != syscall.SIGHUP {
 			log.WithField("signal", sig.String()).Info("Stopping.")
 			return
