sidecar: an engine is out of use while it is fenced

Cause: a fencing order reaches the next process of the engine and loads what is staged; the agent is killed before its next report, so that its last word is that the engine serves. Evidence: TestEngineIsOutOfUseWhenFencingOrdersAreSent failed before: "published().Loading" is false. Why it works: the engine is reported as loading before the order is sent, as with any other order.

--- a/sidecar/fence.go
+++ b/sidecar/fence.go
@@ -13,14 +13,18 @@
 // engine serves, which changes nothing, but the engine records the order's token. Then it
 // sends an order with a lower token as a test: if the engine does not refuse that one, it
 // does not enforce tokens. fence returns the time until the next reconcile.
+//
+// An engine that has restarted since the report serves nothing, so that the order makes it load
+// whatever is staged. It is therefore reported as loading until the next report.
 func (s *Sidecar) fence(ctx context.Context, model string, serving int, r Report) time.Duration {
+	s.publishState(model, serving, true, r.StartTimeMs)
 	var err error
 	if s.inDoubt.probeToken == 0 {
 		s.tokens.raiseAbovePrevious(clock.Now())
 		lower := s.newLoadOrder(model, serving, r)
 		fencing := s.newLoadOrder(model, serving, r)
 		var begun bool
-		begun, err = s.sendFencing(ctx, fencing, r)
+		begun, err = s.sendOrder(ctx, fencing)
 		s.log.WithError(err).WithFields(logrus.Fields{"model": model, "version": serving, "sequence": fencing.Precondition,
 			"token": fencing.Token, "engine_start_ms": r.StartTimeMs, "begun": begun}).Info("Fencing order sent.")
 		if begun {
@@ -37,7 +41,7 @@
 	if s.inDoubt.probeToken != 0 {
 		lower := s.newLoadOrder(model, serving, r)
 		lower.Token = s.inDoubt.probeToken
-		_, err = s.sendFencing(ctx, lower, r)
+		_, err = s.sendOrder(ctx, lower)
 		if errors.Is(err, ErrOrderFenced) {
 			s.settle(clock.Now(), "fenced")
 			return 0
@@ -52,29 +56,3 @@
 		"unfenced": s.inDoubt.ignoresTokens}).Info("Older load orders not fenced.")
 	return s.cfg.PollBusy
 }
-
-// fenceWait is the wait for the answer to a fencing order after which the engine is reported to
-// serve nothing. It is shorter than a load.
-const fenceWait = 100 * time.Millisecond
-
-// sendFencing sends an order for the version that the engine serves. If the engine has restarted
-// since the report, the order makes it load whatever is staged, so it must not be used.
-func (s *Sidecar) sendFencing(ctx context.Context, o LoadOrder, r Report) (begun bool, err error) {
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		begun, err = s.sendOrder(ctx, o)
-	}()
-	timer := clock.NewTimer(fenceWait)
-	defer timer.Stop()
-	select {
-	case <-answered:
-	case <-timer.C:
-		s.publishState(o.Model, 0, true, r.StartTimeMs)
-		<-answered
-	}
-	if begun {
-		s.publishState(o.Model, 0, true, r.StartTimeMs)
-	}
-	return begun, err
-}
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -54,6 +54,26 @@
 	}
 }
 
+// The agent may be lost at any moment after it has sent a fencing order.
+func TestEngineIsOutOfUseWhenFencingOrdersAreSent(t *testing.T) {
+	e := &fakeEngine{staged: map[int]string{}, serves: 1}
+	var published func() peer.EngineState
+	fencing := 0
+	w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
+		if o.Version == 1 {
+			fencing++
+			assert.Check(t, published().Loading)
+		}
+	}}
+	runSidecar(t, Config{}, w, &fakeSource{}, func(s *Sidecar, p func() peer.EngineState) {
+		published = p
+		s.Assign(time.Now(), newAssignment(2, 1, 2))
+		time.Sleep(time.Second)
+		assert.Equal(t, published(), peer.EngineState{Addr: "engine", Model: "m", Version: 1})
+	})
+	assert.Equal(t, fencing, 2)
+}
+
 // A delayed put of another version arrives after the last check and before the order.
 func TestLoadOfPieceReplacedAfterItsCheckIsNotUsed(t *testing.T) {
 	for index := range pieces {
