sidecar: a whole load of a restarted engine counts as proven

What callers saw: an engine that restarted between a report and an order was loaded four times over before it was used; one that counts no orders was not used again until a newer version came. Cause: with a new process the agent forgot since when it had put no piece, so that each put of its life counted as one after the load had begun. Evidence: TestWholeLoadAfterRestartOfTheEngineIsUsed failed before: "4 (e.orders int) != 1 (int)". Why it works: a load of the new process has begun after the last report of the process before it was requested; only puts since then can have made a piece valid after the load had begun. For engines that count no orders the fault came with the examination during the load.

--- a/sidecar/proof.go
+++ b/sidecar/proof.go
@@ -36,7 +36,7 @@
 	model       string    // "" until the first report
 	startTimeMs int64     // of the engine process
 	sequence    int64     // Report.Sequence up to which the loads have been examined
-	asOf        time.Time // when the last report with this sequence was requested
+	asOf        time.Time // when the last report before the next load was requested
 	staged      int       // version whose pieces were all valid after the last of these had begun; 0 if none
 	due         bool      // a load has begun that has not been examined
 	examined    bool      // a load has been examined that may not have ended yet
@@ -54,7 +54,7 @@
 	case p.model != model:
 		p.trust(r, model, h, layers)
 	case !fleet.SameIncarnation(p.startTimeMs, r.StartTimeMs) || r.Sequence < p.sequence:
-		*p = loadProof{model: model, startTimeMs: r.StartTimeMs} // an engine holds no layers when it starts
+		*p = loadProof{model: model, startTimeMs: r.StartTimeMs, asOf: p.asOf} // an engine holds no layers when it starts
 	}
 	p.due = p.due || p.hasBegun(r, h)
 	if !p.due {
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -209,6 +209,23 @@
 	})
 }
 
+// Guards against loads that are whole and count as not proven, because the engine restarted before them.
+func TestWholeLoadAfterRestartOfTheEngineIsUsed(t *testing.T) {
+	for _, noOrderCount := range []bool{false, true} {
+		e := &fakeEngine{staged: map[int]string{}, startTimeMs: 1000, noOrderCount: noOrderCount}
+		restart := sync.OnceFunc(func() {
+			e.set(func() {
+				e.newProcess()
+				e.startTimeMs++
+			})
+		})
+		last, usedUnsound := runUsed(t, Config{}, e, hookedEngine{fakeEngine: e, ordered: func(LoadOrder) { restart() }}, newAssignment(2, 0, 1))
+		assert.Assert(t, !usedUnsound)
+		assert.Equal(t, last.Version, 2)
+		assert.Equal(t, e.orders, 1)
+	}
+}
+
 // An engine whose layers cannot be ordered one by one holds a bad load until a newer version comes.
 func TestBadLoadOfEngineWithoutLayersIsNotUsed(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
