dispatch: the next incarnation of an engine out of use stays out of use when the agent is lost

Cause: the last word of a lost agent held for the incarnation that it was about only. TestEngineIsNotUsedIfItsAgentIsLostDuringALoad asked for the opposite of a later incarnation and asks now that it is not used either. Why it works: such an engine stays out of use until an agent reports it again; nobody else could have it load a version. Entries keep the last word also while the engine is not listed, which it is not between two incarnations.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -21,9 +21,8 @@
 	StartMs int64 // start time of the engine in Unix milliseconds; 0 if unknown
 	// Pace is how many times as long as by its cost model the engine takes, as it states; 0 if
 	// unknown.
-	Pace      float64
-	agentLost bool   // the agent no longer reports the state
-	serial    uint64 // of the report; see Basis
+	Pace   float64
+	serial uint64 // of the report; see Basis
 }
 
 // usable reports whether the engine holds a version and is not loading another.
@@ -138,18 +137,15 @@
 }
 
 // DeleteState removes an engine's state because its agent no longer reports it. The instance list
-// applies then, but not to an incarnation that the agent has last reported to be unusable: the
-// list does not tell whether a load that the agent has not examined is whole.
+// applies then, unless the engine was last reported to be unusable: the list does not tell whether
+// a load that the agent has not examined is whole, and an order of the agent may still reach the
+// next incarnation. Such a state is kept until an agent reports the engine again.
 func (b *Balancer) DeleteState(addr string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, reported := b.states[addr]
-	if !reported || s.usable() {
+	if b.states[addr].usable() {
 		delete(b.states, addr)
-		return
 	}
-	s.agentLost = true
-	b.states[addr] = s
 }
 
 // Changed returns a channel that is closed when a target may have become available.
--- a/dispatch/balancer_test.go
+++ b/dispatch/balancer_test.go
@@ -141,7 +141,7 @@
 			b.SetState(first.Addr, last)
 			b.DeleteState(first.Addr)
 			b.Apply([]*fleet.Instance{second}, map[string]*fleet.Service{testService: {Name: testService, Engine: engineModel()}})
-			assert.Equal(t, picked(b, start) == "i-1", startMs != 0, "its last word was about an earlier incarnation")
+			assert.Equal(t, picked(b, start), "no_target", "an order of the lost agent may have reached the next incarnation")
 		}
 	}
 }
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -200,7 +200,7 @@
 func (b *Balancer) reportOf(t *Target) (s EngineState, reported bool) {
 	s, reported = b.states[t.Addr]
 	if s.StartMs != 0 && s.StartMs < t.StartMs {
-		return EngineState{}, reported && !s.agentLost
+		return EngineState{}, reported
 	}
 	return s, reported
 }
--- a/gateway/assign.go
+++ b/gateway/assign.go
@@ -88,9 +88,6 @@
 func (c *Control) updateOrders() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unproven.prune(func(addr string) bool {
-		return slices.ContainsFunc(c.list, func(i *fleet.Instance) bool { return i.Addr == addr })
-	})
 	for service, a := range c.assignments {
 		if !a.explicit {
 			continue
--- a/gateway/unproven.go
+++ b/gateway/unproven.go
@@ -10,7 +10,7 @@
 
 // unprovenLoads remembers, also after an agent is lost, whether its engine could be used. An agent
 // that is lost while it could not may have ordered a load that nobody has examined. By address of
-// the engine.
+// the engine, whether it is listed or not: the order may reach the next incarnation.
 type unprovenLoads map[string]lastReport
 
 // report records an agent's report.
@@ -23,12 +23,3 @@
 	last, ok := u[agent.EngineAddr]
 	return ok && !last.usable && last.incarnation != agent.Incarnation
 }
-
-// prune drops the engines that are not listed any more.
-func (u unprovenLoads) prune(listed func(addr string) bool) {
-	for addr := range u {
-		if !listed(addr) {
-			delete(u, addr)
-		}
-	}
-}
