sidecar: an engine that refuses a load order stays in use

Cause: the agent reports an engine as loading before it orders a load, and took that back only with the next report, just before the next order. Evidence: TestEngineThatRefusesOrdersStaysInUse failed before: "27 orders, in use 14 times of 1000". Why it works: a refusal means that the order has no effect, so the state of the report holds again. After the answer that the engine's state has changed (409) the next report is awaited as before.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -346,6 +346,9 @@
 		case s.inDoubt.known():
 			s.inDoubt.backOff(clock.Now(), s.cfg) // each repeat reads all pieces, which costs time
 		case !errors.Is(err, ErrOrderFenced): // the next token may be high enough
+			if !errors.Is(err, ErrOrderStale) {
+				s.publishState(as.Model, r.serves(as.Model, as.Layers), r.Busy, r.StartTimeMs)
+			}
 			s.refusals++
 			return s.refusalPause()
 		}
--- a/sidecar/stage_test.go
+++ b/sidecar/stage_test.go
@@ -232,6 +232,22 @@
 	assert.Assert(t, n > 5 && n < 40, "%d orders in 10 s", n)
 }
 
+// Guards against an engine that is out of use because it refuses the orders for a newer version.
+func TestEngineThatRefusesOrdersStaysInUse(t *testing.T) {
+	inUse, n := 0, 0
+	w := refusingAllEngine{&fakeEngine{staged: map[int]string{}, serves: 1}, &n}
+	runSidecar(t, Config{}, w, &fakeSource{}, func(s *Sidecar, published func() peer.EngineState) {
+		s.Assign(time.Now(), newAssignment(2, 0, 1))
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			if p := published(); p.Version == 1 && !p.Loading {
+				inUse++
+			}
+		}
+	})
+	assert.Assert(t, n > 5 && inUse > 900, "%d orders, in use %d times of 1000", n, inUse)
+}
+
 // refusingAllEngine refuses all orders for version 2.
 type refusingAllEngine struct {
 	*fakeEngine
