sidecar: a known gap: a load that ended before the agent started is trusted

An agent cannot tell such a load from one that the agent before had examined: reading the staged pieces back would take each engine out of use whose next version is being staged.

--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -226,6 +226,17 @@
 	}
 }
 
+// A load of a previous agent has ended before anyone could examine it.
+func TestBadLoadThatEndedBeforeTheAgentStartedIsNotUsed(t *testing.T) {
+	e := &fakeEngine{staged: stagedVersion(2), startTimeMs: 1000}
+	delete(e.staged, 3)
+	begun, err := e.apply(LoadOrder{Model: "m", Version: 2, Token: 1})
+	assert.Assert(t, begun && err == nil)
+	e.loading = time.Time{}
+	_, usedUnsound := runUsed(t, Config{}, e, e, newAssignment(2, 0, 1))
+	assert.Assert(t, !usedUnsound)
+}
+
 // An engine whose layers cannot be ordered one by one holds a bad load until a newer version comes.
 func TestBadLoadOfEngineWithoutLayersIsNotUsed(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
