--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/springgate/springgate/fleet"
 	"github.com/springgate/springgate/peer"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -275,14 +276,20 @@
 
 // Guards against layers of a load that was never examined, because the next load began before it was seen to end.
 func TestLoadAfterOneThatWasNotSeenToEndIsNotProven(t *testing.T) {
-	all, second := held{2, LayerRange{0, engineLayers}}, held{2, LayerRange{1, engineLayers}}
+	as := assignmentState{Assignment: newAssignment(2, 0, 1)}
+	report := func(sequence int64, busy bool, version int, layers LayerRange) Report {
+		return Report{Sequence: sequence, Busy: busy, Layers: layers, Models: []fleet.ModelVersion{{Model: "m", Version: version}}}
+	}
+	all := LayerRange{0, engineLayers}
 	p := loadProof{}
-	p.observe(start, Report{}, "m", held{1, all.layers}, engineLayers, false)
-	assert.Assert(t, p.observe(start, Report{Sequence: 1, Busy: true}, "m", second, engineLayers, false))
-	p.record(Report{Sequence: 1}, 0)
-	assert.Assert(t, p.observe(start, Report{Sequence: 2}, "m", all, engineLayers, false))
-	p.record(Report{Sequence: 2}, 2)
-	p.conclude(all)
+	p.observe(start, report(0, false, 1, all), as)
+	first := report(1, true, 2, LayerRange{1, engineLayers})
+	assert.Assert(t, p.observe(start, first, as))
+	p.record(first, 0)
+	second := report(2, false, 2, all)
+	assert.Assert(t, p.observe(start, second, as))
+	p.record(second, 2)
+	p.conclude(second.held("m"))
 	assert.Assert(t, p.unsound)
 }
 
