sidecar: entries know that an engine is out of use before it is fenced

Cause: the report that took the engine out of use was sent together with the fencing order. The agent stood still 3 ms later, before the entries had it, and the order reached the next process of the engine. TestEngineIsOutOfUseWhenFencingOrdersAreSent fails without the wait: "time.Since(inUse) is less than 30 * time.Millisecond". Why it works: the agent waits 40 ms after the report, asks the engine for its state again, and sends the order only if that has not changed. So that not all engines are out of use at once, agents fence in turns over half a second, fetching pieces meanwhile (TestFencingOrdersAreSpread).

--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -66,6 +66,13 @@
 	// fencing takes two orders of up to OrderTimeout each. The fetch of a piece takes 35 ms
 	// on the slowest links. Default 500 ms.
 	RepairTimeout time.Duration
+	// WithdrawTime is the time in which the entries learn that an engine is out of use. Default
+	// 40 ms, several round trips between regions.
+	WithdrawTime time.Duration
+	// FenceSpread is the time after the announcement of a version over which the agents
+	// spread their fencing orders, so that not all engines are out of use at once. Default
+	// 500 ms, a fifth of Lead.
+	FenceSpread time.Duration
 	// OrderGrace is the time after which an unanswered order or put of a piece is assumed
 	// not to reach the engine any more, if nothing has shown so before. Default 15 s.
 	OrderGrace time.Duration
@@ -101,6 +108,8 @@
 	c.RepeatMin = cmp.Or(c.RepeatMin, 100*time.Millisecond)
 	c.RepeatMax = cmp.Or(c.RepeatMax, time.Second)
 	c.RepairTimeout = cmp.Or(c.RepairTimeout, 500*time.Millisecond)
+	c.WithdrawTime = cmp.Or(c.WithdrawTime, 40*time.Millisecond)
+	c.FenceSpread = cmp.Or(c.FenceSpread, 500*time.Millisecond)
 	c.OrderGrace = cmp.Or(c.OrderGrace, 15*time.Second)
 	c.StallFor = cmp.Or(c.StallFor, 3*time.Second)
 	c.VerifyAge = cmp.Or(c.VerifyAge, time.Second)
--- a/sidecar/fence.go
+++ b/sidecar/fence.go
@@ -7,6 +7,8 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/fleet"
+	"github.com/springgate/springgate/loop"
 )
 
 // fence makes the engine refuse older orders. It sends an order for the version that the
@@ -15,9 +17,11 @@
 // does not enforce tokens. fence returns the time until the next reconcile.
 //
 // An engine that has restarted since the report serves nothing, so that the order makes it load
-// whatever is staged. It is therefore reported as loading until the next report.
+// whatever is staged. It is therefore taken out of use before.
 func (s *Sidecar) fence(ctx context.Context, model string, serving int, r Report) time.Duration {
-	s.publishState(model, serving, true, r.StartTimeMs)
+	if !s.withdraw(ctx, model, serving, r) {
+		return 0
+	}
 	var err error
 	if s.inDoubt.probeToken == 0 {
 		s.tokens.raiseAbovePrevious(clock.Now())
@@ -56,3 +60,14 @@
 		"unfenced": s.inDoubt.ignoresTokens}).Info("Older load orders not fenced.")
 	return s.cfg.PollBusy
 }
+
+// withdraw reports the engine as loading, so that it gets no requests, and waits until the entries
+// know. It returns false if the engine's state has changed meanwhile.
+func (s *Sidecar) withdraw(ctx context.Context, model string, serving int, r Report) bool {
+	s.publishState(model, serving, true, r.StartTimeMs)
+	if !loop.Sleep(ctx, s.cfg.WithdrawTime) {
+		return false
+	}
+	now, err := s.report(ctx)
+	return err == nil && now.Sequence == r.Sequence && !now.Busy && fleet.SameIncarnation(now.StartTimeMs, r.StartTimeMs) && now.held(model) == s.proof.held
+}
--- a/sidecar/plan.go
+++ b/sidecar/plan.go
@@ -106,7 +106,7 @@
 	}
 	step := c.planVersions(now, serving, pending, as, h)
 	if h.inDoubt.fromPreviousAgent() && step.Action == Stage {
-		return planPreviousAgent(now, serving, step, h)
+		return planPreviousAgent(now, serving, step, h, c.fenceTurn(as, pending[len(pending)-1]))
 	}
 	return step
 }
@@ -136,8 +136,11 @@
 // take effect. An engine that serves a version can be fenced against such orders by an order
 // that changes nothing. Otherwise the staged pieces show which version was ordered. If
 // neither is possible, the sidecar waits until the order has expired.
-func planPreviousAgent(now time.Time, serving int, step Step, h holdings) Step {
+func planPreviousAgent(now time.Time, serving int, step Step, h holdings, fenceTurn time.Time) Step {
 	fence, due := serving != 0 && !h.inDoubt.ignoresTokens, !now.Before(h.inDoubt.nextAttempt)
+	if fence && now.Before(fenceTurn) {
+		due = false
+	}
 	switch {
 	case fence && due:
 		return Step{Fence, serving}
@@ -149,6 +152,14 @@
 	return Step{Await, step.Version}
 }
 
+// fenceTurn returns from when on the agent may send a fencing order because of a version.
+func (c Config) fenceTurn(as assignmentState, av announcedVersion) time.Time {
+	if as.Turns <= 1 {
+		return av.announced
+	}
+	return av.announced.Add(c.FenceSpread * time.Duration(as.Turn) / time.Duration(as.Turns))
+}
+
 // planVersions plans the next step for the pending versions, regardless of orders in doubt.
 func (c Config) planVersions(now time.Time, serving int, pending []announcedVersion, as assignmentState, h holdings) Step {
 	newest := pending[len(pending)-1]
--- a/sidecar/plan_test.go
+++ b/sidecar/plan_test.go
@@ -292,3 +292,16 @@
 	as = as.merge(start, newAssignment(3, 0, 0))
 	assert.Equal(t, as.Turns, 0, "turns of another version are not kept")
 }
+
+// Guards against all engines being out of use at once, since all agents fence when a version is announced.
+func TestFencingOrdersAreSpread(t *testing.T) {
+	c := Config{}.applyDefaults()
+	for turn, after := range []time.Duration{0, 125 * time.Millisecond, 250 * time.Millisecond, 375 * time.Millisecond} {
+		as := stateOf(newAssignment(2, turn, 4), 0)
+		h := holdings{inDoubt: inDoubtOrder{open: true}}
+		assert.Equal(t, c.Plan(start.Add(after), serving(1), as, h), Step{Fence, 1})
+		if turn > 0 {
+			assert.Equal(t, c.Plan(start.Add(after-1), serving(1), as, h), Step{Fetch, 2})
+		}
+	}
+}
--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -55,21 +55,25 @@
 	}
 }
 
-// The agent may be lost at any moment after it has sent a fencing order.
+// The agent may be lost at any moment after it has sent a fencing order, so entries must know before.
 func TestEngineIsOutOfUseWhenFencingOrdersAreSent(t *testing.T) {
 	e := &fakeEngine{staged: map[int]string{}, serves: 1}
-	var published func() peer.EngineState
+	var inUse time.Time // when the engine was last reported to be usable
 	fencing := 0
 	w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
 		if o.Version == 1 {
 			fencing++
-			assert.Check(t, published().Loading)
+			assert.Check(t, time.Since(inUse) >= 30*time.Millisecond)
 		}
 	}}
-	runSidecar(t, Config{}, w, &fakeSource{}, func(s *Sidecar, p func() peer.EngineState) {
-		published = p
+	runSidecar(t, Config{}, w, &fakeSource{}, func(s *Sidecar, published func() peer.EngineState) {
 		s.Assign(time.Now(), newAssignment(2, 1, 2))
-		time.Sleep(time.Second)
+		for range 200 {
+			time.Sleep(5 * time.Millisecond)
+			if p := published(); p.Version != 0 && !p.Loading {
+				inUse = time.Now()
+			}
+		}
 		assert.Equal(t, published(), peer.EngineState{Addr: "engine", Model: "m", Version: 1})
 	})
 	assert.Equal(t, fencing, 2)
