--- a/sidecar/proof_test.go
+++ b/sidecar/proof_test.go
@@ -63,7 +63,7 @@
 	w := hookedEngine{fakeEngine: e, ordered: func(o LoadOrder) {
 		if o.Version == 1 {
 			fencing++
-			assert.Check(t, time.Since(inUse) >= 30*time.Millisecond)
+			e.set(func() { assert.Check(t, time.Since(inUse) >= 30*time.Millisecond) })
 		}
 	}}
 	runSidecar(t, Config{}, w, &fakeSource{}, func(s *Sidecar, published func() peer.EngineState) {
@@ -71,7 +71,7 @@
 		for range 200 {
 			time.Sleep(5 * time.Millisecond)
 			if p := published(); p.Version != 0 && !p.Loading {
-				inUse = time.Now()
+				e.set(func() { inUse = time.Now() })
 			}
 		}
 		assert.Equal(t, published(), peer.EngineState{Addr: "engine", Model: "m", Version: 1})
--- a/soak/denied_test.go
+++ b/soak/denied_test.go
@@ -51,14 +51,29 @@
 // Guards against a part that a third of all prompts have being refused for good after three crashes, at entries
 // that have just started.
 func TestSoakPopularPartIsNotDeniedBesideAllFaults(t *testing.T) {
-	const seed = 17047
-	runAndCheck(t, Config{Seed: seed, Duration: 3 * time.Second, Entries: 5, Engines: 4, PlainTargets: plainTargets,
-		Bin: buildPrograms(t), Dir: seedDir(t, seed), Logf: t.Logf})
+	runSeed(t, 17047)
 }
 
 // Guards against a request that crashes targets being sent on while a paused target holds several of it.
 func TestSoakCrashingRequestIsHeldBackBesideAllFaults(t *testing.T) {
-	const seed = 17040
+	runSeed(t, 17040)
+}
+
+// Guards against a popular part of prompts being refused for good while all entries restart and a team asks for too much.
+func TestSoakPopularPartIsNotDeniedBesideOverload(t *testing.T) {
+	runSeed(t, 19146)
+}
+
+// Guards against a request that crashes targets being sent on at the end of a run with all faults.
+func TestSoakCrashingRequestIsHeldBackToTheEnd(t *testing.T) {
+	for _, seed := range []uint64{19115, 19129} {
+		runSeed(t, seed)
+	}
+}
+
+// runSeed runs a seed with all faults as TestSoak does, for 3 s.
+func runSeed(t *testing.T, seed uint64) {
+	t.Helper()
 	runAndCheck(t, Config{Seed: seed, Duration: 3 * time.Second, Entries: 5, Engines: 4, PlainTargets: plainTargets,
 		Bin: buildPrograms(t), Dir: seedDir(t, seed), Logf: t.Logf})
 }
