httpclient: a connection that was reset has no ordinary end

What callers saw: a target answered an upload of 8 MB at once, without a length, and reset the connection while the upload was being written. The part that had arrived reached the caller as a whole 200; a stream ended between two events as if it were complete.

Cause: an answer without a length ends with its connection. The kernel reports a reset once, to the read or write that comes first. The goroutine that writes the request got it; the read of the answer then returned io.EOF, which was believed. The client of net/http does the same.

Change: all clients of answers (targetconn, and httpclient with all that is built on it) dial an httpclient.Conn. At io.EOF its Read looks at the write, which it interrupts if it is still going on, and returns the write's error if that is one of the connection. A peer that has closed its side in order has ended its answer; a reset after that shows as EPIPE, and remains an end.

Why it works: while the error is consumed, the writer holds the lock that Read takes before it reports an end, so the writer's result is known by then. A reset counts as connection_lost, as where the read receives it: it may have run, and others try what may be repeated.

TestWholeEarlyAnswerIsRelayed holds what held before: early answers that show their end, and answers that end in order, remain whole.

--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -4,7 +4,9 @@
 package httpclient
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -50,7 +52,7 @@
 func NewShortIdle(name string) httpc.Service {
 	breaker.NoBreakerFor(name)
 	t := Transport()
-	t.DialContext = Dialer(shortIdleDialTimeout).DialContext
+	t.DialContext = dialFunc(shortIdleDialTimeout)
 	t.IdleConnTimeout = shortIdleTimeout
 	return httpc.NewServiceWithClient(name, &http.Client{Transport: t})
 }
@@ -59,7 +61,7 @@
 // decompress bodies and bounds heads.
 func Transport() *http.Transport {
 	return &http.Transport{
-		DialContext:            Dialer(dialTimeout).DialContext,
+		DialContext:            dialFunc(dialTimeout),
 		MaxIdleConnsPerHost:    idleConnsPerHost,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
@@ -67,6 +69,17 @@
 	}
 }
 
+// dialFunc returns a dial function for a transport.
+func dialFunc(timeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		c, err := Dial(ctx, addr, timeout)
+		if err != nil {
+			return nil, err
+		}
+		return c, nil
+	}
+}
+
 // ThrottledError is returned for status 429 and for 503 with a Retry-After. RetryAfter is the
 // time to wait before the next call.
 type ThrottledError struct{ RetryAfter time.Duration }
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -9,7 +9,6 @@
 	"bufio"
 	"cmp"
 	"context"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -52,7 +51,7 @@
 
 // Conn is a connection to a target. It carries one request at a time.
 type Conn struct {
-	nc      net.Conn
+	nc      *httpclient.Conn
 	br      *bufio.Reader
 	head    *headLimiter // that br reads from
 	addr    string
@@ -102,7 +101,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
-	nc, err := httpclient.Dialer(p.cfg.DialTimeout).DialContext(ctx, "tcp", addr)
+	nc, err := httpclient.Dial(ctx, addr, p.cfg.DialTimeout)
 	if err != nil {
 		return nil, errors.Wrap(ErrDial, err.Error())
 	}
@@ -114,10 +113,8 @@
 // kernel still delivers what was written, and a target cannot tell it from a caller that has only
 // finished sending.
 func (c *Conn) abort() {
-	if tcp, ok := c.nc.(*net.TCPConn); ok {
-		// The error is ignored: the connection is closed already.
-		_ = tcp.SetLinger(0)
-	}
+	// The error is ignored: the connection is closed already.
+	_ = c.nc.SetLinger(0)
 	c.nc.Close()
 }
 
@@ -166,11 +163,7 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.nc.SyscallConn()
 	if err != nil {
 		return false
 	}
