httpclient: a response with an impossible status is no response

What callers saw: a target's answer with status 600 or 999 arrived as it was. With 000, 099, 020, -00 or +20 the connection was closed without an answer, also where a second target could have answered, and the end of the attempt was not recorded.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads. WriteHeader panics for a code below 100; net/http recovers by closing the connection.

Change: CheckHead refuses a status beyond 100 to 599, and 101, which nobody asks for. Both readers of heads pass it: targetconn, and the transport of all clients made by httpclient (engines, store, origin, host list, and the agent's way to its target). At the gateway such an answer counts as garbled_answer: the request may have run, the target has failed, and others try what may be repeated.

Evidence: TestImpossibleStatusIsNoAnswer (gateway) had failed checks for each status but 101 before the change, TestImpossibleStatusIsNoResponse (httpclient) for each one; both pass with it.

--- /dev/null
+++ b/gateway/brokenhead_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// newHeadTarget returns a target that answers with raw bytes and closes the connection.
+func newHeadTarget(t *testing.T, raw string) *target {
+	return newTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer nc.Close()
+		_, _ = io.WriteString(nc, raw)
+	})
+}
+
+// expectNoAnswer checks that raw bytes are no answer to any request: another target completes what may be repeated,
+// and the caller gets 502 otherwise, since the request may have run.
+func expectNoAnswer(t *testing.T, raw string) {
+	t.Helper()
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
+		f := newTestGateway(t, newHeadTarget(t, raw))
+		a := f.call(http.MethodPost, path, "b")
+		assert.Check(t, a.err == nil && a.status == http.StatusBadGateway, "%s, %q: %d %q, %v", path, raw, a.status, a.body, a.err)
+		counted := f.gateway.stats.refused[ReasonInvalidResponse].Count() + f.gateway.stats.retried[ReasonInvalidResponse].Count()
+		assert.Check(t, counted > 0, "%s, %q: %s", path, raw, a.body)
+	}
+	a := newTestGateway(t, newHeadTarget(t, raw), newTarget(t, okHandler)).call(http.MethodPost, "/safe/x", "b")
+	assert.Check(t, a.err == nil && a.body == "done /safe/x", "%q: %d %q, %v", raw, a.status, a.body, a.err)
+	a = newTestGateway(t, newHeadTarget(t, raw), newTarget(t, streamHandler(4, 4))).call(http.MethodPost, "/stream/x", "b")
+	assert.Check(t, a.err == nil && a.body == wantEvents(4), "%q: %d %q, %v", raw, a.status, a.body, a.err)
+}
+
+// Guards against a status that does not exist, which was passed on or ended the handling of its request.
+func TestImpossibleStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "-00", "+20", "020", "099", "101", "600", "999"} {
+		expectNoAnswer(t, strings.Replace(signedHead, "200", status, 1)+"Content-Length: 4\r\n\r\nbody")
+	}
+}
--- /dev/null
+++ b/httpclient/head_test.go
@@ -0,0 +1,39 @@
+package httpclient
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// expectInvalidHead checks that a client does not accept raw bytes as a response.
+func expectInvalidHead(t *testing.T, raw string) {
+	t.Helper()
+	addr := serveConns(t, func(nc *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+			return
+		}
+		fmt.Fprint(nc, raw)
+	})
+	resp, err := New("test").Do(t.Context(), http.MethodGet, "http://"+addr, nil)
+	if err == nil {
+		resp.Body.Close()
+	}
+	assert.Check(t, err != nil, "%q is a response", raw)
+}
+
+func TestImpossibleStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "-00", "+20", "099", "101", "600", "999"} {
+		expectInvalidHead(t, "HTTP/1.1 "+status+" OK\r\nContent-Length: 4\r\n\r\nbody")
+	}
+}
+
+func TestPossibleStatusIsReturned(t *testing.T) {
+	for _, status := range []int{200, 299, 304, 421, 499, 500, 599} {
+		assert.NilError(t, CheckHead(&http.Response{StatusCode: status}))
+	}
+}
--- a/httpclient/httpclient.go
+++ b/httpclient/httpclient.go
@@ -41,8 +41,7 @@
 
 // New returns a client whose calls are logged under name.
 func New(name string) httpc.Service {
-	breaker.NoBreakerFor(name)
-	return httpc.NewServiceWithClient(name, &http.Client{Transport: Transport()})
+	return newService(name, newTransport(dialTimeout, idleTimeout))
 }
 
 // NewShortIdle is like New, for a server that limits the total number of connections from
@@ -50,20 +49,21 @@
 // This also limits how many connections the server still counts if the client's host loses
 // power: the server keeps such connections open for a long time.
 func NewShortIdle(name string) httpc.Service {
+	return newService(name, newTransport(shortIdleDialTimeout, shortIdleTimeout))
+}
+
+func newService(name string, t *http.Transport) httpc.Service {
 	breaker.NoBreakerFor(name)
-	t := Transport()
-	t.DialContext = dialFunc(shortIdleDialTimeout)
-	t.IdleConnTimeout = shortIdleTimeout
-	return httpc.NewServiceWithClient(name, &http.Client{Transport: t})
+	return httpc.NewServiceWithClient(name, &http.Client{Transport: checkedTransport{t}})
 }
 
-// Transport returns a transport that reuses connections, ignores proxy settings, does not
+// newTransport returns a transport that reuses connections, ignores proxy settings, does not
 // decompress bodies and bounds heads.
-func Transport() *http.Transport {
+func newTransport(dial, idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialFunc(dialTimeout),
+		DialContext:            dialFunc(dial),
 		MaxIdleConnsPerHost:    idleConnsPerHost,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        idle,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/springgate/springgate/httpclient"
 )
 
 // Errors of an exchange, that is, of sending one request and receiving its
@@ -107,6 +108,9 @@
 		if err != nil {
 			return nil, errors.Wrap(ErrInvalidResponse, err.Error())
 		}
+		if err := httpclient.CheckHead(hr); err != nil {
+			return nil, errors.Wrap(ErrInvalidResponse, err.Error())
+		}
 		if hr.StatusCode/100 != 1 {
 			return hr, nil
 		}
