httpclient: a response with an impossible field name is no response

What callers saw: a target's answer whose head had a blank in the name of a field arrived as a whole 200 without that line. Where the line was "Content-Length : 4" or "Transfer-Encoding : chunked", the body was another one: bytes beyond the length, sizes of chunks as text, also in streams.

Cause: textproto keeps a name with a blank as it is, for compatibility. The name is no known one then, so the field frames nothing, and net/http's server drops it when it writes the answer.

--- a/gateway/brokenhead_test.go
+++ b/gateway/brokenhead_test.go
@@ -44,3 +44,18 @@
 		expectNoAnswer(t, strings.Replace(signedHead, "200", status, 1)+"Content-Length: 4\r\n\r\nbody")
 	}
 }
+
+// Guards against a field whose name is not one: it was dropped, also where it tells the length of the body.
+func TestImpossibleFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"Bad Name: x", "Name : x", "Na\tme: x", "Na\x00me: x", "Na\x01me: x", "Na\x7fme: x", "Nam\u00e9: x", "Na\"me: x", ": x", "no colon", " folded: x"} {
+		expectNoAnswer(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nId: r1\r\nSigned: by the target\r\nContent-Length: 4\r\n\r\nbody")
+	}
+	for _, framed := range []string{
+		"Content-Length : 4\r\n\r\nbody and more",
+		"Content-Length\t: 4\r\n\r\nbody and more",
+		"Transfer-Encoding : chunked\r\n\r\n" + chunk(wantEvents(2)) + "0\r\n\r\n",
+		"Transfer-Encoding\t: chunked\r\n\r\n" + chunk(wantEvents(2)) + "0\r\n\r\n",
+	} {
+		expectNoAnswer(t, signedHead+framed)
+	}
+}
--- a/httpclient/head_test.go
+++ b/httpclient/head_test.go
@@ -37,3 +37,10 @@
 		assert.NilError(t, CheckHead(&http.Response{StatusCode: status}))
 	}
 }
+
+func TestImpossibleFieldNameIsNoResponse(t *testing.T) {
+	for _, line := range []string{"Bad Name: x", "Name : x", "Na\tme: x", "Na\x00me: x", "Na\x01me: x", "Na\x7fme: x", ": x",
+		"Content-Length : 2", "Transfer-Encoding : chunked"} {
+		expectInvalidHead(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+	}
+}
