gateway, httpclient, targetconn: tests of answers that were handled before

Reported by operators of other systems: an engine that stops in the middle of its answer's head and closes, whose clients get a 200 with a part of the body. That does not happen here: a head of HTTP/1.1 or 1.0 that is cut after any of its bytes is an error, and others try what may be repeated. The same holds for responses with a length, chunks or a trailer that are cut after any byte, for values with NUL or a bare CR, for lengths that contradict each other or are no number, and for unknown codings.

Change: tests only.

--- a/gateway/brokenhead_test.go
+++ b/gateway/brokenhead_test.go
@@ -59,3 +59,24 @@
 		expectNoAnswer(t, signedHead+framed)
 	}
 }
+
+// A head that is cut after any of its bytes is no answer.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	for _, head := range []string{signedHead + "Content-Length: 10\r\n\r\n", strings.Replace(signedHead, "1.1", "1.0", 1) + "\r\n"} {
+		for n := range len(head) {
+			a := newTestGateway(t, newHeadTarget(t, head[:n])).call(http.MethodPost, "/unsafe/x", "b")
+			assert.Check(t, a.err == nil && a.status == http.StatusBadGateway, "cut after %q: %d %q, %v", head[:n], a.status, a.body, a.err)
+			a = newTestGateway(t, newHeadTarget(t, head[:n]), newTarget(t, streamHandler(4, 4))).call(http.MethodPost, "/stream/x", "b")
+			assert.Check(t, a.err == nil && a.body == wantEvents(4), "cut after %q: %d %q, %v", head[:n], a.status, a.body, a.err)
+		}
+	}
+}
+
+// Other heads whose values or lengths the grammar does not allow.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for _, lines := range []string{"Value: a\x00b\r\nContent-Length: 4\r\n", "Value: a\rb\r\nContent-Length: 4\r\n",
+		"Content-Length: 4\r\nContent-Length: 9\r\n", "Content-Length: +4\r\n", "Content-Length: -1\r\n", "Content-Length: 4,9\r\n", "Content-Length: 0x4\r\n",
+		"Transfer-Encoding: chunked, chunked\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n"} {
+		expectNoAnswer(t, signedHead+lines+"\r\nbody")
+	}
+}
--- a/httpclient/head_test.go
+++ b/httpclient/head_test.go
@@ -44,3 +44,12 @@
 		expectInvalidHead(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n2\r\nab\r\n0\r\n\r\n")
 	}
 }
+
+// A head that is cut after any of its bytes is no response.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "HTTP/1.0 200 OK\r\nName: x\r\n\r\n"} {
+		for n := range len(head) {
+			expectInvalidHead(t, head[:n])
+		}
+	}
+}
--- a/targetconn/exchange_test.go
+++ b/targetconn/exchange_test.go
@@ -282,3 +282,19 @@
 	p.Sweep(func(string) bool { return false })
 	assert.Equal(t, len(p.idle), 0)
 }
+
+// A response that is cut after any of its bytes is not complete.
+func TestCutResponseIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTest-Id: a\r\n"
+	for _, raw := range []string{head + "Content-Length: 10\r\n\r\n0123456789", head + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5;x=y\r\n56789\r\n0\r\n\r\n",
+		head + "Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\na\r\n0123456789\r\n0\r\nSum: 1\r\n\r\n"} {
+		for n := range len(raw) + 1 {
+			s := serve(t, func(_ int64, nc net.Conn, br *bufio.Reader) {
+				_, _, _ = readRequest(br)
+				fmt.Fprint(nc, raw[:n])
+			})
+			body, err := do(t.Context(), NewPool(Config{}), s.addr, request("a"))
+			assert.Check(t, (err == nil) == (n == len(raw)), "cut after %q: %q, %v", raw[:n], body, err)
+		}
+	}
+}
