entry: a head with an impossible status is a refusal

What callers saw: where an agent passes on a status below 100, as those of the release before do, the entry of `springgate serve` closes the connection without an answer.

Cause: the status of a peer.Head goes to WriteHeader as it is, which panics.

Change: the entry treats such a head as target-failed: unknown outcome, or another attempt if the request is repeatable. ValidStatus holds what a final response may have, for both readers of heads and for the entry; interim responses are skipped before.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/springgate/springgate/caller"
 	"github.com/springgate/springgate/clock"
+	"github.com/springgate/springgate/httpclient"
 	"github.com/springgate/springgate/idempotency"
 	"github.com/springgate/springgate/intent"
 	"github.com/springgate/springgate/loop"
@@ -190,9 +191,17 @@
 	if err != nil {
 		return x.streamFailed(ctx)
 	}
+	return x.received(m)
+}
+
+// received passes a message of the stream to the state machine.
+func (x *exchange) received(m peer.Message) submission.Action {
 	x.lastMessage = m
 	switch m := m.(type) {
 	case *peer.Head:
+		if !httpclient.ValidStatus(m.Status) { // an agent of an earlier release does not check it
+			return x.machine.Refused(x.tryOf(m.Attempt), outcome.TargetFailed, 0)
+		}
 		return x.machine.Head(x.tryOf(m.Attempt))
 	case *peer.Data:
 		return x.machine.Data(x.tryOf(m.Attempt), m.Offset, m.Data)
--- a/httpclient/head.go
+++ b/httpclient/head.go
@@ -10,11 +10,14 @@
 // ErrInvalidHead is returned for a response whose head is not valid although net/http accepts it.
 var ErrInvalidHead = errors.New("httpclient: invalid head of a response")
 
-// CheckHead returns ErrInvalidHead if the head of a response has
-//   - a status beyond 100 to 599 (RFC 9110, section 15), or 101, which no client here asks for;
-//   - a name of a field that is no token (section 5.1): net/http ignores that field, also if it frames the body.
+// ValidStatus reports whether a final response may have the status (RFC 9110, section 15). 101 is none here: no client
+// asks for another protocol.
+func ValidStatus(status int) bool { return status >= 200 && status <= 599 }
+
+// CheckHead returns ErrInvalidHead if the head of a final response has an invalid status, or a name of a field that is
+// no token (RFC 9110, section 5.1): net/http ignores that field, also if it frames the body.
 func CheckHead(r *http.Response) error {
-	if r.StatusCode < 100 || r.StatusCode > 599 || r.StatusCode == http.StatusSwitchingProtocols {
+	if !ValidStatus(r.StatusCode) {
 		return errors.Wrapf(ErrInvalidHead, "status %d", r.StatusCode)
 	}
 	for name := range r.Header {
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -108,12 +108,13 @@
 		if err != nil {
 			return nil, errors.Wrap(ErrInvalidResponse, err.Error())
 		}
+		if hr.StatusCode/100 == 1 {
+			continue
+		}
 		if err := httpclient.CheckHead(hr); err != nil {
 			return nil, errors.Wrap(ErrInvalidResponse, err.Error())
 		}
-		if hr.StatusCode/100 != 1 {
-			return hr, nil
-		}
+		return hr, nil
 	}
 }
 
