gateway: a test of chunks in HTTP/1.0 that is known to fail

What callers see: an answer whose status line says HTTP/1.0, with "Transfer-Encoding: chunked", arrives as a whole 200 whose body has the sizes of its chunks as text.

Cause: http.ReadResponse drops the field for HTTP/1.0. Its result does not tell that there was one, so that CheckHead cannot see it; RFC 9112, section 6.1, has such a message as one with faulty framing.

Not mended: both readers of heads would have to look at the bytes of the head.

--- a/gateway/brokenhead_test.go
+++ b/gateway/brokenhead_test.go
@@ -80,3 +80,8 @@
 		expectNoAnswer(t, signedHead+lines+"\r\nbody")
 	}
 }
+
+// An answer of HTTP/1.0 in chunks, which that version does not have, is framed wrongly (RFC 9112, section 6.1).
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
+	expectNoAnswer(t, strings.Replace(signedHead, "1.1", "1.0", 1)+"Transfer-Encoding: chunked\r\n\r\n"+chunk(wantEvents(2))+"0\r\n\r\n")
+}
