--- a/gateway/earlyanswer_test.go
+++ b/gateway/earlyanswer_test.go
@@ -16,9 +16,6 @@
 // uploadBytes exceeds what the sockets buffer, so that a target can answer while its request is being written.
 const uploadBytes = 8 * mib
 
-// readBytes of an upload are read before its connection is reset.
-const readBytes = 64 * kib
-
 // newRawTarget returns a target that answers on the connection itself, before it has read the body of the request.
 func newRawTarget(t *testing.T, answer func(nc *net.TCPConn, upload io.Reader)) *target {
 	x := &target{Server: httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -45,18 +42,18 @@
 
 func chunk(body string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(body), body) }
 
-// reset closes the connection with a reset, whatever was written before.
-func reset(nc *net.TCPConn) {
+// resetDuringUpload reads a part of the upload and resets the connection.
+func resetDuringUpload(nc *net.TCPConn, upload io.Reader) {
+	_, _ = io.CopyN(io.Discard, upload, 64*kib)
 	_ = nc.SetLinger(0)
 	nc.Close()
 }
 
-// resetDuringUpload answers without a length and resets the connection while the upload is being written.
-func resetDuringUpload(body string) func(*net.TCPConn, io.Reader) {
+// cutAnswer answers without a length and resets the connection while the upload is being written.
+func cutAnswer(body string) func(*net.TCPConn, io.Reader) {
 	return func(nc *net.TCPConn, upload io.Reader) {
 		fmt.Fprint(nc, signedHead+"\r\n"+body)
-		_, _ = io.CopyN(io.Discard, upload, readBytes)
-		reset(nc)
+		resetDuringUpload(nc, upload)
 	}
 }
 
@@ -69,7 +66,7 @@
 	upload := strings.Repeat("u", uploadBytes)
 	for path, part := range map[string]string{"/safe/x": "part", "/unsafe/x": "part", "/stream/x": wantEvents(2)} {
 		t.Run(path, func(t *testing.T) {
-			f := newTestGateway(t, newRawTarget(t, resetDuringUpload(part))).allowUploads()
+			f := newTestGateway(t, newRawTarget(t, cutAnswer(part))).allowUploads()
 			for range resetRepetitions {
 				a := f.call(http.MethodPost, path, upload)
 				assert.Check(t, a.status != http.StatusOK || a.err != nil, "%.40q is a whole answer", a.body)
@@ -90,7 +87,7 @@
 	} {
 		t.Run(path, func(t *testing.T) {
 			for range resetRepetitions {
-				f := newTestGateway(t, newRawTarget(t, resetDuringUpload(c.part)), newTarget(t, c.other)).allowUploads()
+				f := newTestGateway(t, newRawTarget(t, cutAnswer(c.part)), newTarget(t, c.other)).allowUploads()
 				a := f.call(http.MethodPost, path, upload)
 				assert.Check(t, a.err == nil, "%v", a.err)
 				assert.Check(t, a.body == c.want, "%.40q", a.body)
@@ -108,18 +105,12 @@
 	}{
 		"length, then a reset": {
 			func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
-			func(nc *net.TCPConn, upload io.Reader) {
-				_, _ = io.CopyN(io.Discard, upload, readBytes)
-				reset(nc)
-			}},
+			resetDuringUpload},
 		"chunks, then a reset": {
 			func(body string) string {
 				return "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"
 			},
-			func(nc *net.TCPConn, upload io.Reader) {
-				_, _ = io.CopyN(io.Discard, upload, readBytes)
-				reset(nc)
-			}},
+			resetDuringUpload},
 		"closed after the upload": {
 			func(body string) string { return "\r\n" + body },
 			func(_ *net.TCPConn, upload io.Reader) { _, _ = io.Copy(io.Discard, upload) }},
@@ -127,8 +118,7 @@
 			func(body string) string { return "\r\n" + body },
 			func(nc *net.TCPConn, upload io.Reader) {
 				_ = nc.CloseWrite()
-				_, _ = io.CopyN(io.Discard, upload, readBytes)
-				reset(nc)
+				resetDuringUpload(nc, upload)
 			}},
 	} {
 		for path, body := range map[string]string{"/safe/x": "all of it", "/unsafe/x": "all of it", "/stream/x": wantEvents(3)} {
