httpclient: a peer that reads slowly keeps its connection

What callers saw: a target that read nothing for over 3 s in the middle of an upload, and would have answered within the request's time, lost its connection: 502 connection_lost (unsafe), 502 after further sends (safe, streaming), or a stream cut after its first event. In the same way a put of a piece to an engine ended, and an upload by an agent. Cause: TCP_USER_TIMEOUT of 3 s on dialed connections, meant for peers that have vanished. Linux applies it to a receive window that stays closed too, although the peer answers each probe. Change: while written data is not acknowledged, a Conn asks the kernel (TCP_INFO) whether the window is closed and the last probe was answered, and if so extends the timeout by a little. The time of the request bounds the wait. Where the system has no TCP_INFO the timeout stays as it was. Why it works: a peer that reads slowly answers each probe; one that has vanished answers none, so its timeout is not extended. The extension also bounds the time between probes, which the kernel doubles otherwise. DeliveryTimeout and what counts on it stay.

--- a/httpclient/conn.go
+++ b/httpclient/conn.go
@@ -19,6 +19,7 @@
 // reads. A response is read while its request may still be written, so Conn looks at both.
 type Conn struct {
 	tcpConn
+	delivery *deliveryMonitor
 	writing  sync.Mutex
 	writeErr error // first error of a write; guarded by writing
 }
@@ -36,13 +37,27 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{tcpConn: nc.(*net.TCPConn)}, nil
+	c := nc.(*net.TCPConn)
+	m, err := newDeliveryMonitor(c)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return &Conn{tcpConn: c, delivery: m}, nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.delivery.stop()
+	return c.tcpConn.Close()
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	c.delivery.beginWrite()
+	defer c.delivery.endWrite()
 	n, err := c.tcpConn.Write(b)
 	if c.writeErr == nil {
 		c.writeErr = err
--- a/httpclient/conn_test.go
+++ b/httpclient/conn_test.go
@@ -23,6 +23,11 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { ln.Close() })
+	return serveListener(ln, handle)
+}
+
+// serveListener passes each connection to a function until the listener is closed.
+func serveListener(ln net.Listener, handle func(*net.TCPConn)) (addr string) {
 	go func() {
 		for {
 			nc, err := ln.Accept()
--- a/httpclient/dialer.go
+++ b/httpclient/dialer.go
@@ -12,7 +12,8 @@
 // down, no reset arrives, so without these timeouts a write or read would hang for minutes.
 const (
 	// DeliveryTimeout is how long sent data may remain unacknowledged (TCP_USER_TIMEOUT); it is
-	// not delivered later. It is longer than two retransmissions take on a lossy link.
+	// not delivered later. It is longer than two retransmissions take on a lossy link. A Conn waits for longer
+	// for a peer that acknowledges but reads nothing.
 	DeliveryTimeout   = 3 * time.Second
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
@@ -36,14 +37,16 @@
 
 // userTimeout returns a control function that sets TCP_USER_TIMEOUT.
 func userTimeout(d time.Duration) func(_, _ string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var sockErr error
-		err := c.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return sockErr
+	return func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, d) }
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
+	var sockErr error
+	err := c.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
 	}
+	return sockErr
 }
--- a/targetconn/exchange_test.go
+++ b/targetconn/exchange_test.go
@@ -33,6 +33,12 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	return serveListener(ln, handle)
+}
+
+// serveListener accepts connections until the listener is closed.
+func serveListener(ln net.Listener, handle func(n int64, nc net.Conn, br *bufio.Reader)) *server {
 	s := &server{addr: ln.Addr().String()}
 	go func() {
 		for {
@@ -49,7 +55,6 @@
 			}()
 		}
 	}()
-	t.Cleanup(func() { ln.Close() })
 	return s
 }
 
