targetconn: no request behind a body that the target has not read

What callers saw: a target answered an upload before it had read it, with a length, and stood still. The next request on its kept connection waited behind that body and ended with 502 connection_lost after 3 s; with the longer patience for slow readers it would wait until its deadline. Cause: a connection was kept once the kernel had taken the whole body; whether the target has it was not looked at. Change: after a body that is written beside the answer, a connection is kept only if all of it is acknowledged. Otherwise it is closed in order, so that the target still gets the rest.

--- a/httpclient/conn.go
+++ b/httpclient/conn.go
@@ -52,6 +52,9 @@
 	return c.tcpConn.Close()
 }
 
+// Delivered reports whether the peer has acknowledged all that was written; true if that is not known.
+func (c *Conn) Delivered() bool { return c.delivery.delivered() }
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
--- a/httpclient/delivery.go
+++ b/httpclient/delivery.go
@@ -103,6 +103,12 @@
 	}
 }
 
+// delivered implements Conn.Delivered.
+func (m *deliveryMonitor) delivered() bool {
+	d, err := readDelivery(m.conn)
+	return err != nil || !d.pending
+}
+
 // delivery is what the kernel knows of the data that was written to a connection.
 type delivery struct {
 	pending      bool   // not all is acknowledged
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -186,7 +186,8 @@
 	}
 	select {
 	case err := <-r.sent:
-		return err == nil
+		// A target may answer before it has read the body. The next request would wait behind it.
+		return err == nil && r.conn.nc.Delivered()
 	default:
 		return false // the request body is still being written
 	}
