httpclient: a response in another version of HTTP is no response

What callers saw: a status line such as "HTTP/2.0 200 OK" or "HTTP/0.0 200 OK" reached them as a whole 200. Cause: net/http's reader of responses takes any digits as the version and guesses the framing from it. An HTTP/1.1 connection carries responses of major version 1 only (RFC 9112, section 2.3), so these bytes are no response. Evidence: TestOtherVersionIsNoAnswer and TestOtherVersionIsNoResponse failed for each version before. Change: CheckHead, which reads each head, refuses other major versions. HTTP/1.9 is still read. Two blanks before the status and odd bytes in the reason stay accepted: RFC 9112, section 4 allows readers to split at blanks and tells them to ignore the reason, which is not passed on. TestPossibleStatusIsReturned builds its heads with a version now. Result: the tests pass, with those of statuses, names and cut heads.

--- a/gateway/brokenhead_test.go
+++ b/gateway/brokenhead_test.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// Guards against an answer in another version of HTTP, whose framing the reader can only guess.
+func TestOtherVersionIsNoAnswer(t *testing.T) {
+	for _, version := range []string{"HTTP/0.0", "HTTP/0.9", "HTTP/2.0", "HTTP/9.9"} {
+		expectNoAnswer(t, strings.Replace(signedHead, "HTTP/1.1", version, 1)+"Content-Length: 4\r\n\r\nbody")
+	}
+}
+
 // Guards against a field whose name is not one: it was dropped, also where it tells the length of the body.
 func TestImpossibleFieldNameIsNoAnswer(t *testing.T) {
 	for _, line := range []string{"Bad Name: x", "Name : x", "Na\tme: x", "Na\x00me: x", "Na\x01me: x", "Na\x7fme: x", "Nam\u00e9: x", "Na\"me: x", ": x", "no colon", " folded: x"} {
--- a/httpclient/head.go
+++ b/httpclient/head.go
@@ -14,9 +14,13 @@
 // asks for another protocol.
 func ValidStatus(status int) bool { return status >= 200 && status <= 599 }
 
-// CheckHead returns ErrInvalidHead if the head of a final response has an invalid status, or a name of a field that is
-// no token (RFC 9110, section 5.1): net/http ignores that field, also if it frames the body.
+// CheckHead returns ErrInvalidHead if the head of a final response has another major version than the request (RFC 9112,
+// section 2.3), an invalid status, or a name of a field that is no token (RFC 9110, section 5.1): net/http ignores that
+// field, also if it frames the body.
 func CheckHead(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return errors.Wrapf(ErrInvalidHead, "version %d.%d", r.ProtoMajor, r.ProtoMinor)
+	}
 	if !ValidStatus(r.StatusCode) {
 		return errors.Wrapf(ErrInvalidHead, "status %d", r.StatusCode)
 	}
--- a/httpclient/head_test.go
+++ b/httpclient/head_test.go
@@ -32,9 +32,30 @@
 	}
 }
 
+// Guards against a response of another version of HTTP, whose framing the reader can only guess.
+func TestOtherVersionIsNoResponse(t *testing.T) {
+	for _, version := range []string{"HTTP/0.0", "HTTP/0.9", "HTTP/2.0", "HTTP/3.0", "HTTP/9.9"} {
+		expectInvalidHead(t, version+" 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+	}
+}
+
+func TestLaterMinorVersionIsRead(t *testing.T) {
+	addr := serveConns(t, func(nc *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+			return
+		}
+		fmt.Fprint(nc, "HTTP/1.9 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+	})
+	resp, err := New("test").Do(t.Context(), http.MethodGet, "http://"+addr, nil)
+	assert.NilError(t, err)
+	b, err := ReadAll(resp, 100)
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), "body")
+}
+
 func TestPossibleStatusIsReturned(t *testing.T) {
 	for _, status := range []int{200, 299, 304, 421, 499, 500, 599} {
-		assert.NilError(t, CheckHead(&http.Response{StatusCode: status}))
+		assert.NilError(t, CheckHead(&http.Response{ProtoMajor: 1, StatusCode: status}))
 	}
 }
 
