entry, operator: bound the heads of requests

What callers saw: nothing yet. A head of up to 1 MiB was read from each client of `springgate serve` and of the operators' listener, so that a few hundred that send one slowly could exceed the memory of the host, and all requests of the process would be lost with it. Cause: MaxHeaderBytes was not set, and net/http's default is 1 MiB. Change: 64 KiB, as at `springgate gateway`; beyond it 431. Short fields, and so their sixteenfold size, are not bounded otherwise.

--- a/entry/server.go
+++ b/entry/server.go
@@ -13,11 +13,13 @@
 	"github.com/zeromicro/go-zero/rest"
 )
 
-// Timeouts of the HTTP server. Responses have no timeout, because a streamed
+// Timeouts and limits of the HTTP server. Responses have no timeout, because a streamed
 // response may take arbitrarily long.
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// maxHeaderBytes bounds the head of a request, which takes up to 16 times its bytes when parsed.
+	maxHeaderBytes = 64 << 10
 )
 
 // newServer returns the HTTP server. Routing uses go-zero's rest package with
@@ -37,7 +39,7 @@
 		return nil, errors.Wrap(err, "entry: http server")
 	}
 	return &http.Server{Handler: http.HandlerFunc(handler.Serve), ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: idleTimeout}, nil
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, nil
 }
 
 // serveStatus responds with the state of all known hosts.
--- a/operator/admin.go
+++ b/operator/admin.go
@@ -19,7 +19,11 @@
 	PathStatus  = "/status"
 )
 
-const readHeaderTimeout = 10 * time.Second
+// Limits of the HTTP server.
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
 
 // Routes returns the routes for health, readiness and metrics.
 func Routes(ready func() bool, reg metrics.Registry) []rest.Route {
@@ -43,6 +47,19 @@
 
 // ServeAdmin serves Routes on addr. The returned function stops the server.
 func ServeAdmin(addr string, ready func() bool, reg metrics.Registry) (stop func(), err error) {
+	s, err := newAdminServer(ready, reg)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "operator: listen")
+	}
+	go func() { _ = s.Serve(ln) }()
+	return func() { s.Close() }, nil
+}
+
+func newAdminServer(ready func() bool, reg metrics.Registry) (*http.Server, error) {
 	server, err := rest.NewServer(rest.RestConf{})
 	if err != nil {
 		return nil, errors.Wrap(err, "operator: http server")
@@ -52,11 +69,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "operator: http server")
 	}
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, errors.Wrap(err, "operator: listen")
-	}
-	s := &http.Server{Handler: http.HandlerFunc(handler.Serve), ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = s.Serve(ln) }()
-	return func() { s.Close() }, nil
+	return &http.Server{Handler: http.HandlerFunc(handler.Serve), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}, nil
 }
