httpclient: extend the delivery timeout for windows that are probed only

Where the system does not tell the peer's window and the times of segments, data that is merely unacknowledged looked like that of a closed window whose peer answers, so that a target that had vanished would not have been given up after 3 s. Cause: zero fields of TCP_INFO were taken for values. On Linux that second form of a closed window, with data in flight, did not occur in a run of the tests with receive buffers of 1 byte (the kernel's least), 8 and 64 KiB. Change: only a window with unsent data and none in flight counts as closed; the kernel's count of unanswered probes tells the rest. Result: tests of httpclient, target, targetconn and of uploads in gateway pass with the race detector.

--- a/httpclient/delivery.go
+++ b/httpclient/delivery.go
@@ -113,8 +113,8 @@
 type delivery struct {
 	pending      bool   // not all is acknowledged
 	acked        uint64 // bytes acknowledged so far
-	windowClosed bool   // the peer's receive window has no room for the next segment
-	answered     bool   // the peer has answered the last segment that was sent to a closed window, if any
+	windowClosed bool   // the peer's receive window has no room for the next segment, and is probed
+	answered     bool   // the peer has answered the last probe, if any
 }
 
 // readDelivery reads the state of a connection (tcp(7), TCP_INFO).
@@ -130,16 +130,9 @@
 	return newDelivery(info), nil
 }
 
-// newDelivery interprets the state of a connection. A closed window is probed in one of two ways: with segments without
-// data, or, if the peer has dropped data that it had room for before, with that data.
 func newDelivery(i *unix.TCPInfo) delivery {
-	d := delivery{pending: i.Unacked > 0 || i.Notsent_bytes > 0, acked: i.Bytes_acked}
-	if i.Unacked == 0 {
-		d.windowClosed, d.answered = i.Notsent_bytes > 0, i.Probes == 0
-	} else {
-		d.windowClosed, d.answered = i.Snd_wnd == 0, i.Last_ack_recv <= i.Last_data_sent
-	}
-	return d
+	return delivery{pending: i.Unacked > 0 || i.Notsent_bytes > 0, acked: i.Bytes_acked,
+		windowClosed: i.Unacked == 0 && i.Notsent_bytes > 0, answered: i.Probes == 0}
 }
 
 // windowState follows the receive window of a peer.
