httpclient: ask for unacknowledged data without allocations

What callers saw: nothing. Cause: TCP_INFO, and a closure for it, were allocated at each question whether all is acknowledged. Change: the length of the send queue (SIOCOUTQ) tells whether data is pending; TCP_INFO is read only if it is.

--- a/httpclient/delivery.go
+++ b/httpclient/delivery.go
@@ -29,12 +29,15 @@
 type deliveryMonitor struct {
 	conn syscall.RawConn
 
-	mu      sync.Mutex
-	timer   *time.Timer // nil before the first write
-	active  bool        // a check is scheduled
-	writing bool
-	stopped bool
-	window  windowState
+	mu         sync.Mutex
+	timer      *time.Timer // nil before the first write
+	active     bool        // a check is scheduled
+	writing    bool
+	stopped    bool
+	window     windowState
+	readQueue  func(fd uintptr) // sets queued and queueError; kept, so that a check does not allocate it
+	queued     int              // bytes written and not acknowledged
+	queueError error
 }
 
 func newDeliveryMonitor(nc *net.TCPConn) (*deliveryMonitor, error) {
@@ -42,7 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &deliveryMonitor{conn: raw}, nil
+	m := &deliveryMonitor{conn: raw}
+	m.readQueue = func(fd uintptr) { m.queued, m.queueError = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }
+	return m, nil
 }
 
 // beginWrite must be called before each write, and endWrite after it.
@@ -78,24 +83,30 @@
 	}
 }
 
-// check adapts the timeout of the connection and schedules the next check, if data is not acknowledged.
+// check adapts the timeout of the connection and schedules the next check, if data is not acknowledged. It ends the checks
+// if the connection has failed, or if the system does not tell its state.
 func (m *deliveryMonitor) check() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopped {
 		return
 	}
-	d, err := readDelivery(m.conn)
-	if err != nil { // the system does not tell, or the connection has failed
+	before := m.window.timeout
+	pending, err := m.pending()
+	switch {
+	case err != nil:
 		m.stopped = true
 		return
-	}
-	before := m.window.timeout
-	if d.pending || m.writing {
+	case !pending && !m.writing:
+		m.active, m.window.timeout = false, DeliveryTimeout
+	default:
+		d, err := readDelivery(m.conn)
+		if err != nil {
+			m.stopped = true
+			return
+		}
 		m.window.observe(time.Now(), d)
 		m.timer.Reset(deliveryCheckInterval)
-	} else {
-		m.active, m.window.timeout = false, DeliveryTimeout
 	}
 	if m.window.timeout != before {
 		// The error is ignored: the connection has failed.
@@ -103,15 +114,24 @@
 	}
 }
 
+// pending reports whether data is not acknowledged. The caller must hold m.mu.
+func (m *deliveryMonitor) pending() (bool, error) {
+	if err := m.conn.Control(m.readQueue); err != nil {
+		return false, err
+	}
+	return m.queued > 0, m.queueError
+}
+
 // delivered implements Conn.Delivered.
 func (m *deliveryMonitor) delivered() bool {
-	d, err := readDelivery(m.conn)
-	return err != nil || !d.pending
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	pending, err := m.pending()
+	return err != nil || !pending
 }
 
 // delivery is what the kernel knows of the data that was written to a connection.
 type delivery struct {
-	pending      bool   // not all is acknowledged
 	acked        uint64 // bytes acknowledged so far
 	windowClosed bool   // the peer's receive window has no room for the next segment, and is probed
 	answered     bool   // the peer has answered the last probe, if any
@@ -131,8 +151,7 @@
 }
 
 func newDelivery(i *unix.TCPInfo) delivery {
-	return delivery{pending: i.Unacked > 0 || i.Notsent_bytes > 0, acked: i.Bytes_acked,
-		windowClosed: i.Unacked == 0 && i.Notsent_bytes > 0, answered: i.Probes == 0}
+	return delivery{acked: i.Bytes_acked, windowClosed: i.Unacked == 0 && i.Notsent_bytes > 0, answered: i.Probes == 0}
 }
 
 // windowState follows the receive window of a peer.
--- a/httpclient/delivery_test.go
+++ b/httpclient/delivery_test.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -13,11 +14,11 @@
 		info unix.TCPInfo
 		want delivery
 	}{
-		"all acknowledged":             {unix.TCPInfo{Bytes_acked: 7, Snd_wnd: 100}, delivery{acked: 7, answered: true}},
-		"in flight":                    {unix.TCPInfo{Unacked: 1, Notsent_bytes: 9}, delivery{pending: true, answered: true}},
-		"probe answered":               {unix.TCPInfo{Notsent_bytes: 9}, delivery{pending: true, windowClosed: true, answered: true}},
-		"probe not answered":           {unix.TCPInfo{Notsent_bytes: 9, Probes: 1}, delivery{pending: true, windowClosed: true}},
-		"window of less than a packet": {unix.TCPInfo{Notsent_bytes: 9, Snd_wnd: 10}, delivery{pending: true, windowClosed: true, answered: true}},
+		"all acknowledged":             {unix.TCPInfo{Bytes_acked: 7}, delivery{acked: 7, answered: true}},
+		"in flight":                    {unix.TCPInfo{Unacked: 1, Notsent_bytes: 9}, delivery{answered: true}},
+		"probe answered":               {unix.TCPInfo{Notsent_bytes: 9}, delivery{windowClosed: true, answered: true}},
+		"probe not answered":           {unix.TCPInfo{Notsent_bytes: 9, Probes: 1}, delivery{windowClosed: true}},
+		"window of less than a packet": {unix.TCPInfo{Notsent_bytes: 9, Snd_wnd: 10}, delivery{windowClosed: true, answered: true}},
 	} {
 		assert.Equal(t, newDelivery(&c.info), c.want, name)
 	}
@@ -26,7 +27,7 @@
 // The kernel's time starts when the window closes, which is between two checks.
 func TestTimeoutIsExtendedWhileProbesAreAnswered(t *testing.T) {
 	start := time.Now()
-	slow := delivery{pending: true, acked: 1, windowClosed: true, answered: true}
+	slow := delivery{acked: 1, windowClosed: true, answered: true}
 	unanswered, open, progress := slow, slow, slow
 	unanswered.answered = false
 	open.windowClosed = false
@@ -53,3 +54,10 @@
 		assert.Equal(t, w.timeout.Milliseconds(), int64(step.wantMs), "at %d ms", step.atMs)
 	}
 }
+
+// Guards against allocations for each request: data is asked for after each one that has a large body.
+func TestDeliveredDoesNotAllocate(t *testing.T) {
+	c := dialTest(t, serveConns(t, func(nc *net.TCPConn) { <-t.Context().Done() }))
+	assert.Assert(t, c.Delivered())
+	assert.Equal(t, testing.AllocsPerRun(100, func() { c.Delivered() }), 0.0)
+}
